--- /dev/null
+++ b/lapistrestle/choice.py
@@ -0,0 +1,645 @@
+"""Every decision of the dispatcher: ENSURE's packing along a shared order, and the guards around it.
+
+A host makes one `Dispatcher` with its `Host`, the settings as a plain map, a seed and the clock, sets `now`
+before each event and calls the methods of `Events`; the module answers by calling the `Host`. The host makes
+`Srv`, `Fn` and `Rpc` objects from what it is told and hands them back by reference. Both protocols and all
+facts are in `lapistrestle/interface.py`; the design and its departures are in `docs/design.md`.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from math import ceil, exp, log, sqrt
+from zlib import crc32
+
+from lapistrestle import interface as face
+from lapistrestle.interface import Answer, CallOut, Facts, Host, Listing, Outcome, Warmth
+
+SECOND = 10_000  # in tenths of a millisecond
+PERIOD = 5 * SECOND  # of the holds, as the design page says
+BACKOFF = 2 * SECOND  # out of use after Unsafe, as the design page says
+WINDOW = 30  # latencies in a window, as the design page says
+EASE = 1.15  # the bound is never nearer to iso latency than this, as the design page says
+PRIOR = 2  # a young window is averaged with this many iso latencies: one heavy RPC is no verdict
+REACH = 0.3  # the bound lies this far from iso latency to the soft deadline: skewed work passes 15% by chance
+MEMORY = 3 * SECOND  # life of the decaying sums that must follow a trouble within its first seconds
+LONG = 10 * SECOND  # life of the decaying sums that stand for the ordinary
+CAUTION = 0.7  # of the cold budget: size and share of the traffic are only roughly known
+BAD_SHARE = 0.35  # of a worker's recent outcomes: beyond it, and twice at least, it is suspect
+HOLD_PART = 0.5  # of the order budget is for holds, the rest for what an RPC waits for
+FURTHER = 0.3  # further call-outs for each recent ok one, when all further ones succeed
+
+
+State = Enum("State", "NEW PLACING OUT PARKED OVER")  # of an RPC
+Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
+Zone = Enum("Zone", "SAFE PREWARNING WARNING UNSAFE")  # of a function on a worker
+Health = Enum("Health", "FIT SUSPECT TRIAL")  # of a worker
+MEANING = {
+    Outcome.OK: Input.OK, Outcome.ERROR: Input.MAY_HAVE_RUN, Outcome.TIMED_OUT: Input.MAY_HAVE_RUN,
+    Outcome.RESET: Input.MAY_HAVE_RUN, Outcome.CANCELLED: Input.MAY_HAVE_RUN, Outcome.MISS: Input.MISSED,
+    Outcome.FULL: Input.NEVER_RAN, Outcome.UNREACHABLE: Input.NEVER_RAN, Outcome.MOOT: Input.NEVER_RAN,
+}  # fmt: skip
+HARM = {Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.UNREACHABLE}
+
+
+@dataclass
+class Sum:
+    """A decaying sum, brought up to date when read."""
+
+    life: int
+    at: int = 0
+    value: float = 0.0
+
+    def read(self, now: int) -> float:
+        if now > self.at:
+            self.value, self.at = self.value * exp((self.at - now) / self.life), now
+        return self.value
+
+    def add(self, now: int, amount: float) -> None:
+        self.value = self.read(now) + amount
+
+
+def memory() -> Sum:
+    return Sum(MEMORY)
+
+
+@dataclass(eq=False)
+class Srv(face.SrvFacts):
+    health: Health = Health.FIT
+    good: Sum = field(default_factory=memory)
+    bad: Sum = field(default_factory=memory)
+    took: Sum = field(default_factory=memory)  # latency of warm outcomes there, of all functions
+    served: Sum = field(default_factory=memory)  # ok outcomes
+    iso: Sum = field(default_factory=memory)  # what it would have been alone
+    pause: int = SECOND
+    due: int = 0  # when a suspect worker is tried again
+    passed: int = 0  # good outcomes of the trial
+    out: dict[CallOut, float] = field(default_factory=dict)  # own call-outs there, with their iso latency
+    unheard: int | None = None  # since when a warm call-out of ours waits without any word from it
+    emptied: int = -1  # nothing loaded before this moment still stands
+    sends: deque[tuple[int, float]] = field(default_factory=deque)  # while cold: when and what weight
+
+
+@dataclass(eq=False)
+class Spot:
+    """One function on one worker."""
+
+    srv: Srv
+    fn: "Fn"
+    window: deque[int] = field(default_factory=lambda: deque(maxlen=WINDOW))
+    zone: Zone = Zone.SAFE
+    until: int = 0  # end of the backoff
+    copies: int = 0  # believed to stand
+    seen: int = -1  # when that was last confirmed
+    out: int = 0  # own call-outs of the function there
+    peak: int = 0  # most of them at once since the last hold
+    loading: int = 0  # own loads under way there
+    waiters: list["Rpc"] = field(default_factory=list)
+
+
+@dataclass(eq=False)
+class Fn(face.FnFacts):
+    spots: dict[Srv, Spot] = field(default_factory=dict)
+    iso: float | None = None
+    order: list[Srv] = field(default_factory=list)
+    version: int = -1  # of the list that `order` was made from
+
+    def spot(self, srv: Srv) -> Spot:
+        if srv not in self.spots:
+            self.spots[srv] = Spot(srv, self)
+        return self.spots[srv]
+
+
+@dataclass(eq=False)
+class Rpc(face.RpcFacts):
+    state: State = State.NEW
+    began: int = 0
+    ran_at: int = 0  # sending of the first call-out that may have run
+    ran_on: Srv | None = None
+
+
+class Dispatcher:
+    def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
+        self.host, self.facts, self.seed, self.now, self.start = host, facts, seed, now, now
+        self.draws = 0
+        self.srvs: list[Srv] = []
+        self.version, self.size = 0, 0.0
+        self.fns: dict[Fn, None] = {}
+        self.typical = [(Sum(LONG), Sum(LONG)) for _ in facts["methods"]]  # light ok ones: latency, count
+        self.ok_weight = Sum(LONG, now)
+        self.ok_count, self.further, self.further_ok = memory(), memory(), memory()
+        self.out = 0  # own call-outs under way but for those behind a load
+        self.asked = [Sum(LONG, now) for _ in facts["customers"]]
+        self.orders: deque[int] = deque()
+        self.taken: deque[int] = deque()
+        self.pressed = False
+        if facts["list_asked"]:
+            host.follow_list()
+            host.wake_me(max(SECOND, facts["ask_within"] // 2), self.follow)
+        host.wake_me(1 + self.chance(PERIOD), self.hold_all)
+
+    def chance(self, below: int) -> int:
+        self.draws += 1
+        return crc32(f"{self.seed}:{self.draws}".encode()) % max(1, below)
+
+    # --- the list and the shared order
+
+    def listed(self, srvs: Sequence[tuple[Srv, face.SrvFacts]], whole: bool) -> None:
+        told = [srv for srv, _ in srvs]
+        for srv, facts in srvs:
+            if facts.booted is not None and facts.booted != srv.booted:
+                self.restarted(srv, facts.booted)
+            srv.zone, srv.cell, srv.kind, srv.size = facts.zone, facts.cell, facts.kind, facts.size
+            srv.listing, srv.booted = facts.listing, facts.booted
+        if whole:
+            missing = set(self.srvs) - set(told)
+            for srv in self.srvs:
+                if srv in missing:
+                    srv.listing = Listing.GONE
+        known = dict.fromkeys([*self.srvs, *told])
+        self.srvs = sorted(known, key=lambda s: (crc32(s.name.encode()), s.name))
+        self.size = sum(srv.size for srv in self.srvs if srv.listing is Listing.SERVING)
+        self.version += 1
+
+    def restarted(self, srv: Srv, booted: int) -> None:
+        srv.emptied, srv.health, srv.unheard = booted, Health.FIT, None
+        srv.good, srv.bad, srv.pause = memory(), memory(), SECOND
+
+    def list_failed(self) -> None:
+        self.host.wake_me(SECOND, self.follow)
+
+    def follow(self) -> None:
+        self.host.follow_list()
+        self.host.wake_me(max(SECOND, self.facts["ask_within"] // 2), self.follow)
+
+    def walk(self, fn: Fn) -> list[Srv]:
+        """The shared order of worker ids, entered where the function's hash points.
+
+        The entry is the worker whose id, hashed with the function, comes highest, by size: one that joins or
+        leaves rehomes only its own functions.
+        """
+        if fn.version != self.version:
+            ring = [s for s in self.srvs if s.listing is not Listing.GONE]
+            draws = [(crc32(f"{fn.name} {srv.name}".encode()) + 1) / (2**32 + 1) for srv in ring]
+            sizes = [1 if self.facts["size_is_live"] else srv.size for srv in ring]
+            marks = [size / -log(draw) for size, draw in zip(sizes, draws, strict=True)]
+            first = marks.index(max(marks)) if marks else 0
+            fn.order, fn.version = ring[first:] + ring[:first], self.version
+        return fn.order
+
+    # --- the life of an RPC
+
+    def drive(self, rpc: Rpc, signal: Input | None, spot: Spot | None = None) -> None:
+        while signal is not None and rpc.state is not State.OVER:
+            rpc.state, effect = LIFE[rpc.state, signal]
+            rpc.over = rpc.state is State.OVER
+            signal = effect(self, rpc, spot)
+
+    def arrived(self, rpc: Rpc) -> None:
+        rpc.began = self.now
+        self.fns.setdefault(rpc.fn)
+        self.taken.append(self.now)
+        self.drive(rpc, Input.ARRIVED)
+
+    def left(self, rpc: Rpc) -> None:
+        rpc.state, rpc.over = State.OVER, True
+
+    def begun(self, call_out: CallOut) -> None:
+        call_out.srv.unheard = None
+
+    def admit(self, rpc: Rpc, _: Spot | None) -> Input:
+        """Under pressure seen, what can't earn its gain yields at once, traffic beyond a share first.
+
+        Pressure is what is out over what comes back ok (Little's law) against the soft deadline. It guards
+        against overload, lost workers and a crowded store alike; it harms when a jam is already dissolving.
+        """
+        soft, stay = self.soft(rpc), self.expected()
+        if stay > soft / 2 if not self.pressed else stay < soft / 4:
+            self.pressed = not self.pressed
+            self.host.log(f"pressure {'on' if self.pressed else 'off'}: stay {stay:.0f} of soft {soft}")
+        return Input.NOWHERE if stay > (soft / 2 if self.beyond_share(rpc) else soft) else Input.ADMITTED
+
+    def beyond_share(self, rpc: Rpc) -> bool:
+        if rpc.customer >= len(self.asked):
+            return False
+        asked = self.asked[rpc.customer]
+        asked.add(self.now, 1)
+        share = self.facts["customers"][rpc.customer]["quota"] / SECOND / self.facts["dispatchers"]
+        return bool(share > 0 and self.chance(1000) > 1000 * share / self.rate(asked))
+
+    def rate(self, total: Sum) -> float:
+        """Events in a tenth of a millisecond; a young sum is not yet full."""
+        age = max(SECOND, self.now - self.start)
+        return total.read(self.now) / (total.life * (1 - exp(-age / total.life)))
+
+    def expected(self) -> float:
+        """How long an RPC taken now will stay, by what is out and what comes back ok."""
+        ok = self.rate(self.ok_count)
+        return self.out / max(ok, 1 / LONG) if self.now - self.start > MEMORY else 0.0
+
+    def place(self, rpc: Rpc, _: Spot | None) -> Input:
+        """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
+        fn: Fn = rpc.fn
+        spots = [fn.spot(srv) for srv in self.candidates(rpc)]
+        open_ = [s for s in spots if self.zone(s) is not Zone.UNSAFE]
+        for spot in open_:
+            if spot.out < self.capacity(spot):
+                return self.send(rpc, spot)
+        loads = [s for s in fn.spots.values() if s.loading and s.srv.listing is Listing.SERVING]
+        cold = next((s for s in open_ if not self.believed(s)), None)
+        warm = [s for s in open_ if self.believed(s)]
+        if cold is not None and not loads:
+            calm = any(self.zone(s).value < Zone.WARNING.value for s in warm)
+            if not warm or not (calm or self.order(cold, 1)):
+                return self.send(rpc, cold)
+        near = [s for s in open_ if self.believed(s) or s.loading] or open_ or spots
+        if not near:
+            return Input.NOWHERE
+        near = [s for s in near if self.believed(s)] or near
+        fewest = min(self.crowd(s.srv) for s in near)
+        ties = [s for s in near if self.crowd(s.srv) == fewest]
+        spot = ties[self.chance(len(ties))]
+        if spot.loading and self.facts["absent_misses"] and not self.believed(spot):
+            spot.waiters.append(rpc)
+            return Input.WAITS
+        return self.send(rpc, spot)
+
+    def candidates(self, rpc: Rpc) -> Iterator[Srv]:
+        """Workers that this RPC may go to, in the shared order."""
+        tried = {c.srv for c in rpc.call_outs if c.outcome is not Outcome.MISS}
+        serving = [s for s in self.walk(rpc.fn) if s.listing is Listing.SERVING and self.allowed(rpc, s)]
+        fit = [s for s in serving if self.fit(s)]
+        if 2 * len(fit) < len(serving):  # most look bad: distrust that, and don't crowd the rest
+            fit = serving
+        fresh = [s for s in fit if s not in tried] or fit
+        return (s for s in fresh if self.cold_room(s, rpc.method))
+
+    def allowed(self, rpc: Rpc, srv: Srv) -> bool:
+        """Rule 2: where a repeat of an RPC that may have run is dropped."""
+        if rpc.ran_on is None:
+            return True
+        method = self.facts["methods"][rpc.method]
+        if method["kind"] == "idempotent":
+            return True
+        if method["kind"] != "tokened" or self.now >= rpc.ran_at + method["repeat_window"]:
+            return False
+        group = {"all": True, "zone": srv.zone == rpc.ran_on.zone, "cell": srv.cell == rpc.ran_on.cell}
+        return group.get(method["scope"], False)
+
+    def send(self, rpc: Rpc, spot: Spot) -> Input:
+        srv, cold = spot.srv, not self.believed(spot)
+        call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1)
+        if rpc.call_outs and rpc.call_outs[-1].outcome is not Outcome.MISS:
+            self.further.add(self.now, 1)
+        rpc.call_outs.append(call_out)
+        srv.out[call_out] = self.iso(spot.fn)
+        spot.out, self.out = spot.out + 1, self.out + (not cold)
+        spot.peak = max(spot.peak, spot.out)
+        spot.loading += cold
+        if not cold and srv.unheard is None:
+            srv.unheard = self.now
+        if self.warmth_of(srv) < 1:
+            srv.sends.append((self.now, self.weight(rpc.method)))
+        if srv.health is Health.SUSPECT:
+            srv.health, srv.passed = Health.TRIAL, 0
+        self.host.call_out(call_out, self.time_out(rpc, spot, cold))
+        return Input.SENT
+
+    def time_out(self, rpc: Rpc, spot: Spot, cold: bool) -> int:
+        """Most of what remains to the soft deadline, where a further call-out may be made."""
+        left = max(1, rpc.deadline - self.now)
+        method = self.facts["methods"][rpc.method]
+        last = len(rpc.call_outs) >= self.facts["try_limit"]
+        if method["kind"] == "side-effecting" or cold or self.pressed or last:
+            return left
+        soft = rpc.began + self.soft(rpc) - self.now
+        return int(min(left, max(soft * 2 / 3, 4 * self.iso(spot.fn))))
+
+    def soft(self, rpc: Rpc) -> int:
+        method = self.facts["methods"][rpc.method]
+        stretch = method["soft_stretch"] * (rpc.work or 0)
+        return int(min(method["deadline"], method["soft_deadline"] + stretch))
+
+    def again(self, rpc: Rpc, spot: Spot | None) -> Input:
+        """A further call-out, if the rules, the try limit, the time left and recent successes allow it."""
+        tries = sum(c.outcome is not Outcome.MISS for c in rpc.call_outs)
+        if len(rpc.call_outs) >= self.facts["try_limit"] or rpc.deadline - self.now < self.iso(rpc.fn):
+            return Input.NOWHERE
+        if tries and not self.affords_further():
+            return Input.NOWHERE
+        return self.place(rpc, spot)
+
+    def affords_further(self) -> bool:
+        """Further call-outs follow how many of the recent ones succeeded: no storm on a failing fleet."""
+        made, went_well = self.further.read(self.now), self.further_ok.read(self.now)
+        return made < 2 + FURTHER * self.ok_count.read(self.now) * (went_well + 1) / (made + 1)
+
+    def missed(self, rpc: Rpc, spot: Spot | None) -> Input:
+        """After a miss answer a hold of one loads; the RPC waits for it, so it can't overtake the order."""
+        if spot is None or not self.facts["absent_misses"] or len(rpc.call_outs) >= self.facts["try_limit"]:
+            return self.again(rpc, spot)
+        if spot.loading or self.order(spot, 1):
+            spot.waiters.append(rpc)
+            return Input.WAITS
+        return self.again(rpc, spot)
+
+    def park(self, rpc: Rpc, _: Spot | None) -> None:
+        self.host.wake_me(max(1, int(rpc.deadline - self.now - self.iso(rpc.fn))), rpc)
+
+    def give_up(self, rpc: Rpc, _: Spot | None) -> None:
+        """Answered at once: denied where that is provably harmless, else aborted."""
+        method = self.facts["methods"][rpc.method]
+        if rpc.ran_on is None or method["kind"] == "idempotent" or (
+            method["kind"] == "tokened" and method["scope"] == "all"
+        ):  # fmt: skip
+            self.host.deny(rpc, self.facts["longest_come_back"] if self.facts["may_come_back"] else 0)
+        else:
+            self.host.abort(rpc)
+
+    def nothing(self, rpc: Rpc, _: Spot | None) -> None:
+        return None
+
+    def woken(self, token: object) -> None:
+        if isinstance(token, Rpc):
+            if token.state is State.PARKED:
+                for spot in token.fn.spots.values():
+                    if token in spot.waiters:
+                        spot.waiters.remove(token)
+                self.drive(token, Input.LATE)
+        elif callable(token):
+            token()
+
+    # --- outcomes
+
+    def ended(self, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
+        rpc: Rpc = call_out.rpc
+        srv: Srv = call_out.srv
+        spot = rpc.fn.spot(srv)
+        call_out.outcome = outcome
+        del srv.out[call_out]
+        spot.out, self.out = spot.out - 1, self.out - (not call_out.cold)
+        spot.loading -= call_out.cold
+        if outcome is not Outcome.TIMED_OUT:
+            srv.unheard = self.now if srv.out else None
+        self.learn(spot, call_out, outcome, answer)
+        if MEANING[outcome] is Input.MAY_HAVE_RUN and rpc.ran_on is None:
+            rpc.ran_on, rpc.ran_at = srv, call_out.sent
+        if answer.over:
+            rpc.state, rpc.over = State.OVER, True
+        self.drive(rpc, MEANING[outcome], spot)
+
+    def learn(self, spot: Spot, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
+        srv, fn, rpc = spot.srv, spot.fn, call_out.rpc
+        load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
+        if outcome is Outcome.OK:
+            spot.copies, spot.seen = max(self.believed(spot), 1), self.now
+            self.ok_weight.add(self.now, self.weight(rpc.method))
+            self.ok_count.add(self.now, 1)
+            srv.served.add(self.now, 1)
+            if len(rpc.call_outs) > 1:
+                self.further_ok.add(self.now, 1)
+            if not load and call_out.company <= 1:
+                for total, amount in zip(self.typical[rpc.method], (answer.took, 1), strict=True):
+                    total.add(self.now, amount)
+        if outcome in (Outcome.UNREACHABLE, Outcome.RESET):
+            srv.emptied = self.now
+        if outcome is Outcome.MISS:
+            spot.copies = 0
+        if outcome in (Outcome.MISS, Outcome.MOOT, Outcome.FULL) or (outcome is Outcome.OK and load):
+            if outcome is Outcome.FULL:
+                self.unsafe(spot)
+            return
+        if answer.warmth is Warmth.LOAD_FAILED:
+            return
+        harm = outcome in HARM
+        took = max(answer.took, int(self.bound(fn))) if harm or outcome is Outcome.CANCELLED else answer.took
+        spot.window.append(took)
+        srv.took.add(self.now, took)
+        srv.iso.add(self.now, self.iso(fn))
+        self.judge_zone(spot)
+        self.judge_health(srv, harm or took > self.bound(fn), call_out.sent)
+
+    def weight(self, method: int) -> float:
+        took, count = (s.read(self.now) for s in self.typical[method])
+        quarter = self.facts["methods"][method]["soft_deadline"] / 4
+        return took / count if count > 0.01 else quarter
+
+    # --- zones
+
+    def iso(self, fn: Fn) -> float:
+        return fn.iso if fn.iso is not None else self.weight(fn.method)
+
+    def bound(self, fn: Fn) -> float:
+        iso = self.iso(fn)
+        return max(EASE * iso, iso + REACH * (self.facts["methods"][fn.method]["soft_deadline"] - iso))
+
+    def judge_zone(self, spot: Spot) -> None:
+        iso = self.iso(spot.fn)
+        average = (sum(spot.window) + PRIOR * iso) / (len(spot.window) + PRIOR)
+        if spot.zone is not Zone.UNSAFE:
+            spot.zone = self.quarter(spot.fn, average)
+            if spot.zone is Zone.UNSAFE:
+                self.unsafe(spot)
+
+    def quarter(self, fn: Fn, average: float) -> Zone:
+        iso = self.iso(fn)
+        return list(Zone)[max(0, min(3, int(4 * (average - iso) / (self.bound(fn) - iso))))]
+
+    def unsafe(self, spot: Spot) -> None:
+        spot.zone, spot.until = Zone.UNSAFE, self.now + BACKOFF
+
+    def zone(self, spot: Spot) -> Zone:
+        if spot.zone is Zone.UNSAFE and self.now >= spot.until:
+            spot.zone = Zone.WARNING
+            spot.window.clear()
+        return max(spot.zone, self.srv_zone(spot), key=lambda z: z.value)
+
+    def srv_zone(self, spot: Spot) -> Zone:
+        """What all functions' latencies on the worker say of this one's there: its own window fills slowly.
+
+        Guards against slow, crowded or paused workers that each function would have to find out by itself;
+        what is still out counts with its age, and what a worker holds of ours over what comes back from it is
+        a latency to come. It eases as the sums decay; it harms where one function alone is slow.
+        """
+        iso = self.iso(spot.fn)
+        took, alone = spot.srv.took.read(self.now), spot.srv.iso.read(self.now)
+        for call_out, usual in spot.srv.out.items():
+            if not call_out.cold and self.now - call_out.sent > usual:
+                took, alone = took + self.now - call_out.sent, alone + usual
+        average = iso * (took + PRIOR * iso) / (alone + PRIOR * iso)
+        return self.quarter(spot.fn, max(average, self.crowd(spot.srv)))
+
+    def crowd(self, srv: Srv) -> float:
+        """How long one more would wait there: ours, over the pace they come back at, or one by one."""
+        pace = max(self.rate(srv.served), self.rate(self.ok_count) * srv.size / max(self.size, 1e-9))
+        alone = [usual for call_out, usual in srv.out.items() if not call_out.cold]
+        return len(alone) / max(pace, len(alone) / sum(alone)) if alone else 0.0
+
+    def believed(self, spot: Spot) -> int:
+        """Copies believed to stand: an idle one may go after the idle life, a restart leaves none."""
+        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"]):
+            spot.copies = 0
+        return spot.copies
+
+    def capacity(self, spot: Spot) -> int:
+        copies, zone = self.believed(spot), self.zone(spot)
+        if zone is Zone.UNSAFE:
+            return 0
+        return min(1, copies) if zone is Zone.WARNING else copies * spot.fn.lanes
+
+    # --- workers' health
+
+    def judge_health(self, srv: Srv, harm: bool, sent: int) -> None:
+        """Errors, silence, lost connections and slowness are one symptom: own outcomes there go badly."""
+        (srv.bad if harm else srv.good).add(self.now, 1)
+        bad, good = srv.bad.read(self.now), srv.good.read(self.now)
+        all_bad = sum(s.bad.read(self.now) for s in self.srvs)
+        all_ = all_bad + sum(s.good.read(self.now) for s in self.srvs)
+        usual = max(BAD_SHARE, 2 * all_bad / max(all_, 1))
+        if srv.health is Health.FIT and bad > 1.5 and bad > usual * (bad + good):
+            self.suspect(srv, f"{bad:.1f} bad, {good:.1f} good")
+        elif srv.health is not Health.TRIAL or sent < srv.due:
+            return
+        elif harm:
+            srv.pause = min(2 * srv.pause, 8 * SECOND)
+            self.suspect(srv, "trial failed")
+        else:
+            srv.passed += 1
+            if srv.passed >= 3:
+                srv.health, srv.pause, srv.bad = Health.FIT, SECOND, memory()
+                self.host.log(f"{srv.name} fit again")
+
+    def suspect(self, srv: Srv, why: str) -> None:
+        srv.health, srv.due = Health.SUSPECT, self.now + srv.pause
+        self.host.log(f"{srv.name} suspect for {srv.pause / SECOND:.0f} s: {why}")
+
+    def fit(self, srv: Srv) -> bool:
+        if srv.unheard is not None and self.now - srv.unheard > self.patience():
+            return False
+        if srv.health is Health.SUSPECT:
+            return self.now >= srv.due and not srv.out
+        return srv.health is Health.FIT or not srv.out
+
+    def patience(self) -> float:
+        """How long a worker that holds warm call-outs of ours may give no sign."""
+        return 4 * max(self.weight(m) for m in range(len(self.typical)))
+
+    # --- cold workers
+
+    def warmth_of(self, srv: Srv) -> float:
+        """The part of its capacity that a worker has at the least."""
+        if srv.booted is None or not self.facts["ramp_time"]:
+            return 1.0
+        least = self.facts["cold_share"]
+        return min(1.0, least + (1 - least) * max(0, self.now - srv.booted) / self.facts["ramp_time"])
+
+    def cold_room(self, srv: Srv, method: int) -> bool:
+        """Rule 4: this dispatcher's part of the budget of a cold worker, over the last stated length.
+
+        What all dispatchers get answered by a warm worker of the same size is no more than its capacity, so
+        each keeps to its own part of that. One call-out in the window is always let through.
+        """
+        share = self.warmth_of(srv)
+        if share >= 1:
+            srv.sends.clear()
+            return True
+        while srv.sends and srv.sends[0][0] <= self.now - self.facts["fall_time"]:
+            srv.sends.popleft()
+        size = sum(s.size for s in self.srvs if s.listing is Listing.SERVING and self.warmth_of(s) >= 1)
+        taken = self.rate(self.ok_weight) * srv.size / size if size else 0.0
+        budget = CAUTION * self.facts["fall_multiple"] * share * self.facts["fall_time"] * taken
+        return not srv.sends or sum(w for _, w in srv.sends) + self.weight(method) <= budget
+
+    # --- loads and holds
+
+    def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
+        """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders."""
+        serving = spot.srv.listing is Listing.SERVING
+        if not self.facts["may_order"] or not serving or not self.order_room(part):
+            return False
+        self.orders.append(self.now)
+        spot.loading += 1
+        self.host.order(spot.srv, spot.fn, min(16, count))
+        return True
+
+    def order_room(self, part: float) -> bool:
+        window = self.facts["order_window"]
+        if not window:
+            return True
+        for times in (self.orders, self.taken):
+            while times and times[0] <= self.now - window:
+                times.popleft()
+        budget = self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken)
+        return bool(len(self.orders) + 1 <= part * budget)
+
+    def ordered(self, srv: Srv, fn: Fn, outcome: Outcome, count: int, took: int) -> None:
+        spot = fn.spot(srv)
+        spot.loading = max(0, spot.loading - 1)
+        if outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
+            spot.copies, spot.seen = count, self.now
+        elif outcome in (Outcome.RESET, Outcome.UNREACHABLE):
+            srv.emptied = self.now
+            self.judge_health(srv, True, self.now)
+        waiters, spot.waiters = spot.waiters, []
+        for rpc in waiters:
+            self.drive(rpc, Input.LOADED, spot)
+
+    def hold_all(self) -> None:
+        self.host.wake_me(PERIOD, self.hold_all)
+        while len(self.taken) > 10_000:
+            self.taken.popleft()
+        for fn in self.fns:
+            self.renew_iso(fn)
+        for fn in sorted(self.fns, key=lambda f: -sum(s.peak for s in f.spots.values())):
+            self.hold(fn)
+
+    def renew_iso(self, fn: Fn) -> None:
+        """The median window average at light own load, slowly renewed."""
+        light = [s.window for s in fn.spots.values() if len(s.window) > 2 and s.out < 2]
+        averages = sorted(sum(w) / len(w) for w in light)
+        if averages:
+            median = averages[len(averages) // 2]
+            fn.iso = median if fn.iso is None else fn.iso + 0.2 * (median - fn.iso)
+
+    def hold(self, fn: Fn) -> None:
+        """R + ceil(sqrt R) instances: what was used where it was used, the spare on the earliest workers."""
+        used = {s: ceil(s.peak / fn.lanes) for s in fn.spots.values() if s.peak}
+        for spot in fn.spots.values():
+            spot.peak = spot.out
+        total = sum(used.values())
+        if not total or not self.facts["may_order"]:
+            return
+        dispatchers = self.facts["dispatchers"]
+        spare = ceil(ceil(sqrt(total * dispatchers)) / dispatchers)
+        for srv in self.walk(fn):
+            spot = fn.spot(srv)
+            if srv.listing is not Listing.SERVING or not self.fit(srv) or self.zone(spot) is Zone.UNSAFE:
+                continue
+            more = max(0, min(spare, fn.lanes - used.get(spot, 0))) if spare else 0
+            spare -= more
+            if more or spot in used:
+                self.order(spot, used.get(spot, 0) + more, HOLD_PART)
+
+    def probed(self, srv: Srv, outcome: Outcome, took: int, report: Mapping[str, float]) -> None:
+        """Not asked for so far."""
+
+    def told(self, peer: int, text: str) -> None:
+        """Peers tell nothing so far."""
+
+
+Effect = Callable[[Dispatcher, Rpc, Spot | None], Input | None]
+LIFE: dict[tuple[State, Input], tuple[State, Effect]] = {
+    (State.NEW, Input.ARRIVED): (State.NEW, Dispatcher.admit),
+    (State.NEW, Input.ADMITTED): (State.PLACING, Dispatcher.place),
+    (State.NEW, Input.NOWHERE): (State.OVER, Dispatcher.give_up),
+    (State.PLACING, Input.SENT): (State.OUT, Dispatcher.nothing),
+    (State.PLACING, Input.WAITS): (State.PARKED, Dispatcher.park),
+    (State.PLACING, Input.NOWHERE): (State.OVER, Dispatcher.give_up),
+    (State.OUT, Input.OK): (State.OVER, Dispatcher.nothing),
+    (State.OUT, Input.NEVER_RAN): (State.PLACING, Dispatcher.again),
+    (State.OUT, Input.MAY_HAVE_RUN): (State.PLACING, Dispatcher.again),
+    (State.OUT, Input.MISSED): (State.PLACING, Dispatcher.missed),
+    (State.PARKED, Input.LOADED): (State.PLACING, Dispatcher.again),
+    (State.PARKED, Input.LATE): (State.OVER, Dispatcher.give_up),
+}
--- /dev/null
+++ b/lapistrestle/interface.py
@@ -0,0 +1,139 @@
+"""What passes between the decision module and the program that hosts it.
+
+The host makes the objects below (the module extends them with its own state), reports each event as a
+method call on `Events`, and carries out what the module asks through `Host`. All times are whole tenths of
+a millisecond on the host's clock. Nothing here decides anything.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any, Protocol
+
+Facts = Mapping[str, Any]  # settings as handed over at start: names to values
+
+
+class Outcome(Enum):
+    """How a call-out, an order or a probe ended."""
+
+    OK = auto()
+    ERROR = auto()  # answered with an error; may have run
+    FULL = auto()  # turned away unseen
+    TIMED_OUT = auto()  # no answer in time; may have run
+    UNREACHABLE = auto()  # no connection; never ran
+    RESET = auto()  # connection broke; may have run
+    CANCELLED = auto()  # called off; may have run
+    MOOT = auto()  # not sent
+    MISS = auto()  # function not loaded there; never ran
+
+
+class Listing(Enum):
+    """What the list of workers says of one."""
+
+    SERVING = auto()
+    DRAINING = auto()
+    GONE = auto()
+
+
+class Warmth(Enum):
+    """Whether an answer found its function loaded, where answers tell."""
+
+    UNTOLD = auto()
+    STOOD = auto()
+    BEGAN_LOAD = auto()
+    JOINED_LOAD = auto()
+    LOAD_FAILED = auto()
+
+
+@dataclass(eq=False)
+class SrvFacts:
+    """A worker as the list names it. `name` is the same at every dispatcher."""
+
+    name: str
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    size: float = 1.0
+    listing: Listing = Listing.SERVING
+    booted: int | None = None  # last start on the host's clock; None: long ago
+
+
+@dataclass(eq=False)
+class FnFacts:
+    """A function, with the memory and the lanes of one loaded copy."""
+
+    name: str
+    method: int = 0
+    memory: float = 0.0
+    lanes: int = 1
+
+
+@dataclass(eq=False)
+class RpcFacts:
+    """One RPC as it came in. `tag` belongs to the host; decisions never read it."""
+
+    tag: str
+    fn: Any  # the module's own function object, made by the host from FnFacts
+    method: int
+    customer: int
+    deadline: int  # when the client gives up on this try
+    work: int | None = None  # hint of the work, where given
+    repeat: bool = False
+    over: bool = False  # the final answer is out, or the client has left
+    call_outs: list["CallOut"] = field(default_factory=list)
+
+
+@dataclass(eq=False)
+class CallOut:
+    """One attempt of an RPC on a worker."""
+
+    rpc: Any
+    srv: Any
+    sent: int
+    cold: bool = False  # a load is expected behind it
+    company: int = 0  # own RPCs of the function on the worker, this one included, when it was sent
+    outcome: Outcome | None = None
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What came back with the end of a call-out."""
+
+    took: int
+    over: bool = False  # the RPC is over, by this outcome or earlier
+    warmth: Warmth = Warmth.UNTOLD
+    company: int | None = None  # RPCs of the function found there, where answers tell
+    report: Mapping[str, float] = field(default_factory=dict)
+
+
+class Host(Protocol):
+    """Everything the module can do to the world."""
+
+    def call_out(self, call_out: CallOut, time_out: int) -> None: ...
+    def deny(self, rpc: RpcFacts, come_back: int) -> None: ...
+    def abort(self, rpc: RpcFacts) -> None: ...
+    def cancel(self, call_out: CallOut) -> None: ...
+    def order(self, srv: SrvFacts, fn: FnFacts, count: int) -> None: ...
+    def unload(self, srv: SrvFacts, fn: FnFacts) -> None: ...
+    def probe(self, srv: SrvFacts) -> None: ...
+    def tell_peer(self, peer: int | None, text: str) -> None: ...
+    def wake_me(self, delay: int, token: object) -> None: ...
+    def follow_list(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class Events(Protocol):
+    """What the module is told. The host sets `now` before each call."""
+
+    now: int
+
+    def listed(self, srvs: Sequence[tuple[Any, SrvFacts]], whole: bool) -> None: ...
+    def list_failed(self) -> None: ...
+    def arrived(self, rpc: Any) -> None: ...
+    def begun(self, call_out: CallOut) -> None: ...
+    def ended(self, call_out: CallOut, outcome: Outcome, answer: Answer) -> None: ...
+    def left(self, rpc: Any) -> None: ...
+    def woken(self, token: object) -> None: ...
+    def ordered(self, srv: Any, fn: Any, outcome: Outcome, count: int, took: int) -> None: ...
+    def probed(self, srv: Any, outcome: Outcome, took: int, report: Mapping[str, float]) -> None: ...
+    def told(self, peer: int, text: str) -> None: ...
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,111 @@
+"""The decision module, without any bench."""
+
+import pytest
+from helpers import Recorder, dispatcher, rpc
+
+from lapistrestle.choice import SECOND, Fn, Health, Srv, State, Zone
+from lapistrestle.interface import Answer, Listing, Outcome, SrvFacts
+
+
+def acts(made, word):
+    host = made.host
+    assert isinstance(host, Recorder)
+    return host.of(word)
+
+
+def test_the_order_is_the_same_everywhere_and_moves_little():
+    a, b = dispatcher(8), dispatcher(8)
+    fns = [Fn(f"f{i}") for i in range(200)]
+    homes = [a.walk(fn)[0].name for fn in fns]
+    b.listed([(Srv("new"), SrvFacts("new"))], whole=False)
+    moved = [b.walk(Fn(fn.name))[0].name for fn in fns]
+    changed = [(old, new) for old, new in zip(homes, moved, strict=True) if old != new]
+    assert 0 < len(changed) < 50 and {new for _, new in changed} == {"new"}
+
+
+@pytest.mark.parametrize(
+    ("method", "outcome", "word"),
+    [(2, Outcome.ERROR, "abort"), (2, Outcome.FULL, "call_out"), (0, Outcome.ERROR, "call_out")],
+)
+def test_what_may_have_run_goes_out_again_only_where_the_method_allows(method, outcome, word):
+    made = dispatcher()
+    one = rpc(made, method)
+    made.arrived(one)
+    made.ended(one.call_outs[0], outcome, Answer(5))
+    assert made.host.acts[-1][0] == word and one.over == (word == "abort")
+
+
+def test_a_tokened_repeat_stays_in_its_cell_and_window():
+    made = dispatcher(6)
+    one = rpc(made, 1)
+    made.arrived(one)
+    one.ran_on, one.ran_at = one.call_outs[0].srv, made.now
+    assert {s.cell for s in made.srvs if made.allowed(one, s)} == {one.ran_on.cell}
+    made.now += 20_000
+    assert not any(made.allowed(one, s) for s in made.srvs)
+
+
+def test_nothing_goes_to_a_draining_worker_nor_is_ordered_there():
+    made = dispatcher(1)
+    one, srv = rpc(made), made.srvs[0]
+    made.listed([(srv, SrvFacts(srv.name, listing=Listing.DRAINING))], whole=False)
+    made.arrived(one)
+    assert one.state is State.OVER and acts(made, "deny") and not acts(made, "call_out")
+    assert not made.order(one.fn.spot(srv), 1) and not acts(made, "order")
+
+
+def test_orders_stay_within_their_budget():
+    made = dispatcher(1)
+    made.taken.extend([made.now] * 10)
+    spot = Fn("f").spot(made.srvs[0])
+    assert [made.order(spot, 1) for _ in range(5)] == [True] * 4 + [False]
+    made.now += 50_001
+    assert [made.order(spot, 1) for _ in range(3)] == [True, True, False]
+
+
+def test_a_cold_worker_gets_its_part_and_no_more():
+    made = dispatcher(2)
+    cold, warm = made.srvs
+    cold.booted = made.now
+    made.ok_weight.add(made.now, 40_000.0)
+    one = made.rate(made.ok_weight) * 0.7 * 2.0 * 0.2 * 20_000
+    cold.sends.append((made.now, one - made.weight(0) - 1))
+    assert made.cold_room(cold, 0) and made.cold_room(warm, 0)
+    cold.sends.append((made.now, 2.0))
+    assert not made.cold_room(cold, 0)
+
+
+def test_zones_follow_the_window_and_come_back_as_warning():
+    made = dispatcher(1)
+    spot = Fn("f", iso=1_000.0).spot(made.srvs[0])
+    spot.window.extend([int(made.bound(spot.fn)) * 2] * 10)
+    made.judge_zone(spot)
+    assert made.zone(spot) is Zone.UNSAFE and made.capacity(spot) == 0
+    made.now += 2 * SECOND
+    assert made.zone(spot) is Zone.WARNING and not spot.window
+
+
+def test_a_failing_worker_is_suspect_and_tried_again_by_a_trickle():
+    made = dispatcher(3)
+    bad = made.srvs[0]
+    for srv in made.srvs[1:]:
+        srv.good.add(made.now, 10)
+    for _ in range(3):
+        made.judge_health(bad, True, made.now)
+    assert bad.health is Health.SUSPECT and not made.fit(bad)
+    made.now += SECOND
+    assert made.fit(bad)
+    bad.health = Health.TRIAL
+    for _ in range(3):
+        made.judge_health(bad, False, made.now)
+    assert bad.health is Health.FIT
+
+
+def test_a_miss_is_answered_by_one_order_and_the_rpc_waits_for_it():
+    made = dispatcher(1)
+    one = rpc(made)
+    made.arrived(one)
+    made.ended(one.call_outs[0], Outcome.MISS, Answer(30))
+    assert one.state is State.PARKED and acts(made, "order")[0][3] == 1
+    made.ordered(made.srvs[0], one.fn, Outcome.OK, 1, 6_000)
+    assert one.state is State.OUT and len(one.call_outs) == 2
