Keep loads in flight few, and prefer a crowded warm copy to a cold load

Cause: on the box fleet nearly a third of all call-outs began a load, loads took 1.7 s in place of 0.7 s and queues filled behind them; full answers then sent RPCs on to the next cold worker. Now loads under way have a limit that shrinks when loads are slow or fail, and a second copy is ordered ahead rather than waited for.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -131,6 +131,7 @@
         self.ok_count, self.further, self.further_ok = memory(), memory(), memory()
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
+        self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
         self.orders: deque[int] = deque()
         self.taken: deque[int] = deque()
         self.pressed = False
@@ -161,6 +162,7 @@
         self.srvs = sorted(known, key=lambda s: (crc32(s.name.encode()), s.name))
         self.size = sum(srv.size for srv in self.srvs if srv.listing is Listing.SERVING)
         self.version += 1
+        self.load_limit = self.load_limit or max(1.0, len(self.srvs) / self.facts["dispatchers"])
 
     def restarted(self, srv: Srv, booted: int) -> None:
         srv.emptied, srv.health, srv.unheard = booted, Health.FIT, None
@@ -246,17 +248,18 @@
         for spot in open_:
             if spot.out < self.capacity(spot):
                 return self.send(rpc, spot)
-        loads = [s for s in fn.spots.values() if s.loading and s.srv.listing is Listing.SERVING]
+        warm = [s for s in spots if self.believed(s)]
+        loads = [s for s in spots if s.loading]
         cold = next((s for s in open_ if not self.believed(s)), None)
-        warm = [s for s in open_ if self.believed(s)]
         if cold is not None and not loads:
             calm = any(self.zone(s).value < Zone.WARNING.value for s in warm)
-            if not warm or not (calm or self.order(cold, 1)):
+            if not warm and self.loading < 2 * self.load_limit:
                 return self.send(rpc, cold)
-        near = [s for s in open_ if self.believed(s) or s.loading] or open_ or spots
+            if not calm and self.loading < self.load_limit:
+                self.order(cold, 1)
+        near = [s for s in warm if s in open_] or warm or loads
         if not near:
             return Input.NOWHERE
-        near = [s for s in near if self.believed(s)] or near
         fewest = min(self.crowd(s.srv) for s in near)
         ties = [s for s in near if self.crowd(s.srv) == fewest]
         spot = ties[self.chance(len(ties))]
@@ -297,6 +300,7 @@
         spot.out, self.out = spot.out + 1, self.out + (not cold)
         spot.peak = max(spot.peak, spot.out)
         spot.loading += cold
+        self.loading += cold
         if not cold and srv.unheard is None:
             srv.unheard = self.now
         if self.warmth_of(srv) < 1:
@@ -380,6 +384,7 @@
         del srv.out[call_out]
         spot.out, self.out = spot.out - 1, self.out - (not call_out.cold)
         spot.loading -= call_out.cold
+        self.loading -= call_out.cold
         if outcome is not Outcome.TIMED_OUT:
             srv.unheard = self.now if srv.out else None
         self.learn(spot, call_out, outcome, answer)
@@ -402,6 +407,8 @@
             if not load and call_out.company <= 1:
                 for total, amount in zip(self.typical[rpc.method], (answer.took, 1), strict=True):
                     total.add(self.now, amount)
+        if call_out.cold and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
+            self.judge_load(fn, outcome is Outcome.OK, answer.took)
         if outcome in (Outcome.UNREACHABLE, Outcome.RESET):
             srv.emptied = self.now
         if outcome is Outcome.MISS:
@@ -560,6 +567,7 @@
             return False
         self.orders.append(self.now)
         spot.loading += 1
+        self.loading += 1
         self.host.order(spot.srv, spot.fn, min(16, count))
         return True
 
@@ -575,7 +583,8 @@
 
     def ordered(self, srv: Srv, fn: Fn, outcome: Outcome, count: int, took: int) -> None:
         spot = fn.spot(srv)
-        spot.loading = max(0, spot.loading - 1)
+        spot.loading, self.loading = spot.loading - 1, self.loading - 1
+        self.judge_load(fn, outcome is not Outcome.ERROR, took)
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
             spot.copies, spot.seen = count, self.now
         elif outcome in (Outcome.RESET, Outcome.UNREACHABLE):
@@ -585,6 +594,17 @@
         for rpc in waiters:
             self.drive(rpc, Input.LOADED, spot)
 
+    def judge_load(self, fn: Fn, ok: bool, took: int) -> None:
+        """Slow or failing loads mean fewer at once, since all workers share one store.
+
+        Guards against a store crowded by one-off, hot or lost functions; harms when loads are slow for
+        another reason, as fewer of them do not make them faster then.
+        """
+        if not ok or took > self.facts["methods"][fn.method]["deadline"] / 2:
+            self.load_limit = max(1.0, 0.7 * self.load_limit)
+        elif took > self.iso(fn):
+            self.load_limit = min(len(self.srvs), self.load_limit + 1 / self.load_limit)
+
     def hold_all(self) -> None:
         self.host.wake_me(PERIOD, self.hold_all)
         while len(self.taken) > 10_000:
