Spread holds over the period and let loads that RPCs wait for go first

Cause: at each period's turn the holds of all functions began up to forty loads at once, which crowded the store and left no room for loads that RPCs waited for; renewals of copies in steady use were counted as loads.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -95,6 +95,7 @@
     out: int = 0  # own call-outs of the function there
     peak: int = 0  # most of them at once since the last hold
     loading: int = 0  # own loads under way there
+    ordered: deque[bool] = field(default_factory=deque)  # orders without answer: whether each is a load
     waiters: list["Rpc"] = field(default_factory=list)
 
 
@@ -138,7 +139,6 @@
         if facts["list_asked"]:
             host.follow_list()
             host.wake_me(max(SECOND, facts["ask_within"] // 2), self.follow)
-        host.wake_me(1 + self.chance(PERIOD), self.hold_all)
 
     def chance(self, below: int) -> int:
         self.draws += 1
@@ -200,7 +200,9 @@
 
     def arrived(self, rpc: Rpc) -> None:
         rpc.began = self.now
-        self.fns.setdefault(rpc.fn)
+        if rpc.fn not in self.fns:
+            self.fns[rpc.fn] = None
+            self.host.wake_me(PERIOD, rpc.fn)
         self.taken.append(self.now)
         self.drive(rpc, Input.ARRIVED)
 
@@ -253,9 +255,9 @@
         cold = next((s for s in open_ if not self.believed(s)), None)
         if cold is not None and not loads:
             calm = any(self.zone(s).value < Zone.WARNING.value for s in warm)
-            if not warm and self.loading < 2 * self.load_limit:
+            if not warm and self.loading < 4 * self.load_limit:
                 return self.send(rpc, cold)
-            if not calm and self.loading < self.load_limit:
+            if not calm and self.loading < 2 * self.load_limit:
                 self.order(cold, 1)
         near = [s for s in warm if s in open_] or warm or loads
         if not near:
@@ -371,6 +373,8 @@
                     if token in spot.waiters:
                         spot.waiters.remove(token)
                 self.drive(token, Input.LATE)
+        elif isinstance(token, Fn):
+            self.hold(token)
         elif callable(token):
             token()
 
@@ -566,24 +570,24 @@
         if not self.facts["may_order"] or not serving or not self.order_room(part):
             return False
         self.orders.append(self.now)
-        spot.loading += 1
-        self.loading += 1
+        spot.ordered.append(count > self.believed(spot))
+        spot.loading += spot.ordered[-1]
+        self.loading += spot.ordered[-1]
         self.host.order(spot.srv, spot.fn, min(16, count))
         return True
 
     def order_room(self, part: float) -> bool:
         window = self.facts["order_window"]
-        if not window:
-            return True
         for times in (self.orders, self.taken):
             while times and times[0] <= self.now - window:
                 times.popleft()
         budget = self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken)
-        return bool(len(self.orders) + 1 <= part * budget)
+        return not window or len(self.orders) + 1 <= part * budget
 
     def ordered(self, srv: Srv, fn: Fn, outcome: Outcome, count: int, took: int) -> None:
         spot = fn.spot(srv)
-        spot.loading, self.loading = spot.loading - 1, self.loading - 1
+        load = spot.ordered.popleft()
+        spot.loading, self.loading = spot.loading - load, self.loading - load
         self.judge_load(fn, outcome is not Outcome.ERROR, took)
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
             spot.copies, spot.seen = count, self.now
@@ -601,19 +605,10 @@
         another reason, as fewer of them do not make them faster then.
         """
         if not ok or took > self.facts["methods"][fn.method]["deadline"] / 2:
-            self.load_limit = max(1.0, 0.7 * self.load_limit)
+            self.load_limit = max(1.0, 0.9 * self.load_limit)
         elif took > self.iso(fn):
             self.load_limit = min(len(self.srvs), self.load_limit + 1 / self.load_limit)
 
-    def hold_all(self) -> None:
-        self.host.wake_me(PERIOD, self.hold_all)
-        while len(self.taken) > 10_000:
-            self.taken.popleft()
-        for fn in self.fns:
-            self.renew_iso(fn)
-        for fn in sorted(self.fns, key=lambda f: -sum(s.peak for s in f.spots.values())):
-            self.hold(fn)
-
     def renew_iso(self, fn: Fn) -> None:
         """The median window average at light own load, slowly renewed."""
         light = [s.window for s in fn.spots.values() if len(s.window) > 2 and s.out < 2]
@@ -623,23 +618,30 @@
             fn.iso = median if fn.iso is None else fn.iso + 0.2 * (median - fn.iso)
 
     def hold(self, fn: Fn) -> None:
-        """R + ceil(sqrt R) instances: what was used where it was used, the spare on the earliest workers."""
+        """Each period: what was used where it was used, and this front end's share of the square-root spare.
+
+        Copies in steady use renew themselves and are not asked for. A hold that loads yields to loads that
+        RPCs wait for. A function without use meanwhile is let go until its next RPC.
+        """
         used = {s: ceil(s.peak / fn.lanes) for s in fn.spots.values() if s.peak}
         for spot in fn.spots.values():
             spot.peak = spot.out
-        total = sum(used.values())
-        if not total or not self.facts["may_order"]:
+        if not used:
+            del self.fns[fn]
             return
+        self.host.wake_me(PERIOD, fn)
+        self.renew_iso(fn)
         dispatchers = self.facts["dispatchers"]
-        spare = ceil(ceil(sqrt(total * dispatchers)) / dispatchers)
+        spare, left = divmod(ceil(sqrt(sum(used.values()))), dispatchers)
+        spare += self.chance(dispatchers) < left
         for srv in self.walk(fn):
             spot = fn.spot(srv)
             if srv.listing is not Listing.SERVING or not self.fit(srv) or self.zone(spot) is Zone.UNSAFE:
                 continue
-            more = max(0, min(spare, fn.lanes - used.get(spot, 0))) if spare else 0
-            spare -= more
-            if more or spot in used:
-                self.order(spot, used.get(spot, 0) + more, HOLD_PART)
+            busy = used.get(spot, 0)
+            count, spare = busy + spare, 0
+            if self.loading < self.load_limit if count > self.believed(spot) else count > busy:
+                self.order(spot, count, HOLD_PART)
 
     def probed(self, srv: Srv, outcome: Outcome, took: int, report: Mapping[str, float]) -> None:
         """Not asked for so far."""
