--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -34,7 +34,6 @@
 State = Enum("State", "NEW PLACING OUT PARKED OVER")  # of an RPC
 Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
 Zone = Enum("Zone", "SAFE PREWARNING WARNING UNSAFE")  # of a function on a worker
-Health = Enum("Health", "FIT SUSPECT TRIAL")  # of a worker
 MEANING = {
     Outcome.OK: Input.OK, Outcome.ERROR: Input.MAY_HAVE_RUN, Outcome.TIMED_OUT: Input.MAY_HAVE_RUN,
     Outcome.RESET: Input.MAY_HAVE_RUN, Outcome.CANCELLED: Input.MAY_HAVE_RUN, Outcome.MISS: Input.MISSED,
@@ -66,7 +65,7 @@
 
 @dataclass(eq=False)
 class Srv(face.SrvFacts):
-    health: Health = Health.FIT
+    suspect: bool = False
     good: Sum = field(default_factory=memory)
     bad: Sum = field(default_factory=memory)
     took: Sum = field(default_factory=memory)  # latency of warm outcomes there, of all functions
@@ -74,7 +73,7 @@
     iso: Sum = field(default_factory=memory)  # what it would have been alone
     pause: int = SECOND
     due: int = 0  # when a suspect worker is tried again
-    passed: int = 0  # good outcomes of the trial
+    passed: int = 0  # good outcomes since then
     out: dict[CallOut, float] = field(default_factory=dict)  # own call-outs there, with their iso latency
     unheard: int | None = None  # since when a warm call-out of ours waits without any word from it
     emptied: int = -1  # nothing loaded before this moment still stands
@@ -137,8 +136,7 @@
         self.taken: deque[int] = deque()
         self.pressed = False
         if facts["list_asked"]:
-            host.follow_list()
-            host.wake_me(max(SECOND, facts["ask_within"] // 2), self.follow)
+            self.follow()
 
     def chance(self, below: int) -> int:
         self.draws += 1
@@ -147,33 +145,27 @@
     # --- the list and the shared order
 
     def listed(self, srvs: Sequence[tuple[Srv, face.SrvFacts]], whole: bool) -> None:
-        told = [srv for srv, _ in srvs]
+        known = dict.fromkeys(self.srvs)
+        for srv in known if whole else ():
+            srv.listing = Listing.GONE
         for srv, facts in srvs:
+            known[srv] = None
             if facts.booted is not None and facts.booted != srv.booted:
-                self.restarted(srv, facts.booted)
+                srv.emptied, srv.suspect, srv.unheard, srv.pause = facts.booted, False, None, SECOND
+                srv.good, srv.bad, srv.took, srv.iso = memory(), memory(), memory(), memory()
             srv.zone, srv.cell, srv.kind, srv.size = facts.zone, facts.cell, facts.kind, facts.size
             srv.listing, srv.booted = facts.listing, facts.booted
-        if whole:
-            missing = set(self.srvs) - set(told)
-            for srv in self.srvs:
-                if srv in missing:
-                    srv.listing = Listing.GONE
-        known = dict.fromkeys([*self.srvs, *told])
         self.srvs = sorted(known, key=lambda s: (crc32(s.name.encode()), s.name))
         self.size = sum(srv.size for srv in self.srvs if srv.listing is Listing.SERVING)
         self.version += 1
         self.load_limit = self.load_limit or max(1.0, len(self.srvs) / self.facts["dispatchers"])
 
-    def restarted(self, srv: Srv, booted: int) -> None:
-        srv.emptied, srv.health, srv.unheard = booted, Health.FIT, None
-        srv.good, srv.bad, srv.pause = memory(), memory(), SECOND
-
     def list_failed(self) -> None:
-        self.host.wake_me(SECOND, self.follow)
+        self.host.wake_me(SECOND, None)
 
     def follow(self) -> None:
         self.host.follow_list()
-        self.host.wake_me(max(SECOND, self.facts["ask_within"] // 2), self.follow)
+        self.host.wake_me(max(SECOND, self.facts["ask_within"] // 2), None)
 
     def walk(self, fn: Fn) -> list[Srv]:
         """The shared order of worker ids, entered where the function's hash points.
@@ -193,10 +185,10 @@
     # --- the life of an RPC
 
     def drive(self, rpc: Rpc, signal: Input | None, spot: Spot | None = None) -> None:
-        while signal is not None and rpc.state is not State.OVER:
+        while signal is not None and not rpc.over:
             rpc.state, effect = LIFE[rpc.state, signal]
             rpc.over = rpc.state is State.OVER
-            signal = effect(self, rpc, spot)
+            signal = effect(self, rpc, spot) if effect else None
 
     def arrived(self, rpc: Rpc) -> None:
         rpc.began = self.now
@@ -307,8 +299,6 @@
             srv.unheard = self.now
         if self.warmth_of(srv) < 1:
             srv.sends.append((self.now, self.weight(rpc.method)))
-        if srv.health is Health.SUSPECT:
-            srv.health, srv.passed = Health.TRIAL, 0
         self.host.call_out(call_out, self.time_out(rpc, spot, cold))
         return Input.SENT
 
@@ -328,24 +318,17 @@
         return int(min(method["deadline"], method["soft_deadline"] + stretch))
 
     def again(self, rpc: Rpc, spot: Spot | None) -> Input:
-        """A further call-out, if the rules, the try limit, the time left and recent successes allow it."""
-        tries = sum(c.outcome is not Outcome.MISS for c in rpc.call_outs)
-        if len(rpc.call_outs) >= self.facts["try_limit"] or rpc.deadline - self.now < self.iso(rpc.fn):
-            return Input.NOWHERE
-        if tries and not self.affords_further():
-            return Input.NOWHERE
-        return self.place(rpc, spot)
-
-    def affords_further(self) -> bool:
-        """Further call-outs follow how many of the recent ones succeeded: no storm on a failing fleet."""
+        """A further call-out, if tries and time are left and enough of the recent further ones succeeded."""
+        out_of = len(rpc.call_outs) >= self.facts["try_limit"] or rpc.deadline - self.now < self.iso(rpc.fn)
         made, went_well = self.further.read(self.now), self.further_ok.read(self.now)
-        return made < 2 + FURTHER * self.ok_count.read(self.now) * (went_well + 1) / (made + 1)
+        most = 2 + FURTHER * self.ok_count.read(self.now) * (went_well + 1) / (made + 1)
+        missed = all(c.outcome is Outcome.MISS for c in rpc.call_outs)
+        return Input.NOWHERE if out_of or (made >= most and not missed) else self.place(rpc, spot)
 
     def missed(self, rpc: Rpc, spot: Spot | None) -> Input:
         """After a miss answer a hold of one loads; the RPC waits for it, so it can't overtake the order."""
-        if spot is None or not self.facts["absent_misses"] or len(rpc.call_outs) >= self.facts["try_limit"]:
-            return self.again(rpc, spot)
-        if spot.loading or self.order(spot, 1):
+        tries_left = len(rpc.call_outs) < self.facts["try_limit"]
+        if spot and tries_left and self.facts["absent_misses"] and (spot.loading or self.order(spot, 1)):
             spot.waiters.append(rpc)
             return Input.WAITS
         return self.again(rpc, spot)
@@ -356,16 +339,12 @@
     def give_up(self, rpc: Rpc, _: Spot | None) -> None:
         """Answered at once: denied where that is provably harmless, else aborted."""
         method = self.facts["methods"][rpc.method]
-        if rpc.ran_on is None or method["kind"] == "idempotent" or (
-            method["kind"] == "tokened" and method["scope"] == "all"
-        ):  # fmt: skip
+        harmless = method["kind"] == "idempotent" or (method["kind"], method["scope"]) == ("tokened", "all")
+        if rpc.ran_on is None or harmless:
             self.host.deny(rpc, self.facts["longest_come_back"] if self.facts["may_come_back"] else 0)
         else:
             self.host.abort(rpc)
 
-    def nothing(self, rpc: Rpc, _: Spot | None) -> None:
-        return None
-
     def woken(self, token: object) -> None:
         if isinstance(token, Rpc):
             if token.state is State.PARKED:
@@ -375,8 +354,8 @@
                 self.drive(token, Input.LATE)
         elif isinstance(token, Fn):
             self.hold(token)
-        elif callable(token):
-            token()
+        else:
+            self.follow()
 
     # --- outcomes
 
@@ -390,7 +369,7 @@
         spot.loading -= call_out.cold
         self.loading -= call_out.cold
         if outcome is not Outcome.TIMED_OUT:
-            srv.unheard = self.now if srv.out else None
+            srv.unheard = self.now if any(not c.cold for c in srv.out) else None
         self.learn(spot, call_out, outcome, answer)
         if MEANING[outcome] is Input.MAY_HAVE_RUN and rpc.ran_on is None:
             rpc.ran_on, rpc.ran_at = srv, call_out.sent
@@ -417,19 +396,18 @@
             srv.emptied = self.now
         if outcome is Outcome.MISS:
             spot.copies = 0
-        if outcome in (Outcome.MISS, Outcome.MOOT, Outcome.FULL) or (outcome is Outcome.OK and load):
-            if outcome is Outcome.FULL:
-                self.unsafe(spot)
+        if outcome is Outcome.FULL:
+            spot.zone, spot.until = Zone.UNSAFE, self.now + BACKOFF
+        skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
+        if skip or answer.warmth is Warmth.LOAD_FAILED:
             return
-        if answer.warmth is Warmth.LOAD_FAILED:
-            return
-        harm = outcome in HARM
-        took = max(answer.took, int(self.bound(fn))) if harm or outcome is Outcome.CANCELLED else answer.took
-        spot.window.append(took)
+        took = answer.took if outcome is Outcome.OK else max(answer.took, int(self.bound(fn)))
         srv.took.add(self.now, took)
         srv.iso.add(self.now, self.iso(fn))
-        self.judge_zone(spot)
-        self.judge_health(srv, harm or took > self.bound(fn), call_out.sent)
+        if outcome is not Outcome.FULL:
+            spot.window.append(took)
+            self.judge_zone(spot)
+            self.judge_health(srv, outcome in HARM or took > self.bound(fn), call_out.sent)
 
     def weight(self, method: int) -> float:
         took, count = (s.read(self.now) for s in self.typical[method])
@@ -447,19 +425,14 @@
 
     def judge_zone(self, spot: Spot) -> None:
         iso = self.iso(spot.fn)
-        average = (sum(spot.window) + PRIOR * iso) / (len(spot.window) + PRIOR)
         if spot.zone is not Zone.UNSAFE:
-            spot.zone = self.quarter(spot.fn, average)
-            if spot.zone is Zone.UNSAFE:
-                self.unsafe(spot)
+            spot.zone = self.quarter(spot.fn, (sum(spot.window) + PRIOR * iso) / (len(spot.window) + PRIOR))
+            spot.until = self.now + BACKOFF
 
     def quarter(self, fn: Fn, average: float) -> Zone:
         iso = self.iso(fn)
         return list(Zone)[max(0, min(3, int(4 * (average - iso) / (self.bound(fn) - iso))))]
 
-    def unsafe(self, spot: Spot) -> None:
-        spot.zone, spot.until = Zone.UNSAFE, self.now + BACKOFF
-
     def zone(self, spot: Spot) -> Zone:
         if spot.zone is Zone.UNSAFE and self.now >= spot.until:
             spot.zone = Zone.WARNING
@@ -507,34 +480,27 @@
         bad, good = srv.bad.read(self.now), srv.good.read(self.now)
         all_bad = sum(s.bad.read(self.now) for s in self.srvs)
         all_ = all_bad + sum(s.good.read(self.now) for s in self.srvs)
-        usual = max(BAD_SHARE, 2 * all_bad / max(all_, 1))
-        if srv.health is Health.FIT and bad > 1.5 and bad > usual * (bad + good):
-            self.suspect(srv, f"{bad:.1f} bad, {good:.1f} good")
-        elif srv.health is not Health.TRIAL or sent < srv.due:
-            return
-        elif harm:
+        if not srv.suspect:
+            share = max(BAD_SHARE, 2 * all_bad / max(all_, 1))
+            srv.suspect = bad > 1.5 and bad > share * (bad + good)
+            if srv.suspect:
+                srv.due, srv.passed = self.now + srv.pause, 0
+                self.host.log(f"{srv.name} suspect: {bad:.1f} bad, {good:.1f} good, fleet {all_bad:.0f}")
+        elif sent >= srv.due and harm:
             srv.pause = min(2 * srv.pause, 8 * SECOND)
-            self.suspect(srv, "trial failed")
-        else:
+            srv.due, srv.passed = self.now + srv.pause, 0
+        elif sent >= srv.due:
             srv.passed += 1
             if srv.passed >= 3:
-                srv.health, srv.pause, srv.bad = Health.FIT, SECOND, memory()
+                srv.suspect, srv.pause, srv.bad = False, SECOND, memory()
                 self.host.log(f"{srv.name} fit again")
 
-    def suspect(self, srv: Srv, why: str) -> None:
-        srv.health, srv.due = Health.SUSPECT, self.now + srv.pause
-        self.host.log(f"{srv.name} suspect for {srv.pause / SECOND:.0f} s: {why}")
-
     def fit(self, srv: Srv) -> bool:
-        if srv.unheard is not None and self.now - srv.unheard > self.patience():
+        """Neither suspect nor silent; a suspect one gets one call-out at a time once its pause is over."""
+        patience = 4 * max(self.weight(m) for m in range(len(self.typical)))
+        if srv.unheard is not None and self.now - srv.unheard > patience:
             return False
-        if srv.health is Health.SUSPECT:
-            return self.now >= srv.due and not srv.out
-        return srv.health is Health.FIT or not srv.out
-
-    def patience(self) -> float:
-        """How long a worker that holds warm call-outs of ours may give no sign."""
-        return 4 * max(self.weight(m) for m in range(len(self.typical)))
+        return not srv.suspect or (self.now >= srv.due and not srv.out)
 
     # --- cold workers
 
@@ -651,14 +617,14 @@
 
 
 Effect = Callable[[Dispatcher, Rpc, Spot | None], Input | None]
-LIFE: dict[tuple[State, Input], tuple[State, Effect]] = {
+LIFE: dict[tuple[State, Input], tuple[State, Effect | None]] = {
     (State.NEW, Input.ARRIVED): (State.NEW, Dispatcher.admit),
     (State.NEW, Input.ADMITTED): (State.PLACING, Dispatcher.place),
     (State.NEW, Input.NOWHERE): (State.OVER, Dispatcher.give_up),
-    (State.PLACING, Input.SENT): (State.OUT, Dispatcher.nothing),
+    (State.PLACING, Input.SENT): (State.OUT, None),
     (State.PLACING, Input.WAITS): (State.PARKED, Dispatcher.park),
     (State.PLACING, Input.NOWHERE): (State.OVER, Dispatcher.give_up),
-    (State.OUT, Input.OK): (State.OVER, Dispatcher.nothing),
+    (State.OUT, Input.OK): (State.OVER, None),
     (State.OUT, Input.NEVER_RAN): (State.PLACING, Dispatcher.again),
     (State.OUT, Input.MAY_HAVE_RUN): (State.PLACING, Dispatcher.again),
     (State.OUT, Input.MISSED): (State.PLACING, Dispatcher.missed),
