--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -128,7 +128,7 @@
         self.fns: dict[Fn, None] = {}
         self.typical = [(Sum(LONG), Sum(LONG)) for _ in facts["methods"]]  # light ok ones: latency, count
         self.ok_weight = Sum(LONG, now)
-        self.ok_count, self.further, self.further_ok = memory(), memory(), memory()
+        self.ok_count, self.ok_took, self.further, self.further_ok = memory(), memory(), memory(), memory()
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
@@ -303,14 +303,18 @@
         return Input.SENT
 
     def time_out(self, rpc: Rpc, spot: Spot, cold: bool) -> int:
-        """Most of what remains to the soft deadline, where a further call-out may be made."""
+        """Most of what remains to the soft deadline, where a further call-out may be made.
+
+        Lengthened as ok answers take longer: in a jam a time-out only adds work.
+        """
         left = max(1, rpc.deadline - self.now)
         method = self.facts["methods"][rpc.method]
         last = len(rpc.call_outs) >= self.facts["try_limit"]
-        if method["kind"] == "side-effecting" or cold or self.pressed or last:
+        if method["kind"] == "side-effecting" or cold or last:
             return left
         soft = rpc.began + self.soft(rpc) - self.now
-        return int(min(left, max(soft * 2 / 3, 4 * self.iso(spot.fn))))
+        usual = self.ok_took.read(self.now) / max(1.0, self.ok_count.read(self.now))
+        return int(min(left, max(soft * 2 / 3, 4 * usual, 4 * self.iso(spot.fn))))
 
     def soft(self, rpc: Rpc) -> int:
         method = self.facts["methods"][rpc.method]
@@ -384,6 +388,7 @@
             spot.copies, spot.seen = max(self.believed(spot), 1), self.now
             self.ok_weight.add(self.now, self.weight(rpc.method))
             self.ok_count.add(self.now, 1)
+            self.ok_took.add(self.now, answer.took)
             srv.served.add(self.now, 1)
             if len(rpc.call_outs) > 1:
                 self.further_ok.add(self.now, 1)
