Deny at once what could not come back in time, and weigh latencies by the work hint

An RPC that could not come back in time even on an empty worker is now denied before any call-out, and windows hold latency relative to the hint. It also guards against impatient clients and late further call-outs; it harms where hints mislead.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -115,6 +115,7 @@
 class Rpc(face.RpcFacts):
     state: State = State.NEW
     began: int = 0
+    scale: float = 1.0  # of its work to the method's usual, where hints tell
     ran_at: int = 0  # sending of the first call-out that may have run
     ran_on: Srv | None = None
 
@@ -127,6 +128,7 @@
         self.version, self.size = 0, 0.0
         self.fns: dict[Fn, None] = {}
         self.typical = [(Sum(LONG), Sum(LONG)) for _ in facts["methods"]]  # light ok ones: latency, count
+        self.hints = [(Sum(LONG), Sum(LONG)) for _ in facts["methods"]]  # hinted work, count
         self.ok_weight = Sum(LONG, now)
         self.ok_count, self.ok_took, self.further, self.further_ok = memory(), memory(), memory(), memory()
         self.out = 0  # own call-outs under way but for those behind a load
@@ -192,6 +194,11 @@
 
     def arrived(self, rpc: Rpc) -> None:
         rpc.began = self.now
+        if rpc.work:
+            work, count = self.hints[rpc.method]
+            work.add(self.now, rpc.work)
+            count.add(self.now, 1)
+            rpc.scale = max(0.2, rpc.work * count.value / work.value)
         if rpc.fn not in self.fns:
             self.fns[rpc.fn] = None
             self.host.wake_me(PERIOD, rpc.fn)
@@ -214,7 +221,15 @@
         if stay > soft / 2 if not self.pressed else stay < soft / 4:
             self.pressed = not self.pressed
             self.host.log(f"pressure {'on' if self.pressed else 'off'}: stay {stay:.0f} of soft {soft}")
-        return Input.NOWHERE if stay > (soft / 2 if self.beyond_share(rpc) else soft) else Input.ADMITTED
+        yields = stay > (soft / 2 if self.beyond_share(rpc) else soft)
+        return Input.NOWHERE if yields or self.hopeless(rpc) else Input.ADMITTED
+
+    def hopeless(self, rpc: Rpc) -> bool:
+        """Alone on a worker it would come back after the client has left: the work is better spared.
+
+        Guards against impatient clients, heavy RPCs and late further call-outs; harms where hints mislead.
+        """
+        return rpc.deadline - self.now < self.iso(rpc.fn) * rpc.scale
 
     def beyond_share(self, rpc: Rpc) -> bool:
         if rpc.customer >= len(self.asked):
@@ -290,7 +305,7 @@
         if rpc.call_outs and rpc.call_outs[-1].outcome is not Outcome.MISS:
             self.further.add(self.now, 1)
         rpc.call_outs.append(call_out)
-        srv.out[call_out] = self.iso(spot.fn)
+        srv.out[call_out] = self.iso(spot.fn) * rpc.scale
         spot.out, self.out = spot.out + 1, self.out + (not cold)
         spot.peak = max(spot.peak, spot.out)
         spot.loading += cold
@@ -314,7 +329,7 @@
             return left
         soft = rpc.began + self.soft(rpc) - self.now
         usual = self.ok_took.read(self.now) / max(1.0, self.ok_count.read(self.now))
-        return int(min(left, max(soft * 2 / 3, 4 * usual, 4 * self.iso(spot.fn))))
+        return int(min(left, max(soft * 2 / 3, 4 * usual, 4 * self.iso(spot.fn) * rpc.scale)))
 
     def soft(self, rpc: Rpc) -> int:
         method = self.facts["methods"][rpc.method]
@@ -323,7 +338,7 @@
 
     def again(self, rpc: Rpc, spot: Spot | None) -> Input:
         """A further call-out, if tries and time are left and enough of the recent further ones succeeded."""
-        out_of = len(rpc.call_outs) >= self.facts["try_limit"] or rpc.deadline - self.now < self.iso(rpc.fn)
+        out_of = len(rpc.call_outs) >= self.facts["try_limit"] or self.hopeless(rpc)
         made, went_well = self.further.read(self.now), self.further_ok.read(self.now)
         most = 2 + FURTHER * self.ok_count.read(self.now) * (went_well + 1) / (made + 1)
         missed = all(c.outcome is Outcome.MISS for c in rpc.call_outs)
@@ -406,13 +421,14 @@
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
             return
-        took = answer.took if outcome is Outcome.OK else max(answer.took, int(self.bound(fn)))
+        bound = self.bound(fn) * rpc.scale
+        took = answer.took if outcome is Outcome.OK else max(answer.took, int(bound))
         srv.took.add(self.now, took)
-        srv.iso.add(self.now, self.iso(fn))
+        srv.iso.add(self.now, self.iso(fn) * rpc.scale)
         if outcome is not Outcome.FULL:
-            spot.window.append(took)
+            spot.window.append(int(took / rpc.scale))
             self.judge_zone(spot)
-            self.judge_health(srv, outcome in HARM or took > self.bound(fn), call_out.sent)
+            self.judge_health(srv, outcome in HARM or took > bound, call_out.sent)
 
     def weight(self, method: int) -> float:
         took, count = (s.read(self.now) for s in self.typical[method])
