The last resort denies at once what would wait past its soft deadline

Cause: with all warm copies at capacity RPCs queued on the least crowded worker far beyond the time in which an answer earns its gain, and that work pushed later ones past theirs. The wait is own call-outs there over the pace they come back at.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -272,6 +272,8 @@
         fewest = min(self.crowd(s.srv) for s in near)
         ties = [s for s in near if self.crowd(s.srv) == fewest]
         spot = ties[self.chance(len(ties))]
+        if fewest + self.iso(fn) * rpc.scale > rpc.began + self.soft(rpc) - self.now:
+            return Input.NOWHERE
         if spot.loading and self.facts["absent_misses"] and not self.believed(spot):
             spot.waiters.append(rpc)
             return Input.WAITS
