--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -8,13 +8,13 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from enum import Enum
+from itertools import islice
 from math import ceil, exp, log, sqrt
 from zlib import crc32
 
 from lapistrestle import interface as face
 from lapistrestle.interface import Answer, CallOut, Facts, Host, Listing, Outcome, Warmth
-from lapistrestle.state import Fn, Mean, Rpc, Spot, Srv, State, Sum, Zone
+from lapistrestle.state import Fn, Input, Mean, Rpc, Spot, Srv, State, Sum, Zone
 
 SECOND = 10_000  # in tenths of a millisecond
 PERIOD = 5 * SECOND  # of the holds, as the design page says
@@ -30,11 +30,8 @@
 HOLD_PART = 0.5  # of the order budget is for holds, the rest for what an RPC waits for
 FURTHER = 0.3  # further call-outs for each recent ok one, when all further ones succeed
 
-
-Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
 MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
 MEANING |= dict.fromkeys((Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT), Input.NEVER_RAN)
-HARM = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.UNREACHABLE)
 
 
 class Dispatcher:
@@ -78,9 +75,6 @@
         self.version += 1
         self.load_limit = self.load_limit or max(1.0, len(self.srvs) / self.facts["dispatchers"])
 
-    def list_failed(self) -> None:
-        self.host.wake_me(SECOND, None)
-
     def follow(self) -> None:
         self.host.follow_list()
         self.host.wake_me(max(SECOND, self.facts["ask_within"] // 2), None)
@@ -139,10 +133,8 @@
         return Input.NOWHERE if yields or self.hopeless(rpc) else Input.ADMITTED
 
     def hopeless(self, rpc: Rpc) -> bool:
-        """Alone on a worker it would come back after the client has left: the work is better spared.
-
-        Guards against impatient clients, heavy RPCs and late further call-outs; harms where hints mislead.
-        """
+        """Even alone it would come back too late: guards against impatient clients, heavy RPCs, late further
+        call-outs; harms where hints mislead."""
         return rpc.deadline - self.now < self.iso(rpc.fn) * rpc.scale
 
     def beyond_share(self, rpc: Rpc) -> bool:
@@ -154,8 +146,8 @@
 
     def rate(self, total: Sum) -> float:
         """Events in a tenth of a millisecond; a young sum is not yet full."""
-        age = max(SECOND, self.now - self.start)
-        return total.read(self.now) / (total.life * (1 - exp(-age / total.life)))
+        filled = 1 - exp(-max(SECOND, self.now - self.start) / total.life)
+        return total.read(self.now) / (total.life * filled)
 
     def expected(self) -> float:
         """How long an RPC taken now will stay, by what is out and what comes back ok."""
@@ -174,9 +166,9 @@
         calm = any(self.zone(s) < Zone.WARNING for s in open_)
         if not loads and not calm and self.loading < (2 if warm else 4) * self.load_limit:
             cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
-            if cold is not None and not warm:
+            if cold and not warm:
                 return self.send(rpc, cold)
-            if cold is not None:
+            if cold:
                 self.order(cold, 1)
         near = [(self.crowd(s.srv), s) for s in open_ or warm or loads]
         fewest = min((wait for wait, _ in near), default=rpc.deadline)
@@ -184,7 +176,7 @@
             return Input.NOWHERE  # it would wait past what earns its gain, and make others do so
         ties = [s for wait, s in near if wait == fewest]
         spot = ties[self.chance(len(ties))]
-        if spot.loading and self.facts["absent_misses"] and not self.believed(spot):
+        if self.facts["absent_misses"] and not self.believed(spot):  # no use before its load is answered
             spot.waiters.append(rpc)
             return Input.WAITS
         return self.send(rpc, spot)
@@ -215,7 +207,9 @@
         srv, cold = spot.srv, not self.believed(spot)
         call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1, int(self.iso(spot.fn) * rpc.scale) + 1)
         rpc.call_outs.append(call_out)
-        self.count_warm(call_out, 1)
+        if not cold:
+            srv.warm[call_out] = True
+            srv.warm_iso, self.out = srv.warm_iso + call_out.usual, self.out + 1
         spot.out, srv.out = spot.out + 1, srv.out + 1
         spot.peak = max(spot.peak, spot.out)
         spot.loading, self.loading = spot.loading + cold, self.loading + cold
@@ -226,14 +220,6 @@
         self.host.call_out(call_out, self.time_out(rpc, spot, cold))
         return Input.SENT
 
-    def count_warm(self, call_out: CallOut, sign: int) -> None:
-        """Sums over the warm call-outs out on a worker, so that no choice has to go through them."""
-        if not call_out.cold:
-            self.out += sign
-            call_out.srv.warm += sign
-            call_out.srv.warm_iso += sign * call_out.usual
-            call_out.srv.warm_sent += sign * call_out.sent
-
     def time_out(self, rpc: Rpc, spot: Spot, cold: bool) -> int:
         """Most of what remains to the soft deadline, where a further call-out may be made.
 
@@ -241,8 +227,7 @@
         """
         left = max(1, rpc.deadline - self.now)
         method = self.facts["methods"][rpc.method]
-        last = len(rpc.call_outs) >= self.facts["try_limit"]
-        if method["kind"] == "side-effecting" or cold or last:
+        if method["kind"] == "side-effecting" or cold or len(rpc.call_outs) >= self.facts["try_limit"]:
             return left
         soft = rpc.began + self.soft(rpc) - self.now
         usual = max(self.ok_took.read(0), self.iso(spot.fn) * rpc.scale)
@@ -275,8 +260,8 @@
     def give_up(self, rpc: Rpc, _: Spot | None) -> None:
         """Answered at once: denied where that is provably harmless, else aborted."""
         method = self.facts["methods"][rpc.method]
-        harmless = method["kind"] == "idempotent" or (method["kind"], method["scope"]) == ("tokened", "all")
-        if rpc.ran_on is None or harmless:
+        repeats = method["kind"] == "idempotent" or (method["kind"], method["scope"]) == ("tokened", "all")
+        if rpc.ran_on is None or repeats:
             self.host.deny(rpc, self.facts["longest_come_back"] if self.facts["may_come_back"] else 0)
         else:
             self.host.abort(rpc)
@@ -298,7 +283,8 @@
     def ended(self, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         rpc, srv = call_out.rpc, call_out.srv
         spot, call_out.outcome = rpc.fn.spot(srv), outcome
-        self.count_warm(call_out, -1)
+        if srv.warm.pop(call_out, None):
+            srv.warm_iso, self.out = srv.warm_iso - call_out.usual, self.out - 1
         spot.out, srv.out = spot.out - 1, srv.out - 1
         spot.loading, self.loading = spot.loading - call_out.cold, self.loading - call_out.cold
         if outcome is not Outcome.TIMED_OUT:
@@ -307,8 +293,10 @@
         if MEANING[outcome] is Input.MAY_HAVE_RUN and rpc.ran_on is None:
             rpc.ran_on, rpc.ran_at = srv, call_out.sent
         if answer.over:
-            rpc.state, rpc.over = State.OVER, True
+            self.left(rpc)
         self.drive(rpc, MEANING[outcome], spot)
+        if spot.waiters and not spot.ordered and not spot.loading:
+            self.release(spot)
 
     def learn(self, spot: Spot, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         srv, fn, rpc = spot.srv, spot.fn, call_out.rpc
@@ -325,10 +313,8 @@
             self.further.add(self.now, outcome is Outcome.OK)
         if call_out.cold and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
             self.judge_load(fn, outcome is Outcome.OK, answer.took)
-        if outcome in (Outcome.UNREACHABLE, Outcome.RESET):
-            srv.emptied = self.now
-        if outcome is Outcome.MISS:
-            spot.copies = 0
+        srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
+        spot.copies = 0 if outcome is Outcome.MISS else spot.copies
         if outcome is Outcome.FULL:
             spot.zone, spot.until = Zone.UNSAFE, self.now + BACKOFF
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
@@ -342,7 +328,7 @@
             spot.window.append(int(took / rpc.scale))
             del spot.window[:-WINDOW]
             self.judge_zone(spot)
-            self.judge_health(srv, outcome in HARM or took > bound, call_out.sent)
+            self.judge_health(srv, outcome not in (Outcome.OK, Outcome.CANCELLED) or took > bound, call_out.sent)
 
     def weight(self, method: int) -> float:
         return self.light[method].read(self.facts["methods"][method]["soft_deadline"] / 4)
@@ -379,16 +365,18 @@
         what is still out counts with its age, and what a worker holds of ours over what comes back from it is
         a latency to come. It eases as the sums decay; it harms where one function alone is slow.
         """
-        iso = self.iso(spot.fn)
-        srv, alone = spot.srv, spot.srv.iso.read(self.now) + spot.srv.warm_iso
-        took = srv.took.read(self.now) + max(srv.warm_iso, srv.warm * self.now - srv.warm_sent)
+        srv, iso = spot.srv, self.iso(spot.fn)
+        took, alone = srv.took.read(self.now), srv.iso.read(self.now)
+        for call_out in islice(srv.warm, WINDOW):  # the oldest first
+            if self.now - call_out.sent > call_out.usual:
+                took, alone = took + self.now - call_out.sent, alone + call_out.usual
         average = iso * (took + PRIOR * iso) / (alone + PRIOR * iso)
         return self.quarter(spot.fn, max(average, self.crowd(spot.srv)))
 
     def crowd(self, srv: Srv) -> float:
         """How long one more would wait there: ours, over the pace they come back at, or one by one."""
         pace = max(self.rate(srv.served), self.rate(self.ok_count) * srv.size / max(self.size, 1e-9))
-        return srv.warm / max(pace, srv.warm / srv.warm_iso) if srv.warm else 0.0
+        return len(srv.warm) / max(pace, len(srv.warm) / srv.warm_iso) if srv.warm else 0.0
 
     def believed(self, spot: Spot) -> int:
         """Copies believed to stand: an idle one may go after the idle life, a restart leaves none."""
@@ -413,8 +401,8 @@
         if not srv.suspect:
             share = max(BAD_SHARE, 2 * all_bad / max(all_, 1))
             srv.suspect = bad > 1.5 and bad > share * (bad + good)
+            srv.due, srv.passed = self.now + srv.pause, 0
             if srv.suspect:
-                srv.due, srv.passed = self.now + srv.pause, 0
                 self.host.log(f"{srv.name} suspect: {bad:.1f} bad, {good:.1f} good, fleet {all_bad:.0f}")
         elif sent >= srv.due and harm:
             srv.pause = min(2 * srv.pause, 8 * SECOND)
@@ -462,8 +450,8 @@
 
     def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
         """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders."""
-        serving = spot.srv.listing is Listing.SERVING
-        if not self.facts["may_order"] or not serving or not self.order_room(part):
+        serves = spot.srv.listing is Listing.SERVING
+        if not (self.facts["may_order"] and serves and self.order_room(part)):
             return False
         self.orders.append(self.now)
         load = count > self.believed(spot)
@@ -477,8 +465,8 @@
         for times in (self.orders, self.taken):
             while times and times[0] <= self.now - window:
                 times.popleft()
-        budget = self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken)
-        return not window or len(self.orders) + 1 <= part * budget
+        most = part * (self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken))
+        return not window or len(self.orders) + 1 <= most
 
     def ordered(self, srv: Srv, fn: Fn, outcome: Outcome, count: int, took: int) -> None:
         spot = fn.spot(srv)
@@ -490,16 +478,17 @@
         elif outcome in (Outcome.RESET, Outcome.UNREACHABLE):
             srv.emptied = self.now
             self.judge_health(srv, True, self.now)
+        self.release(spot)
+
+    def release(self, spot: Spot) -> None:
+        """What waited for a load is placed anew once that, or what might have begun it, has ended."""
         waiters, spot.waiters = spot.waiters, []
         for rpc in waiters:
             self.drive(rpc, Input.LOADED, spot)
 
     def judge_load(self, fn: Fn, ok: bool, took: int) -> None:
-        """Slow or failing loads mean fewer at once, since all workers share one store.
-
-        Guards against a store crowded by one-off, hot or lost functions; harms when loads are slow for
-        another reason, as fewer of them do not make them faster then.
-        """
+        """Slow or failing loads mean fewer at once, as workers share one store: guards against one-off, hot
+        or lost functions; harms when loads are slow for another reason."""
         if not ok or took > self.facts["methods"][fn.method]["deadline"] / 2:
             self.load_limit = max(1.0, 0.9 * self.load_limit)
         elif took > self.iso(fn):
@@ -527,9 +516,8 @@
             return
         self.host.wake_me(PERIOD, fn)
         self.renew_iso(fn)
-        dispatchers = self.facts["dispatchers"]
-        spare, left = divmod(ceil(sqrt(sum(used.values()))), dispatchers)
-        spare += self.chance(dispatchers) < left
+        spare, left = divmod(ceil(sqrt(sum(used.values()))), self.facts["dispatchers"])
+        spare += self.chance(self.facts["dispatchers"]) < left
         for srv in self.walk(fn):
             spot = fn.spot(srv)
             if srv.listing is not Listing.SERVING or not self.fit(srv) or self.zone(spot) is Zone.UNSAFE:
@@ -539,6 +527,9 @@
             if self.loading < self.load_limit if count > self.believed(spot) else count > busy:
                 self.order(spot, count, HOLD_PART)
 
+    def list_failed(self) -> None:
+        self.host.wake_me(SECOND, None)
+
     def probed(self, srv: Srv, outcome: Outcome, took: int, report: Mapping[str, float]) -> None: ...
 
     def told(self, peer: int, text: str) -> None: ...
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -6,8 +6,10 @@
 from math import exp
 
 from lapistrestle import interface as face
+from lapistrestle.interface import CallOut
 
 State = Enum("State", "NEW PLACING OUT PARKED OVER")  # of an RPC
+Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
 Zone = IntEnum("Zone", "SAFE PREWARNING WARNING UNSAFE")  # of a function on a worker
 
 
@@ -57,8 +59,7 @@
     due: int = 0  # when that is
     passed: int = 0  # good outcomes since then
     out: int = 0  # own call-outs there
-    warm: int = 0  # those of them with no load before them
-    warm_sent: int = 0  # sum of their moments of sending
+    warm: dict[CallOut, bool] = field(default_factory=dict)  # those with no load before them, oldest first
     warm_iso: int = 0  # sum of what they would take alone
     unheard: int | None = None  # since when a warm call-out of ours waits without any word from it
     emptied: int = -1  # nothing loaded before this moment still stands
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -164,3 +164,14 @@
     assert one.state is State.PARKED and acts(made, "order")[0][3] == 1
     made.ordered(made.srvs[0], one.fn, Outcome.OK, 1, 6_000)
     assert one.state is State.OUT and len(one.call_outs) == 2
+
+
+def test_rpcs_that_wait_for_a_load_go_on_when_the_copy_turns_out_to_stand():
+    made = dispatcher(1)
+    one, two = rpc(made), rpc(made)
+    two.fn = one.fn
+    made.arrived(one)
+    made.arrived(two)
+    assert two.state is State.PARKED
+    made.ended(one.call_outs[0], Outcome.OK, Answer(900, over=True))
+    assert two.state is State.OUT
