--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -225,8 +225,7 @@
 
         Lengthened as ok answers take longer: in a jam a time-out only adds work.
         """
-        left = max(1, rpc.deadline - self.now)
-        method = self.facts["methods"][rpc.method]
+        left, method = max(1, rpc.deadline - self.now), self.facts["methods"][rpc.method]
         if method["kind"] == "side-effecting" or cold or len(rpc.call_outs) >= self.facts["try_limit"]:
             return left
         soft = rpc.began + self.soft(rpc) - self.now
@@ -328,7 +327,8 @@
             spot.window.append(int(took / rpc.scale))
             del spot.window[:-WINDOW]
             self.judge_zone(spot)
-            self.judge_health(srv, outcome not in (Outcome.OK, Outcome.CANCELLED) or took > bound, call_out.sent)
+            harm = outcome not in (Outcome.OK, Outcome.CANCELLED) or took > bound
+            self.judge_health(srv, harm, call_out.sent)
 
     def weight(self, method: int) -> float:
         return self.light[method].read(self.facts["methods"][method]["soft_deadline"] / 4)
