--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -170,7 +170,7 @@
                 return self.send(rpc, cold)
             if cold:
                 self.order(cold, 1)
-        near = [(self.crowd(s.srv), s) for s in open_ or warm or loads]
+        near = [(self.crowd(s.srv), s) for s in open_ or warm or loads if self.now >= s.srv.full_until]
         fewest = min((wait for wait, _ in near), default=rpc.deadline)
         if fewest + self.iso(fn) * rpc.scale > rpc.began + self.soft(rpc) - self.now:
             return Input.NOWHERE  # it would wait past what earns its gain, and make others do so
@@ -306,6 +306,7 @@
             self.ok_count.add(self.now, 1)
             self.ok_took.add(self.now, answer.took)
             srv.served.add(self.now, 1)
+            srv.full_until = 0
             if not load and call_out.company <= 1:
                 self.light[rpc.method].add(self.now, answer.took)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
@@ -315,7 +316,7 @@
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
         if outcome is Outcome.FULL:
-            spot.zone, spot.until = Zone.UNSAFE, self.now + BACKOFF
+            srv.full_until = self.now + BACKOFF  # or the next ok answer
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
             return
@@ -371,7 +372,8 @@
             if self.now - call_out.sent > call_out.usual:
                 took, alone = took + self.now - call_out.sent, alone + call_out.usual
         average = iso * (took + PRIOR * iso) / (alone + PRIOR * iso)
-        return self.quarter(spot.fn, max(average, self.crowd(spot.srv)))
+        full = self.now < srv.full_until
+        return Zone.UNSAFE if full else self.quarter(spot.fn, max(average, self.crowd(srv)))
 
     def crowd(self, srv: Srv) -> float:
         """How long one more would wait there: ours, over the pace they come back at, or one by one."""
