--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -164,7 +164,7 @@
         loads = [s for s in spots if s.loading]
         open_ = [s for s in warm if self.zone(s) is not Zone.UNSAFE]
         calm = any(self.zone(s) < Zone.WARNING for s in open_)
-        if not loads and not calm and self.loading < (2 if warm else 4) * self.load_limit:
+        if not loads and not calm and self.loading < (1 if warm else 2) * self.load_limit:
             cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
             if cold and not warm:
                 return self.send(rpc, cold)
