--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -164,7 +164,7 @@
         loads = [s for s in spots if s.loading]
         open_ = [s for s in warm if self.zone(s) is not Zone.UNSAFE]
         calm = any(self.zone(s) < Zone.WARNING for s in open_)
-        if not loads and not calm and self.loading < (1 if warm else 2) * self.load_limit:
+        if not loads and not calm and self.loading < (1 if warm else 4) * self.load_limit:
             cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
             if cold and not warm:
                 return self.send(rpc, cold)
@@ -315,7 +315,7 @@
             self.judge_load(fn, outcome is Outcome.OK, answer.took)
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
-        if outcome is Outcome.FULL:
+        if outcome is Outcome.FULL:  # whatever the function: its queue is
             srv.full_until = self.now + BACKOFF  # or the next ok answer
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
@@ -325,8 +325,7 @@
         srv.took.add(self.now, took)
         srv.iso.add(self.now, self.iso(fn) * rpc.scale)
         if outcome is not Outcome.FULL:
-            spot.window.append(int(took / rpc.scale))
-            del spot.window[:-WINDOW]
+            spot.window = [*spot.window[1 - WINDOW :], int(took / rpc.scale)]
             self.judge_zone(spot)
             harm = outcome not in (Outcome.OK, Outcome.CANCELLED) or took > bound
             self.judge_health(srv, harm, call_out.sent)
@@ -357,7 +356,7 @@
         if spot.zone is Zone.UNSAFE and self.now >= spot.until:
             spot.zone = Zone.WARNING
             spot.window.clear()
-        return max(spot.zone, self.srv_zone(spot))
+        return Zone.UNSAFE if self.now < spot.srv.full_until else max(spot.zone, self.srv_zone(spot))
 
     def srv_zone(self, spot: Spot) -> Zone:
         """What all functions' latencies on the worker say of this one's there: its own window fills slowly.
@@ -372,8 +371,7 @@
             if self.now - call_out.sent > call_out.usual:
                 took, alone = took + self.now - call_out.sent, alone + call_out.usual
         average = iso * (took + PRIOR * iso) / (alone + PRIOR * iso)
-        full = self.now < srv.full_until
-        return Zone.UNSAFE if full else self.quarter(spot.fn, max(average, self.crowd(srv)))
+        return self.quarter(spot.fn, max(average, self.crowd(srv)))
 
     def crowd(self, srv: Srv) -> float:
         """How long one more would wait there: ours, over the pace they come back at, or one by one."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -166,6 +166,21 @@
     assert one.state is State.OUT and len(one.call_outs) == 2
 
 
+def test_a_full_answer_closes_the_whole_worker_until_its_next_ok_answer():
+    made = dispatcher(1, **{"when-absent": "load"})
+    one, two = rpc(made), rpc(made, name="g")
+    two.fn.spot(made.srvs[0]).copies, two.fn.spots[made.srvs[0]].seen = 1, made.now
+    made.arrived(one)
+    made.ended(one.call_outs[0], Outcome.FULL, Answer(5))
+    made.arrived(two)
+    assert two.over and not two.call_outs
+    made.srvs[0].full_until = 0
+    three = rpc(made)
+    three.fn = two.fn
+    made.arrived(three)
+    assert three.call_outs
+
+
 def test_rpcs_that_wait_for_a_load_go_on_when_the_copy_turns_out_to_stand():
     made = dispatcher(1)
     one, two = rpc(made), rpc(made)
