Queues behind cold call-outs no longer cut the load limit

Cause: on a fleet whose answers do not tell loads, cold call-outs that waited in a worker's queue cut the limit on loads as if the store were slow.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -311,7 +311,8 @@
                 self.light[rpc.method].add(self.now, answer.took)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
             self.further.add(self.now, outcome is Outcome.OK)
-        if call_out.cold and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
+        loads = call_out.cold and not self.facts["absent_misses"] and MEANING[outcome] is not Input.NEVER_RAN
+        if loads and (self.facts["tells_warm"] or self.srv_zone(spot) < Zone.WARNING):  # or its queue is slow
             self.judge_load(fn, outcome is Outcome.OK, answer.took)
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
@@ -522,9 +523,8 @@
             spot = fn.spot(srv)
             if srv.listing is not Listing.SERVING or not self.fit(srv) or self.zone(spot) is Zone.UNSAFE:
                 continue
-            busy = used.get(spot, 0)
-            count, spare = busy + spare, 0
-            if self.loading < self.load_limit if count > self.believed(spot) else count > busy:
+            count, spare = used.get(spot, 0) + spare, 0
+            if self.loading < self.load_limit if count > self.believed(spot) else count > used.get(spot, 0):
                 self.order(spot, count, HOLD_PART)
 
     def list_failed(self) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -190,3 +190,15 @@
     assert two.state is State.PARKED
     made.ended(one.call_outs[0], Outcome.OK, Answer(900, over=True))
     assert two.state is State.OUT
+
+
+def test_a_queue_behind_a_cold_call_out_does_not_cut_the_load_limit():
+    made = dispatcher(1, **{"when-absent": "load"})
+    srv, before = made.srvs[0], 5.0
+    made.load_limit = before
+    for crowded in (True, False):
+        one = rpc(made)
+        made.send(one, one.fn.spot(srv))
+        srv.took.add(made.now, 900_000 if crowded else -900_000)
+        made.ended(one.call_outs[0], Outcome.OK, Answer(29_000, over=True))
+        assert (made.load_limit == before) == crowded
