--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -311,8 +311,8 @@
                 self.light[rpc.method].add(self.now, answer.took)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
             self.further.add(self.now, outcome is Outcome.OK)
-        loads = call_out.cold and not self.facts["absent_misses"] and MEANING[outcome] is not Input.NEVER_RAN
-        if loads and (self.facts["tells_warm"] or self.srv_zone(spot) < Zone.WARNING):  # or its queue is slow
+        sure = self.facts["tells_warm"] or self.facts["absent_misses"] or self.srv_zone(spot) < Zone.WARNING
+        if call_out.cold and sure and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
             self.judge_load(fn, outcome is Outcome.OK, answer.took)
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
