--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,7 +5,7 @@
 
 from lapistrestle.choice import SECOND
 from lapistrestle.interface import Answer, Listing, Outcome, SrvFacts
-from lapistrestle.state import Fn, Srv, State, Zone
+from lapistrestle.state import Fn, Input, Srv, State, Sum, Zone
 
 
 def acts(made, word):
@@ -202,3 +202,50 @@
         srv.took.add(made.now, 900_000 if crowded else -900_000)
         made.ended(one.call_outs[0], Outcome.OK, Answer(29_000, over=True))
         assert (made.load_limit == before) == crowded
+
+
+def test_a_parked_rpc_is_answered_when_its_time_is_up():
+    made = dispatcher(1)
+    one = rpc(made)
+    made.arrived(one)
+    made.ended(one.call_outs[0], Outcome.MISS, Answer(30))
+    made.woken(one)
+    assert one.over and acts(made, "deny") and not one.fn.spot(made.srvs[0]).waiters
+
+
+@pytest.mark.parametrize(("tries", "further", "went_on"), [(1, 0, True), (3, 0, False), (1, 9, False)])
+def test_further_call_outs_end_with_the_tries_and_with_failing_ones(tries, further, went_on):
+    made = dispatcher(4, **{"when-absent": "load"})
+    one = rpc(made)
+    made.arrived(one)
+    one.call_outs[:0] = one.call_outs * (tries - 1)
+    for _ in range(further):
+        made.further.add(made.now, 0)
+    made.ended(one.call_outs[-1], Outcome.FULL, Answer(5))
+    assert one.over != went_on
+
+
+def test_traffic_beyond_a_share_yields_first_under_pressure():
+    made = dispatcher(2)
+    made.facts = {**made.facts, "customers": [{"quota": 2.0}, {"quota": 900.0}]}
+    made.asked, made.out = [Sum(50_000), Sum(50_000)], 7
+    made.asked[0].add(made.now, 1e6)
+    made.ok_count.add(made.now, 30.0)
+    greedy, fair = rpc(made), rpc(made)
+    fair.customer = 1
+    assert made.soft(fair) / 2 < made.expected() < made.soft(fair)
+    assert made.admit(greedy, None) is Input.NOWHERE and made.admit(fair, None) is Input.ADMITTED
+
+
+def test_a_hold_asks_for_what_was_used_and_a_share_of_the_spare():
+    made = dispatcher(2)
+    made.facts = {**made.facts, "dispatchers": 1}
+    made.taken.extend([made.now] * 50)
+    fn = Fn("f")
+    made.fns[fn] = None
+    home = fn.spot(made.walk(fn)[0])
+    home.peak, home.copies, home.seen = 4, 4, made.now
+    made.hold(fn)
+    assert acts(made, "order") == [("order", home.srv, fn, 4 + 2)]
+    made.hold(fn)
+    assert fn not in made.fns
