--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from itertools import islice
-from math import ceil, exp, log, sqrt
+from math import ceil, exp, inf, log, sqrt
 from zlib import crc32
 
 from lapistrestle import interface as face
@@ -171,7 +171,7 @@
             if cold:
                 self.order(cold, 1)
         near = [(self.crowd(s.srv), s) for s in open_ or warm or loads if self.now >= s.srv.full_until]
-        fewest = min((wait for wait, _ in near), default=rpc.deadline)
+        fewest = min((wait for wait, _ in near), default=inf)
         if fewest + self.iso(fn) * rpc.scale > rpc.began + self.soft(rpc) - self.now:
             return Input.NOWHERE  # it would wait past what earns its gain, and make others do so
         ties = [s for wait, s in near if wait == fewest]
