--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -210,11 +210,10 @@
         if not cold:
             srv.warm[call_out] = True
             srv.warm_iso, self.out = srv.warm_iso + call_out.usual, self.out + 1
+            srv.unheard = self.now if srv.unheard is None else srv.unheard
         spot.out, srv.out = spot.out + 1, srv.out + 1
         spot.peak = max(spot.peak, spot.out)
         spot.loading, self.loading = spot.loading + cold, self.loading + cold
-        if not cold and srv.unheard is None:
-            srv.unheard = self.now
         if self.warmth_of(srv) < 1:
             srv.sends.append((self.now, self.weight(rpc.method)))
         self.host.call_out(call_out, self.time_out(rpc, spot, cold))
@@ -311,9 +310,10 @@
                 self.light[rpc.method].add(self.now, answer.took)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
             self.further.add(self.now, outcome is Outcome.OK)
-        sure = self.facts["tells_warm"] or self.facts["absent_misses"] or self.srv_zone(spot) < Zone.WARNING
-        if call_out.cold and sure and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
-            self.judge_load(fn, outcome is Outcome.OK, answer.took)
+        if call_out.cold and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
+            sure = self.facts["tells_warm"] or self.facts["absent_misses"]
+            if sure or self.srv_zone(spot) < Zone.WARNING:  # else its queue may be what was slow
+                self.judge_load(fn, outcome is Outcome.OK, answer.took)
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
         if outcome is Outcome.FULL:  # whatever the function: its queue is
@@ -396,10 +396,10 @@
     def judge_health(self, srv: Srv, harm: bool, sent: int) -> None:
         """Errors, silence, lost connections and slowness are one symptom: own outcomes there go badly."""
         (srv.bad if harm else srv.good).add(self.now, 1)
-        bad, good = srv.bad.read(self.now), srv.good.read(self.now)
-        all_bad = sum(s.bad.read(self.now) for s in self.srvs)
-        all_ = all_bad + sum(s.good.read(self.now) for s in self.srvs)
         if not srv.suspect:
+            bad, good = srv.bad.read(self.now), srv.good.read(self.now)
+            all_bad = sum(s.bad.read(self.now) for s in self.srvs)
+            all_ = all_bad + sum(s.good.read(self.now) for s in self.srvs)
             share = max(BAD_SHARE, 2 * all_bad / max(all_, 1))
             srv.suspect = bad > 1.5 and bad > share * (bad + good)
             srv.due, srv.passed = self.now + srv.pause, 0
