Front ends enter a hot function's order each at its own part of the demand

Cause: at full size one front end meets a worker a few times a minute, so a hot function's home is crowded before any of them sees it (busiest worker 6 times the mean). Change: each front end starts its walk where its part of the function's estimated demand begins, one worker holding half its even share.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -26,6 +26,7 @@
 MEMORY = 3 * SECOND  # life of the decaying sums that must follow a trouble within its first seconds
 LONG = 10 * SECOND  # life of the decaying sums that stand for the ordinary
 GOLDEN = 0.618  # turns that move on by this part of a round come back evenly spread
+FILL = 0.5  # of a worker's even share, for one function's demand there
 CAUTION = 0.7  # of the cold budget: size and share of the traffic are only roughly known
 BAD_SHARE = 0.35  # of a worker's recent outcomes: beyond it, and twice at least, it is suspect
 HOLD_PART = 0.5  # of the order budget is for holds, the rest for what an RPC waits for
@@ -45,11 +46,12 @@
         self.fns: dict[Fn, None] = {}
         self.light = [Mean(LONG) for _ in facts["methods"]]  # latency of ok ones at light own load
         self.hints = [Mean(LONG) for _ in facts["methods"]]  # hinted work
-        self.ok_weight = Sum(LONG, now)
+        self.ok_weight, self.demand = Sum(LONG, now), Sum(LONG)
         self.good, self.bad = Sum(MEMORY), Sum(MEMORY)  # outcomes of all workers
         self.ok_count, self.ok_took, self.further = Sum(MEMORY), Mean(MEMORY), Mean(MEMORY)
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
+        self.kept_warm = facts["idle_life"] * facts["dispatchers"]  # as others use it as often
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
         self.orders, self.taken = deque[int](), deque[int]()
         if facts["list_asked"]:
@@ -99,6 +101,22 @@
             fn.order, fn.version = self.ring[first:] + self.ring[:first], self.version
         return fn.order
 
+    def entered(self, fn: Fn) -> list[Srv]:
+        """The shared order from where this front end's part of the function's demand begins.
+
+        Taken front end after front end, demand fills the first workers up to FILL of their even share of all
+        demand; one that meets a worker a few times a minute would see too late that all the others do too.
+        Guards against crowded homes; harms where front ends differ much in what they are asked.
+        """
+        order, all_ = self.walk(fn), self.facts["dispatchers"]
+        part = (self.facts["me"] + crc32(fn.name.encode())) % all_ / all_
+        skip = part * fn.asked.read(self.now) / max(self.demand.read(self.now), 1) * self.size / FILL
+        for i, srv in enumerate(order):
+            skip -= srv.size if srv.listing is Listing.SERVING else 0
+            if skip < 0:
+                return order[i:] + order[:i]
+        return order
+
     # --- the life of an RPC
 
     def drive(self, rpc: Rpc, signal: Input | None, spot: Spot | None = None) -> None:
@@ -115,6 +133,8 @@
         if rpc.fn not in self.fns:
             self.fns[rpc.fn] = None
             self.host.wake_me(PERIOD, rpc.fn)
+        for asked in (rpc.fn.asked, self.demand):
+            asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         self.taken.append(self.now)
         self.drive(rpc, Input.ARRIVED)
 
@@ -159,7 +179,8 @@
     def place(self, rpc: Rpc, _: Spot | None) -> Input:
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
         fn: Fn = rpc.fn
-        in_use = [fn.spots[srv] for srv in self.candidates(rpc, [s for s in self.walk(fn) if s in fn.spots])]
+        order = self.entered(fn)
+        in_use = [fn.spots[srv] for srv in self.candidates(rpc, [s for s in order if s in fn.spots])]
         warm = [s for s in in_use if self.believed(s)]
         for spot in warm:
             if spot.out < self.capacity(spot):
@@ -168,7 +189,7 @@
         open_ = [s for s in warm if self.zone(s) is not Zone.UNSAFE]
         calm = any(self.zone(s) < Zone.WARNING for s in open_)
         if not loads and not calm and self.loading < (1 if warm else 4) * self.load_limit:
-            spots = (fn.spot(srv) for srv in self.candidates(rpc, self.walk(fn)))
+            spots = (fn.spot(srv) for srv in self.candidates(rpc, order))
             cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
             if cold and not warm:
                 return self.send(rpc, cold)
@@ -385,8 +406,9 @@
         return len(srv.warm) / max(pace, len(srv.warm) / srv.warm_iso) if srv.warm else 0.0
 
     def believed(self, spot: Spot) -> int:
-        """Copies believed to stand: an idle one goes after the idle life, a restart leaves none."""
-        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"]):
+        """Copies believed to stand: other front ends, which share the order, use them as often as this one, so
+        an idle one goes after as many idle lives as there are front ends; a restart leaves none."""
+        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.kept_warm):
             spot.copies = 0
         return spot.copies
 
