What is remembered of a worker stretches with the gap between own RPCs there

Cause: a front end that meets a worker every 4 to 16 s forgot it within 3 s, and left it for 2 s only, so crowding went unseen. One for few dispatchers, where nothing changes.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -49,6 +49,7 @@
         self.ok_weight, self.demand = Sum(LONG, now), Sum(LONG)
         self.good, self.bad = Sum(MEMORY), Sum(MEMORY)  # outcomes of all workers
         self.ok_count, self.ok_took, self.further = Sum(MEMORY), Mean(MEMORY), Mean(MEMORY)
+        self.stretch = 1.0  # of what is remembered of a worker, for a front end that meets it seldom
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
         self.kept_warm = facts["idle_life"] * facts["dispatchers"]  # as others use it as often
@@ -134,6 +135,8 @@
         if rpc.fn not in self.fns:
             self.fns[rpc.fn] = None
             self.host.wake_me(PERIOD, rpc.fn)
+        met = max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serving))  # how often a worker is
+        self.stretch = min(LONG / MEMORY, max(1.0, 1 / (met * MEMORY)))
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         self.taken.append(self.now)
@@ -325,6 +328,8 @@
 
     def learn(self, spot: Spot, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         srv, fn, rpc = spot.srv, spot.fn, call_out.rpc
+        for total in (srv.took, srv.iso, srv.good, srv.bad, srv.served):
+            total.life = int(MEMORY * self.stretch)
         load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
         if outcome is Outcome.OK:
             spot.copies, spot.seen = max(self.believed(spot), 1), self.now
@@ -344,7 +349,7 @@
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
         if outcome is Outcome.FULL:  # whatever the function: its queue is
-            srv.full_until = self.now + BACKOFF  # or the next ok answer
+            srv.full_until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
             return
@@ -374,7 +379,7 @@
         iso = self.iso(spot.fn)
         if spot.zone is not Zone.UNSAFE:
             spot.zone = self.quarter(spot.fn, (sum(spot.window) + PRIOR * iso) / (len(spot.window) + PRIOR))
-            spot.until = self.now + BACKOFF
+            spot.until = self.now + int(BACKOFF * self.stretch)
 
     def quarter(self, fn: Fn, average: float) -> Zone:
         iso = self.iso(fn)
