--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -350,6 +350,10 @@
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
         if outcome is Outcome.FULL:  # whatever the function: its queue is
             srv.full_until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
+        if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
+            pace = self.rate(self.ok_count) * self.facts["dispatchers"] * srv.size / max(self.size, 1e-9)
+            srv.took.add(self.now, self.iso(fn) + answer.report["backlog"] / max(pace, 1e-9))
+            srv.iso.add(self.now, self.iso(fn))
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
             return
