--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -30,7 +30,7 @@
 CAUTION = 0.7  # of the cold budget: size and share of the traffic are only roughly known
 BAD_SHARE = 0.35  # of a worker's recent outcomes: beyond it, and twice at least, it is suspect
 HOLD_PART = 0.5  # of the order budget is for holds, the rest for what an RPC waits for
-FURTHER = 0.3  # further call-outs for each recent ok one, when all further ones succeed
+FURTHER = 1.0  # further call-outs for each recent ok one, when all further ones succeed
 
 MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
 MEANING |= dict.fromkeys((Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT), Input.NEVER_RAN)
