A full answer that took long closes the worker to that customer and method only

Cause: throttled workers say full to one customer after 185 to 250 ms though they have room, and were closed to everyone; a queue that is full says so within 2 ms.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -217,6 +217,7 @@
 
         def usable(srv: Srv) -> bool:
             fit = srv.listing is Listing.SERVING and (not trust or self.fit(srv))
+            fit = fit and srv.held_back.get((rpc.customer, rpc.method), 0) <= self.now
             return fit and self.allowed(rpc, srv) and self.cold_room(srv, rpc.method)
 
         if tried and not any(usable(s) for s in self.walk(rpc.fn) if s not in tried):
@@ -348,8 +349,13 @@
                 self.judge_load(fn, outcome is Outcome.OK, answer.took)
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         spot.copies = 0 if outcome is Outcome.MISS else spot.copies
-        if outcome is Outcome.FULL:  # whatever the function: its queue is
-            srv.full_until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
+        if outcome is Outcome.FULL:  # said at once: its queue is, for all; else it holds this customer back
+            at_once = answer.took < self.weight(rpc.method) / 4
+            until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
+            if at_once:
+                srv.full_until = until
+            else:
+                srv.held_back[rpc.customer, rpc.method] = until
         if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
             pace = self.rate(self.ok_count) * self.facts["dispatchers"] * srv.size / max(self.size, 1e-9)
             srv.took.add(self.now, self.iso(fn) + answer.report["backlog"] / max(pace, 1e-9))
