--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -26,7 +26,7 @@
 MEMORY = 3 * SECOND  # life of the decaying sums that must follow a trouble within its first seconds
 LONG = 10 * SECOND  # life of the decaying sums that stand for the ordinary
 GOLDEN = 0.618  # turns that move on by this part of a round come back evenly spread
-FILL = 0.5  # of a worker's even share, for one function's demand there
+FILL = 0.35  # of a worker's even share, for one function's demand there
 CAUTION = 0.7  # of the cold budget: size and share of the traffic are only roughly known
 BAD_SHARE = 0.35  # of a worker's recent outcomes: beyond it, and twice at least, it is suspect
 HOLD_PART = 0.5  # of the order budget is for holds, the rest for what an RPC waits for
@@ -217,7 +217,7 @@
 
         def usable(srv: Srv) -> bool:
             fit = srv.listing is Listing.SERVING and (not trust or self.fit(srv))
-            fit = fit and srv.held_back.get((rpc.customer, rpc.method), 0) <= self.now
+            fit = fit and srv.held_back.get(rpc.customer, 0) <= self.now
             return fit and self.allowed(rpc, srv) and self.cold_room(srv, rpc.method)
 
         if tried and not any(usable(s) for s in self.walk(rpc.fn) if s not in tried):
@@ -355,7 +355,7 @@
             if at_once:
                 srv.full_until = until
             else:
-                srv.held_back[rpc.customer, rpc.method] = until
+                srv.held_back[rpc.customer] = until
         if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
             pace = self.rate(self.ok_count) * self.facts["dispatchers"] * srv.size / max(self.size, 1e-9)
             srv.took.add(self.now, self.iso(fn) + answer.report["backlog"] / max(pace, 1e-9))
