--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -52,7 +52,6 @@
         self.stretch = 1.0  # of what is remembered of a worker, for a front end that meets it seldom
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
-        self.kept_warm = facts["idle_life"] * facts["dispatchers"]  # as others use it as often
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
         self.orders, self.taken = deque[int](), deque[int]()
         if facts["list_asked"]:
@@ -184,11 +183,13 @@
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
         fn: Fn = rpc.fn
         order = self.entered(fn)
-        in_use = [fn.spots[srv] for srv in self.candidates(rpc, [s for s in order if s in fn.spots])]
-        warm = [s for s in in_use if self.believed(s)]
-        for spot in warm:
+        pool = order if self.stretch > 1 else [s for s in order if s in fn.spots]
+        in_use = []
+        for spot in (fn.spot(srv) for srv in self.candidates(rpc, pool)):
             if spot.out < self.capacity(spot):
                 return self.send(rpc, spot)
+            in_use.append(spot)
+        warm = [s for s in in_use if self.believed(s)]
         loads = [s for s in in_use if s.loading]
         open_ = [s for s in warm if self.zone(s) is not Zone.UNSAFE]
         calm = any(self.zone(s) < Zone.WARNING for s in open_)
@@ -348,7 +349,8 @@
             if sure or self.srv_zone(spot) < Zone.WARNING:  # else its queue may be what was slow
                 self.judge_load(fn, outcome is Outcome.OK, answer.took)
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
-        spot.copies = 0 if outcome is Outcome.MISS else spot.copies
+        if outcome is Outcome.MISS:
+            spot.copies, spot.missing = 0, self.now
         if outcome is Outcome.FULL:  # said at once: its queue is, for all; else it holds this customer back
             at_once = answer.took < self.weight(rpc.method) / 4
             until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
@@ -422,11 +424,15 @@
         return len(srv.warm) / max(pace, len(srv.warm) / srv.warm_iso) if srv.warm else 0.0
 
     def believed(self, spot: Spot) -> int:
-        """Copies believed to stand: other front ends, which share the order, use them as often as this one, so
-        an idle one goes after as many idle lives as there are front ends; a restart leaves none."""
-        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.kept_warm):
+        """Copies believed to stand: an idle one goes after the idle life, a restart leaves none.
+
+        A front end that meets workers seldom presumes one wherever none was lately found missing: others
+        share the order and keep it warm. Harms where a function is asked of one front end alone.
+        """
+        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"]):
             spot.copies = 0
-        return spot.copies
+        missing = max(spot.missing, spot.srv.emptied)
+        return spot.copies or int(self.stretch > 1 and self.now - missing > self.facts["idle_life"])
 
     def capacity(self, spot: Spot) -> int:
         copies, zone = self.believed(spot), self.zone(spot)
@@ -525,7 +531,7 @@
         spot.loading, self.loading = spot.loading - load, self.loading - load
         self.judge_load(fn, outcome is not Outcome.ERROR, took)
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
-            spot.copies, spot.seen = count, self.now
+            spot.copies, spot.seen, spot.missing = count, self.now, spot.missing if count else self.now
         elif outcome in (Outcome.RESET, Outcome.UNREACHABLE):
             srv.emptied = self.now
             self.judge_health(srv, True, self.now)
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -80,6 +80,7 @@
     until: int = 0  # end of the backoff
     copies: int = 0  # believed to stand
     seen: int = -1  # when that was last confirmed
+    missing: int = -(10**15)  # when none was found there last
     out: int = 0  # own call-outs of the function there
     peak: int = 0  # most of them at once since the last hold
     loading: int = 0  # own loads under way there
