--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -177,7 +177,8 @@
 
     def expected(self) -> float:
         """How long an RPC taken now will stay, by what is out and what comes back ok (Little's law)."""
-        return self.out / max(self.rate(self.ok_count), 1 / LONG) if self.now > self.start + MEMORY else 0.0
+        sure = max(0.0, self.out - PRIOR * sqrt(self.out))  # a few out by chance are no jam
+        return sure / max(self.rate(self.ok_count), 1 / LONG) if self.now > self.start + MEMORY else 0.0
 
     def place(self, rpc: Rpc, _: Spot | None) -> Input:
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
@@ -330,7 +331,7 @@
 
     def learn(self, spot: Spot, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         srv, fn, rpc = spot.srv, spot.fn, call_out.rpc
-        for total in (srv.took, srv.iso, srv.good, srv.bad, srv.served):
+        for total in (srv.took, srv.iso, srv.good, srv.bad, srv.served, self.ok_count):
             total.life = int(MEMORY * self.stretch)
         load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
         if outcome is Outcome.OK:
