--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -184,9 +184,11 @@
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
         fn: Fn = rpc.fn
         order = self.entered(fn)
-        pool = order if self.stretch > 1 else [s for s in order if s in fn.spots]
+        first = next(self.candidates(rpc, order), None)
         in_use = []
-        for spot in (fn.spot(srv) for srv in self.candidates(rpc, pool)):
+        for spot in (fn.spot(s) for s in self.candidates(rpc, (s for s in order if s is first or s in fn.spots))):
+            if spot.srv is first and self.presumed(spot) and self.zone(spot) is not Zone.UNSAFE and not spot.out:
+                return self.send(rpc, spot)
             if spot.out < self.capacity(spot):
                 return self.send(rpc, spot)
             in_use.append(spot)
@@ -239,7 +241,7 @@
         return group.get(method["scope"], False)
 
     def send(self, rpc: Rpc, spot: Spot) -> Input:
-        srv, cold = spot.srv, not self.believed(spot)
+        srv, cold = spot.srv, not (self.believed(spot) or self.presumed(spot))
         call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1, int(self.iso(spot.fn) * rpc.scale) + 1)
         rpc.call_outs.append(call_out)
         if not cold:
@@ -425,15 +427,18 @@
         return len(srv.warm) / max(pace, len(srv.warm) / srv.warm_iso) if srv.warm else 0.0
 
     def believed(self, spot: Spot) -> int:
-        """Copies believed to stand: an idle one goes after the idle life, a restart leaves none.
-
-        A front end that meets workers seldom presumes one wherever none was lately found missing: others
-        share the order and keep it warm. Harms where a function is asked of one front end alone.
-        """
+        """Copies believed to stand: an idle one goes after the idle life, a restart leaves none."""
         if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"]):
             spot.copies = 0
+        return spot.copies
+
+    def presumed(self, spot: Spot) -> bool:
+        """Whether others, who share the order, may keep a copy warm that this front end seldom meets.
+
+        Harms where a function is asked of one front end alone.
+        """
         missing = max(spot.missing, spot.srv.emptied)
-        return spot.copies or int(self.stretch > 1 and self.now - missing > self.facts["idle_life"])
+        return self.stretch > 1 and self.now - missing > self.facts["idle_life"]
 
     def capacity(self, spot: Spot) -> int:
         copies, zone = self.believed(spot), self.zone(spot)
