--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -241,7 +241,8 @@
         return group.get(method["scope"], False)
 
     def send(self, rpc: Rpc, spot: Spot) -> Input:
-        srv, cold = spot.srv, not (self.believed(spot) or self.presumed(spot))
+        srv, known = spot.srv, self.believed(spot) or (self.facts["absent_misses"] and self.presumed(spot))
+        cold = not known  # a load may stand before it
         call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1, int(self.iso(spot.fn) * rpc.scale) + 1)
         rpc.call_outs.append(call_out)
         if not cold:
