--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -177,7 +177,7 @@
 
     def expected(self) -> float:
         """How long an RPC taken now will stay, by what is out and what comes back ok (Little's law)."""
-        sure = max(0.0, self.out - PRIOR * sqrt(self.out))  # a few out by chance are no jam
+        sure = self.out
         return sure / max(self.rate(self.ok_count), 1 / LONG) if self.now > self.start + MEMORY else 0.0
 
     def place(self, rpc: Rpc, _: Spot | None) -> Input:
