--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -177,8 +177,7 @@
 
     def expected(self) -> float:
         """How long an RPC taken now will stay, by what is out and what comes back ok (Little's law)."""
-        sure = self.out
-        return sure / max(self.rate(self.ok_count), 1 / LONG) if self.now > self.start + MEMORY else 0.0
+        return self.out / max(self.rate(self.ok_count), 1 / LONG) if self.now > self.start + MEMORY else 0.0
 
     def place(self, rpc: Rpc, _: Spot | None) -> Input:
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
@@ -241,8 +240,7 @@
         return group.get(method["scope"], False)
 
     def send(self, rpc: Rpc, spot: Spot) -> Input:
-        srv, known = spot.srv, self.believed(spot) or (self.facts["absent_misses"] and self.presumed(spot))
-        cold = not known  # a load may stand before it
+        srv, cold = spot.srv, not (self.believed(spot) or self.presumed(spot))
         call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1, int(self.iso(spot.fn) * rpc.scale) + 1)
         rpc.call_outs.append(call_out)
         if not cold:
@@ -436,10 +434,10 @@
     def presumed(self, spot: Spot) -> bool:
         """Whether others, who share the order, may keep a copy warm that this front end seldom meets.
 
-        Harms where a function is asked of one front end alone.
+        Only where a wrong guess costs no more than a miss answer.
         """
-        missing = max(spot.missing, spot.srv.emptied)
-        return self.stretch > 1 and self.now - missing > self.facts["idle_life"]
+        lately = self.now - max(spot.missing, spot.srv.emptied) <= self.facts["idle_life"]
+        return self.stretch > 1 and self.facts["absent_misses"] and not lately
 
     def capacity(self, spot: Spot) -> int:
         copies, zone = self.believed(spot), self.zone(spot)
