--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -332,7 +332,7 @@
 
     def learn(self, spot: Spot, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         srv, fn, rpc = spot.srv, spot.fn, call_out.rpc
-        for total in (srv.took, srv.iso, srv.good, srv.bad, srv.served, self.ok_count):
+        for total in (srv.took, srv.iso, srv.good, srv.bad, srv.served):
             total.life = int(MEMORY * self.stretch)
         load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
         if outcome is Outcome.OK:
@@ -427,7 +427,7 @@
 
     def believed(self, spot: Spot) -> int:
         """Copies believed to stand: an idle one goes after the idle life, a restart leaves none."""
-        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"]):
+        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"] * self.stretch):
             spot.copies = 0
         return spot.copies
 
