A worker that missed and could not be ordered to load counts as tried; holds use less budget

Cause: under a release all front ends miss at once, their order budgets are spent and each RPC went to the same worker six times.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -29,7 +29,7 @@
 FILL = 0.35  # of a worker's even share, for one function's demand there
 CAUTION = 0.7  # of the cold budget: size and share of the traffic are only roughly known
 BAD_SHARE = 0.35  # of a worker's recent outcomes: beyond it, and twice at least, it is suspect
-HOLD_PART = 0.5  # of the order budget is for holds, the rest for what an RPC waits for
+HOLD_PART = 0.25  # of the order budget is for holds, the rest for what an RPC waits for
 FURTHER = 1.0  # further call-outs for each recent ok one, when all further ones succeed
 
 MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
@@ -215,7 +215,7 @@
 
     def candidates(self, rpc: Rpc, order: Iterable[Srv]) -> Iterator[Srv]:
         """Workers of an order that this RPC may go to; those it has tried only where there is no other."""
-        tried = {c.srv for c in rpc.call_outs if c.outcome is not Outcome.MISS}
+        tried = {c.srv for c in rpc.call_outs if c.outcome is not Outcome.MISS or not rpc.fn.spot(c.srv).copies}
         trust = 2 * self.suspects <= len(self.serving)  # else don't crowd the rest
 
         def usable(srv: Srv) -> bool:
