--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -1,9 +1,9 @@
 """Every decision of the dispatcher: ENSURE's packing along a shared order, and the guards around it.
 
 A host makes one `Dispatcher` with its `Host`, the settings as a plain map, a seed and the clock, sets `now`
-before each event and calls the methods of `Events`; the module answers by calling the `Host`. The host makes
-`Srv`, `Fn` and `Rpc` objects (`lapistrestle/state.py`) and hands them back by reference. Both protocols and
-all facts are in `lapistrestle/interface.py`; the design and its departures are in `docs/design.md`.
+before each event and calls the methods of `Events`; the module answers by calling the `Host`. `Srv`, `Fn` and
+`Rpc` objects are the host's to make. Both protocols and all facts are in `lapistrestle/interface.py`, the
+state is in `lapistrestle/state.py`, the design and its departures are in `docs/design.md`.
 """
 
 from collections import deque
@@ -39,16 +39,14 @@
 class Dispatcher:
     def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
         self.host, self.facts, self.seed, self.now, self.start = host, facts, seed, now, now
-        self.draws, self.pressed = 0, False
         self.srvs, self.ring, self.serving = list[Srv](), list[Srv](), list[Srv]()
-        self.version, self.size, self.suspects = 0, 0.0, 0
-        self.weighed, self.warm_size = -1, 0.0  # when last, and size by warmth of all that serve
+        self.draws, self.version, self.suspects, self.weighed, self.pressed = 0, 0, 0, -1, False
         self.fns: dict[Fn, None] = {}
         self.light = [Mean(LONG) for _ in facts["methods"]]  # latency of ok ones at light own load
         self.hints = [Mean(LONG) for _ in facts["methods"]]  # hinted work
-        self.ok_weight, self.demand = Sum(LONG, now), Sum(LONG)
-        self.good, self.bad = Sum(MEMORY), Sum(MEMORY)  # outcomes of all workers
+        self.ok_weight, self.demand, self.good, self.bad = (Sum(x, now) for x in (LONG, LONG, MEMORY, MEMORY))
         self.ok_count, self.ok_took, self.further = Sum(MEMORY), Mean(MEMORY), Mean(MEMORY)
+        self.size = self.warm_size = 0.0  # of all that serve, and by their warmth
         self.stretch = 1.0  # of what is remembered of a worker, for a front end that meets it seldom
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
@@ -61,8 +59,6 @@
         self.draws += 1
         return crc32(f"{self.seed}:{self.draws}".encode()) % max(1, below)
 
-    # --- the list and the shared order
-
     def listed(self, srvs: Sequence[tuple[Srv, face.SrvFacts]], whole: bool) -> None:
         known = dict.fromkeys(self.srvs)
         for srv in known if whole else ():
@@ -70,17 +66,16 @@
         for srv, facts in srvs:
             restarted = facts.booted is not None and facts.booted != srv.booted
             if restarted or srv not in known:
-                srv.place = crc32(srv.name.encode())
                 srv.good, srv.bad, srv.took, srv.iso, srv.served = (Sum(MEMORY) for _ in range(5))
                 srv.emptied, srv.suspect, srv.unheard, srv.pause = facts.booted or -1, False, None, SECOND
+                srv.place = crc32(srv.name.encode())
             known[srv] = None
             srv.zone, srv.cell, srv.kind, srv.size = facts.zone, facts.cell, facts.kind, facts.size
             srv.listing, srv.booted = facts.listing, facts.booted
         ring = sorted((s for s in known if s.listing is not Listing.GONE), key=lambda s: (s.place, s.name))
         if ring != self.ring:  # else the orders made from it still hold
             self.ring, self.version = ring, self.version + 1
-        self.srvs = list(known)
-        self.serving = [srv for srv in ring if srv.listing is Listing.SERVING]
+        self.srvs, self.serving = list(known), [srv for srv in ring if srv.listing is Listing.SERVING]
         self.size = sum(srv.size for srv in self.serving)
         self.suspects, self.weighed = sum(srv.suspect for srv in self.serving), -1
         self.load_limit = self.load_limit or max(1.0, len(self.srvs) / self.facts["dispatchers"])
@@ -90,8 +85,7 @@
         self.host.wake_me(max(SECOND, self.facts["ask_within"] // 2), None)
 
     def walk(self, fn: Fn) -> list[Srv]:
-        """The shared order of worker ids, entered at the one that the function's hash marks, by size: one
-        that joins or leaves rehomes only its own functions."""
+        """The shared order, from the worker that the function's hash marks; a new one rehomes its own."""
         if fn.version != self.version:
             for srv in self.ring:
                 if srv not in fn.marks:
@@ -102,12 +96,9 @@
         return fn.order
 
     def entered(self, fn: Fn) -> list[Srv]:
-        """The shared order from where this front end's part of the function's demand begins.
-
-        Taken front end after front end, demand fills the first workers up to FILL of their even share of all
-        demand; one that meets a worker a few times a minute would see too late that all the others do too.
-        Guards against crowded homes; harms where front ends differ much in what they are asked.
-        """
+        """The shared order from where this front end's part of the function's demand begins, each worker
+        taking FILL of its even share: guards against homes crowded by front ends that can't see each other;
+        harms where they differ much in what they are asked."""
         order, all_ = self.walk(fn), self.facts["dispatchers"]
         part = (self.facts["me"] + crc32(fn.name.encode())) % all_ / all_
         sure = max(0.0, fn.asked.read(self.now) - self.weight(fn.method))
@@ -118,8 +109,6 @@
                 return order[i:] + order[:i]
         return order
 
-    # --- the life of an RPC
-
     def drive(self, rpc: Rpc, signal: Input | None, spot: Spot | None = None) -> None:
         while signal is not None and not rpc.over:
             rpc.state, effect = LIFE[rpc.state, signal]
@@ -134,8 +123,8 @@
         if rpc.fn not in self.fns:
             self.fns[rpc.fn] = None
             self.host.wake_me(PERIOD, rpc.fn)
-        met = max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serving))  # how often a worker is
-        self.stretch = min(LONG / MEMORY, max(1.0, 1 / (met * MEMORY)))
+        met = MEMORY * max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serving))  # each, in MEMORY
+        self.stretch = min(LONG / MEMORY, max(1.0, 1 / met))
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         self.taken.append(self.now)
@@ -148,10 +137,10 @@
         call_out.srv.unheard = None
 
     def admit(self, rpc: Rpc, _: Spot | None) -> Input:
-        """Under pressure seen, what can't earn its gain yields at once, traffic beyond a share first.
-
-        Guards against overload, lost workers, a crowded store; harms when a jam is already dissolving."""
-        soft, stay = self.soft(rpc), self.expected()
+        """Under pressure, what is out over what comes back ok (Little's law), traffic beyond a share yields
+        first: guards against overload, lost workers, a crowded store; harms when a jam already dissolves."""
+        pace = max(self.rate(self.ok_count), 1 / LONG)
+        soft, stay = self.soft(rpc), self.out / pace if self.now > self.start + MEMORY else 0.0
         if stay > soft / 2 if not self.pressed else stay < soft / 4:
             self.pressed = not self.pressed
             self.host.log(f"pressure {'on' if self.pressed else 'off'}: stay {stay:.0f} of soft {soft}")
@@ -159,8 +148,7 @@
         return Input.NOWHERE if yields or self.hopeless(rpc) else Input.ADMITTED
 
     def hopeless(self, rpc: Rpc) -> bool:
-        """Even alone it would come back too late: guards against impatient clients, heavy RPCs, late further
-        call-outs; harms where hints mislead."""
+        """Alone it would come back too late: impatient clients, heavy RPCs; harms where hints mislead."""
         return rpc.deadline - self.now < self.iso(rpc.fn) * rpc.scale
 
     def beyond_share(self, rpc: Rpc) -> bool:
@@ -175,24 +163,16 @@
         filled = 1 - exp(-max(SECOND, self.now - self.start) / total.life)
         return total.read(self.now) / (total.life * filled)
 
-    def expected(self) -> float:
-        """How long an RPC taken now will stay, by what is out and what comes back ok (Little's law)."""
-        return self.out / max(self.rate(self.ok_count), 1 / LONG) if self.now > self.start + MEMORY else 0.0
-
     def place(self, rpc: Rpc, _: Spot | None) -> Input:
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
         fn: Fn = rpc.fn
-        order = self.entered(fn)
+        order, in_use = self.entered(fn), []
         first = next(self.candidates(rpc, order), None)
-        in_use = []
-        for spot in (fn.spot(s) for s in self.candidates(rpc, (s for s in order if s is first or s in fn.spots))):
-            if spot.srv is first and self.presumed(spot) and self.zone(spot) is not Zone.UNSAFE and not spot.out:
-                return self.send(rpc, spot)
-            if spot.out < self.capacity(spot):
-                return self.send(rpc, spot)
-            in_use.append(spot)
-        warm = [s for s in in_use if self.believed(s)]
-        loads = [s for s in in_use if s.loading]
+        for srv in self.candidates(rpc, [s for s in order if s is first or s in fn.spots]):
+            in_use.append(fn.spot(srv))
+            if in_use[-1].out < self.capacity(in_use[-1]):
+                return self.send(rpc, in_use[-1])
+        warm, loads = [s for s in in_use if self.believed(s)], [s for s in in_use if s.loading]
         open_ = [s for s in warm if self.zone(s) is not Zone.UNSAFE]
         calm = any(self.zone(s) < Zone.WARNING for s in open_)
         if not loads and not calm and self.loading < (1 if warm else 4) * self.load_limit:
@@ -215,12 +195,13 @@
 
     def candidates(self, rpc: Rpc, order: Iterable[Srv]) -> Iterator[Srv]:
         """Workers of an order that this RPC may go to; those it has tried only where there is no other."""
-        tried = {c.srv for c in rpc.call_outs if c.outcome is not Outcome.MISS or not rpc.fn.spot(c.srv).copies}
+        spots, miss = rpc.fn.spots, Outcome.MISS
+        tried = {c.srv for c in rpc.call_outs if c.outcome is not miss or not spots[c.srv].copies}
         trust = 2 * self.suspects <= len(self.serving)  # else don't crowd the rest
 
         def usable(srv: Srv) -> bool:
-            fit = srv.listing is Listing.SERVING and (not trust or self.fit(srv))
-            fit = fit and srv.held_back.get(rpc.customer, 0) <= self.now
+            open_ = srv.listing is Listing.SERVING and srv.held_back.get(rpc.customer, 0) <= self.now
+            fit = open_ and (not trust or self.fit(srv))
             return fit and self.allowed(rpc, srv) and self.cold_room(srv, rpc.method)
 
         if tried and not any(usable(s) for s in self.walk(rpc.fn) if s not in tried):
@@ -229,10 +210,8 @@
 
     def allowed(self, rpc: Rpc, srv: Srv) -> bool:
         """Rule 2: where a repeat of an RPC that may have run is dropped."""
-        if rpc.ran_on is None:
-            return True
         method = self.facts["methods"][rpc.method]
-        if method["kind"] == "idempotent":
+        if rpc.ran_on is None or method["kind"] == "idempotent":
             return True
         if method["kind"] != "tokened" or self.now >= rpc.ran_at + method["repeat_window"]:
             return False
@@ -243,21 +222,15 @@
         srv, cold = spot.srv, not (self.believed(spot) or self.presumed(spot))
         call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1, int(self.iso(spot.fn) * rpc.scale) + 1)
         rpc.call_outs.append(call_out)
-        if not cold:
-            srv.warm[call_out] = True
-            srv.warm_iso, self.out = srv.warm_iso + call_out.usual, self.out + 1
-            srv.unheard = self.now if srv.unheard is None else srv.unheard
-        spot.out, srv.out = spot.out + 1, srv.out + 1
-        spot.peak = max(spot.peak, spot.out)
-        spot.loading, self.loading = spot.loading + cold, self.loading + cold
+        spot.begin(call_out)
+        self.out, self.loading = self.out + (not cold), self.loading + cold
         if self.warmth_of(srv) < 1:
             srv.sends.append((self.now, self.weight(rpc.method)))
         self.host.call_out(call_out, self.time_out(rpc, spot, cold))
         return Input.SENT
 
     def time_out(self, rpc: Rpc, spot: Spot, cold: bool) -> int:
-        """Most of what remains to the soft deadline, where a further call-out may be made; longer as ok
-        answers take longer: in a jam a time-out only adds work."""
+        """Most of what is left to the soft deadline; longer in a jam, where a time-out only adds work."""
         left, method = max(1, rpc.deadline - self.now), self.facts["methods"][rpc.method]
         if method["kind"] == "side-effecting" or cold or len(rpc.call_outs) >= self.facts["try_limit"]:
             return left
@@ -301,24 +274,17 @@
     def woken(self, token: object) -> None:
         if isinstance(token, Rpc):
             if token.state is State.PARKED:
-                for spot in token.fn.spots.values():
-                    if token in spot.waiters:
-                        spot.waiters.remove(token)
                 self.drive(token, Input.LATE)
         elif isinstance(token, Fn):
             self.hold(token)
         else:
             self.follow()
 
-    # --- outcomes
-
     def ended(self, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         rpc, srv = call_out.rpc, call_out.srv
         spot, call_out.outcome = rpc.fn.spot(srv), outcome
-        if srv.warm.pop(call_out, None):
-            srv.warm_iso, self.out = srv.warm_iso - call_out.usual, self.out - 1
-        spot.out, srv.out = spot.out - 1, srv.out - 1
-        spot.loading, self.loading = spot.loading - call_out.cold, self.loading - call_out.cold
+        spot.end(call_out)
+        self.out, self.loading = self.out - (not call_out.cold), self.loading - call_out.cold
         if outcome is not Outcome.TIMED_OUT:
             srv.unheard = self.now if srv.warm else None
         self.learn(spot, call_out, outcome, answer)
@@ -332,8 +298,7 @@
 
     def learn(self, spot: Spot, call_out: CallOut, outcome: Outcome, answer: Answer) -> None:
         srv, fn, rpc = spot.srv, spot.fn, call_out.rpc
-        for total in (srv.took, srv.iso, srv.good, srv.bad, srv.served):
-            total.life = int(MEMORY * self.stretch)
+        srv.remember(int(MEMORY * self.stretch))
         load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
         if outcome is Outcome.OK:
             spot.copies, spot.seen = max(self.believed(spot), 1), self.now
@@ -353,24 +318,19 @@
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         if outcome is Outcome.MISS:
             spot.copies, spot.missing = 0, self.now
-        if outcome is Outcome.FULL:  # said at once: its queue is, for all; else it holds this customer back
-            at_once = answer.took < self.weight(rpc.method) / 4
-            until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
-            if at_once:
-                srv.full_until = until
-            else:
-                srv.held_back[rpc.customer] = until
+        if outcome is Outcome.FULL and answer.took < self.weight(rpc.method) / 4:  # its queue is, for all
+            srv.full_until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
+        elif outcome is Outcome.FULL:  # with room, but it holds this customer back
+            srv.held_back[rpc.customer] = self.now + int(BACKOFF * self.stretch)
         if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
             pace = self.rate(self.ok_count) * self.facts["dispatchers"] * srv.size / max(self.size, 1e-9)
-            srv.took.add(self.now, self.iso(fn) + answer.report["backlog"] / max(pace, 1e-9))
-            srv.iso.add(self.now, self.iso(fn))
+            srv.timed(self.now, self.iso(fn) + answer.report["backlog"] / max(pace, 1e-9), self.iso(fn))
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
             return
         bound = self.bound(fn) * rpc.scale
         took = answer.took if outcome is Outcome.OK else max(answer.took, int(bound))
-        srv.took.add(self.now, took)
-        srv.iso.add(self.now, self.iso(fn) * rpc.scale)
+        srv.timed(self.now, took, self.iso(fn) * rpc.scale)
         if outcome is not Outcome.FULL:
             spot.window = [*spot.window[1 - WINDOW :], int(took / rpc.scale)]
             self.judge_zone(spot)
@@ -380,8 +340,6 @@
     def weight(self, method: int) -> float:
         return self.light[method].read(self.facts["methods"][method]["soft_deadline"] / 4)
 
-    # --- zones
-
     def iso(self, fn: Fn) -> float:
         return fn.iso if fn.iso is not None else self.weight(fn.method)
 
@@ -406,12 +364,8 @@
         return Zone.UNSAFE if self.now < spot.srv.full_until else max(spot.zone, self.srv_zone(spot))
 
     def srv_zone(self, spot: Spot) -> Zone:
-        """What all functions' latencies on the worker say of this one's there: its own window fills slowly.
-
-        Guards against slow, crowded or paused workers that each function would have to find out by itself;
-        what is still out counts with its age, and what a worker holds of ours over what comes back from it is
-        a latency to come. It eases as the sums decay; it harms where one function alone is slow.
-        """
+        """What all functions' latencies there and ages of what is out say of this one's, as its own window
+        fills slowly: guards against slow, crowded, paused workers; harms where one function alone is slow."""
         srv, iso = spot.srv, self.iso(spot.fn)
         took, alone = srv.took.read(self.now), srv.iso.read(self.now)
         for call_out in islice(srv.warm, WINDOW):  # the oldest first
@@ -427,49 +381,40 @@
 
     def believed(self, spot: Spot) -> int:
         """Copies believed to stand: an idle one goes after the idle life, a restart leaves none."""
-        if spot.seen <= spot.srv.emptied or (not spot.out and self.now - spot.seen > self.facts["idle_life"] * self.stretch):
-            spot.copies = 0
+        idle = not spot.out and self.now - spot.seen > self.facts["idle_life"] * self.stretch
+        spot.copies = 0 if idle or spot.seen <= spot.srv.emptied else spot.copies
         return spot.copies
 
     def presumed(self, spot: Spot) -> bool:
-        """Whether others, who share the order, may keep a copy warm that this front end seldom meets.
-
-        Only where a wrong guess costs no more than a miss answer.
-        """
+        """Others, who share the order, may keep one warm: a guess, made where a miss answer is cheap."""
         lately = self.now - max(spot.missing, spot.srv.emptied) <= self.facts["idle_life"]
         return self.stretch > 1 and self.facts["absent_misses"] and not lately
 
     def capacity(self, spot: Spot) -> int:
-        copies, zone = self.believed(spot), self.zone(spot)
+        copies, zone = self.believed(spot) or int(self.presumed(spot)), self.zone(spot)
         if zone is Zone.UNSAFE:
             return 0
         return min(1, copies) if zone is Zone.WARNING else copies * spot.fn.lanes
 
-    # --- workers' health
-
     def judge_health(self, srv: Srv, harm: bool, sent: int) -> None:
         """Errors, silence, lost connections and slowness are one symptom: own outcomes there go badly."""
         for outcomes in (srv, self):
             (outcomes.bad if harm else outcomes.good).add(self.now, 1)
         if not srv.suspect:
-            bad, good = srv.bad.read(self.now), srv.good.read(self.now)
-            all_bad = self.bad.read(self.now)
-            all_ = all_bad + self.good.read(self.now)
-            share = max(BAD_SHARE, 2 * all_bad / max(all_, 1))
+            sums = (srv.bad, srv.good, self.bad, self.good)
+            bad, good, all_bad, all_good = (total.read(self.now) for total in sums)
+            share = max(BAD_SHARE, 2 * all_bad / max(all_bad + all_good, 1))
             srv.suspect = bad > 1.5 and bad > share * (bad + good)
             self.suspects += srv.suspect
-            srv.due, srv.passed = self.now + srv.pause, 0
+            srv.due = self.now + srv.pause
             if srv.suspect:
                 self.host.log(f"{srv.name} suspect: {bad:.1f} bad, {good:.1f} good, fleet {all_bad:.0f}")
         elif sent >= srv.due and harm:
             srv.pause = min(2 * srv.pause, 8 * SECOND)
-            srv.due, srv.passed = self.now + srv.pause, 0
+            srv.due = self.now + srv.pause
         elif sent >= srv.due:
-            srv.passed += 1
-            if srv.passed >= 3:
-                srv.suspect, srv.pause, srv.bad = False, SECOND, Sum(MEMORY)
-                self.suspects -= 1
-                self.host.log(f"{srv.name} fit again")
+            srv.suspect, srv.pause, srv.bad, self.suspects = False, SECOND, Sum(MEMORY), self.suspects - 1
+            self.host.log(f"{srv.name} fit again")
 
     def fit(self, srv: Srv) -> bool:
         """Neither suspect nor silent; a suspect one gets one call-out at a time once its pause is over."""
@@ -478,22 +423,17 @@
             return False
         return not srv.suspect or (self.now >= srv.due and not srv.out)
 
-    # --- cold workers
-
     def warmth_of(self, srv: Srv) -> float:
         """The part of its capacity that a worker has at the least."""
         if srv.booted is None or not self.facts["ramp_time"]:
             return 1.0
-        least = self.facts["cold_share"]
-        return min(1.0, least + (1 - least) * max(0, self.now - srv.booted) / self.facts["ramp_time"])
+        least, age = self.facts["cold_share"], max(0, self.now - srv.booted)
+        return min(1.0, least + (1 - least) * age / self.facts["ramp_time"])
 
     def cold_room(self, srv: Srv, method: int) -> bool:
-        """Rule 4: this dispatcher's part of the budget of a cold worker, over the last stated length.
-
-        What all dispatchers get answered for each unit of size and warmth is within its capacity, so each
-        keeps to its own part of that. Where the part is less than one call-out, they take turns by number:
-        of each window's turns, spread evenly over all, only those within the part send.
-        """
+        """Rule 4: what all get answered for each unit of size and warmth is within capacity, so each keeps to
+        its own part of that. Parts under one call-out go by turns, spread over all by number and moving on
+        each window: only those whose turn lies within the part send."""
         share, window = self.warmth_of(srv), self.facts["fall_time"]
         if share >= 1:
             srv.sends.clear()
@@ -508,12 +448,15 @@
         turn = (place + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
         return sum(w for _, w in srv.sends) + weight * (turn % 1) <= max(budget, weight / all_)
 
-    # --- loads and holds
-
     def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
         """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders."""
-        serves = spot.srv.listing is Listing.SERVING
-        if not (self.facts["may_order"] and serves and self.order_room(part)):
+        window = self.facts["order_window"]
+        for times in (self.orders, self.taken):
+            while times and times[0] <= self.now - window:
+                times.popleft()
+        most = part * (self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken))
+        room = self.facts["may_order"] and (not window or len(self.orders) + 1 <= most)
+        if not room or spot.srv.listing is not Listing.SERVING:
             return False
         self.orders.append(self.now)
         load = count > self.believed(spot)
@@ -522,14 +465,6 @@
         self.host.order(spot.srv, spot.fn, min(16, count))
         return True
 
-    def order_room(self, part: float) -> bool:
-        window = self.facts["order_window"]
-        for times in (self.orders, self.taken):
-            while times and times[0] <= self.now - window:
-                times.popleft()
-        most = part * (self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken))
-        return not window or len(self.orders) + 1 <= most
-
     def ordered(self, srv: Srv, fn: Fn, outcome: Outcome, count: int, took: int) -> None:
         spot = fn.spot(srv)
         load = spot.ordered.popleft()
@@ -549,8 +484,7 @@
             self.drive(rpc, Input.LOADED, spot)
 
     def judge_load(self, fn: Fn, ok: bool, took: int) -> None:
-        """Slow or failing loads mean fewer at once, as workers share one store: guards against one-off, hot
-        or lost functions; harms when loads are slow for another reason."""
+        """Slow or failing loads mean fewer at once, as all share one store; harms if it is not the cause."""
         if not ok or took > self.facts["methods"][fn.method]["deadline"] / 2:
             self.load_limit = max(1.0, 0.9 * self.load_limit)
         elif took > self.iso(fn):
@@ -558,18 +492,13 @@
 
     def renew_iso(self, fn: Fn) -> None:
         """The median window average at light own load, slowly renewed."""
-        light = [s.window for s in fn.spots.values() if len(s.window) > 2 and s.out < 2]
-        averages = sorted(sum(w) / len(w) for w in light)
-        if averages:
+        windows = (s.window for s in fn.spots.values() if len(s.window) > 2 and s.out < 2)
+        if averages := sorted(sum(w) / len(w) for w in windows):
             median = averages[len(averages) // 2]
             fn.iso = median if fn.iso is None else fn.iso + 0.2 * (median - fn.iso)
 
     def hold(self, fn: Fn) -> None:
-        """Each period: what was used where it was used, and this front end's share of the square-root spare.
-
-        Copies in steady use renew themselves and are not asked for. A hold that loads yields to loads that
-        RPCs wait for. A function without use meanwhile is let go until its next RPC.
-        """
+        """Each period, unless loads for waiting RPCs need the room: what was used, and part of the spare."""
         used = {s: ceil(s.peak / fn.lanes) for s in fn.spots.values() if s.peak}
         for spot in fn.spots.values():
             spot.peak = spot.out
@@ -581,17 +510,14 @@
         spare, left = divmod(ceil(sqrt(sum(used.values()))), self.facts["dispatchers"])
         spare += self.chance(self.facts["dispatchers"]) < left
         for srv in self.walk(fn):
-            if spare == 0 and srv not in fn.spots:
-                continue
-            spot = fn.spot(srv)
-            if srv.listing is not Listing.SERVING or not self.fit(srv) or self.zone(spot) is Zone.UNSAFE:
+            wanted = srv.listing is Listing.SERVING and (spare or srv in fn.spots) and self.fit(srv)
+            if not wanted or self.zone(spot := fn.spot(srv)) is Zone.UNSAFE:
                 continue
             count, spare = used.get(spot, 0) + spare, 0
             if self.loading < self.load_limit if count > self.believed(spot) else count > used.get(spot, 0):
                 self.order(spot, count, HOLD_PART)
 
-    def list_failed(self) -> None:
-        self.host.wake_me(SECOND, None)
+    def list_failed(self) -> None: ...  # asked anew when the next renewal is due
 
     def probed(self, srv: Srv, outcome: Outcome, took: int, report: Mapping[str, float]) -> None: ...
 
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -58,7 +58,6 @@
     suspect: bool = False
     pause: int = 0  # before a suspect worker is tried again
     due: int = 0  # when that is
-    passed: int = 0  # good outcomes since then
     out: int = 0  # own call-outs there
     warm: dict[CallOut, bool] = field(default_factory=dict)  # those with no load before them, oldest first
     warm_iso: int = 0  # sum of what they would take alone
@@ -68,6 +67,14 @@
     emptied: int = -1  # nothing loaded before this moment still stands
     sends: deque[tuple[int, float]] = field(default_factory=deque)  # while cold: when and what weight
 
+    def remember(self, life: int) -> None:
+        for total in (self.took, self.iso, self.good, self.bad, self.served):
+            total.life = life
+
+    def timed(self, now: int, took: float, alone: float) -> None:
+        self.took.add(now, took)
+        self.iso.add(now, alone)
+
 
 @dataclass(eq=False)
 class Spot:
@@ -87,6 +94,20 @@
     ordered: deque[bool] = field(default_factory=deque)  # orders without answer: whether each is a load
     waiters: list["Rpc"] = field(default_factory=list)
 
+    def begin(self, call_out: CallOut) -> None:
+        srv = self.srv
+        if not call_out.cold:
+            srv.warm[call_out], srv.warm_iso = True, srv.warm_iso + call_out.usual
+            srv.unheard = call_out.sent if srv.unheard is None else srv.unheard
+        self.out, srv.out, self.loading = self.out + 1, srv.out + 1, self.loading + call_out.cold
+        self.peak = max(self.peak, self.out)
+
+    def end(self, call_out: CallOut) -> None:
+        srv = self.srv
+        if srv.warm.pop(call_out, None):
+            srv.warm_iso -= call_out.usual
+        self.out, srv.out, self.loading = self.out - 1, srv.out - 1, self.loading - call_out.cold
+
 
 @dataclass(eq=False)
 class Fn(face.FnFacts):
