--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -1,9 +1,8 @@
 """Every decision of the dispatcher: ENSURE's packing along a shared order, and the guards around it.
 
 A host makes one `Dispatcher` with its `Host`, the settings as a plain map, a seed and the clock, sets `now`
-before each event and calls the methods of `Events`; the module answers by calling the `Host`. `Srv`, `Fn` and
-`Rpc` objects are the host's to make. Both protocols and all facts are in `lapistrestle/interface.py`, the
-state is in `lapistrestle/state.py`, the design and its departures are in `docs/design.md`.
+before each event and calls the methods of `Events`; the module answers by calling the `Host`. Both protocols
+are in `interface.py`, objects that the host makes in `state.py`, design and departures in `docs/design.md`.
 """
 
 from collections import deque
@@ -96,9 +95,8 @@
         return fn.order
 
     def entered(self, fn: Fn) -> list[Srv]:
-        """The shared order from where this front end's part of the function's demand begins, each worker
-        taking FILL of its even share: guards against homes crowded by front ends that can't see each other;
-        harms where they differ much in what they are asked."""
+        """The shared order from where this front end's part of the demand begins, FILL of an even share a
+        worker: guards against homes crowded by unseen others; harms where front ends are asked unlike."""
         order, all_ = self.walk(fn), self.facts["dispatchers"]
         part = (self.facts["me"] + crc32(fn.name.encode())) % all_ / all_
         sure = max(0.0, fn.asked.read(self.now) - self.weight(fn.method))
@@ -173,8 +171,9 @@
             if in_use[-1].out < self.capacity(in_use[-1]):
                 return self.send(rpc, in_use[-1])
         warm, loads = [s for s in in_use if self.believed(s)], [s for s in in_use if s.loading]
-        open_ = [s for s in warm if self.zone(s) is not Zone.UNSAFE]
-        calm = any(self.zone(s) < Zone.WARNING for s in open_)
+        zones = [self.zone(s) for s in warm]
+        open_ = [s for s, zone in zip(warm, zones, strict=True) if zone is not Zone.UNSAFE]
+        calm = min(zones, default=Zone.UNSAFE) < Zone.WARNING
         if not loads and not calm and self.loading < (1 if warm else 4) * self.load_limit:
             spots = (fn.spot(srv) for srv in self.candidates(rpc, order))
             cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
@@ -195,8 +194,8 @@
 
     def candidates(self, rpc: Rpc, order: Iterable[Srv]) -> Iterator[Srv]:
         """Workers of an order that this RPC may go to; those it has tried only where there is no other."""
-        spots, miss = rpc.fn.spots, Outcome.MISS
-        tried = {c.srv for c in rpc.call_outs if c.outcome is not miss or not spots[c.srv].copies}
+        fn, miss = rpc.fn, Outcome.MISS
+        tried = {c.srv for c in rpc.call_outs if c.outcome is not miss or not fn.spot(c.srv).copies}
         trust = 2 * self.suspects <= len(self.serving)  # else don't crowd the rest
 
         def usable(srv: Srv) -> bool:
@@ -234,9 +233,8 @@
         left, method = max(1, rpc.deadline - self.now), self.facts["methods"][rpc.method]
         if method["kind"] == "side-effecting" or cold or len(rpc.call_outs) >= self.facts["try_limit"]:
             return left
-        soft = rpc.began + self.soft(rpc) - self.now
         usual = max(self.ok_took.read(0), self.iso(spot.fn) * rpc.scale)
-        return int(min(left, max(soft * 2 / 3, 4 * usual)))
+        return int(min(left, max((rpc.began + self.soft(rpc) - self.now) * 2 / 3, 4 * usual)))
 
     def soft(self, rpc: Rpc) -> int:
         method = self.facts["methods"][rpc.method]
@@ -364,8 +362,7 @@
         return Zone.UNSAFE if self.now < spot.srv.full_until else max(spot.zone, self.srv_zone(spot))
 
     def srv_zone(self, spot: Spot) -> Zone:
-        """What all functions' latencies there and ages of what is out say of this one's, as its own window
-        fills slowly: guards against slow, crowded, paused workers; harms where one function alone is slow."""
+        """By all functions' latencies and what is out: own windows fill slowly; harms if one is slow."""
         srv, iso = spot.srv, self.iso(spot.fn)
         took, alone = srv.took.read(self.now), srv.iso.read(self.now)
         for call_out in islice(srv.warm, WINDOW):  # the oldest first
@@ -391,7 +388,8 @@
         return self.stretch > 1 and self.facts["absent_misses"] and not lately
 
     def capacity(self, spot: Spot) -> int:
-        copies, zone = self.believed(spot) or int(self.presumed(spot)), self.zone(spot)
+        copies = self.believed(spot) or int(self.presumed(spot))
+        zone = self.zone(spot) if copies else Zone.UNSAFE
         if zone is Zone.UNSAFE:
             return 0
         return min(1, copies) if zone is Zone.WARNING else copies * spot.fn.lanes
@@ -500,8 +498,10 @@
     def hold(self, fn: Fn) -> None:
         """Each period, unless loads for waiting RPCs need the room: what was used, and part of the spare."""
         used = {s: ceil(s.peak / fn.lanes) for s in fn.spots.values() if s.peak}
-        for spot in fn.spots.values():
-            spot.peak = spot.out
+        for spot in list(fn.spots.values()):
+            spot.peak, in_use = spot.out, spot.out or spot.ordered or spot.waiters or self.believed(spot)
+            if not in_use and self.now > max(spot.until, spot.missing + self.facts["idle_life"]):
+                del fn.spots[spot.srv]
         if not used:
             del self.fns[fn]
             return
