--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -123,6 +123,7 @@
             self.host.wake_me(PERIOD, rpc.fn)
         met = MEMORY * max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serving))  # each, in MEMORY
         self.stretch = min(LONG / MEMORY, max(1.0, 1 / met))
+        rpc.fn.asked.life = LONG
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         self.taken.append(self.now)
@@ -135,8 +136,7 @@
         call_out.srv.unheard = None
 
     def admit(self, rpc: Rpc, _: Spot | None) -> Input:
-        """Under pressure, what is out over what comes back ok (Little's law), traffic beyond a share yields
-        first: guards against overload, lost workers, a crowded store; harms when a jam already dissolves."""
+        """Under pressure (Little's law) traffic beyond a share yields first; harms as a jam dissolves."""
         pace = max(self.rate(self.ok_count), 1 / LONG)
         soft, stay = self.soft(rpc), self.out / pace if self.now > self.start + MEMORY else 0.0
         if stay > soft / 2 if not self.pressed else stay < soft / 4:
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -113,7 +113,7 @@
 class Fn(face.FnFacts):
     spots: dict[Srv, Spot] = field(default_factory=dict)
     iso: float | None = None
-    asked: Sum = field(default_factory=lambda: Sum(100_000))  # weight of its RPCs
+    asked: Sum = field(default_factory=lambda: Sum(1))  # weight of its RPCs; the module sets its life
     marks: dict[Srv, float] = field(default_factory=dict)  # the order begins at the lowest
     order: list[Srv] = field(default_factory=list)
     version: int = -1  # of the list that `order` was made from
