--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -163,8 +163,7 @@
 
     def place(self, rpc: Rpc, _: Spot | None) -> Input:
         """The design's choice: first with room, else one load on the first cold, else fewest of ours."""
-        fn: Fn = rpc.fn
-        order, in_use = self.entered(fn), []
+        fn, order, in_use = rpc.fn, self.entered(rpc.fn), list[Spot]()
         first = next(self.candidates(rpc, order), None)
         for srv in self.candidates(rpc, [s for s in order if s is first or s in fn.spots]):
             in_use.append(fn.spot(srv))
@@ -174,20 +173,22 @@
         zones = [self.zone(s) for s in warm]
         open_ = [s for s, zone in zip(warm, zones, strict=True) if zone is not Zone.UNSAFE]
         calm = min(zones, default=Zone.UNSAFE) < Zone.WARNING
-        if not loads and not calm and self.loading < (1 if warm else 4) * self.load_limit:
+        room = self.loading < (1 if warm else 4) * self.load_limit
+        if not loads and not calm and room:
             spots = (fn.spot(srv) for srv in self.candidates(rpc, order))
             cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
             if cold and not warm:
                 return self.send(rpc, cold)
             if cold:
                 self.order(cold, 1)
-        near = [(self.crowd(s.srv), s) for s in open_ or warm or loads if self.now >= s.srv.full_until]
+        last = open_ or warm or loads or in_use * room  # where none is known warm, the home in the order
+        near = [(self.crowd(s.srv), s) for s in last if self.now >= s.srv.full_until]
         fewest = min((wait for wait, _ in near), default=inf)
         if fewest + self.iso(fn) * rpc.scale > rpc.began + self.soft(rpc) - self.now:
             return Input.NOWHERE  # it would wait past what earns its gain, and make others do so
         ties = [s for wait, s in near if wait == fewest]
         spot = ties[self.chance(len(ties))]
-        if self.facts["absent_misses"] and not self.believed(spot):  # no use before its load is answered
+        if self.facts["absent_misses"] and spot.loading and not self.believed(spot):  # no use before that
             spot.waiters.append(rpc)
             return Input.WAITS
         return self.send(rpc, spot)
@@ -244,15 +245,15 @@
     def again(self, rpc: Rpc, spot: Spot | None) -> Input:
         """A further call-out, if tries and time are left and enough of the recent further ones succeeded."""
         out_of = len(rpc.call_outs) >= self.facts["try_limit"] or self.hopeless(rpc)
-        made, went_well = self.further.count.read(self.now), self.further.read(1.0)
-        most = 2 + FURTHER * self.ok_count.read(self.now) * went_well
+        made = self.further.count.read(self.now)
+        most = 2 + FURTHER * self.ok_count.read(self.now) * self.further.read(1.0)
         missed = all(c.outcome is Outcome.MISS for c in rpc.call_outs)
         return Input.NOWHERE if out_of or (made >= most and not missed) else self.place(rpc, spot)
 
     def missed(self, rpc: Rpc, spot: Spot | None) -> Input:
         """After a miss answer a hold of one loads; the RPC waits for it, so it can't overtake the order."""
-        tries_left = len(rpc.call_outs) < self.facts["try_limit"]
-        if spot and tries_left and self.facts["absent_misses"] and (spot.loading or self.order(spot, 1)):
+        may_wait = self.facts["absent_misses"] and len(rpc.call_outs) < self.facts["try_limit"]
+        if spot and may_wait and (spot.loading or self.order(spot, 1)):
             spot.waiters.append(rpc)
             return Input.WAITS
         return self.again(rpc, spot)
@@ -434,7 +435,6 @@
         each window: only those whose turn lies within the part send."""
         share, window = self.warmth_of(srv), self.facts["fall_time"]
         if share >= 1:
-            srv.sends.clear()
             return True
         while srv.sends and srv.sends[0][0] <= self.now - window:
             srv.sends.popleft()
@@ -442,8 +442,8 @@
             self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serving)
         taken = self.rate(self.ok_weight) * srv.size / self.warm_size if self.warm_size else 0.0
         budget = CAUTION * self.facts["fall_multiple"] * share * window * taken
-        weight, place, all_ = self.weight(method), self.facts["me"], self.facts["dispatchers"]
-        turn = (place + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
+        weight, all_ = self.weight(method), self.facts["dispatchers"]
+        turn = (self.facts["me"] + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
         return sum(w for _, w in srv.sends) + weight * (turn % 1) <= max(budget, weight / all_)
 
     def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -321,3 +321,12 @@
     made.arrived(one)
     made.ended(one.call_outs[0], Outcome.MISS, Answer(30))
     assert len(one.call_outs) == 2 and one.call_outs[0].srv is not one.call_outs[1].srv
+
+
+def test_the_home_in_the_order_is_the_last_resort_where_all_look_unsafe():
+    made = dispatcher(2, **{"when-absent": "load"})
+    one, made.load_limit = rpc(made), 1.0
+    for srv in made.srvs:
+        srv.timed(made.now, 900_000.0, 1_000.0)
+    made.arrived(one)
+    assert one.call_outs[0].srv is made.walk(one.fn)[0]
