--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -239,6 +239,7 @@
     made.ok_count.add(made.now, 30.0)
     greedy, fair = rpc(made), rpc(made)
     fair.customer = 1
+    assert made.soft(fair) / 2 < made.out / made.rate(made.ok_count) < made.soft(fair)
     assert made.admit(greedy, None) is Input.NOWHERE and made.admit(fair, None) is Input.ADMITTED
 
 
