--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -8,8 +8,9 @@
 
 from lapistrestle.benchlink import words
 from lapistrestle.choice import Dispatcher
+from lapistrestle.hosting.door import Door
 from lapistrestle.interface import Answer, CallOut, FnFacts, Listing, RpcFacts, SrvFacts
-from lapistrestle.state import Fn, Rpc, Srv
+from lapistrestle.state import Rpc
 
 Fields = Mapping[str, Any]
 
@@ -27,10 +28,7 @@
         self.report_names = (settings.get("reporting") or {}).get("names") or []
         self.says_company = bool((settings.get("family-info") or {}).get("says-company"))
         self.rpcs: dict[str, Rpc] = {}
-        self.srvs: dict[str, Srv] = {}
-        self.fns: dict[str, Fn] = {}
-        self.tokens: dict[int, object] = {}
-        self.last_token = 0
+        self.door = Door()
         self.module = Dispatcher(self, words.facts(settings), int(init.get("rng-seed") or 0), now)
 
     # what the module asks for (interface.Host)
@@ -65,9 +63,7 @@
         self.act("MemoTo", dst="*" if peer is None else peer, raw=text)
 
     def wake_me(self, delay: int, token: object) -> None:
-        self.last_token += 1
-        self.tokens[self.last_token] = token
-        self.act("NotifyMe", **{"span": words.micros(delay), "key-back": self.last_token})
+        self.act("NotifyMe", **{"span": words.micros(delay), "key-back": self.door.keep_token(token)})
 
     def follow_list(self) -> None:
         self.act("Listen", enable=True)
@@ -86,24 +82,19 @@
     def report(self, row: list[float] | None) -> dict[str, float]:
         return {name: v for name, v in zip(self.report_names, row or [], strict=False) if v is not None}
 
-    def srv(self, name: str) -> Srv:
-        return self.srvs.setdefault(name, Srv(name))
-
     def update(self, fields: Fields) -> None:
         kind = fields.get("kind")
         if kind == "failed":
             return self.module.list_failed()
-        rows = [(self.srv(r["runner"]), entry(r)) for r in fields.get("records") or []]
+        rows = [(self.door.srv(r["runner"]), entry(r)) for r in fields.get("records") or []]
         self.module.listed(rows, whole=kind != "delta")
 
     def demand(self, fields: Fields) -> None:
         name, method = fields.get("image") or "", fields.get("class") or 0
-        if name not in self.fns:
-            lanes = max(1, int(fields.get("width") or 1))
-            self.fns[name] = Fn(name, method, fields.get("ram-mb") or 0.0, lanes)
+        memory, lanes = fields.get("ram-mb") or 0.0, int(fields.get("width") or 1)
         rpc = Rpc(
             tag=fields["msg-id"],
-            fn=self.fns[name],
+            fn=self.door.fn(name, method, memory, lanes),
             method=method,
             customer=fields.get("user-group") or 0,
             deadline=words.span(fields["not-after"]),
@@ -145,18 +136,18 @@
             self.rpcs.pop(rpc.tag, None)
 
     def fired(self, fields: Fields) -> None:
-        token = self.tokens.pop(fields.get("key-back") or 0, None)
+        token = self.door.take_token(fields.get("key-back") or 0)
         if token is not None:
             self.module.woken(token)
 
     def loaded(self, fields: Fields) -> None:
-        srv, fn = self.srvs.get(fields["runner"]), self.fns.get(fields["image"])
+        srv, fn = self.door.srvs.get(fields["runner"]), self.door.fns.get(fields["image"])
         if srv is not None and fn is not None:
             outcome, took = words.OUTCOMES[fields["reason"]], words.span(fields.get("took") or 0)
             self.module.ordered(srv, fn, outcome, fields.get("number") or 0, took)
 
     def probe_result(self, fields: Fields) -> None:
-        srv = self.srvs.get(fields["runner"])
+        srv = self.door.srvs.get(fields["runner"])
         if srv is not None:
             outcome, took = words.OUTCOMES[fields["reason"]], words.span(fields.get("took") or 0)
             self.module.probed(srv, outcome, took, self.report(fields.get("telemetry")))
--- /dev/null
+++ b/lapistrestle/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""JSON5 files to checked values, then to the plain map that the module is handed."""
--- /dev/null
+++ b/lapistrestle/deployment/shape.py
@@ -0,0 +1,135 @@
+"""What a deployment file may say, in plain units: names, types, bounds and defaults.
+
+Durations are written "250 ms", "1.5 s" or "2 min" and become whole tenths of a millisecond.
+"""
+
+import re
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, Struct, field
+
+UNITS = {"ms": 10, "s": 10_000, "min": 600_000, "h": 36_000_000}
+SPAN = re.compile(r"\s*(\d+(?:\.\d+)?)\s*(ms|s|min|h)\s*")
+
+
+class Span(int):
+    """A duration in tenths of a millisecond."""
+
+    @classmethod
+    def read(cls, said: Any) -> "Span":
+        """From text. Raises ValueError where it is no duration."""
+        match = SPAN.fullmatch(said) if isinstance(said, str) else None
+        if match is None:
+            raise ValueError('Expected a duration such as "250 ms", "1.5 s" or "2 min"')
+        return cls(round(float(match[1]) * UNITS[match[2]]))
+
+
+Part = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(ge=0)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Count = Annotated[int, Meta(ge=1, le=100_000)]
+
+
+class Shape(Struct, forbid_unknown_fields=True, kw_only=True):
+    """A group of the file."""
+
+
+class Place(Shape):
+    """Which front end this is: `number` from 0 among `of`."""
+
+    name: str = "edge"
+    number: Annotated[int, Meta(ge=0)] = 0
+    of: Count = 1
+    zone: str = ""
+    seed: int = 0
+
+
+class Listen(Shape):
+    port: Port = 0
+    longest_line: Annotated[int, Meta(ge=1024, le=64 * 1024 * 1024)] = 262_144  # bytes
+    unsent: Annotated[int, Meta(ge=4096)] = 8_388_608  # bytes waiting towards a slow reader
+    open_calls: Count = 4_096  # of one connection
+    margin: Span = Span(100)  # answers are out this long before the client gives up
+
+
+class Method(Shape):
+    effect: Literal["idempotent", "tokened", "side-effecting"]
+    deadline: Span
+    soft_deadline: Span = Span(0)  # 0: the deadline
+    soft_stretch: Positive = 0.0
+    repeats_dropped_by: Literal["all", "zone", "cell"] = "cell"
+    repeats_remembered: Span = Span(0)
+    gain: Positive = 1.0
+    late_gain: Part = 0.0
+    streamed: bool = False
+
+
+class Customer(Shape):
+    quota: Positive = 0.0  # RPCs a second over all front ends; 0: none stated
+    share: Part = 0.0
+
+
+class Workers(Shape):
+    size_means: Literal["off", "nominal", "rough", "live"] = "rough"
+    memory_by_kind: dict[str, Positive] = field(default_factory=dict)  # MB
+    drain_grace: Span = Span(10_000)
+    cold_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    ramp: Span = Span(0)
+    fall_multiple: Annotated[float, Meta(gt=0)] = 1.0
+    fall_time: Span = Span(0)
+    absent: Literal["load", "miss"] = "load"
+    idle_life: Span = Span(100_000)
+    idle_memory_price: Positive = 0.0
+    tells_warm: bool = False
+    tells_company: bool = False
+    reports: Literal["inline", "on_probe", "off"] = "off"
+
+
+class Orders(Shape):
+    """Orders to hold copies; `window` "0 s" means that they are not rationed."""
+
+    allowed: bool = False
+    window: Span = Span(0)
+    free: Positive = 0.0
+    share: Part = 0.0
+    time_out: Span = Span(100_000)
+
+
+class Allowed(Shape):
+    tries: Annotated[int, Meta(ge=1, le=100)] = 3
+    dial: Span = Span(2_500)
+    cancel: bool = True
+    probe: bool = False
+    parallel: bool = False
+    peers: bool = False
+    come_back: Span = Span(0)  # longest time told to stay away; "0 s": none is told
+    answer_slack: Span = Span(160)
+
+
+class Roster(Shape):
+    port: Port = 0
+    mode: Literal["pushed", "asked"] = "pushed"
+    ask_within: Span = Span(100_000)
+
+
+class Counting(Shape):
+    """How the operators count service; the module may read it, no rule depends on it."""
+
+    by: Literal["rpc", "work"] = "rpc"
+    over_share_gain: Part = 1.0
+    goal: dict[str, float] = field(default_factory=dict)
+    prices: dict[str, float] = field(default_factory=dict)
+
+
+class Deployment(Shape):
+    methods: dict[str, Method]
+    dispatcher: Place = Place()
+    listen: Listen = Listen()
+    zones: list[str] = field(default_factory=list)
+    customers: dict[str, Customer] = field(default_factory=dict)
+    workers: Workers = Workers()
+    orders: Orders = Orders()
+    allowed: Allowed = Allowed()
+    roster: Roster = Roster()
+    counting: Counting = Counting()
+    peers: list[Port] = field(default_factory=list)  # ports of the other front ends, by number
--- /dev/null
+++ b/lapistrestle/edge/clients.py
@@ -0,0 +1,103 @@
+"""Connections from clients: calls in, answers out."""
+
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import ServerFactory
+
+from lapistrestle.hosting.host import DENIED, Ticket
+from lapistrestle.wire import messages as wire
+from lapistrestle.wire.lines import Speaker, union
+
+
+class Named(msgspec.Struct):
+    """As much of an unreadable call as tells whose it is."""
+
+    id: str = ""
+
+
+NAMED = msgspec.json.Decoder(Named)
+
+
+class ClientSpeaker(Speaker):
+    protocol = wire.CLIENT
+    decoder = union(wire.FromClient)
+    speaks_first = False
+
+    def __init__(self, edge: Any, number: int) -> None:
+        super().__init__(edge.bounds)
+        self.edge, self.name = edge, f"c{number}"
+        self.open: dict[str, Ticket] = {}
+
+    def greeting(self) -> wire.Hello:
+        return wire.Hello(self.protocol, wire.VERSION, self.edge.name, self.name)
+
+    def met(self, hello: wire.Hello) -> None:
+        self.edge.seats[self] = None
+
+    def heard(self, message: Any) -> None:
+        self.edge.input()
+        match message:
+            case wire.Call():
+                self.call(message)
+            case wire.Leave():
+                ticket = self.open.pop(message.id, None)
+                if ticket is not None:
+                    self.edge.host.client_left(ticket)
+            case _:
+                self.say(wire.Fault("a greeting or a call was expected"))
+
+    def call(self, call: wire.Call) -> None:
+        edge = self.edge
+        if call.id in self.open:
+            return self.say(wire.Fault(f"id {call.id} is open on this connection", call.id))
+        method = edge.methods.get(call.method)
+        if method is None:
+            known = ", ".join(edge.methods)
+            return self.say(wire.Fault(f"method {call.method} is not known; known: {known}", call.id))
+        customer = edge.customers.get(call.customer) if edge.customers else 0
+        if customer is None:
+            return self.say(wire.Fault(f'customer "{call.customer}" is not known', call.id))
+        left = int(call.left * 10) - edge.margin
+        if len(self.open) >= self.bounds.open_calls or edge.stopping or left <= 0:
+            edge.counts["turned away"] += 1
+            come_back = edge.facts["longest_come_back"] / 10 if left > 0 else 0.0
+            return self.say(wire.Answer(call.id, DENIED, come_back))
+        ticket = edge.host.arrived(
+            seat=self, asked=call, tag=f"{self.name}/{call.id}", fn=call.fn, method=method, customer=customer,
+            left=left, memory=call.memory, lanes=call.lanes,
+            work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat,
+        )  # fmt: skip
+        if not ticket.final:
+            self.open[call.id] = ticket
+
+    def answer(self, ticket: Ticket, verdict: Any, come_back: int, body: Any) -> None:
+        call = ticket.asked
+        self.open.pop(call.id, None)
+        self.say(wire.Answer(call.id, verdict, come_back / 10, body or wire.NO_BODY))
+
+    def unreadable(self, line: bytes, why: str) -> None:
+        try:
+            name = NAMED.decode(line).id
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            name = ""
+        self.edge.counts["unreadable"] += 1
+        self.say(wire.Fault(why, name))
+
+    def lost(self) -> None:
+        self.edge.input()
+        self.edge.seats.pop(self, None)
+        tickets, self.open = list(self.open.values()), {}
+        for ticket in tickets:
+            self.edge.host.client_left(ticket)
+
+
+class Clients(ServerFactory):
+    noisy = False
+
+    def __init__(self, edge: Any) -> None:
+        self.edge, self.last = edge, 0
+
+    def buildProtocol(self, addr: Any) -> ClientSpeaker:
+        self.last += 1
+        return ClientSpeaker(self.edge, self.last)
--- /dev/null
+++ b/lapistrestle/edge/runners.py
@@ -0,0 +1,248 @@
+"""Connections from the edge to its runners: lines out, ends in. `linking` decides what becomes of them."""
+
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from lapistrestle.edge.linking import Input, Link, Linking, Rim
+from lapistrestle.hosting.host import NO_REPORT, Errand, Flight, Hosting
+from lapistrestle.interface import Outcome, Warmth
+from lapistrestle.wire import messages as wire
+from lapistrestle.wire.lines import LineBounds, Speaker, union
+
+OUTCOMES = {
+    "ok": Outcome.OK, "error": Outcome.ERROR, "full": Outcome.FULL, "miss": Outcome.MISS,
+    "cancelled": Outcome.CANCELLED,
+}  # fmt: skip
+WARMTH = {
+    "": Warmth.UNTOLD, "stood": Warmth.STOOD, "began load": Warmth.BEGAN_LOAD,
+    "joined load": Warmth.JOINED_LOAD, "load failed": Warmth.LOAD_FAILED,
+}  # fmt: skip
+
+
+class RunnerSpeaker(Speaker):
+    """Our end of one connection to a runner; detached once that connection no longer counts."""
+
+    protocol = wire.RUNNER
+    decoder = union(wire.FromRunner)
+
+    def __init__(self, runner: "Runner") -> None:
+        super().__init__(runner.edge.bounds)
+        self.runner: Runner | None = runner
+
+    def greeting(self) -> wire.Hello:
+        assert self.runner
+        return wire.Hello(self.protocol, wire.VERSION, self.runner.edge.name)
+
+    def met(self, hello: wire.Hello) -> None:
+        if self.runner:
+            self.runner.met(hello)
+
+    def heard(self, message: Any) -> None:
+        if self.runner:
+            self.runner.heard(message)
+
+    def unreadable(self, line: bytes, why: str) -> None:
+        """One bad line costs no other call: it is passed over; what it may have ended meets its time-out."""
+        if self.runner:
+            self.runner.edge.passed_over(self.runner.linking.name, why)
+
+    def slowed(self, slow: bool) -> None:
+        if self.runner:
+            self.runner.linking.step(Input.SLOWED if slow else Input.EASED)
+
+    def pauseProducing(self) -> None:
+        """A runner that reads slowly may still say how calls ended: go on reading."""
+        self.paused = False
+
+    def resumeProducing(self) -> None: ...
+
+    def lost(self) -> None:
+        if self.runner:
+            self.runner.edge.input()
+            self.runner.drop_speaker()
+            self.runner.linking.step(Input.BROKE)
+
+
+class Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, runner: "Runner") -> None:
+        self.runner: Runner | None = runner
+        self.speaker: RunnerSpeaker | None = None
+
+    def buildProtocol(self, addr: Any) -> RunnerSpeaker | None:
+        if self.runner is None:
+            return None
+        self.speaker = self.runner.speaker = RunnerSpeaker(self.runner)
+        return self.speaker
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if self.runner is not None and self.runner.dialling is self:
+            self.runner.dialling = None
+            self.runner.linking.step(Input.FAILED)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None: ...
+
+
+class Runner(Rim):
+    """One runner at one address; a start elsewhere makes another."""
+
+    def __init__(self, edge: Any, name: str, port: int, start: str) -> None:
+        self.edge, self.port, self.start = edge, port, start
+        self.linking = Linking(name, self, lambda text: edge.log("link", figures=text))
+        self.speaker: RunnerSpeaker | None = None
+        self.dialling: Dial | None = None
+        self.connector: Any = None
+        self.patience: Any = None
+
+    # what the host asks
+
+    def run(self, flight: Flight) -> None:
+        flight.via = self
+        ticket, asked = flight.ticket, flight.ticket.asked
+        line = wire.encode(
+            wire.Run(
+                flight.number, ticket.tag, asked.fn, asked.method, flight.within / 10, asked.customer,
+                asked.memory, asked.lanes, asked.token, asked.key, asked.body,
+            )
+        )  # fmt: skip
+        if not self.linking.send(flight.number, line + b"\n"):
+            self.host.ended(flight.number, Outcome.FULL)
+
+    def withdraw(self, number: int, tell: bool) -> bool:
+        """Wait no longer for this number; True if its line never left. `tell` the runner otherwise."""
+        if self.linking.withdraw(number):
+            return True
+        if tell and self.linking.state in (Link.OPEN, Link.ENDING):
+            self.write(wire.encode(wire.Cancel(number)) + b"\n")
+        return False
+
+    def hold(self, errand: Errand) -> None:
+        assert errand.fn is not None
+        errand.via, fn = self, errand.fn
+        hold = wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes)
+        if not self.linking.send(errand.number, wire.encode(hold) + b"\n"):
+            self.host.ordered(errand.number, Outcome.FULL, 0)
+
+    def unload(self, fn: str) -> None:
+        self.linking.send(0, wire.encode(wire.Unload(fn)) + b"\n", owed=False)
+
+    def probe(self, errand: Errand) -> None:
+        errand.via = self
+        if not self.linking.send(errand.number, wire.encode(wire.Probe(errand.number)) + b"\n"):
+            self.host.probed(errand.number, Outcome.FULL, NO_REPORT)
+
+    # what the runner says
+
+    @property
+    def host(self) -> Hosting:
+        host: Hosting = self.edge.host
+        return host
+
+    def met(self, hello: wire.Hello) -> None:
+        self.edge.input()
+        if hello.name != self.linking.name:
+            self.edge.passed_over(self.linking.name, f"{hello.name or 'nobody'} answers at its port")
+            if self.speaker:
+                self.speaker.cut(f"{self.linking.name} was expected here")
+            return
+        self.start = hello.start or self.start
+        self.stop_patience()
+        self.dialling = None
+        self.edge.runner_met(self.linking.name, hello)
+        self.linking.step(Input.GREETED)
+
+    def heard(self, message: Any) -> None:
+        self.edge.input()
+        match message:
+            case wire.Ended():
+                known = self.linking.ended(message.call)
+                if not known:
+                    return self.host.stray()
+                self.host.ended(
+                    message.call, OUTCOMES[message.outcome], message.body, WARMTH[message.warmth],
+                    message.company, message.report or NO_REPORT,
+                )  # fmt: skip
+            case wire.RunBegun():
+                if message.call in self.linking.out:
+                    self.host.begun(message.call)
+                else:
+                    self.host.stray()
+            case wire.Held():
+                if not self.linking.ended(message.order):
+                    return self.host.stray()
+                self.host.ordered(message.order, OUTCOMES[message.outcome], message.count)
+            case wire.Probed():
+                if not self.linking.ended(message.probe):
+                    return self.host.stray()
+                self.host.probed(message.probe, Outcome.OK, message.report or NO_REPORT)
+            case wire.Draining():
+                self.edge.runner_drains(self.linking.name, self.start)
+            case wire.Fault():
+                self.edge.passed_over(self.linking.name, f"it could not take a line: {message.why}")
+
+    # what the linking asks (Rim)
+
+    def dial(self) -> None:
+        dial = self.dialling = Dial(self)
+        time_out = self.edge.facts["dial_time_out"] / 10_000
+        self.stop_patience()
+        self.patience = self.edge.reactor.callLater(time_out, self.unmet, dial)
+        self.connector = self.edge.reactor.connectTCP("127.0.0.1", self.port, dial, timeout=time_out)
+
+    def unmet(self, dial: Dial) -> None:
+        """Half open and silent: a connection without a greeting is none."""
+        self.patience = None
+        if self.dialling is dial:
+            self.drop_speaker()
+            self.linking.step(Input.FAILED)
+
+    def stop_patience(self) -> None:
+        if self.patience is not None and self.patience.active():
+            self.patience.cancel()
+        self.patience = None
+
+    def drop_speaker(self) -> None:
+        """The connection no longer counts: whatever it may still say is passed over."""
+        self.stop_patience()
+        speaker, self.speaker, dial, self.dialling = self.speaker, None, self.dialling, None
+        if dial is not None:
+            dial.runner = None
+        if speaker is not None:
+            speaker.runner = None
+            if not speaker.closed:
+                speaker.closed = True
+                speaker.transport.unregisterProducer()
+                speaker.transport.loseConnection()
+        elif dial is not None and self.connector is not None:
+            self.connector.disconnect()
+
+    def write(self, line: bytes) -> None:
+        if self.speaker is not None:
+            self.speaker.say_line(line)
+
+    def close(self) -> None:
+        self.drop_speaker()
+
+    def ask(self, delay: int) -> None:
+        self.edge.after(delay, self.linking.step, Input.DUE)
+
+    def never_left(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.end(number, Outcome.UNREACHABLE)
+
+    def broke(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.end(number, Outcome.RESET)
+
+    def end(self, number: int, outcome: Outcome) -> None:
+        if number in self.host.flights:
+            self.host.ended(number, outcome)
+        else:
+            self.host.errand_ended(number, outcome)
+
+
+def bounds_of(listen: Any) -> LineBounds:
+    return LineBounds(listen.longest_line, listen.unsent, listen.open_calls)
--- /dev/null
+++ b/lapistrestle/hosting/door.py
@@ -0,0 +1,44 @@
+"""Ids to objects, where they come in: behind the door objects point to each other."""
+
+from collections import OrderedDict
+
+from lapistrestle.state import Fn, Srv
+
+
+class Door:
+    """The workers and functions that one instance of the module knows, by name, and its wake-up tokens.
+
+    `most` bounds the functions kept: guards against clients that name a new one in every RPC. It could harm
+    where more than that many are in use at once: what was learnt of the longest unused is learnt anew.
+    """
+
+    def __init__(self, most: int | None = None) -> None:
+        self.srvs: dict[str, Srv] = {}
+        self.fns: OrderedDict[str, Fn] = OrderedDict()
+        self.most = most
+        self.tokens: dict[int, object] = {}
+        self.last_token = 0
+
+    def srv(self, name: str) -> Srv:
+        if name not in self.srvs:
+            self.srvs[name] = Srv(name)
+        return self.srvs[name]
+
+    def fn(self, name: str, method: int, memory: float, lanes: int) -> Fn:
+        fn = self.fns.get(name)
+        if fn is None:
+            fn = self.fns[name] = Fn(name, method, memory, max(1, lanes))
+            if self.most and len(self.fns) > self.most:
+                self.fns.popitem(last=False)
+        elif self.most:
+            self.fns.move_to_end(name)
+        return fn
+
+    def keep_token(self, token: object) -> int:
+        """A number for the token, to be given back when it is due."""
+        self.last_token += 1
+        self.tokens[self.last_token] = token
+        return self.last_token
+
+    def take_token(self, number: int) -> object | None:
+        return self.tokens.pop(number, None)
--- /dev/null
+++ b/lapistrestle/wire/messages.py
@@ -0,0 +1,226 @@
+"""Every message of the three protocols; `docs/protocol.md` specifies them for other languages.
+
+A message is one JSON object on a line of its own; `is` names its type. Times are milliseconds, whole or with
+a fraction; memory is in MB. Fields at their default are left out. Unknown fields pass over, so that a newer
+peer may add some; unknown types and values out of bounds do not.
+"""
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Raw, Struct
+
+VERSION = 1
+CLIENT, RUNNER, ROSTER = "lapistrestle.client", "lapistrestle.runner", "lapistrestle.roster"
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Number = Annotated[int, Meta(ge=0, lt=2**53)]
+Millis = Annotated[float, Meta(ge=0, le=86_400_000)]
+Memory = Annotated[float, Meta(ge=0, le=1e9)]
+Lanes = Annotated[int, Meta(ge=1, le=10_000)]
+NO_BODY = Raw(b"null")
+
+
+class Message(Struct, tag_field="is", omit_defaults=True, gc=False):
+    """What all messages share."""
+
+
+class Hello(Message, tag="hello"):
+    """First line in each direction. `you` tells a client how the edge names its connection."""
+
+    protocol: Name
+    version: int
+    name: str = ""
+    you: str = ""
+    start: str = ""  # a runner's: differs at each of its starts
+    up_for: Millis | None = None  # a runner's: since that start
+    draining: bool = False
+
+
+class Bye(Message, tag="bye"):
+    """The connection is closed by the sender, for this reason."""
+
+    why: str
+
+
+class Fault(Message, tag="fault"):
+    """A line could not be taken; `id` if it could be read. No RPC came of it."""
+
+    why: str
+    id: str = ""
+
+
+# clients to edge
+
+
+class Call(Message, tag="call"):
+    """An RPC. `left` is what the client still waits; `key` stays the same over its retries."""
+
+    id: Name
+    fn: Name
+    method: Name
+    left: Millis
+    customer: str = ""
+    memory: Memory = 0.0
+    lanes: Lanes = 1
+    work: Annotated[float, Meta(ge=0, le=1e9)] | None = None
+    repeat: bool = False
+    token: Number | None = None
+    key: str = ""
+    body: Raw = NO_BODY
+
+
+class Leave(Message, tag="leave"):
+    """The client waits no longer for this RPC; no answer follows unless it is on its way."""
+
+    id: Name
+
+
+class Begun(Message, tag="begun"):
+    """A streamed answer has begun; its end follows as the answer."""
+
+    id: Name
+
+
+class Answer(Message, tag="answer"):
+    """The final answer. `come_back`: how long the client should stay away after a denial."""
+
+    id: Name
+    verdict: Literal["ok", "denied", "aborted"]
+    come_back: Millis = 0.0
+    body: Raw = NO_BODY
+
+
+# edge to runner; `call`, `order` and `probe` are numbers of the edge's, counted up on each connection
+
+
+class Run(Message, tag="run"):
+    call: Number
+    rpc: str
+    fn: Name
+    method: Name
+    within: Millis
+    customer: str = ""
+    memory: Memory = 0.0
+    lanes: Lanes = 1
+    token: Number | None = None
+    key: str = ""
+    body: Raw = NO_BODY
+
+
+class Cancel(Message, tag="cancel"):
+    call: Number
+
+
+class Hold(Message, tag="hold"):
+    """Hold at least `count` copies; 0 only asks how many stand."""
+
+    order: Number
+    fn: Name
+    count: Annotated[int, Meta(ge=0, le=16)]
+    memory: Memory = 0.0
+    lanes: Lanes = 1
+
+
+class Unload(Message, tag="unload"):
+    fn: Name
+
+
+class Probe(Message, tag="probe"):
+    probe: Number
+
+
+# runner to edge
+
+
+class RunBegun(Message, tag="begun"):
+    call: Number
+
+
+class Ended(Message, tag="ended"):
+    """How a call-out ended there; `warmth`, `company` and `report` only where settings say so."""
+
+    call: Number
+    outcome: Literal["ok", "error", "full", "miss", "cancelled"]
+    warmth: Literal["", "stood", "began load", "joined load", "load failed"] = ""
+    company: Number | None = None
+    report: dict[str, float] | None = None
+    body: Raw = NO_BODY
+
+
+class Held(Message, tag="held"):
+    order: Number
+    outcome: Literal["ok", "full", "error"]
+    count: Number = 0
+
+
+class Probed(Message, tag="probed"):
+    probe: Number
+    report: dict[str, float] | None = None
+
+
+class Draining(Message, tag="draining"):
+    """The runner finishes what it has and takes nothing new."""
+
+
+# edge and roster
+
+
+class Follow(Message, tag="follow"):
+    """Send the whole list, then each change."""
+
+
+class Ask(Message, tag="ask"):
+    """Send the whole list once more."""
+
+
+class Entry(Struct, omit_defaults=True, gc=False):
+    """A worker as the roster names it."""
+
+    name: Name
+    port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    zone: str = ""
+    cell: int = 0
+    kind: str = ""
+    size: Annotated[float, Meta(ge=0, le=1e6)] = 1.0
+    listing: Literal["serving", "draining", "gone"] = "serving"
+    start: str = ""
+    up_for: Millis | None = None
+
+
+class Whole(Message, tag="whole"):
+    """All workers; one that is missing is gone. `epoch` differs each time the numbers begin anew."""
+
+    number: Number
+    workers: list[Entry]
+    epoch: str = ""
+
+
+class Change(Message, tag="change"):
+    """Changed workers only; its number is one more than that of the list it changes."""
+
+    number: Number
+    workers: list[Entry]
+    epoch: str = ""
+
+
+class Failed(Message, tag="failed"):
+    """The roster could not answer an `ask` or `follow`."""
+
+
+# between edges
+
+
+class Peer(Message, tag="peer"):
+    sender: Number
+    text: Annotated[str, Meta(max_length=256)]
+
+
+FromClient = Hello | Call | Leave | Bye
+ToClient = Hello | Begun | Answer | Fault | Bye
+ToRunner = Hello | Run | Cancel | Hold | Unload | Probe | Bye
+FromRunner = Hello | RunBegun | Ended | Held | Probed | Draining | Fault | Bye
+ToRoster = Hello | Follow | Ask | Bye
+FromRoster = Hello | Whole | Change | Failed | Bye
+
+encode = msgspec.json.Encoder().encode
