--- /dev/null
+++ b/lapistrestle/checks/rules.py
@@ -0,0 +1,273 @@
+"""The five rules, each judged from the story of a tape. A breach names the lines that show it."""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lapistrestle.checks.reading import NEVER, Run, Story
+
+EPS = 5.0  # milliseconds by which the clocks of two sockets of one machine may seem to differ
+
+
+@dataclass(frozen=True)
+class Breach:
+    rule: str
+    at: float
+    says: str
+    lines: tuple[int, ...]
+
+
+@dataclass
+class Judged:
+    """One rule's breaches and the figures that were looked at."""
+
+    name: str
+    breaches: list[Breach] = field(default_factory=list)
+    figures: dict[str, float] = field(default_factory=dict)
+
+    def breach(self, at: float, says: str, *lines: int) -> None:
+        self.breaches.append(Breach(self.name, at, says, lines))
+
+
+def one_answer(story: Story) -> Judged:
+    """Rule 1: one final answer for each RPC, in time, and nothing sent for it afterwards."""
+    judged = Judged("1 one final answer")
+    slack = story.header["rules"]["answer_slack"]
+    excused = 0
+    latest = 0.0
+    for call in story.calls:
+        name, lines = f"RPC {call.message.id}", (call.line, *(n for _, n, _ in call.answers))
+        if len(call.answers) > 1:
+            judged.breach(call.answers[1][0], f"{name} has {len(call.answers)} final answers", *lines)
+        due = call.deadline + slack
+        connection = story.connections[call.connection]
+        blind = any(b < due and call.at < e for b, e in connection.unread)
+        excuse = call.faulted or call.begun < due or blind or story.killed(call.edge, call.at, due + EPS)
+        excuse = excuse or story.stood_still(call.edge, call.at, due)
+        early = min(call.closed, call.left if call.left < call.deadline - EPS else NEVER)
+        if call.first_answer() > due + EPS and early > due and story.end > due + EPS:
+            if excuse:
+                excused += 1
+            else:
+                late = call.first_answer()
+                when = "never answered" if late == NEVER else f"answered {late - call.deadline:.0f} ms late"
+                judged.breach(due, f"{name} is {when}", *lines)
+        elif call.answers:
+            latest = max(latest, call.first_answer() - call.deadline)
+        over = min(call.first_answer(), call.left)
+        for run in call.runs:
+            if run.at > story.read_at(call.edge, over) + slack + EPS:
+                judged.breach(run.at, f"{name} is sent out after its end", *lines, run.line)
+    judged.figures = {
+        "RPCs": len(story.calls),
+        "answered": sum(bool(c.answers) for c in story.calls),
+        "excused: edge stood still, was killed, or client did not read": excused,
+        "latest answer after its deadline, ms": max(0.0, latest),
+    }
+    return judged
+
+
+def no_effect_twice(story: Story) -> Judged:
+    """Rule 2: no effect twice, further call-outs and denials only where that is harmless."""
+    judged = Judged("2 no effect twice")
+    methods, rules = story.header["methods"], story.header["rules"]
+    further = 0
+    for call in story.calls:
+        method = methods[call.message.method]
+        earlier: list[Run] = []
+        further += max(0, len(call.runs) - 1)
+        if len(call.runs) > rules["tries"]:
+            says = f"RPC {call.message.id} has {len(call.runs)} call-outs, {rules['tries']} allowed"
+            judged.breach(call.runs[-1].at, says, *(r.line for r in call.runs))
+        for run in call.runs:
+            harm = _harm(story, method, earlier, run)
+            if harm:
+                lines = (call.line, *(r.line for r in earlier), run.line)
+                judged.breach(run.at, f"RPC {call.message.id}: {harm}", *lines)
+            if not rules["parallel"]:
+                for other in earlier:
+                    if other.over(EPS) > run.at + EPS:
+                        says = f"RPC {call.message.id} has two call-outs at once"
+                        judged.breach(run.at, says, other.line, run.line)
+            earlier.append(run)
+        effect, scope = method["effect"], method["scope"]
+        repeats = effect == "idempotent" or (effect, scope) == ("tokened", "all")
+        for at, number, answer in call.answers:
+            may_have = [r for r in call.runs if r.at <= at and not r.proven_unrun(at + EPS)]
+            if answer.verdict == "denied" and may_have and not repeats:
+                says = f"RPC {call.message.id} is denied though it may have run"
+                judged.breach(at, says, call.line, *(r.line for r in may_have), number)
+    effects = _effects(story, judged)
+    judged.figures = {"further call-outs": further, "effects that must not repeat": effects}
+    return judged
+
+
+def _harm(story: Story, method: dict[str, object], earlier: list[Run], run: Run) -> str:
+    may_have = [r for r in earlier if not r.proven_unrun(run.at + EPS)]
+    if not may_have or method["effect"] == "idempotent":
+        return ""
+    if method["effect"] == "side-effecting":
+        return "a side-effecting RPC is sent again though it may have run"
+    first = may_have[0]
+    window = method["window"]
+    assert isinstance(window, int | float)
+    if run.at > first.at + window + EPS:
+        return f"a tokened RPC is sent again {run.at - first.at:.0f} ms later, repeats known for {window:.0f}"
+    there, here = story.boots[first.start], story.boots[run.start]
+    same = {"all": True, "zone": there.zone == here.zone, "cell": there.cell == here.cell}
+    if not same[str(method["scope"])]:
+        return f"a tokened RPC is sent again outside its {method['scope']}"
+    return ""
+
+
+def _effects(story: Story, judged: Judged) -> int:
+    """Effects that happened more than once, whoever is to blame on the way: by key, or by RPC for tokens."""
+    methods = story.header["methods"]
+    seen: dict[tuple[str, str], list[tuple[float, int]]] = defaultdict(list)
+    for at, number, key, method, _, run in story.effects:
+        effect = methods[method]["effect"]
+        if effect == "side-effecting":
+            seen["key", key].append((at, number))
+        elif effect == "tokened" and run is not None:
+            seen[run.edge, run.message.rpc].append((at, number))
+    for (_, name), times in seen.items():
+        if len(times) > 1:
+            judged.breach(times[1][0], f"{name} took effect {len(times)} times", *(n for _, n in times))
+    return sum(len(times) for times in seen.values())
+
+
+def drains_kept(story: Story) -> Judged:
+    """Rule 3: no new RPC and no order to a runner later than the grace after an edge was told."""
+    judged = Judged("3 drains kept")
+    grace = story.header["rules"]["drain_grace"]
+    longest = 0.0
+    sent = [(r.at, r.line, r.edge, r.start, "an RPC") for r in story.runs]
+    sent += [(h.at, h.line, h.edge, h.start, "an order") for h in story.holds]
+    for at, line, edge, start, what in sent:
+        since, by = _told_since(story, edge, start, at)
+        if since is None:
+            continue
+        after = at - story.read_at(edge, since)
+        longest = max(longest, after)
+        if after > grace + EPS:
+            says = f"{what} goes to {start} {after:.0f} ms after {edge} was told that it drains or is gone"
+            judged.breach(at, says, by, line)
+    asked = ok = 0
+    for run in story.runs:
+        told = [t.at for t in story.told.get((run.edge, run.start), ()) if t.drains and t.at > run.at]
+        if told and min((w for w, _, _ in run.ends), default=NEVER) > told[0] < run.broke:
+            asked += 1
+            ok += any(outcome == "ok" for _, _, outcome in run.ends)
+    judged.figures = {
+        "longest after being told, ms": longest,
+        "call-outs under way at a drain": asked,
+        "of them ok": ok,
+    }
+    return judged
+
+
+def _told_since(story: Story, edge: str, start: str, at: float) -> tuple[float | None, int]:
+    """Since when, by then, the edge has been told without a break that this start drains or is gone."""
+    since: float | None = None
+    by, roster = 0, True
+    for told in story.told.get((edge, start), ()):
+        if told.at > at:
+            break
+        if told.drains and since is None:
+            since, by, roster = told.at, told.line, told.by_roster
+        elif not told.drains and told.by_roster and roster:
+            since = None  # the roster took its own word back
+    return since, by
+
+
+def cold_not_pushed(story: Story) -> Judged:
+    """Rule 4: no cold runner is sent so much that it falls over."""
+    judged = Judged("4 cold runners not pushed over")
+    rules = story.header["rules"]
+    by_start: dict[str, list[Run]] = defaultdict(list)
+    for run in story.runs:
+        by_start[run.start].append(run)
+    worst = 0.0
+    cold = 0
+    for boot in story.boots.values():
+        if boot.share >= 1:
+            continue
+        cold += 1
+        window: deque[tuple[float, float, Run]] = deque()
+        total = 0.0
+        for run in by_start[boot.start]:
+            share = boot.share + (1 - boot.share) * (run.at - boot.at) / max(rules["ramp"], 1e-9)
+            if share >= 1 or run.at > boot.fell:
+                break
+            work = _work(run)
+            window.append((run.at, work, run))
+            total += work
+            while window[0][0] <= run.at - rules["fall_time"]:
+                total -= window.popleft()[1]
+            most = rules["fall_multiple"] * share * boot.cores * boot.speed * rules["fall_time"]
+            worst = max(worst, total / most)
+        if boot.fell < NEVER:
+            informed = sum(w for _, w, r in window if _knew(story, r, boot.start))
+            if total and informed >= total * 2 / 3:
+                says = f"{boot.start} fell over {(boot.fell - boot.at) / 1000:.1f} s after its start"
+                judged.breach(boot.fell, says, *(r.line for _, _, r in list(window)[-5:]))
+    judged.figures = {"cold starts": cold, "most sent, as a part of what fells": worst}
+    return judged
+
+
+def _work(run: Run) -> float:
+    """The true work, in milliseconds, as the stand-in client wrote it."""
+    text = bytes(run.message.body)
+    mark = text.find(b'"work":')
+    try:
+        return float(text[mark + 7 :].split(b",")[0].split(b"}")[0]) if mark >= 0 else 1.0
+    except ValueError:
+        return 1.0
+
+
+def _knew(story: Story, run: Run, start: str) -> bool:
+    return any(told.at <= run.at for told in story.told.get((run.edge, start), ()))
+
+
+def orders_rationed(story: Story) -> Judged:
+    """Rule 5: orders to load stay within a few plus a share of the RPCs taken, in every window."""
+    judged = Judged("5 orders within budget")
+    rules = story.header["rules"]
+    window = rules["order_window"]
+    judged.figures = {"orders": len(story.holds), "closest to the budget": 0.0}
+    if not window:
+        return judged
+    for edge in story.header["edges"]:
+        taken = sorted(story.read_at(edge, c.at) for c in story.calls if c.edge == edge)
+        orders: deque[tuple[float, int]] = deque()
+        begin = end = 0
+        kills = story.kills.get(edge, [])
+        for hold in (h for h in story.holds if h.edge == edge):
+            reborn = max((k for k in kills if k <= hold.at), default=-NEVER)
+            orders.append((hold.at, hold.line))
+            while orders[0][0] <= max(hold.at - window, reborn):
+                orders.popleft()
+            while end < len(taken) and taken[end] <= hold.at:
+                end += 1
+            while begin < end and taken[begin] <= hold.at - window - EPS:
+                begin += 1
+            budget = rules["orders_free"] + rules["orders_share"] * (end - begin)
+            part = len(orders) / max(budget, 1e-9)
+            judged.figures["closest to the budget"] = max(judged.figures["closest to the budget"], part)
+            if len(orders) > budget + 1e-9:
+                says = f"{edge} sent {len(orders)} orders in {window:.0f} ms, {budget:.1f} allowed"
+                judged.breach(hold.at, says, *(line for _, line in list(orders)[-5:]))
+    return judged
+
+
+RULES: tuple[Callable[[Story], Judged], ...] = (
+    one_answer,
+    no_effect_twice,
+    drains_kept,
+    cold_not_pushed,
+    orders_rationed,
+)
+
+
+def judge(story: Story) -> list[Judged]:
+    return [rule(story) for rule in RULES]
--- /dev/null
+++ b/lapistrestle/checks/service.py
@@ -0,0 +1,57 @@
+"""How good the service was, from the tape: gain answered over gain asked for."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lapistrestle.checks.reading import Story, Wish
+
+WINDOW = 10_000.0  # milliseconds
+
+
+@dataclass
+class Service:
+    asked: float
+    total: float
+    worst_window: float
+    worst_window_at: float
+    worst_method: tuple[str, float]
+    worst_customer: tuple[str, float]
+    tries: float
+
+
+def gain(story: Story, wish: Wish) -> float:
+    """A client's retries count with its first try."""
+    method = story.header["methods"][wish.method]
+    took = wish.answered - wish.at
+    if took <= min(method["deadline"], method["soft"] + method["stretch"] * wish.work):
+        return float(method["gain"])
+    return float(method["gain"] * method["late_gain"]) if took <= method["deadline"] else 0.0
+
+
+def share(story: Story, wishes: Iterable[Wish]) -> float:
+    chosen = list(wishes)
+    asked = sum(story.header["methods"][w.method]["gain"] for w in chosen)
+    return sum(gain(story, w) for w in chosen) / asked if asked else 1.0
+
+
+def serve(story: Story) -> Service:
+    wishes = [w for w in story.wishes.values() if w.at <= story.header["length"]]
+    windows: list[tuple[float, float]] = []
+    begin = 0.0
+    while not windows or begin + WINDOW <= story.header["length"]:
+        windows.append((share(story, (w for w in wishes if begin <= w.at < begin + WINDOW)), begin))
+        begin += 1000
+    by_method, by_customer = defaultdict(list), defaultdict(list)
+    for wish in wishes:
+        by_method[wish.method].append(wish)
+        by_customer[wish.customer].append(wish)
+    methods = [(share(story, ws), name) for name, ws in by_method.items()]
+    customers = [(share(story, ws), name) for name, ws in by_customer.items()]
+    worst, at = min(windows)
+    method, customer = min(methods, default=(1.0, "")), min(customers, default=(1.0, ""))
+    calls = max(1, len(story.calls))
+    return Service(
+        len(wishes), share(story, wishes), worst, at / 1000, (method[1], method[0]),
+        (customer[1], customer[0]), len(story.runs) / calls,
+    )  # fmt: skip
--- /dev/null
+++ b/lapistrestle/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/lapistrestle/command/days.py
@@ -0,0 +1,108 @@
+"""`lapistrestle day`: play a bad day, and judge one by its tape."""
+
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import Judged, judge
+from lapistrestle.checks.service import Service, serve
+from lapistrestle.records.logs import make_log
+from lapistrestle.standins.play import play_real, play_virtual, quiet
+from lapistrestle.standins.script import read_day
+from lapistrestle.standins.tape import read
+
+PATH = click.Path(path_type=Path)
+
+
+@click.group()
+def day() -> None:
+    """Bad days: played from a script, judged from what crossed the sockets."""
+
+
+@day.command("run")
+@click.argument("script", type=PATH)
+@click.option("--virtual", is_flag=True, help="On a manual clock and in-memory wires, as fast as it goes.")
+@click.option("--tape", type=PATH, help="Where to write the tape; else beside the script, as NAME.tape.")
+@click.option("--seed", type=int, help="Instead of the script's.")
+@click.option("--check/--no-check", default=True, show_default=True, help="Judge the tape afterwards.")
+@click.option("--verbose", is_flag=True, help="Show what the edges log.")
+@click.pass_context
+def run_day(
+    ctx: click.Context, script: Path, virtual: bool, tape: Path | None, seed: int | None, check: bool,
+    verbose: bool,
+) -> None:  # fmt: skip
+    """Play a day. The same script and seed give the same tape, byte for byte, where it is virtual."""
+    made, deployment = read_day(script)
+    if seed is not None:
+        made.seed = seed
+    path = tape or script.with_suffix(".tape")
+    log = make_log() if verbose else quiet
+    began = time.monotonic()
+    with path.open("wb") as sink:
+        world = (play_virtual if virtual else play_real)(made, deployment, sink, log)
+    counts = ", ".join(f"{n} {word}" for word, n in world.crowd.counts.items())
+    took = time.monotonic() - began
+    click.echo(f"{made.name}: {made.length / 10_000:.0f} s played in {took:.1f} s; {counts}")
+    click.echo(f"tape: {path}")
+    if check:
+        ctx.invoke(check_day, tape=path, json_=False, most=5)
+
+
+@day.command("check")
+@click.argument("tape", type=PATH)
+@click.option("--json", "json_", is_flag=True)
+@click.option("--most", default=5, show_default=True, help="Breaches shown of each rule.")
+def check_day(tape: Path, json_: bool, most: int) -> None:
+    """Judge a tape: the five rules and the service. Status 1: a rule is broken; 2: it is no tape."""
+    try:
+        story = Story(read(tape))
+    except (OSError, ValueError, KeyError) as trouble:
+        click.echo(f"{tape}: can't be judged: {trouble}", err=True)
+        sys.exit(2)
+    judged, service = judge(story), serve(story)
+    broken = sum(len(rule.breaches) for rule in judged)
+    if json_:
+        click.echo(msgspec.json.encode(as_plain(judged, service, broken)))
+    else:
+        show(story, judged, service, most)
+    if not json_:
+        click.echo(f"rules: broken ({broken})" if broken else "rules: kept")
+    sys.exit(1 if broken else 0)
+
+
+def as_plain(judged: list[Judged], service: Service, broken: int) -> dict[str, Any]:
+    rules = {
+        rule.name: {"figures": rule.figures, "breaches": [[b.at, b.says, b.lines] for b in rule.breaches]}
+        for rule in judged
+    }
+    return {"kept": not broken, "broken": broken, "rules": rules, "service": vars(service)}
+
+
+def show(story: Story, judged: list[Judged], service: Service, most: int) -> None:
+    console = Console(width=110, highlight=False)
+    table = Table("rule", "breaches", "figures", title=f"{story.header['day']}, seed {story.header['seed']}")
+    for rule in judged:
+        figures = "; ".join(f"{name} {value:.4g}" for name, value in rule.figures.items())
+        table.add_row(rule.name, str(len(rule.breaches) or "none"), figures)
+    console.print(table)
+    for rule in judged:
+        for breach in rule.breaches[:most]:
+            console.print(f"broken: {rule.name}, at {breach.at / 1000:.3f} s: {breach.says}", markup=False)
+            for number in breach.lines:
+                console.print(f"    {number}: {story.texts.get(number, '')}", markup=False)
+        if len(rule.breaches) > most:
+            console.print(f"    and {len(rule.breaches) - most} more of rule {rule.name}", markup=False)
+    method, customer = service.worst_method, service.worst_customer
+    console.print(
+        f"gain answered over gain asked: {service.total:.3f} in total, {service.worst_window:.3f} in the "
+        f"worst 10 s (from {service.worst_window_at:.0f} s), {method[1]:.3f} for method {method[0]}, "
+        f"{customer[1]:.3f} for customer {customer[0] or '-'}; "
+        f"{service.asked:.0f} RPCs wanted, {service.tries:.2f} call-outs an RPC"
+    )
--- /dev/null
+++ b/lapistrestle/command/main.py
@@ -0,0 +1,50 @@
+"""`lapistrestle`: every command."""
+
+from pathlib import Path
+
+import click
+
+from lapistrestle.command import days, demo, programs
+from lapistrestle.deployment.load import Wrong, facts, load
+
+
+class Commands(click.Group):
+    """A wrong file ends in one plain message, not in a traceback."""
+
+    def invoke(self, ctx: click.Context) -> object:
+        try:
+            return super().invoke(ctx)
+        except Wrong as trouble:
+            raise click.ClickException(str(trouble)) from None
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """A gateway that runs calls on workers, which load functions on demand."""
+
+
+@main.group()
+def deployment() -> None:
+    """Deployment files."""
+
+
+@deployment.command("check")
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+def check_deployment(files: tuple[Path, ...]) -> None:
+    """Check deployment files: the first thing wrong in each, its line, and what would be right."""
+    wrong = 0
+    for file in files:
+        try:
+            made = load(file)
+            count = len(facts(made))
+            figures = f"{len(made.methods)} methods, {len(made.customers)} customers, {count} facts"
+            click.echo(f"{file}: fits; {figures}")
+        except Wrong as trouble:
+            wrong += 1
+            click.echo(str(trouble), err=True)
+    if wrong:
+        raise SystemExit(1)
+
+
+for command in (programs.edge, programs.runner, programs.roster, programs.call, days.day, demo.demo):
+    main.add_command(command)
--- /dev/null
+++ b/lapistrestle/command/programs.py
@@ -0,0 +1,310 @@
+"""The programs: edge, and the stand-ins runner and roster; and `call`, which sends calls to an edge."""
+
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import ClientFactory
+
+from lapistrestle.deployment.load import Wrong, load, read_json5, shaped
+from lapistrestle.edge.program import Edge
+from lapistrestle.records.logs import make_log
+from lapistrestle.standins.engine import RunnerFacts
+from lapistrestle.standins.roster import RosterStandIn
+from lapistrestle.standins.runner import RunnerStandIn, Tokens
+from lapistrestle.standins.store import Store, StoreFacts
+from lapistrestle.wire import messages as wire
+from lapistrestle.wire.lines import LineBounds, Speaker, union
+
+PATH = click.Path(path_type=Path)
+tell_port = click.option("--tell-port", type=PATH, help="Write the port to this file once it listens.")
+as_json = click.option("--json", "json_", is_flag=True, help="JSON lines instead of lines for people.")
+
+
+def reactor_of_now() -> Any:
+    """Twisted's reactor on the monotonic clock: the machine's time may be set while we run."""
+    from twisted.internet import reactor
+
+    made: Any = reactor
+    made.seconds = time.monotonic
+    return made
+
+
+def told(path: Path | None, port: int) -> None:
+    """Whole at once, so that a reader never meets half a number."""
+    if path is not None:
+        part = path.with_suffix(".part")
+        part.write_text(str(port))
+        part.replace(path)
+
+
+def serve(reactor: Any, start: Callable[[], int], path: Path | None, stop: Callable[[], None]) -> None:
+    """Run until a signal; `stop` is called for each."""
+
+    def begin() -> None:
+        try:
+            told(path, start())
+        except CannotListenError as trouble:
+            click.echo(f"can't listen: {trouble.socketError}", err=True)
+            failed.append(1)
+            reactor.stop()
+
+    failed: list[int] = []
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(stop))
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    if failed:
+        raise SystemExit(1)
+
+
+@click.command()
+@click.argument("deployment", type=PATH)
+@click.option("--port", type=int, help="Listen here instead of where the deployment says.")
+@click.option("--roster-port", type=int, help="Follow the roster here instead.")
+@tell_port
+@as_json
+def edge(
+    deployment: Path, port: int | None, roster_port: int | None, tell_port: Path | None, json_: bool
+) -> None:
+    """Run an edge: answer clients by running their calls on the runners that the roster names.
+
+    SIGTERM stops taking and finishes what is out; a second one aborts it.
+    """
+    made = load(deployment)
+    if port is not None:
+        made.listen.port = port
+    if roster_port is not None:
+        made.roster.port = roster_port
+    if not made.roster.port:
+        raise Wrong(f"{deployment}: roster.port: is missing; an edge needs one (or --roster-port)")
+    reactor = reactor_of_now()
+    program = Edge(reactor, made, make_log(json_))
+    serve(reactor, program.start, tell_port, lambda: program.stop(reactor.stop))
+
+
+@click.command()
+@click.argument("name")
+@click.option("--port", default=0, help="0: a free one.")
+@click.option("--cores", default=4, show_default=True)
+@click.option("--speed", default=1.0, show_default=True, help="Of a core; the yardstick is 1.")
+@click.option("--memory", default=14_000.0, show_default=True, help="MB.")
+@click.option("--queue", default=100, show_default=True, help="Calls that may wait.")
+@click.option("--absent", type=click.Choice(["load", "miss"]), default="load", show_default=True)
+@click.option("--cold", is_flag=True, help="Start at a fifth of its capacity, warm after 15 s.")
+@tell_port
+def runner(
+    name: str, port: int, cores: int, speed: float, memory: float, queue: int, absent: str, cold: bool,
+    tell_port: Path | None,
+) -> None:  # fmt: skip
+    """Run a stand-in runner. A call's body {"work": ms, "load": ms} says how long it takes.
+
+    SIGTERM drains it, a second one ends it.
+    """
+    reactor = reactor_of_now()
+    facts = RunnerFacts(cores, speed, memory, queue, absent=absent)
+    if cold:
+        facts.cold_share, facts.ramp = 0.2, 15.0
+    log = make_log(runner=name)
+    made: list[RunnerStandIn] = []
+
+    def start() -> int:
+        tells = frozenset({"inline", "warm", "company"})
+        store = Store(reactor, StoreFacts())
+        stamp = time.time_ns() % 1_000_000_000
+        made.append(
+            RunnerStandIn(reactor, name, stamp, facts, store, Tokens(), cold=cold, port=port, tells=tells)
+        )
+        log("listening", port=made[0].port)
+        return made[0].port
+
+    def stop() -> None:
+        standin = made[0]
+        if standin.engine.draining:
+            return reactor.stop()
+        standin.drain()
+        log("draining", running=standin.engine.running)
+        look()
+
+    def look() -> None:
+        if made[0].engine.running or made[0].engine.queue:
+            reactor.callLater(0.05, look)
+        else:
+            reactor.callLater(0.1, reactor.stop)
+
+    serve(reactor, start, tell_port, stop)
+
+
+@click.command()
+@click.argument("workers", type=PATH)
+@click.option("--port", default=0, help="0: a free one.")
+@click.option("--lag", default=1.0, show_default=True, help="Seconds by which news is late.")
+@tell_port
+def roster(workers: Path, port: int, lag: float, tell_port: Path | None) -> None:
+    """Run a stand-in roster that names the workers of a JSON5 file: [{name, port, zone, size, …}].
+
+    SIGHUP reads the file again: what changed is told, late by the lag.
+    """
+    reactor = reactor_of_now()
+    log = make_log(roster=str(workers))
+    made: list[RosterStandIn] = []
+    known: dict[str, wire.Entry] = {}
+
+    def read(first: bool) -> None:
+        value, text = read_json5(workers)
+        entries = {e.name: e for e in shaped(value, list[wire.Entry], text, str(workers))}
+        for name, entry in entries.items():
+            if entry != known.get(name):
+                up_for = (entry.up_for if entry.up_for is not None else 86_400_000.0) / 1000
+                made[0].note(entry, reactor.seconds() - up_for, now=first)
+        for name, entry in known.items():
+            if name not in entries:
+                made[0].note(msgspec.structs.replace(entry, listing="gone"), 0.0)
+        known.clear()
+        known.update(entries)
+        log("read", workers=len(known))
+
+    def again() -> None:
+        try:
+            read(False)
+        except Wrong as trouble:
+            log("not read", why=str(trouble))
+
+    def start() -> int:
+        made.append(RosterStandIn(reactor, lag, port=port))
+        read(True)
+        return made[0].port
+
+    value, text = read_json5(workers)
+    shaped(value, list[wire.Entry], text, str(workers))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(again))
+    serve(reactor, start, tell_port, reactor.stop)
+
+
+class Asker(Speaker):
+    """Sends calls one after another or at a rate, and notes the answers."""
+
+    protocol = wire.CLIENT
+    decoder = union(wire.ToClient)
+
+    def __init__(self, plan: "Plan") -> None:
+        super().__init__(LineBounds())
+        self.plan = plan
+
+    def met(self, hello: wire.Hello) -> None:
+        self.plan.begin(self)
+
+    def heard(self, message: Any) -> None:
+        match message:
+            case wire.Answer():
+                self.plan.answered(message)
+            case wire.Fault():
+                self.plan.fault(message)
+
+    def left(self, why: str) -> None:
+        self.plan.trouble = why
+
+    def lost(self) -> None:
+        self.plan.lost()
+
+
+class Plan(ClientFactory):
+    noisy = False
+
+    def __init__(self, reactor: Any, call: wire.Call, count: int, rate: float) -> None:
+        self.reactor, self.call, self.count, self.rate = reactor, call, count, rate
+        self.sent: dict[str, float] = {}
+        self.done: list[tuple[str, str, float]] = []
+        self.faults: list[str] = []
+        self.trouble = ""
+        self.asker: Asker | None = None
+        self.random = random.Random(1)
+
+    def buildProtocol(self, addr: Any) -> Asker:
+        return Asker(self)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.trouble = reason.getErrorMessage()
+        self.reactor.stop()
+
+    def begin(self, asker: Asker) -> None:
+        self.asker = asker
+        self.next()
+
+    def next(self) -> None:
+        if len(self.sent) >= self.count or self.asker is None:
+            return
+        name = f"call-{len(self.sent) + 1}"
+        self.sent[name] = self.reactor.seconds()
+        self.asker.say(msgspec.structs.replace(self.call, id=name, key=name))
+        self.reactor.callLater(self.random.expovariate(self.rate) if self.rate else 0.0, self.next)
+
+    def answered(self, answer: wire.Answer) -> None:
+        self.done.append((answer.id, answer.verdict, self.reactor.seconds() - self.sent[answer.id]))
+        self.look()
+
+    def fault(self, fault: wire.Fault) -> None:
+        self.faults.append(fault.why)
+        self.look()
+
+    def look(self) -> None:
+        if len(self.done) + len(self.faults) >= self.count:
+            self.reactor.stop()
+
+    def lost(self) -> None:
+        self.trouble = self.trouble or "the connection broke"
+        if self.reactor.running:
+            self.reactor.stop()
+
+
+@click.command()
+@click.option("--port", required=True, type=int, help="Of the edge.")
+@click.option("--fn", required=True)
+@click.option("--method", required=True)
+@click.option("--customer", default="")
+@click.option("--left", default=3000.0, show_default=True, help="Milliseconds that the client waits.")
+@click.option("--memory", default=300.0, show_default=True, help="MB of a copy.")
+@click.option("--lanes", default=1, show_default=True)
+@click.option("--work", default=50.0, show_default=True, help="Milliseconds that a stand-in works on it.")
+@click.option("--load", default=500.0, show_default=True, help="Milliseconds that a stand-in loads.")
+@click.option("--token", type=int)
+@click.option("--count", default=1, show_default=True)
+@click.option("--rate", default=0.0, help="Calls a second; 0: all at once.")
+@as_json
+def call(
+    port: int, fn: str, method: str, customer: str, left: float, memory: float, lanes: int, work: float,
+    load: float, token: int | None, count: int, rate: float, json_: bool,
+) -> None:  # fmt: skip
+    """Send calls to an edge and show the answers. Ends with status 1 unless all are ok."""
+    reactor = reactor_of_now()
+    body = msgspec.Raw(msgspec.json.encode({"work": work, "load": load}))
+    made = wire.Call("", fn, method, left, customer, memory, lanes, work, token=token, body=body)
+    plan = Plan(reactor, made, count, rate)
+    reactor.connectTCP("127.0.0.1", port, plan, timeout=5)
+    reactor.callLater(left / 1000 + (count / rate if rate else 0) + 5, reactor.stop)
+    reactor.run()
+    if json_:
+        for name, verdict, took in plan.done:
+            click.echo(msgspec.json.encode({"id": name, "verdict": verdict, "ms": round(took * 1000, 2)}))
+    else:
+        table = Table("answer", "calls", "fastest ms", "median ms", "slowest ms")
+        for verdict in ("ok", "denied", "aborted"):
+            times = sorted(took * 1000 for _, said, took in plan.done if said == verdict)
+            if times:
+                shown = (times[0], times[len(times) // 2], times[-1])
+                table.add_row(verdict, str(len(times)), *(f"{t:.1f}" for t in shown))
+        Console().print(table)
+    for why in sorted(set(plan.faults)):
+        click.echo(f"not taken: {why}", err=True)
+    if len(plan.done) + len(plan.faults) < count:
+        click.echo(f"{count - len(plan.done) - len(plan.faults)} without answer: {plan.trouble}", err=True)
+    sys.exit(0 if len(plan.done) == count and all(v == "ok" for _, v, _ in plan.done) else 1)
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -123,13 +123,13 @@
 
 class Deployment(Shape):
     methods: dict[str, Method]
-    dispatcher: Place = Place()
-    listen: Listen = Listen()
+    dispatcher: Place = field(default_factory=Place)
+    listen: Listen = field(default_factory=Listen)
     zones: list[str] = field(default_factory=list)
     customers: dict[str, Customer] = field(default_factory=dict)
-    workers: Workers = Workers()
-    orders: Orders = Orders()
-    allowed: Allowed = Allowed()
-    roster: Roster = Roster()
-    counting: Counting = Counting()
+    workers: Workers = field(default_factory=Workers)
+    orders: Orders = field(default_factory=Orders)
+    allowed: Allowed = field(default_factory=Allowed)
+    roster: Roster = field(default_factory=Roster)
+    counting: Counting = field(default_factory=Counting)
     peers: list[Port] = field(default_factory=list)  # ports of the other front ends, by number
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -109,7 +109,7 @@
             self.host.list_failed()
 
     def address(self, name: str, port: int, start: str) -> None:
-        """A runner listens here now. At another port it is another process: its connection ends with its calls."""
+        """A runner listens here now. At another port it is another process; the old link ends its calls."""
         runner = self.runners.get(name)
         if runner is not None and (port == 0 or runner.port != port):
             del self.runners[name]
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.hosting.door import Door
@@ -16,7 +16,9 @@
 from lapistrestle.interface import Answer, CallOut, Facts, FnFacts, Outcome, RpcFacts, SrvFacts, Warmth
 from lapistrestle.state import Fn, Rpc, Srv
 
-OK, DENIED, ABORTED = "ok", "denied", "aborted"
+OK: Final = "ok"
+DENIED: Final = "denied"
+ABORTED: Final = "aborted"
 COUNTED = ("taken", OK, DENIED, ABORTED, "left", "stray", "faults", "guarded")
 NO_REPORT: Mapping[str, float] = {}
 
--- /dev/null
+++ b/lapistrestle/records/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs."""
--- /dev/null
+++ b/lapistrestle/standins/children.py
@@ -0,0 +1,71 @@
+"""Programs of ours started as processes, each telling its port in a file."""
+
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+
+class Child:
+    """`lapistrestle ARGS --tell-port FILE` as a process of its own."""
+
+    def __init__(self, folder: Path, name: str, *args: str) -> None:
+        self.name, self.args = name, args
+        self.told = folder / f"{name}-{time.monotonic_ns()}.port"
+        self.log = self.told.with_suffix(".log")
+        self.child: subprocess.Popen[bytes] | None = None
+        self.known = 0
+
+    def start(self) -> None:
+        command = [sys.executable, "-m", "lapistrestle", *self.args, "--tell-port", str(self.told)]
+        with self.log.open("wb") as log:
+            self.child = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def port(self) -> int:
+        """0 until it has told."""
+        if not self.known and self.told.exists():
+            self.known = int(self.told.read_text() or 0)
+        return self.known if self.child is not None else 0
+
+    def wait_port(self, seconds: float = 20.0) -> int:
+        """Raises RuntimeError, with what it logged, where it does not come up."""
+        until = time.monotonic() + seconds
+        while not self.port():
+            if time.monotonic() > until or (self.child is not None and self.child.poll() is not None):
+                raise RuntimeError(f"{self.name} did not start:\n{self.log.read_text()[-2000:]}")
+            time.sleep(0.02)
+        return self.known
+
+    def send(self, number: int) -> None:
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def stall(self) -> None:
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self.send(signal.SIGCONT)
+
+    def kill(self) -> None:
+        self.send(signal.SIGKILL)
+        if self.child is not None:
+            self.child.wait()
+        self.child = None
+
+    def stop(self) -> int | None:
+        """Ask it to end; its exit status. One that does not end within ten seconds is killed."""
+        child, self.child = self.child, None
+        if child is None:
+            return None
+        child.send_signal(signal.SIGCONT)
+        child.send_signal(signal.SIGTERM)
+        try:
+            return child.wait(10)
+        except subprocess.TimeoutExpired:
+            child.kill()
+            return child.wait()
+
+    def lines(self) -> list[str]:
+        """What it has logged so far."""
+        return self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
--- /dev/null
+++ b/lapistrestle/standins/play.py
@@ -0,0 +1,123 @@
+"""Plays a day: in virtual time on in-memory wires, or on real sockets with each edge a process of its own."""
+
+import json
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, BinaryIO
+
+from lapistrestle.deployment.shape import Deployment
+from lapistrestle.edge.program import Edge
+from lapistrestle.standins.children import Child
+from lapistrestle.standins.script import Day, plain
+from lapistrestle.standins.troubles import schedule
+from lapistrestle.standins.virtual import Process, VirtualReactor
+from lapistrestle.standins.world import SECOND, World
+
+Log = Callable[..., None]
+EdgeMaker = Callable[[Any, Deployment, Log], Edge]
+
+
+def quiet(what: str, **figures: Any) -> None:
+    """A log that keeps nothing."""
+
+
+class VirtualEdge:
+    """An edge as an object, in a process that can stand still or be killed."""
+
+    def __init__(self, reactor: VirtualReactor, deployment: Deployment, log: Log, make: EdgeMaker) -> None:
+        self.name = deployment.dispatcher.name
+        self.process = Process(reactor, self.name)
+        self.edge = make(self.process, deployment, log)
+        self.listens = 0
+
+    def start(self) -> None:
+        self.listens = self.edge.start()
+
+    def port(self) -> int:
+        return 0 if self.process.dead else self.listens
+
+    def stall(self) -> None:
+        self.process.stall()
+
+    def resume(self) -> None:
+        self.process.resume()
+
+    def kill(self) -> None:
+        self.process.kill()
+
+
+def play_virtual(
+    day: Day, deployment: Deployment, sink: BinaryIO, log: Log = quiet, make: EdgeMaker = Edge
+) -> World:
+    """The whole day at once; the same seed gives the same tape, byte for byte."""
+    reactor = VirtualReactor()
+    outside = Process(reactor, "stand-ins")
+
+    def make_edge(deployment: Deployment, start: int) -> VirtualEdge:
+        return VirtualEdge(reactor, deployment, log, make)
+
+    world = World(outside, day, deployment, sink, make_edge)
+    began = reactor.seconds()
+    world.start()
+    schedule(world)
+    reactor.run(began + day.length / SECOND)
+    world.over = True
+    longest = max(m.deadline for m in deployment.methods.values()) / SECOND
+    reactor.run(began + day.length / SECOND + longest + 1.0)
+    for line in world.crowd.lines:
+        line.stopped = True
+    return world
+
+
+class ProcessEdge(Child):
+    """An edge as a process of its own: stalled by SIGSTOP, killed by SIGKILL."""
+
+    def __init__(self, folder: Path, deployment: Deployment) -> None:
+        name = deployment.dispatcher.name
+        file = folder / f"{name}-{time.monotonic_ns()}.json5"
+        file.write_text(json.dumps(plain(deployment)))
+        super().__init__(folder, name, "edge", str(file), "--json")
+
+
+def play_real(day: Day, deployment: Deployment, sink: BinaryIO, log: Log = quiet) -> World:
+    """The day on loopback sockets, in its own time. Edges are processes, stand-ins live in this one."""
+    from twisted.internet import reactor as default
+
+    reactor: Any = default
+    reactor.seconds = time.monotonic  # a machine's clock set back must not move a timer
+    made: list[ProcessEdge] = []
+    worlds: list[World] = []
+    with tempfile.TemporaryDirectory() as folder:
+
+        def make_edge(deployment: Deployment, start: int) -> ProcessEdge:
+            made.append(ProcessEdge(Path(folder), deployment))
+            return made[-1]
+
+        def begin() -> None:
+            world = World(reactor, day, deployment, sink, make_edge)
+            worlds.append(world)
+            world.start()
+            wait_for_edges(world, reactor.seconds() + 20)
+
+        def wait_for_edges(world: World, until: float) -> None:
+            up = all(line.up is not None for line in world.crowd.lines)
+            if not up and reactor.seconds() < until:
+                reactor.callLater(0.05, wait_for_edges, world, until)
+                return
+            schedule(world)
+            longest = max(m.deadline for m in deployment.methods.values()) / SECOND
+            reactor.callLater(day.length / SECOND, setattr, world, "over", True)
+            reactor.callLater(day.length / SECOND + longest + 1.0, reactor.stop)
+
+        reactor.callWhenRunning(begin)
+        try:
+            reactor.run()
+        finally:
+            for edge in made:
+                edge.stop()
+            for edge in made:
+                for line in edge.lines():
+                    log("edge", name=edge.name, line=line)
+    return worlds[0]
--- /dev/null
+++ b/lapistrestle/standins/runner.py
@@ -0,0 +1,187 @@
+"""A runner on a socket: greets, takes calls and orders, and says how they ended."""
+
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import ServerFactory
+
+from lapistrestle.standins.engine import Engine, RunnerFacts, Task
+from lapistrestle.standins.store import Store
+from lapistrestle.standins.tape import Tape
+from lapistrestle.standins.taped import TapedSpeaker, Weather
+from lapistrestle.wire import messages as wire
+from lapistrestle.wire.lines import LineBounds, union
+
+
+class Body(msgspec.Struct):
+    """What a stand-in client writes into a call: its true work and load time, in milliseconds."""
+
+    work: float = 1.0
+    load: float = 500.0
+
+
+BODY = msgspec.json.Decoder(Body)
+
+
+class Tokens:
+    """The tokens that a group of runners remembers, with the time until which each is known."""
+
+    def __init__(self) -> None:
+        self.known: dict[int, float] = {}
+
+    def repeat(self, token: int, now: float, lasts: float) -> bool:
+        if self.known.get(token, -1.0) >= now:
+            return True
+        self.known[token] = now + lasts
+        return False
+
+
+class RunnerStandIn:
+    """One worker process by name; a restart is a new one, on another port."""
+
+    def __init__(
+        self, reactor: Any, name: str, start: int, facts: RunnerFacts, store: Store, tokens: Tokens,
+        tape: Tape | None = None, cold: bool = False, port: int = 0, tells: frozenset[str] = frozenset(),
+        loads: dict[str, float] | None = None, fell: Any = None,
+    ) -> None:  # fmt: skip
+        self.reactor, self.name, self.start, self.facts = reactor, name, f"{name}#{start}", facts
+        self.tokens, self.tape, self.tells, self.fell = tokens, tape, tells, fell
+        self.loads = loads if loads is not None else {}  # milliseconds that a load takes, by function
+        self.weather = Weather(seed=start)
+        self.engine = Engine(reactor, facts, store, self.fall, cold)
+        self.speakers: dict[RunnerSpeaker, None] = {}
+        self.count = 0
+        self.listening = reactor.listenTCP(port, RunnerFactory(self), interface="127.0.0.1")
+        self.port: int = self.listening.getHost().port
+        if tape is not None:
+            share = 1.0 if not cold else facts.cold_share
+            tape.put(self.start, "boot", runner=name, cores=facts.cores, speed=facts.speed, share=share)
+
+    def up_for(self) -> float:
+        """Milliseconds since the start."""
+        return min(86_400_000.0, round((self.reactor.seconds() - self.engine.booted) * 1000, 1))
+
+    def kill(self) -> None:
+        self.engine.dead = True
+        self.listening.stopListening()
+        for speaker in list(self.speakers):
+            speaker.break_off()
+        if self.tape is not None:
+            self.tape.put(self.start, "end", runner=self.name)
+
+    def fall(self) -> None:
+        """Fallen over: it stays down."""
+        if self.tape is not None:
+            self.tape.put(self.start, "fell", runner=self.name)
+        self.kill()
+        if self.fell is not None:
+            self.fell(self)
+
+    def drain(self) -> None:
+        self.engine.draining = True
+        for speaker in self.speakers:
+            speaker.say(wire.Draining())
+
+    def refuse(self, on: bool) -> None:
+        """A trouble: nothing is accepted; connections made before go on."""
+        if on:
+            self.listening.stopListening()
+        else:
+            self.listening = self.reactor.listenTCP(self.port, RunnerFactory(self), interface="127.0.0.1")
+
+
+class RunnerFactory(ServerFactory):
+    noisy = False
+
+    def __init__(self, runner: RunnerStandIn) -> None:
+        self.runner = runner
+
+    def buildProtocol(self, addr: Any) -> "RunnerSpeaker | None":
+        if self.runner.engine.dead:
+            return None
+        self.runner.count += 1
+        return RunnerSpeaker(self.runner, f"{self.runner.start}/{self.runner.count}")
+
+
+class RunnerSpeaker(TapedSpeaker):
+    protocol = wire.RUNNER
+    decoder = union(wire.ToRunner)
+    speaks_first = False
+
+    def __init__(self, runner: RunnerStandIn, name: str) -> None:
+        super().__init__(LineBounds(), runner.reactor, runner.tape, runner.weather, name)
+        self.runner = runner
+        self.tasks: dict[int, Task] = {}
+
+    def connectionMade(self) -> None:
+        self.runner.speakers[self] = None
+        self.opened(runner=self.runner.name, start=self.runner.start)
+        super().connectionMade()
+
+    def greeting(self) -> wire.Hello:
+        runner = self.runner
+        return wire.Hello(
+            self.protocol, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
+            draining=runner.engine.draining,
+        )  # fmt: skip
+
+    def heard(self, message: Any) -> None:
+        engine, runner = self.runner.engine, self.runner
+        match message:
+            case wire.Run():
+                self.run(message)
+            case wire.Cancel():
+                if task := self.tasks.get(message.call):
+                    engine.cancel(task)
+            case wire.Hold():
+                load = runner.loads.get(message.fn, 500.0) / 1000
+
+                def held(outcome: Any, count: int) -> None:
+                    engine.when_awake(lambda: self.say(wire.Held(message.order, outcome, count)))
+
+                engine.hold(message.fn, message.count, message.memory, message.lanes, load, held)
+            case wire.Unload():
+                engine.unload(message.fn)
+            case wire.Probe():
+                engine.when_awake(lambda: self.say(wire.Probed(message.probe, self.report("on_probe"))))
+
+    def report(self, how: str) -> dict[str, float] | None:
+        return self.runner.engine.report() if {how, "inline"} & self.runner.tells else None
+
+    def run(self, run: wire.Run) -> None:
+        try:
+            body = BODY.decode(run.body)
+        except msgspec.MsgspecError:
+            body = Body()
+        did = [False]
+
+        def begin(task: Task) -> bool:
+            runner, now = self.runner, self.reactor.seconds()
+            if run.token is not None and runner.tokens.repeat(run.token, now, runner.facts.remembers):
+                return False
+            did[0] = True
+            if runner.tape is not None:
+                runner.tape.put(
+                    self.connection, "effect", call=run.call, key=run.key, method=run.method, token=run.token
+                )
+            return True
+
+        def end(task: Task, outcome: Any, warmth: Any, more: dict[str, Any]) -> None:
+            self.tasks.pop(run.call, None)
+            tells = self.runner.tells
+            self.say(
+                wire.Ended(
+                    run.call, outcome, warmth if "warm" in tells or warmth == "load failed" else "",
+                    more["company"] if "company" in tells else None,
+                    more["report"] if "inline" in tells else None,
+                    msgspec.Raw(b'{"did":true}' if did[0] else b'{"did":false}'),
+                )
+            )  # fmt: skip
+
+        load = self.runner.loads.get(run.fn, body.load) / 1000
+        task = Task(run.fn, body.work / 1000, run.memory, run.lanes, load, end, begin)
+        self.tasks[run.call] = task
+        self.runner.engine.run(task)
+
+    def lost(self) -> None:
+        self.runner.speakers.pop(self, None)
--- /dev/null
+++ b/lapistrestle/standins/script.py
@@ -0,0 +1,129 @@
+"""What a day's script may say: fleet, traffic and what goes wrong when."""
+
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, field
+
+from lapistrestle.deployment.load import Wrong, check, load, read_json5, shaped
+from lapistrestle.deployment.shape import Deployment, Part, Positive, Shape, Span
+
+Kind = Literal[
+    "balancer_stall", "burst", "crash", "deploy", "discovery_stale", "fast_errors", "hot_key", "neighbour",
+    "pauses", "preempt", "report_late", "retry_abuse", "scan", "slow", "throttle", "zone_loss",
+    "refused", "broken", "silent", "delayed", "split", "garbled",
+    "edge_kill", "store_slow", "roster_back", "roster_gap", "roster_restart", "unread",
+]  # fmt: skip
+
+
+class Machines(Shape):
+    """Runners of one kind, spread over the zones in turn."""
+
+    count: Annotated[int, Meta(ge=1, le=1000)] = 4
+    cores: Annotated[int, Meta(ge=1, le=256)] = 4
+    speed: Annotated[float, Meta(gt=0)] = 1.0
+    memory: Annotated[float, Meta(gt=0)] = 14_000.0  # MB
+    queue: Annotated[int, Meta(ge=1)] = 100
+    loads: Annotated[int, Meta(ge=1)] = 4
+    cell_of: Annotated[int, Meta(ge=1)] = 3  # runners in a cell
+
+
+class StorePlan(Shape):
+    fetches: Annotated[float, Meta(gt=0)] = 12.0
+    limit: Annotated[int, Meta(ge=1)] = 60
+    tips_at: Annotated[float, Meta(gt=1)] = 3.0
+    tips_after: Span = Span(30_000)
+    stops_for: Span = Span(40_000)
+
+
+class Mix(Shape):
+    """The RPCs of one method."""
+
+    share: Annotated[float, Meta(gt=0)] = 1.0
+    work: Span = Span(1_000)  # mean, on a yardstick core
+    memory: tuple[Positive, Positive] = (200.0, 600.0)
+    lanes: list[Annotated[int, Meta(ge=1, le=64)]] = field(default_factory=lambda: [1, 2])
+    load: tuple[Span, Span] = (Span(4_000), Span(10_000))
+
+
+class Traffic(Shape):
+    rate: Annotated[float, Meta(gt=0)] = 100.0  # RPCs a second
+    functions: Annotated[int, Meta(ge=1, le=100_000)] = 40
+    popularity: Positive = 0.9  # exponent of Zipf's law
+    methods: dict[str, Mix] = field(default_factory=dict)
+    hints: Part = 0.2  # how far hints of the work stray; 1: none given
+    retries: Annotated[int, Meta(ge=0, le=100)] = 2
+    wait: Span = Span(2_000)
+    patience: tuple[Part, Part] = (0.5, 1.0)
+    marks: bool = True
+    heeds: bool = True
+
+
+class Trouble(Shape):
+    """One thing that goes wrong, from `at` for `lasts`; other fields as the kind needs them."""
+
+    kind: Kind
+    at: Span
+    lasts: Span = Span(50_000)
+    share: Part = 0.25  # of the runners, edges, or RPCs that it meets
+    factor: Positive = 4.0  # times slower, times the traffic
+    by: Span = Span(20_000)  # how far behind, how long held
+    zone: str = ""
+    on: Literal["runners", "roster", "clients"] = "runners"
+
+
+class Day(Shape):
+    name: str
+    deployment: Any  # inline, or the path of a file beside the script
+    length: Span = Span(200_000)
+    seed: int = 1
+    edges: Annotated[int, Meta(ge=1, le=64)] = 3
+    fleet: dict[str, Machines] = field(default_factory=lambda: {"plain": Machines(count=8)})
+    fetch_share: Part = 0.7
+    drops_waiting: bool = True
+    stops_running: bool = False
+    store: StorePlan = field(default_factory=StorePlan)
+    roster_lag: Span = Span(10_000)
+    traffic: Traffic = field(default_factory=Traffic)
+    troubles: list[Trouble] = field(default_factory=list)
+
+
+def read_day(path: Path) -> tuple[Day, Deployment]:
+    """A checked script and its deployment. Raises Wrong."""
+    value, text = read_json5(path)
+    return make_day(value, text, path)
+
+
+def make_day(value: Any, text: str = "", path: Path | None = None) -> tuple[Day, Deployment]:
+    """The same from a value; `path` is where files are looked for and what errors name."""
+    source = str(path) if path else "the day"
+    day = shaped(value, Day, text, source)
+    if isinstance(day.deployment, str):
+        deployment = load((path.parent if path else Path()) / day.deployment)
+    else:
+        deployment = shaped(day.deployment, Deployment, text, f"{source} (deployment)")
+        check(deployment, text, f"{source} (deployment)")
+    if not day.traffic.methods:
+        day.traffic.methods = {name: Mix() for name in deployment.methods}
+    for name in day.traffic.methods:
+        if name not in deployment.methods:
+            known = ", ".join(deployment.methods)
+            raise Wrong(f"{source}: traffic.methods.{name}: no such method; known: {known}")
+    for number, trouble in enumerate(day.troubles):
+        if trouble.zone and trouble.zone not in deployment.zones:
+            raise Wrong(f'{source}: troubles.{number}.zone: is "{trouble.zone}"; known: {deployment.zones}')
+        if trouble.at >= day.length:
+            raise Wrong(f"{source}: troubles.{number}.at: is past the day's length")
+    return day, deployment
+
+
+def plain(deployment: Deployment) -> Any:
+    """The deployment as plain values that `load` takes again."""
+
+    def span(value: Any) -> Any:
+        if isinstance(value, Span):
+            return f"{value / 10} ms"
+        raise NotImplementedError(type(value))
+
+    return msgspec.to_builtins(deployment, enc_hook=span)
--- /dev/null
+++ b/lapistrestle/standins/tape.py
@@ -0,0 +1,57 @@
+"""The tape: every line that crossed every connection, as seen at the sockets of the stand-ins.
+
+One JSON object a line. The first is the header: who takes part and the rules' figures. Then events in order:
+`open` and `close` of a connection, and lines: `>` towards the edge, `<` from it.
+"""
+
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import msgspec
+
+ENCODE = msgspec.json.Encoder(order="deterministic").encode
+
+
+class Tape:
+    """Writes events in the order in which they happen. Times are whole microseconds since the day began."""
+
+    def __init__(self, sink: BinaryIO, seconds: Callable[[], float], header: dict[str, Any]) -> None:
+        self.sink, self.seconds, self.zero, self.last = sink, seconds, seconds(), 0
+        sink.write(ENCODE({"tape": 1, **header}) + b"\n")
+
+    def put(self, connection: str, what: str, **more: Any) -> None:
+        at = round((self.seconds() - self.zero) * 1e6)
+        self.sink.write(ENCODE({"at": at, "on": connection, "is": what, **more}) + b"\n")
+
+
+class Recorder:
+    """Cuts the bytes of one direction into lines for the tape."""
+
+    def __init__(self, tape: Tape, connection: str, sign: str) -> None:
+        self.tape, self.connection, self.sign, self.rest = tape, connection, sign, b""
+
+    def bytes(self, data: bytes) -> None:
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            self.tape.put(self.connection, self.sign, line=line.decode("utf-8", "backslashreplace"))
+
+    def end(self) -> None:
+        """What is left was cut off in mid-line."""
+        if self.rest:
+            text = self.rest.decode("utf-8", "backslashreplace")[:2_000]
+            self.tape.put(self.connection, self.sign, line=text, cut=True)
+            self.rest = b""
+
+
+def read(path: Path) -> Iterator[dict[str, Any]]:
+    """The tape, header first. Raises ValueError where it is no tape; a torn last line is left out."""
+    decode = msgspec.json.Decoder(dict[str, Any]).decode
+    with path.open("rb") as lines:
+        for number, line in enumerate(lines, 1):
+            if not line.endswith(b"\n"):
+                return
+            try:
+                yield decode(line)
+            except msgspec.MsgspecError as trouble:
+                raise ValueError(f"{path}:{number}: no line of a tape: {trouble}") from None
--- /dev/null
+++ b/lapistrestle/standins/virtual.py
@@ -0,0 +1,342 @@
+"""A reactor on a manual clock with in-memory transports, for the same protocol objects that run on sockets.
+
+Time is whole microseconds; what is due together runs in the order in which it was set. Each program under
+test gets a `Process` of it, which can stand still (its input and timers wait, as in a stopped process) or be
+killed outright (its connections break, nothing of it runs any more).
+"""
+
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.python.failure import Failure
+
+LATENCY = 150  # microseconds one way
+SOCKET = 262_144  # bytes that the two socket buffers take together
+BUFFER = 65_536  # bytes in a transport's own buffer before its producer is paused
+READ = 65_536  # bytes read in one turn
+
+
+class DelayedCall:
+    """A call that is due; as Twisted's."""
+
+    __slots__ = ("args", "call", "done", "process", "when")
+
+    def __init__(self, when: int, process: "Process | None", call: Callable[..., Any], args: Any) -> None:
+        self.when, self.process, self.call, self.args, self.done = when, process, call, args, False
+
+    def active(self) -> bool:
+        return not self.done
+
+    def cancel(self) -> None:
+        self.done = True
+
+
+class VirtualReactor:
+    """The clock and the wires between processes."""
+
+    def __init__(self, start: float = 1_000.0) -> None:
+        self.now = round(start * 1e6)
+        self.heap: list[tuple[int, int, DelayedCall]] = []
+        self.count = 0
+        self.ports: dict[int, Listener] = {}
+        self.datagrams: dict[int, Datagrams] = {}
+        self.last_port = 20_000
+
+    def seconds(self) -> float:
+        return self.now / 1e6
+
+    def at(
+        self, delay: int, call: Callable[..., Any], *args: Any, process: "Process | None" = None
+    ) -> DelayedCall:
+        made = DelayedCall(self.now + max(0, delay), process, call, args)
+        self.count += 1
+        heappush(self.heap, (made.when, self.count, made))
+        return made
+
+    def run(self, until: float) -> None:
+        """Play everything that is due up to that second."""
+        end = round(until * 1e6)
+        while self.heap and self.heap[0][0] <= end:
+            when, _, due = heappop(self.heap)
+            if due.done:
+                continue
+            self.now = when
+            if due.process is not None and not due.process.awake():
+                due.process.timers.append(due)
+                continue
+            due.done = True
+            due.call(*due.args)
+        self.now = max(self.now, end)
+
+    def free_port(self) -> int:
+        self.last_port += 1
+        return self.last_port
+
+
+class Process:
+    """What one program sees of the reactor; Twisted's names, as far as they are used."""
+
+    def __init__(self, reactor: VirtualReactor, name: str) -> None:
+        self.reactor, self.name = reactor, name
+        self.stalled = self.dead = False
+        self.timers: list[DelayedCall] = []  # due while it stood still
+        self.inbox: deque[tuple[Callable[..., Any], tuple[Any, ...]]] = deque()
+        self.transports: dict[Wire, None] = {}
+        self.listeners: list[Listener] = []
+
+    def awake(self) -> bool:
+        return not (self.stalled or self.dead)
+
+    def seconds(self) -> float:
+        return self.reactor.seconds()
+
+    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> DelayedCall:
+        return self.reactor.at(-int(-delay * 1e6 // 1), call, *args, process=self)
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> "Listener":
+        port = port or self.reactor.free_port()
+        if port in self.reactor.ports:
+            raise OSError(f"port {port} is taken")
+        listener = self.reactor.ports[port] = Listener(self, port, factory)
+        self.listeners.append(listener)
+        return listener
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> "Connector":
+        connector = Connector(self, port, factory)
+        self.reactor.at(2 * LATENCY, connector.arrive, timeout)
+        return connector
+
+    def listenUDP(self, port: int, protocol: Any, interface: str = "") -> None:
+        protocol.transport = self.reactor.datagrams[port] = Datagrams(self, port, protocol)
+
+    def deliver(self, call: Callable[..., Any], *args: Any) -> None:
+        """Input reached this process; one that stands still finds it later."""
+        if self.dead:
+            return
+        if self.stalled:
+            self.inbox.append((call, args))
+        else:
+            call(*args)
+
+    def stall(self) -> None:
+        self.stalled = True
+
+    def resume(self) -> None:
+        """As a real reactor does: first the timers that are due, then the input that came meanwhile."""
+        if self.dead:
+            return
+        self.stalled = False
+        timers, self.timers = self.timers, []
+        for timer in timers:
+            if not timer.done:
+                timer.done = True
+                timer.call(*timer.args)
+        while self.inbox:
+            call, args = self.inbox.popleft()
+            call(*args)
+
+    def kill(self) -> None:
+        """Gone at once: its connections break at the other end, and nothing of it runs again."""
+        self.dead = True
+        for listener in self.listeners:
+            listener.close()
+        for wire in list(self.transports):
+            wire.break_off()
+        self.transports.clear()
+        self.inbox.clear()
+
+
+class Listener:
+    def __init__(self, process: Process, port: int, factory: Any) -> None:
+        self.process, self.port, self.factory = process, port, factory
+        self.refusing = False  # a trouble: nothing is accepted
+
+    def getHost(self) -> IPv4Address:
+        return IPv4Address("TCP", "127.0.0.1", self.port)
+
+    def stopListening(self) -> None:
+        self.close()
+
+    def close(self) -> None:
+        if self.process.reactor.ports.get(self.port) is self:
+            del self.process.reactor.ports[self.port]
+
+
+class Connector:
+    def __init__(self, process: Process, port: int, factory: Any) -> None:
+        self.process, self.port, self.factory = process, port, factory
+        self.wire: Wire | None = None
+        self.given_up = False
+
+    def disconnect(self) -> None:
+        self.given_up = True
+        if self.wire is not None:
+            self.wire.loseConnection()
+
+    def arrive(self, timeout: float) -> None:
+        listener = self.process.reactor.ports.get(self.port)
+        if self.given_up or self.process.dead:
+            return
+        if listener is None or listener.refusing or listener.process.dead:
+            return self.process.deliver(self.fail, ConnectionRefusedError())  # type: ignore[no-untyped-call]
+        here, there = Wire(self.process, self.port), Wire(listener.process, self.port)
+        here.peer, there.peer, self.wire = there, here, here
+        listener.process.deliver(there.accept, listener)
+        self.process.deliver(self.made, here)
+
+    def made(self, wire: "Wire") -> None:
+        if self.given_up:
+            return wire.abortConnection()
+        protocol = self.factory.buildProtocol(wire.getPeer())
+        if protocol is None:
+            return wire.abortConnection()
+        wire.begin(protocol)
+
+    def fail(self, why: Exception) -> None:
+        if not self.given_up:
+            self.factory.clientConnectionFailed(self, Failure(why))  # type: ignore[no-untyped-call]
+
+
+class Wire:
+    """One end of a connection: a Twisted transport towards the protocol, bytes on a clock to the peer."""
+
+    def __init__(self, process: Process, port: int) -> None:
+        self.process, self.reactor, self.port = process, process.reactor, port
+        self.peer: Wire
+        self.protocol: Any = None
+        self.unread: deque[bytes] = deque()  # arrived, not yet read
+        self.unread_size = 0
+        self.on_way = 0  # bytes written and not yet read at the other end
+        self.reading, self.closed, self.ended = True, False, False
+        self.producer: Any = None
+        self.braked = False
+        process.transports[self] = None
+
+    # made and unmade
+
+    def accept(self, listener: Listener) -> None:
+        protocol = listener.factory.buildProtocol(self.getPeer())
+        if protocol is None:
+            return self.abortConnection()
+        self.begin(protocol)
+
+    def begin(self, protocol: Any) -> None:
+        self.protocol = protocol
+        protocol.makeConnection(self)
+        self.read()
+
+    def getPeer(self) -> IPv4Address:
+        return IPv4Address("TCP", "127.0.0.1", self.port)
+
+    def getHost(self) -> IPv4Address:
+        return IPv4Address("TCP", "127.0.0.1", self.port)
+
+    def loseConnection(self) -> None:
+        """What was written still arrives."""
+        if not self.closed:
+            self.closed = True
+            self.reactor.at(LATENCY, self.peer.process.deliver, self.peer.finish)
+            self.reactor.at(0, self.process.deliver, self.lost, ConnectionDone())
+
+    def abortConnection(self) -> None:
+        """What was written and not yet read may be lost."""
+        self.closed = True
+        self.reactor.at(LATENCY, self.peer.process.deliver, self.peer.lost, ConnectionLost())
+        self.reactor.at(0, self.process.deliver, self.lost, ConnectionLost())
+
+    def break_off(self) -> None:
+        self.closed = self.ended = True
+        self.reactor.at(LATENCY, self.peer.process.deliver, self.peer.lost, ConnectionLost())
+
+    def finish(self) -> None:
+        """The peer has closed: its end is met once everything before it has been read."""
+        self.ended = True
+        self.read()
+
+    def lost(self, why: Exception) -> None:
+        self.closed = True
+        self.process.transports.pop(self, None)
+        protocol, self.protocol = self.protocol, None
+        self.unread.clear()
+        if protocol is not None:
+            protocol.connectionLost(Failure(why))  # type: ignore[no-untyped-call]
+
+    # bytes
+
+    def write(self, data: bytes) -> None:
+        if self.closed or not data:
+            return
+        self.on_way += len(data)
+        self.reactor.at(LATENCY, self.peer.arrive, data)
+        if self.producer is not None and not self.braked and self.on_way > SOCKET + BUFFER:
+            self.braked = True
+            self.producer.pauseProducing()
+
+    def writeSequence(self, parts: list[bytes]) -> None:
+        self.write(b"".join(parts))
+
+    def arrive(self, data: bytes) -> None:
+        """Bytes reached this end's socket, whether or not its process stands still."""
+        self.unread.append(data)
+        self.unread_size += len(data)
+        self.process.deliver(self.read)
+
+    def read(self) -> None:
+        while self.unread and self.reading and self.protocol is not None:
+            data = self.unread.popleft()
+            self.unread_size -= len(data)
+            self.peer.taken(len(data))
+            self.protocol.dataReceived(data)
+        if self.ended and not self.unread and self.protocol is not None:
+            self.lost(ConnectionDone())
+        elif self.ended and not self.reading and self.protocol is not None and not self.closed:
+            self.closed = True  # writing to a closed peer fails
+
+    def taken(self, size: int) -> None:
+        self.on_way -= size
+        if self.braked and self.on_way <= SOCKET:
+            self.braked = False
+            if self.producer is not None and not self.closed:
+                self.reactor.at(LATENCY, self.process.deliver, self.ease)
+
+    def ease(self) -> None:
+        if self.producer is not None and not self.closed and not self.braked:
+            self.producer.resumeProducing()
+
+    # flow control and the like
+
+    def pauseProducing(self) -> None:
+        self.reading = False
+
+    def resumeProducing(self) -> None:
+        if not self.reading:
+            self.reading = True
+            self.reactor.at(0, self.process.deliver, self.read)
+
+    def stopProducing(self) -> None:
+        self.loseConnection()
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        self.producer = producer
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def setTcpNoDelay(self, enabled: bool) -> None: ...
+
+
+class Datagrams:
+    def __init__(self, process: Process, port: int, protocol: Any) -> None:
+        self.process, self.port, self.protocol = process, port, protocol
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        self.process.reactor.at(LATENCY, self.pass_on, data, address[1])
+
+    def pass_on(self, data: bytes, port: int) -> None:
+        there = self.process.reactor.datagrams.get(port)
+        if there is not None:
+            there.process.deliver(there.protocol.datagramReceived, data, ("127.0.0.1", self.port))
--- /dev/null
+++ b/lapistrestle/standins/world.py
@@ -0,0 +1,298 @@
+"""A day: the fleet, the edges, the clients and the troubles, on one reactor, with everything on tape."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import accumulate
+from typing import Any, BinaryIO, Protocol
+
+import msgspec
+
+from lapistrestle.deployment.shape import Deployment, Place
+from lapistrestle.standins.client import Crowd, Habits, Line, Wish
+from lapistrestle.standins.engine import RunnerFacts
+from lapistrestle.standins.roster import RosterStandIn
+from lapistrestle.standins.runner import RunnerStandIn, Tokens
+from lapistrestle.standins.script import Day, Machines
+from lapistrestle.standins.store import Store, StoreFacts
+from lapistrestle.standins.tape import Tape
+from lapistrestle.wire.messages import Entry
+
+SECOND = 10_000
+
+
+class EdgeHandle(Protocol):
+    """How a day holds one edge."""
+
+    name: str
+
+    def start(self) -> None: ...
+    def port(self) -> int: ...  # 0 while it does not listen
+    def stall(self) -> None: ...
+    def resume(self) -> None: ...
+    def kill(self) -> None: ...
+
+
+MakeEdge = Callable[[Deployment, int], EdgeHandle]  # with the number of the start, for its seed
+
+
+@dataclass(eq=False)
+class Slot:
+    """A place in the fleet, whichever process holds it."""
+
+    name: str
+    kind: str
+    machines: Machines
+    zone: str
+    cell: int
+    facts: RunnerFacts
+    tokens: Tokens
+    runner: RunnerStandIn
+    starts: int = 0
+
+    @property
+    def up(self) -> bool:
+        return not self.runner.engine.dead
+
+
+@dataclass
+class Function:
+    name: str
+    method: str
+    memory: float
+    lanes: int
+    load: float  # milliseconds
+
+
+class World:
+    """Builds and plays one day. `make_edge` decides whether edges are objects or processes."""
+
+    def __init__(
+        self, reactor: Any, day: Day, deployment: Deployment, sink: BinaryIO, make_edge: MakeEdge
+    ) -> None:
+        self.reactor, self.day, self.deployment = reactor, day, deployment
+        self.random = random.Random(day.seed)
+        self.tape = Tape(sink, reactor.seconds, header(day, deployment))
+        plan = day.store
+        self.store = Store(
+            reactor,
+            StoreFacts(
+                plan.fetches, plan.limit, plan.tips_at, plan.tips_after / SECOND, plan.stops_for / SECOND
+            ),
+        )
+        self.roster = RosterStandIn(reactor, day.roster_lag / SECOND, self.tape)
+        self.loads: dict[str, float] = {}
+        self.slots = self.fleet()
+        self.functions = self.catalogue()
+        weights = [1 / (i + 1) ** day.traffic.popularity for i in range(len(self.functions))]
+        self.weights = list(accumulate(weights))
+        traffic = day.traffic
+        wait = traffic.wait / SECOND
+        habits = Habits(traffic.retries, wait, traffic.patience, traffic.marks, traffic.heeds)
+        self.crowd = Crowd(reactor, habits, day.seed + 1, self.tape)
+        self.edges = [make_edge(self.edge_deployment(i), 0) for i in range(day.edges)]
+        self.make_edge = make_edge
+        self.rate, self.hot, self.scan = 1.0, 0.0, 0.0  # troubles of the traffic
+        self.hot_functions: list[Function] = []
+        self.count = self.one_offs = 0
+        self.began = reactor.seconds()
+        self.over = False
+
+    # building
+
+    def edge_deployment(self, number: int) -> Deployment:
+        made = msgspec.structs.replace(self.deployment)
+        zones = made.zones
+        made.dispatcher = Place(
+            name=f"edge-{number}", number=number, of=self.day.edges,
+            zone=zones[number % len(zones)] if zones else "", seed=self.day.seed * 100 + number,
+        )  # fmt: skip
+        made.roster = msgspec.structs.replace(made.roster, port=self.roster.port)
+        made.listen = msgspec.structs.replace(made.listen, port=0)
+        return made
+
+    def fleet(self) -> list[Slot]:
+        day, workers = self.day, self.deployment.workers
+        methods = self.deployment.methods.values()
+        scope = next((m.repeats_dropped_by for m in methods if m.effect == "tokened"), "")
+        remembered = max(m.repeats_remembered for m in methods)
+        groups: dict[str, Tokens] = {}
+        slots: list[Slot] = []
+        for kind, machines in day.fleet.items():
+            for _ in range(machines.count):
+                number = len(slots)
+                zones = self.deployment.zones or [""]
+                zone, cell = zones[number % len(zones)], number // machines.cell_of
+                facts = RunnerFacts(
+                    machines.cores, machines.speed, machines.memory, machines.queue, machines.loads,
+                    workers.absent, workers.idle_life / SECOND, workers.cold_share, workers.ramp / SECOND,
+                    workers.fall_multiple, workers.fall_time / SECOND, day.fetch_share, day.drops_waiting,
+                    day.stops_running, remembered / SECOND,
+                )  # fmt: skip
+                group = {"all": "all", "zone": zone}.get(scope, f"cell {cell}")
+                tokens = groups.setdefault(group, Tokens())
+                name = f"{kind}-{number}"
+                runner = self.boot(name, 0, facts, tokens, cold=False)
+                slots.append(Slot(name, kind, machines, zone, cell, facts, tokens, runner))
+                self.note(slots[-1], "serving", now=True)
+                self.tape.put(runner.start, "place", runner=name, zone=zone, cell=cell)
+        return slots
+
+    def boot(self, name: str, start: int, facts: RunnerFacts, tokens: Tokens, cold: bool) -> RunnerStandIn:
+        workers = self.deployment.workers
+        tells: set[str] = {workers.reports}
+        tells |= {"warm"} if workers.tells_warm else set()
+        tells |= {"company"} if workers.tells_company else set()
+        return RunnerStandIn(
+            self.reactor, name, start, facts, self.store, tokens, self.tape, cold, 0, frozenset(tells),
+            self.loads, lambda runner: self.lost(runner),
+        )  # fmt: skip
+
+    def lost(self, runner: RunnerStandIn) -> None:
+        """It fell over; the roster hears that no process runs."""
+        for slot in self.slots:
+            if slot.runner is runner:
+                self.note(slot, "gone")
+
+    def note(self, slot: Slot, listing: Any, now: bool = False) -> None:
+        size = slot.machines.cores * slot.machines.speed
+        entry = Entry(
+            slot.name, slot.runner.port, slot.zone, slot.cell, slot.kind, size, listing, slot.runner.start
+        )
+        self.roster.note(entry, slot.runner.engine.booted, now)
+
+    def catalogue(self) -> list[Function]:
+        mixes, made = self.day.traffic.methods, []
+        methods = self.random.choices(
+            list(mixes), [m.share for m in mixes.values()], k=max(self.day.traffic.functions, len(mixes))
+        )
+        methods[: len(mixes)] = list(mixes)  # each method has one at least
+        for number, method in enumerate(methods):
+            made.append(self.function(f"fn-{number}", method))
+        return made
+
+    def function(self, name: str, method: str) -> Function:
+        mix = self.day.traffic.methods[method]
+        load = self.random.uniform(*mix.load) / 10
+        made = Function(
+            name, method, round(self.random.uniform(*mix.memory), 1), self.random.choice(mix.lanes), load
+        )
+        self.loads[name] = load
+        return made
+
+    # playing
+
+    def start(self) -> None:
+        for edge in self.edges:
+            edge.start()
+        self.crowd.lines = [Line(self.crowd, e.name, e.port) for e in self.edges]
+        self.reactor.callLater(0.5, self.next_wish)
+
+    def elapsed(self) -> float:
+        return float(self.reactor.seconds() - self.began)
+
+    def next_wish(self) -> None:
+        """Arrivals at exponential gaps."""
+        if self.over:
+            return
+        self.wish()
+        gap = self.random.expovariate(self.day.traffic.rate * self.rate)
+        self.reactor.callLater(gap, self.next_wish)
+
+    def pick(self) -> Function:
+        draw = self.random.random()
+        if draw < self.scan:
+            self.one_offs += 1
+            return self.function(f"once-{self.one_offs}", self.random.choice(self.functions).method)
+        if draw < self.scan + self.hot and self.hot_functions:
+            return self.random.choice(self.hot_functions)
+        return self.random.choices(self.functions, cum_weights=self.weights)[0]
+
+    def wish(self) -> None:
+        fn, deployment = self.pick(), self.deployment
+        method, mix = deployment.methods[fn.method], self.day.traffic.methods[fn.method]
+        self.count += 1
+        work = self.random.gammavariate(4.0, mix.work / 10 / 4.0)
+        stray = self.day.traffic.hints
+        hint = round(work * self.random.uniform(1 - stray, 1 + stray), 1) if stray < 1 else None
+        customers = deployment.customers
+        shares = [max(c.share, 1e-9) for c in customers.values()]
+        customer = self.random.choices(list(customers), shares)[0] if customers else ""
+        wish = Wish(
+            f"op{self.count}", fn.name, fn.method, customer, fn.memory, fn.lanes, round(work, 2), hint,
+            self.count if method.effect == "tokened" else None, method.effect, method.repeats_dropped_by,
+            method.deadline / SECOND, self.reactor.seconds(),
+            abuses=bool(self.crowd.habits.abuse) and self.random.random() < self.crowd.habits.abuse,
+        )  # fmt: skip
+        self.crowd.want(wish)
+
+    # what troubles need
+
+    def some(self, share: float, zone: str = "") -> list[Slot]:
+        """A share of the runners that are up, one at least; all of a zone where one is named."""
+        up = [s for s in self.slots if s.up and zone in ("", s.zone)]
+        return up if zone else self.random.sample(up, min(len(up), max(1, round(share * len(up)))))
+
+    def kill(self, slot: Slot) -> None:
+        if slot.up:
+            slot.runner.kill()
+            self.note(slot, "gone")
+
+    def drain(self, slot: Slot) -> None:
+        if slot.up and not slot.runner.engine.draining:
+            slot.runner.drain()
+            self.note(slot, "draining")
+
+    def back(self, slot: Slot) -> None:
+        """The same name starts anew, cold and on another port."""
+        if slot.up:
+            self.kill(slot)
+        slot.starts += 1
+        slot.runner = self.boot(slot.name, slot.starts, slot.facts, slot.tokens, cold=True)
+        self.tape.put(slot.runner.start, "place", runner=slot.name, zone=slot.zone, cell=slot.cell)
+        self.note(slot, "serving")
+
+    def restart_edge(self, number: int) -> None:
+        deployment = self.edge_deployment(number)
+        deployment.dispatcher.seed += 7
+        self.edges[number] = self.make_edge(deployment, 1)
+        self.edges[number].start()
+        self.crowd.lines[number].port = self.edges[number].port
+
+
+def header(day: Day, deployment: Deployment) -> dict[str, Any]:
+    """What a reader of the tape must know: the rules' figures, in milliseconds."""
+    workers, orders, allowed = deployment.workers, deployment.orders, deployment.allowed
+    return {
+        "day": day.name,
+        "seed": day.seed,
+        "edges": [f"edge-{i}" for i in range(day.edges)],
+        "length": day.length / 10,
+        "rules": {
+            "answer_slack": allowed.answer_slack / 10,
+            "drain_grace": workers.drain_grace / 10,
+            "cold_share": workers.cold_share,
+            "ramp": workers.ramp / 10,
+            "fall_multiple": workers.fall_multiple,
+            "fall_time": workers.fall_time / 10,
+            "order_window": orders.window / 10,
+            "orders_free": orders.free,
+            "orders_share": orders.share,
+            "tries": allowed.tries,
+            "parallel": allowed.parallel,
+        },
+        "methods": {
+            name: {
+                "effect": m.effect,
+                "scope": m.repeats_dropped_by,
+                "window": m.repeats_remembered / 10,
+                "deadline": m.deadline / 10,
+                "soft": (m.soft_deadline or m.deadline) / 10,
+                "stretch": m.soft_stretch,
+                "gain": m.gain,
+                "late_gain": m.late_gain,
+                "streamed": m.streamed,
+            }
+            for name, m in deployment.methods.items()
+        },
+    }
