--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -59,10 +59,10 @@
     def resumeProducing(self) -> None: ...
 
     def lost(self) -> None:
-        if self.runner:
-            self.runner.edge.input()
-            self.runner.drop_speaker()
-            self.runner.linking.step(Input.BROKE)
+        if runner := self.runner:
+            runner.edge.input()
+            runner.drop_speaker()
+            runner.linking.step(Input.BROKE)
 
 
 class Dial(ClientFactory):
--- a/lapistrestle/standins/virtual.py
+++ b/lapistrestle/standins/virtual.py
@@ -216,6 +216,10 @@
         self.braked = False
         process.transports[self] = None
 
+    @property
+    def disconnecting(self) -> bool:
+        return self.closed
+
     # made and unmade
 
     def accept(self, listener: Listener) -> None:
