--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -301,7 +301,8 @@
         load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
         if outcome is Outcome.OK:
             spot.copies, spot.seen = max(self.believed(spot), 1), self.now
-            self.ok_weight.add(self.now, self.weight(rpc.method))
+            if srv.listing is Listing.SERVING:  # what drains is no part of the size
+                self.ok_weight.add(self.now, self.weight(rpc.method) / max(self.warm(), 1e-9))
             self.ok_count.add(self.now, 1)
             self.ok_took.add(self.now, answer.took)
             srv.served.add(self.now, 1)
@@ -429,18 +430,22 @@
         least, age = self.facts["cold_share"], max(0, self.now - srv.booted)
         return min(1.0, least + (1 - least) * age / self.facts["ramp_time"])
 
+    def warm(self) -> float:
+        """The size of all that serve by their warmth; a tenth of a second old at most."""
+        if self.weighed < 0 or self.now - self.weighed > SECOND // 10:
+            self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serving)
+        return self.warm_size
+
     def cold_room(self, srv: Srv, method: int) -> bool:
         """Rule 4: what all get answered for each unit of size and warmth is within capacity, so each keeps to
-        its own part of that. Parts under one call-out go by turns, spread over all by number and moving on
-        each window: only those whose turn lies within the part send."""
+        its own part of that, as of the answers: a fleet may shrink at once. Parts under one call-out go by
+        turns, spread over all by number and moving on each window: only one whose turn is within it sends."""
         share, window = self.warmth_of(srv), self.facts["fall_time"]
         if share >= 1:
             return True
         while srv.sends and srv.sends[0][0] <= self.now - window:
             srv.sends.popleft()
-        if self.weighed != self.now:
-            self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serving)
-        taken = self.rate(self.ok_weight) * srv.size / self.warm_size if self.warm_size else 0.0
+        taken = self.rate(self.ok_weight) * srv.size
         budget = CAUTION * self.facts["fall_multiple"] * share * window * taken
         weight, all_ = self.weight(method), self.facts["dispatchers"]
         turn = (self.facts["me"] + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
--- /dev/null
+++ b/tests/days.py
@@ -0,0 +1,57 @@
+"""Days for the tests: small fleets in the shape of the three examples, played in virtual time."""
+
+import io
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import Breach, judge
+from lapistrestle.edge.program import Edge
+from lapistrestle.standins.play import EdgeMaker, play_virtual
+from lapistrestle.standins.script import make_day
+from lapistrestle.standins.world import World
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+TROUBLE = {"at": "3 s", "lasts": "4 s"}
+
+
+def day(like: str = "thumbs", troubles: Any = (), seed: int = 1, **more: Any) -> dict[str, Any]:
+    return {
+        "name": "test",
+        "deployment": f"{like}.json5",
+        "length": "10 s",
+        "seed": seed,
+        "fleet": {
+            "quick": {"count": 5, "cores": 4, "speed": 1.4, "memory": 8000},
+            "plain": {"count": 4, "cores": 2, "speed": 0.9, "memory": 6000},
+        },
+        "store": {"fetches": 8, "limit": 40},
+        "roster_lag": "1 s",
+        "traffic": {"rate": 60, "functions": 20},
+        "troubles": [TROUBLE | t for t in troubles],
+    } | more
+
+
+class Played:
+    """A day's tape, what its edges logged, and its story."""
+
+    def __init__(self, script: dict[str, Any], make: EdgeMaker = Edge) -> None:
+        self.logs: list[tuple[str, dict[str, Any]]] = []
+        made, deployment = make_day(script, path=EXAMPLES / "day.json5")
+        sink = io.BytesIO()
+        self.world: World = play_virtual(made, deployment, sink, self.log, make)
+        self.tape = sink.getvalue()
+        decode: Callable[[bytes], dict[str, Any]] = msgspec.json.Decoder(dict[str, Any]).decode
+        self.story = Story(decode(line) for line in self.tape.splitlines())
+
+    def log(self, what: str, **figures: Any) -> None:
+        self.logs.append((what, figures))
+
+    def breaches(self) -> list[Breach]:
+        return [breach for rule in judge(self.story) for breach in rule.breaches]
+
+    def logged(self, what: str) -> list[dict[str, Any]]:
+        return [figures for said, figures in self.logs if said == what]
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,212 @@
+"""The checker is no friend of the program: each rule, broken on purpose in more than one way, is caught."""
+
+from days import Played, day
+
+from lapistrestle.edge.program import Edge
+from lapistrestle.hosting.host import ABORTED, DENIED
+from lapistrestle.interface import Listing
+from lapistrestle.wire import messages as wire
+
+
+def sabotaged(change):
+    """Edges to which `change` was done."""
+
+    def make(reactor, deployment, log):
+        edge = Edge(reactor, deployment, log)
+        change(edge)
+        return edge
+
+    return make
+
+
+def caught(change, script):
+    breaches = Played(script, sabotaged(change)).breaches()
+    return {breach.rule[0] for breach in breaches}, " ".join(breach.says for breach in breaches)
+
+
+def wrap(owner, name, around):
+    inner = getattr(owner, name)
+    setattr(owner, name, lambda *args, **more: around(inner, *args, **more))
+
+
+def test_rule_1_two_answers():
+    def change(edge):
+        def twice(answer, ticket, verdict, come_back, body):
+            answer(ticket, verdict, come_back, body)
+            answer(ticket, verdict, come_back, body)
+
+        wrap(edge, "answer", twice)
+
+    rules, says = caught(change, day(length="4 s"))
+    assert rules == {"1"} and "2 final answers" in says
+
+
+def test_rule_1_no_answer():
+    def change(edge):
+        def some(answer, ticket, *rest):
+            if not ticket.tag.endswith("7.1"):
+                answer(ticket, *rest)
+
+        wrap(edge, "answer", some)
+
+    rules, says = caught(change, day(length="4 s"))
+    assert rules == {"1"} and "never answered" in says
+
+
+def test_rule_1_a_late_answer():
+    def change(edge):
+        def later(answer, ticket, *rest):
+            delay = ticket.deadline + 500 - edge.clock() if ticket.tag.endswith("7.1") else 0
+            edge.after(max(0, delay), lambda _: answer(ticket, *rest), None)
+
+        wrap(edge, "answer", later)
+
+    rules, says = caught(change, day(length="4 s", traffic={"rate": 60, "patience": [1, 1]}))
+    assert "1" in rules and "late" in says
+
+
+def test_rule_1_work_after_the_answer():
+    def change(edge):
+        def again(answer, ticket, *rest):
+            answer(ticket, *rest)
+            call_out = ticket.call_outs[-1] if ticket.call_outs else None
+            if call_out is not None:
+                run = wire.Run(10**9 + edge.heard, ticket.tag, ticket.fn.name, ticket.asked.method, 1000.0)
+                line = wire.encode(run) + b"\n"
+                edge.after(500, lambda _: edge.runners[call_out.srv.name].write(line), None)
+
+        wrap(edge, "answer", again)
+
+    rules, says = caught(change, day("slots", length="4 s"))
+    assert "1" in rules and "sent out after its end" in says
+
+
+def test_rule_2_a_denial_that_may_have_run():
+    def change(edge):
+        def deny(answer, ticket, verdict, *rest):
+            answer(ticket, DENIED if verdict == ABORTED else verdict, *rest)
+
+        wrap(edge, "answer", deny)
+
+    rules, says = caught(change, day("archive", [{"kind": "fast_errors", "share": 0.8}]))
+    assert rules == {"2"} and "denied though it may have run" in says
+
+
+def test_rule_2_a_repeat_that_may_have_run():
+    def change(edge):
+        edge.host.module.allowed = lambda rpc, srv: True
+
+    rules, says = caught(change, day("archive", [{"kind": "fast_errors", "share": 0.8}]))
+    assert rules == {"2"} and ("side-effecting RPC is sent again" in says or "outside its cell" in says)
+
+
+def test_rule_2_two_at_once():
+    def change(edge):
+        def both(run, flight):
+            run(flight)
+            others = [
+                r for n, r in edge.runners.items() if n != flight.srv.name and r.linking.state.name == "OPEN"
+            ]
+            if others:
+                message = wire.Run(
+                    10**9 + edge.heard, flight.ticket.tag, flight.ticket.fn.name, "check-slot", 900.0
+                )
+                others[0].write(wire.encode(message) + b"\n")
+
+        wrap(edge, "run", both)
+
+    rules, says = caught(change, day("slots", length="4 s"))
+    assert "2" in rules and "two call-outs at once" in says
+
+
+def serving_for_ever(edge):
+    def told(facts, known):
+        made = facts(known)
+        made.listing = Listing.SERVING
+        return made
+
+    wrap(edge.following, "facts", told)
+
+
+def test_rule_3_rpcs_to_a_drained_runner():
+    rules, says = caught(
+        serving_for_ever,
+        day("slots", [{"kind": "deploy", "share": 0.5, "lasts": "1 s"}], roster_lag="100 ms"),
+    )
+    assert rules == {"3"} and "an RPC goes to" in says
+
+
+def test_rule_3_orders_to_a_drained_runner():
+    def change(edge):
+        serving_for_ever(edge)
+        edge.host.module.candidates = lambda rpc, order: iter(())  # only its holds go out
+
+    rules, says = caught(
+        change, day("slots", [{"kind": "deploy", "share": 0.9, "lasts": "1 s"}], roster_lag="100 ms")
+    )
+    assert rules <= {"3"}  # nothing is sent at all: no false alarm
+
+    def orders(edge):
+        serving_for_ever(edge)
+
+        def order(drains, name, start):
+            edge.after(15_000, lambda _: edge.runners[name].write(HOLD), None)
+            return drains(name, start)
+
+        wrap(edge.following, "drains", order)
+
+    rules, says = caught(orders, day("slots", [{"kind": "deploy", "share": 0.5, "lasts": "1 s"}]))
+    assert "3" in rules and "an order goes to" in says
+
+
+HOLD = wire.encode(wire.Hold(10**9, "fn-1", 1, 100.0, 1)) + b"\n"
+REPLACED = day("thumbs", [{"kind": "preempt", "share": 0.8, "lasts": "1 s"}], traffic={"rate": 220})
+
+
+def test_rule_4_no_care_for_cold_runners():
+    def change(edge):
+        edge.host.module.cold_room = lambda srv, method: True
+
+    rules, says = caught(change, REPLACED)
+    assert rules == {"4"} and "fell over" in says
+    assert Played(REPLACED).breaches() == []
+
+
+def test_rule_4_starts_kept_from_the_module():
+    def change(edge):
+        def told(facts, known):
+            made = facts(known)
+            made.booted = None
+            return made
+
+        wrap(edge.following, "facts", told)
+
+    rules, says = caught(change, REPLACED)
+    assert rules == {"4"} and "fell over" in says
+
+
+def test_rule_5_no_count_of_orders():
+    def change(edge):
+        edge.host.module.facts = {**edge.facts, "order_window": 0}
+
+    rules, says = caught(change, day("archive"))
+    assert rules == {"5"} and "allowed" in says
+
+
+def test_rule_5_a_budget_misread():
+    def change(edge):
+        edge.host.module.facts = {**edge.facts, "orders_share": 4 * edge.facts["orders_share"]}
+
+    rules, says = caught(change, day("archive"))
+    assert rules == {"5"}
+
+
+def test_what_is_no_tape_is_said_to_be_none(tmp_path):
+    from click.testing import CliRunner
+
+    from lapistrestle.command.main import main
+
+    path = tmp_path / "none.tape"
+    path.write_text('{"at": 1}\n')
+    result = CliRunner().invoke(main, ["day", "check", str(path)])
+    assert result.exit_code == 2 and "can't be judged" in result.output
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,78 @@
+"""Whole paths in virtual time: the five rules on the tape of the sockets, whatever goes wrong."""
+
+import typing
+
+import pytest
+from days import Played, day
+
+from lapistrestle.standins.script import Kind
+from lapistrestle.standins.troubles import TROUBLES
+
+KINDS = typing.get_args(Kind)
+PAIRS = [
+    ("crash", "balancer_stall"), ("zone_loss", "discovery_stale"), ("deploy", "hot_key"),
+    ("preempt", "edge_kill"), ("slow", "garbled"), ("refused", "delayed"), ("burst", "store_slow"),
+    ("silent", "retry_abuse"), ("pauses", "broken"), ("scan", "throttle"), ("neighbour", "report_late"),
+    ("unread", "edge_kill"), ("roster_back", "zone_loss"), ("roster_gap", "deploy"),
+    ("roster_restart", "crash"), ("fast_errors", "split"),
+]  # fmt: skip
+
+
+def judged(played):
+    assert played.breaches() == []
+    assert not played.logged("module raised") and not played.logged("deadline guarded")
+    assert played.world.crowd.open == 0
+    edges = [edge for edge in played.world.edges if not edge.process.dead]
+    assert edges
+    for edge in edges:
+        host = edge.edge.host
+        assert (host.open, host.flights) == (0, {}), edge.name
+        late = [e for e in host.errands.values() if host.clock() - e.sent > host.facts["order_time_out"]]
+        assert not late, edge.name  # holds go on in a quiet fleet, but each ends in its time
+
+
+def test_every_kind_of_trouble_can_be_scripted():
+    assert set(KINDS) == set(TROUBLES)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_one_trouble_alone(kind):
+    played = Played(day("thumbs", [{"kind": kind}]))
+    judged(played)
+    assert [kind] == [kind for _, kind, _ in played.story.troubles]
+    assert played.world.crowd.counts["ok"] > 0.75 * played.world.crowd.counts["wishes"]
+
+
+@pytest.mark.parametrize("pair", PAIRS, ids="+".join)
+@pytest.mark.parametrize("like", ["slots", "archive"])
+def test_two_troubles_that_overlap(like, pair):
+    first, second = pair
+    judged(Played(day(like, [{"kind": first, "share": 0.4}, {"kind": second, "at": "4 s", "share": 0.4}])))
+
+
+@pytest.mark.parametrize(
+    ("like", "seed", "rate"), [("thumbs", 1, 90), ("thumbs", 11, 60), ("archive", 1, 60), ("archive", 5, 90)]
+)
+def test_a_fleet_replaced_at_once_does_not_push_its_successors_over(like, seed, rate):
+    """These days broke rule 4: the few cold successors were sent all that the whole fleet had taken."""
+    troubles = [
+        {"kind": "deploy", "at": "6 s", "lasts": "1 s", "share": 0.4},
+        {"kind": "preempt", "at": "8.6 s", "lasts": "0.4 s", "share": 0.8},
+    ]
+    judged(Played(day(like, troubles[::-1], seed, length="12 s", traffic={"rate": rate, "functions": 20})))
+
+
+def test_the_same_seed_gives_the_same_tape_and_another_a_different_one():
+    troubles = [{"kind": "zone_loss"}, {"kind": "garbled"}, {"kind": "edge_kill"}]
+    tapes = [Played(day("thumbs", troubles, seed, length="6 s")).tape for seed in (3, 3, 4)]
+    assert tapes[0] == tapes[1] != tapes[2]
+
+
+def test_clients_of_a_killed_edge_go_on_elsewhere():
+    played = Played(day("thumbs", [{"kind": "edge_kill", "share": 0.4, "lasts": "3 s"}]))
+    judged(played)
+    (killed,) = played.story.kills
+    answered = {c.edge for c in played.story.calls if 3_500 < c.at < 5_500 and c.answers}
+    assert answered == set(played.story.header["edges"]) - {killed}
+    again = [c for c in played.story.calls if c.edge == killed and c.at > 6_500 and c.answers]
+    assert again  # and it serves once it is back
