--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -16,6 +16,7 @@
 
 FIRST_REST, LONGEST_REST = 1_000, 20_000  # tenths of a millisecond between dials that nobody waits for
 MOST_WAITING = 512  # lines; further ones are turned away, since a runner that far behind is as good as full
+PROMPT = 50  # tenths of a millisecond that an order may wait: later it counts in another window (rule 5)
 
 
 class Rim:
@@ -36,8 +37,9 @@
     name: str
     rim: Rim
     log: Callable[[str], None]
+    clock: Callable[[], int]
     state: Link = Link.IDLE
-    waiting: deque[tuple[int, bytes]] = field(default_factory=deque)  # number (0: none) and line
+    waiting: deque[tuple[int, bytes, int | None]] = field(default_factory=deque)  # number or 0, line, until
     out: dict[int, None] = field(default_factory=dict)  # written, without an end yet
     rests: int = 0  # dials that failed in a row
 
@@ -48,21 +50,25 @@
         before, (self.state, effects) = self.state, after
         for effect in effects:
             effect(self)
-        if self.state in LOGGED and before is not self.state:
+        again = self.state is Link.RESTING and self.rests > 1  # one that stays away is told once
+        if self.state in LOGGED and before is not self.state and not again:
             self.log(f"{self.name} {before.name.lower()} to {self.state.name.lower()}: {len(self.out)} out")
 
     # what is sent
 
-    def send(self, number: int, line: bytes, owed: bool = True) -> bool:
-        """Write or keep a line; False if it was turned away. `owed`: an end of `number` will follow."""
+    def send(self, number: int, line: bytes, owed: bool = True, prompt: bool = False) -> bool:
+        """Write or keep a line; False if it was turned away. `owed`: an end of `number` will follow;
+        `prompt`: it must go now or not at all."""
         if self.state in (Link.ENDING, Link.ENDED) or len(self.waiting) >= MOST_WAITING:
             return False
+        if prompt and self.state is Link.SLOW:
+            return False
         if self.state is Link.OPEN:
             self.rim.write(line)
             if owed:
                 self.out[number] = None
             return True
-        self.waiting.append((number if owed else 0, line))
+        self.waiting.append((number if owed else 0, line, self.clock() + PROMPT if prompt else None))
         self.step(Input.WANTED)
         return True
 
@@ -89,16 +95,21 @@
 
     def flush(self) -> None:
         """Nothing of one turn is lost if the connection slows down half way: the rest goes on waiting."""
-        self.rests = 0
+        self.rests, now, stale = 0, self.clock(), list[int]()
         while self.waiting and self.state is Link.OPEN:
-            number, line = self.waiting.popleft()
+            number, line, until = self.waiting.popleft()
+            if until is not None and now > until:
+                stale.append(number)
+                continue
             self.rim.write(line)
             if number:
                 self.out[number] = None
+        if stale:
+            self.rim.never_left(stale)
 
     def give_back(self) -> None:
         """What waits has never left, and is not sat on."""
-        numbers = [number for number, _ in self.waiting if number]
+        numbers = [number for number, _, _ in self.waiting if number]
         self.waiting.clear()
         if numbers:
             self.rim.never_left(numbers)
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -91,7 +91,7 @@
 
     def __init__(self, edge: Any, name: str, port: int, start: str) -> None:
         self.edge, self.port, self.start = edge, port, start
-        self.linking = Linking(name, self, lambda text: edge.log("link", figures=text))
+        self.linking = Linking(name, self, lambda text: edge.log("link", figures=text), edge.clock)
         self.speaker: RunnerSpeaker | None = None
         self.dialling: Dial | None = None
         self.connector: Any = None
@@ -123,7 +123,7 @@
         assert errand.fn is not None
         errand.via, fn = self, errand.fn
         hold = wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes)
-        if not self.linking.send(errand.number, wire.encode(hold) + b"\n"):
+        if not self.linking.send(errand.number, wire.encode(hold) + b"\n", prompt=errand.count > 0):
             self.host.ordered(errand.number, Outcome.FULL, 0)
 
     def unload(self, fn: str) -> None:
--- /dev/null
+++ b/tests/test_command.py
@@ -0,0 +1,63 @@
+"""The command line as a user meets it."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from lapistrestle.command.main import main
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+@pytest.fixture
+def run():
+    return lambda *args: CliRunner().invoke(main, [str(a) for a in args])
+
+
+def test_a_bad_day_is_played_and_judged_in_one_command(run, tmp_path):
+    tape = tmp_path / "bad.tape"
+    result = run("day", "run", EXAMPLES / "days" / "bad-day.json5", "--virtual", "--tape", tape)
+    assert result.exit_code == 0, result.output
+    assert result.output.rstrip().endswith("rules: kept") and "gain answered over gain asked" in result.output
+    again = run("day", "check", tape, "--json")
+    told = json.loads(again.output)
+    assert again.exit_code == 0 and told["kept"] and len(told["rules"]) == 5
+    assert 0.5 < told["service"]["total"] <= 1
+
+
+def test_a_broken_rule_is_shown_with_its_lines(run, tmp_path):
+    tape = tmp_path / "bad.tape"
+    run("day", "run", EXAMPLES / "days" / "bad-day.json5", "--virtual", "--no-check", "--tape", tape)
+    lines = tape.read_text().splitlines(keepends=True)
+    answer = next(line for line in lines if '\\"is\\":\\"answer\\"' in line)
+    at = lines.index(answer)
+    tape.write_text("".join([*lines[: at + 1], answer, *lines[at + 1 :]]))
+    result = run("day", "check", tape)
+    assert result.exit_code == 1 and result.output.rstrip().endswith("rules: broken (1)")
+    assert "2 final answers" in result.output and f"{at + 1}: " in result.output
+
+
+def test_deployments_are_checked(run, tmp_path):
+    good = run("deployment", "check", *sorted(EXAMPLES.glob("*.json5")))
+    assert good.exit_code == 0 and good.output.count("fits") == 3
+    wrong = tmp_path / "wrong.json5"
+    wrong.write_text("{methodes: {}}")
+    result = run("deployment", "check", wrong, EXAMPLES / "slots.json5")
+    assert result.exit_code == 1 and "did you mean methods?" in result.output and "fits" in result.output
+
+
+@pytest.mark.parametrize(
+    "args", [("day", "run", "none.json5"), ("edge", "none.json5"), ("roster", "none.json5")]
+)
+def test_a_missing_file_ends_in_one_plain_message(run, args):
+    result = run(*args)
+    assert result.exit_code == 1 and "can't be read" in result.output and "Traceback" not in result.output
+
+
+def test_an_edge_without_a_roster_says_so(run, tmp_path):
+    path = tmp_path / "d.json5"
+    path.write_text('{methods: {m: {effect: "idempotent", deadline: "3 s"}}}')
+    result = run("edge", path)
+    assert result.exit_code == 1 and "roster.port: is missing" in result.output
--- /dev/null
+++ b/tests/test_real.py
@@ -0,0 +1,109 @@
+"""On real loopback sockets, with each program a process of its own."""
+
+import io
+import json
+import os
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from days import EXAMPLES, day
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import judge
+from lapistrestle.standins.children import Child
+from lapistrestle.standins.tape import read
+
+DEPLOYMENT = """{
+  methods: { m: { effect: "idempotent", deadline: "3 s" }, pay: { effect: "side-effecting", deadline: "3 s" } },
+  orders: { allowed: true }, zones: ["a"],
+}"""
+
+
+def command(*args, **more):
+    return subprocess.run(
+        [sys.executable, "-m", "lapistrestle", *map(str, args)],
+        capture_output=True,
+        text=True,
+        timeout=90,
+        **more,
+    )
+
+
+@pytest.mark.parametrize(
+    ("like", "troubles"),
+    [
+        ("thumbs", [{"kind": "balancer_stall", "at": "1 s", "lasts": "600 ms", "share": 0.5},
+                    {"kind": "crash", "at": "1.2 s", "lasts": "1 s"}]),
+        ("archive", [{"kind": "edge_kill", "at": "1 s", "lasts": "1 s", "share": 0.4},
+                     {"kind": "garbled", "at": "1.5 s", "lasts": "1 s"},
+                     {"kind": "deploy", "at": "500 ms", "lasts": "1 s"}]),
+    ],
+)  # fmt: skip
+def test_a_short_day_keeps_the_rules(tmp_path, like, troubles):
+    script = day(like, troubles, length="4 s", edges=2)
+    script["deployment"] = str(EXAMPLES / f"{like}.json5")
+    if like == "thumbs":
+        text = (EXAMPLES / "thumbs.json5").read_text().replace("peers: true", "peers: false")
+        (tmp_path / "d.json5").write_text(text)  # its ports for peers are fixed
+        script["deployment"] = "d.json5"
+    path, tape = tmp_path / "day.json5", tmp_path / "day.tape"
+    path.write_text(json.dumps(script))
+    result = command("day", "run", path, "--tape", tape)
+    story = Story(read(tape))
+    breaches = [b for rule in judge(story) for b in rule.breaches]
+    assert result.returncode == 0 and breaches == [], result.stdout + result.stderr
+    assert sum(bool(c.answers) for c in story.calls) > 100
+
+
+@pytest.fixture
+def started(tmp_path):
+    children = []
+
+    def start(name, *args):
+        children.append(Child(tmp_path, name, *map(str, args)))
+        children[-1].start()
+        return children[-1]
+
+    yield start
+    for child in children:
+        child.kill()
+
+
+def test_programs_by_hand_as_the_readme_says(tmp_path, started):
+    runner = started("r", "runner", "r")
+    (tmp_path / "w.json5").write_text(json.dumps([{"name": "r", "port": runner.wait_port(), "zone": "a"}]))
+    (tmp_path / "d.json5").write_text(DEPLOYMENT)
+    roster = started("roster", "roster", tmp_path / "w.json5", "--lag", 0)
+    edge = started("edge", "edge", tmp_path / "d.json5", "--roster-port", roster.wait_port(), "--json")
+    port = edge.wait_port()
+    call = ("call", "--port", port, "--fn", "f", "--method", "m", "--load", 50, "--work", 5)
+    # the first call may come before the list: then it is denied, and may be tried again
+    for _ in range(20):
+        if command(*call).returncode == 0:
+            break
+    result = command(*call, "--count", 20, "--json")
+    assert result.returncode == 0, result.stdout + result.stderr
+    assert {json.loads(line)["verdict"] for line in result.stdout.splitlines()} == {"ok"}
+    assert "dance is not known" in command("call", "--port", port, "--fn", "f", "--method", "dance").stderr
+    assert [child.stop() for child in (edge, roster, runner)] == [0, 0, 0]
+    logged = [json.loads(line)["event"] for line in edge.lines()]
+    assert logged[0] == "listening" and logged[-1] == "stopped"
+
+
+def test_the_demo_plays_and_stops_clean():
+    result = command("demo", "--seconds", 2, "--runners", 2, env={**os.environ, "COLUMNS": "100"})
+    assert result.returncode == 0, result.stdout + result.stderr
+    assert "4 processes stopped clean" in result.stdout
+
+
+def test_a_torn_tape_is_read_up_to_its_last_whole_line(tmp_path):
+    from days import Played
+
+    tape = Played(day(length="2 s")).tape
+    path = tmp_path / "torn.tape"
+    path.write_bytes(tape[:-40])
+    whole = sum(1 for _ in read(path))
+    assert whole == tape.count(b"\n") - 1
+    assert msgspec.json.decode(io.BytesIO(tape).readline())["tape"] == 1
