A burst after a lull is no jam; streams, peers and asked lists of the edge under test

Played by hand, an edge that had answered one call denied most of twenty that came at once: what was out, divided by the pace of the few last answers, read as minutes of waiting while runners idled. With less than one answer in a soft deadline the age of the oldest warm call-out stands for the stay. RPCs remembered for the order budget are dropped as they age, which a deployment without orders never did. Streamed answers, peer messages, lists that must be asked for, probes and the monotonic clock have tests; a runner that fell over stays down in a scripted release.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -127,6 +127,8 @@
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         self.taken.append(self.now)
+        while self.taken and self.taken[0] <= self.now - self.facts["order_window"]:
+            self.taken.popleft()  # where nothing is ever ordered it would grow without end
         self.drive(rpc, Input.ARRIVED)
 
     def left(self, rpc: Rpc) -> None:
@@ -137,14 +139,19 @@
 
     def admit(self, rpc: Rpc, _: Spot | None) -> Input:
         """Under pressure (Little's law) traffic beyond a share yields first; harms as a jam dissolves."""
-        pace = max(self.rate(self.ok_count), 1 / LONG)
-        soft, stay = self.soft(rpc), self.out / pace if self.now > self.start + MEMORY else 0.0
+        soft, pace = self.soft(rpc), self.rate(self.ok_count)
+        stay = self.out / pace if pace * soft > 1 else self.oldest()  # too few answers tell no pace
+        stay = stay if self.now > self.start + MEMORY else 0.0
         if stay > soft / 2 if not self.pressed else stay < soft / 4:
             self.pressed = not self.pressed
             self.host.log(f"pressure {'on' if self.pressed else 'off'}: stay {stay:.0f} of soft {soft}")
         yields = stay > (soft / 2 if self.beyond_share(rpc) else soft)
         return Input.NOWHERE if yields or self.hopeless(rpc) else Input.ADMITTED
 
+    def oldest(self) -> float:
+        """For how long the oldest warm call-out has waited: guards a burst after a lull, which is no jam."""
+        return self.now - min((c.sent for s in self.serving for c in islice(s.warm, 1)), default=self.now)
+
     def hopeless(self, rpc: Rpc) -> bool:
         """Alone it would come back too late: impatient clients, heavy RPCs; harms where hints mislead."""
         return rpc.deadline - self.now < self.iso(rpc.fn) * rpc.scale
--- a/lapistrestle/standins/troubles.py
+++ b/lapistrestle/standins/troubles.py
@@ -168,10 +168,16 @@
     step = trouble.lasts / SECOND / max(1, len(slots))
     for number, slot in enumerate(slots):
         world.reactor.callLater(number * step, world.drain, slot)
-        world.reactor.callLater(number * step + 3.0, world.back, slot)
+        world.reactor.callLater(number * step + 3.0, replace, world, slot)
     return nothing
 
 
+def replace(world: World, slot: Slot) -> None:
+    """One that fell over stays down."""
+    if not slot.runner.engine.pushed_over:
+        world.back(slot)
+
+
 def engines(change: Callable[[Any, Trouble], End]) -> Begin:
     """A trouble of the runners' machines; one that restarts is rid of it."""
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -64,6 +64,16 @@
     assert [made.order(spot, 1) for _ in range(3)] == [True, True, False]
 
 
+@pytest.mark.parametrize("window", [0, 50_000])
+def test_what_is_remembered_for_the_budget_of_orders_does_not_grow_without_end(window):
+    made = dispatcher(1)
+    made.facts = {**made.facts, "order_window": window, "may_order": False}
+    for _ in range(50):
+        made.now += 5_000
+        made.arrived(rpc(made))
+    assert len(made.taken) == window // 5_000
+
+
 @pytest.mark.parametrize("front_ends", [1, 3, 200])
 def test_a_cold_worker_gets_its_part_from_all_together_and_no_more(front_ends):
     sent = budget = 0
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -1,12 +1,14 @@
 """The command line as a user meets it."""
 
 import json
+import time
 from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
 
 from lapistrestle.command.main import main
+from lapistrestle.command.programs import reactor_of_now
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -56,6 +58,14 @@
     assert result.exit_code == 1 and "can't be read" in result.output and "Traceback" not in result.output
 
 
+def test_the_programs_run_on_the_monotonic_clock(monkeypatch):
+    """A machine's clock that is set back must not hold timers."""
+    reactor = reactor_of_now()
+    before = reactor.seconds()
+    monkeypatch.setattr(time, "time", lambda: 0.0)
+    assert reactor.seconds is time.monotonic and reactor.seconds() >= before
+
+
 def test_an_edge_without_a_roster_says_so(run, tmp_path):
     path = tmp_path / "d.json5"
     path.write_text('{methods: {m: {effect: "idempotent", deadline: "3 s"}}}')
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -56,13 +56,15 @@
 class Stage:
     """An edge with a roster and runners that the test plays."""
 
-    def __init__(self, like="thumbs", runners=2, **listen):
+    def __init__(self, like="thumbs", runners=2, roster=None, methods=None, **listen):
         self.reactor = VirtualReactor()
         self.outside = Process(self.reactor, "test")
         self.process = Process(self.reactor, "edge")
         self.logs = []
         deployment = load(EXAMPLES / f"{like}.json5")
         deployment.listen = msgspec.structs.replace(deployment.listen, port=0, **listen)
+        deployment.methods |= methods or {}
+        deployment.roster = msgspec.structs.replace(deployment.roster, **roster or {})
         self.rosters, self.clients = [], []
         deployment.roster.port = self.outside.listenTCP(0, Listens(self.rosters)).port
         self.edge = Edge(self.process, deployment, lambda what, **figures: self.logs.append((what, figures)))
@@ -450,3 +452,77 @@
     stage.edge.runners["r0"].speaker.slowed(False)
     stage.run(1.0)
     assert not stage.runs()
+
+
+def test_a_streamed_answer_is_the_clients_from_its_beginning(stage):
+    streamed = msgspec.structs.replace(stage.edge.deployment.methods["preview"], streamed=True)
+    stage = Stage(methods={"preview": streamed})
+    client = stage.client()
+    client.say(**CALL | {"left": 500}, id="1")
+    stage.run()
+    ((peer, run),) = stage.runs()
+    peer.say(**{"is": "begun", "call": run["call"]})
+    peer.say(**{"is": "begun", "call": run["call"]})
+    stage.run(5.0)
+    assert len(client.heard("begun")) == 1 and client.heard("answer") == []
+    end(peer, run)
+    peer.say(**{"is": "begun", "call": run["call"]})
+    stage.run()
+    assert [a["verdict"] for a in client.heard("answer")] == ["ok"] and stage.clean()
+
+
+def test_edges_hear_each_other_and_pass_over_what_is_no_message():
+    stage = Stage()
+    told = []
+    stage.edge.host.module.told = lambda peer, text: told.append((peer, text))
+    other = Process(stage.reactor, "other")
+    sender = Peer([])
+    other.listenUDP(7202, sender)
+    wrong = (b"noise", b"\xff", b'{"is":"peer","sender":-1,"text":""}')
+    for line in (b'{"is":"peer","sender":1,"text":"hi"}', *wrong):
+        sender.transport.write(line, ("127.0.0.1", 7201))
+    stage.run()
+    assert told == [(1, "hi")] and stage.edge.counts["passed over"] == 3
+    heard = []
+    sender.datagramReceived = lambda data, address: heard.append(msgspec.json.decode(data))
+    stage.edge.host.tell_peer(1, "x" * 300)
+    stage.edge.host.tell_peer(None, "to all")
+    stage.run()
+    assert [h["text"] for h in heard] == ["x" * 256, "to all"] and heard[0]["sender"] == 0
+
+
+def test_where_the_list_must_be_asked_for_it_is_asked_again_in_time():
+    stage = Stage(roster={"mode": "asked", "ask_within": 100_000})
+    assert stage.rosters[-1].heard("follow")
+    before = len(stage.roster.heard("follow"))
+    stage.run(16.0)
+    assert len(stage.roster.heard("follow")) - before in (3, 4)
+
+
+def test_probes_and_unloads_reach_the_runner_and_their_ends_the_module(stage):
+    probed, host = [], stage.edge.host
+    host.module.probed = lambda srv, outcome, took, report: probed.append((srv.name, outcome.name, report))
+    peer = stage.runners["r0"][-1]
+    host.probe(host.door.srv("r0"))
+    host.unload(host.door.srv("r0"), host.door.fn("f", 0, 1.0, 1))
+    host.probe(host.door.srv("nobody"))
+    stage.run()
+    assert peer.heard("unload")[0]["fn"] == "f"
+    peer.say(**{"is": "probed", "probe": peer.heard("probe")[0]["probe"], "report": {"backlog": 2}})
+    host.probe(host.door.srv("r1"))
+    stage.run(1.0)
+    assert probed == [("nobody", "UNREACHABLE", {}), ("r0", "OK", {"backlog": 2.0}), ("r1", "TIMED_OUT", {})]
+
+
+def test_a_burst_after_a_lull_is_no_jam():
+    """What was out, over the pace of the last answers, read as minutes of waiting on an idle fleet."""
+    stage = Stage(runners=6)
+    client = stage.client()
+    client.say(**CALL, id="first")
+    stage.run()
+    end(*stage.runs()[0])
+    stage.run(9.0)
+    for number in range(3):
+        client.say(**CALL, id=str(number))
+    stage.run()
+    assert [a["id"] for a in client.heard("answer") if a["verdict"] == "denied"] == []
