Rollout decisions: versions by key, evidence by the minute, a life as a table, leases

The operators' first wish is a new version that grows by share and is withdrawn at once. lapistrestle/rollout decides, free of I/O: which version an RPC meets and what a repeat of a withdrawn one gets; two test martingales over minutes in which the settled version is the control; the life of a rollout; leases by which an edge without word stops within the second.

--- /dev/null
+++ b/lapistrestle/rollout/evidence.py
@@ -0,0 +1,108 @@
+"""What is known of a candidate against the settled version in the same minutes, by tests that may be read
+at any time.
+
+Edges report running counts for each of their starts and minutes; the largest report of each counts, so that
+one that comes twice, late or out of order adds nothing. In each minute the two versions are compared with
+each other alone: trouble of the fleet raises both, and tells nothing.
+
+Two test martingales grow with the minutes. By Ville's inequality the odds that one ever reaches 1/p where
+its hypothesis is true are at most p, however often it is looked at:
+
+- *harm*, against 'the candidate is no worse': given how many RPCs of a minute went badly, how many of them
+  were the candidate's, under odds of ODDS to 1 instead of 1 (Fisher's noncentral hypergeometric
+  distribution);
+- *good*, against 'the candidate goes badly MARGIN more often': the candidate's bad ones under the settled
+  version's rate of the same minutes instead of that rate and MARGIN. The rate is itself measured;
+  simulation holds the stated odds to account.
+"""
+
+from dataclasses import dataclass, field
+from functools import lru_cache
+from math import log
+from typing import NamedTuple
+
+from scipy.stats import nchypergeom_fisher
+
+ODDS = 2.5  # of going badly, at which harm is looked for
+MARGIN = 0.02  # share of RPCs going badly more often, that must be ruled out before a step grows
+WRONGLY_BACK = 0.01  # odds of turning back a candidate that is no worse
+WRONGLY_ON = 0.05  # odds of growing one that is worse by MARGIN, at each step
+LEAST = 50  # RPCs of each version in what a step is judged by
+
+
+class Tally(NamedTuple):
+    """Running counts: RPCs of each version that ended, and those of them that went badly."""
+
+    settled: int = 0
+    settled_bad: int = 0
+    candidate: int = 0
+    candidate_bad: int = 0
+
+
+@dataclass(frozen=True)
+class Findings:
+    harm: float  # log of the martingale
+    good: float
+    settled: int
+    candidate: int
+
+    @property
+    def turn_back(self) -> bool:
+        return self.harm >= log(1 / WRONGLY_BACK)
+
+    @property
+    def may_grow(self) -> bool:
+        enough = min(self.settled, self.candidate) >= LEAST
+        return enough and not self.turn_back and self.good >= log(1 / WRONGLY_ON)
+
+
+@dataclass
+class Evidence:
+    """Of one step. `at` keys a report: edge, its start, and minute."""
+
+    reports: dict[tuple[str, str, int], Tally] = field(default_factory=dict)
+
+    def report(self, edge: str, start: str, minute: int, tally: Tally) -> bool:
+        """Take a running count; False if it added nothing."""
+        key = (edge, start, minute)
+        before = self.reports.get(key, Tally())
+        after = Tally(*map(max, before, tally))
+        self.reports[key] = after
+        return after != before
+
+    def minutes(self) -> dict[int, Tally]:
+        made: dict[int, Tally] = {}
+        for (_, _, minute), tally in self.reports.items():
+            made[minute] = Tally(*(a + b for a, b in zip(made.get(minute, Tally()), tally, strict=True)))
+        return dict(sorted(made.items()))
+
+    def findings(self) -> Findings:
+        harm = good = 0.0
+        settled = candidate = 0
+        for tally in self.minutes().values():
+            settled, candidate = settled + tally.settled, candidate + tally.candidate
+            harm += harm_of(tally)
+            good += good_of(tally)
+        return Findings(harm, good, settled, candidate)
+
+
+@lru_cache(maxsize=10_000)  # a minute that is over is asked for again at each look
+def harm_of(tally: Tally) -> float:
+    """Log of the likelihood ratio of a minute for odds of ODDS against 1."""
+    bad = tally.settled_bad + tally.candidate_bad
+    every = tally.settled + tally.candidate
+    if not bad or bad == every or not tally.settled or not tally.candidate:
+        return 0.0
+    worse = nchypergeom_fisher.logpmf(tally.candidate_bad, every, tally.candidate, bad, ODDS)
+    alike = nchypergeom_fisher.logpmf(tally.candidate_bad, every, tally.candidate, bad, 1.0)
+    return float(worse - alike)
+
+
+def good_of(tally: Tally) -> float:
+    """Log of the likelihood ratio of a minute for the settled rate against that rate and MARGIN."""
+    if not tally.settled or not tally.candidate:
+        return 0.0
+    rate = (tally.settled_bad + 0.5) / (tally.settled + 1)
+    worse = min(0.999, rate + MARGIN)
+    fine = tally.candidate - tally.candidate_bad
+    return tally.candidate_bad * log(rate / worse) + fine * log((1 - rate) / (1 - worse))
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,279 @@
+"""Rollout decisions: versions, evidence, the life of a rollout, leases. No I/O anywhere."""
+
+from dataclasses import replace
+from itertools import pairwise
+
+import numpy as np
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from lapistrestle.rollout.evidence import Evidence, Findings, Tally, good_of, harm_of
+from lapistrestle.rollout.lease import LEASE, MODES, STEADY_FOR, Lease, Mode, News
+from lapistrestle.rollout.life import DONE, LIFE, NOTHING, REFUSED, Input, Rollout, State
+from lapistrestle.rollout.versions import Course, Split, course, key_of, point
+
+SPLIT = Split("f", "v1", "v2", share=0.3, peak=0.3)
+KEYS = [f"k{n}" for n in range(4_000)]
+
+
+def taken(split, **more):
+    asked = {"kind": "idempotent", "repeat": False, "tokens_span": False} | more
+    return {key for key in KEYS if course(split, key, **asked) is Course.CANDIDATE}
+
+
+def test_a_growing_share_only_adds_keys_and_is_what_it_says():
+    shares = [taken(replace(SPLIT, share=s, peak=s)) for s in (0.0, 0.1, 0.3, 0.7, 1.0)]
+    assert all(a <= b for a, b in pairwise(shares))
+    assert [round(len(s) / len(KEYS), 1) for s in shares] == [0.0, 0.1, 0.3, 0.7, 1.0]
+
+
+def test_another_candidate_begins_with_other_keys():
+    first, second = taken(SPLIT), taken(replace(SPLIT, candidate="v3"))
+    assert 0.2 < len(first & second) / len(first) < 0.4
+
+
+def test_a_further_try_has_the_key_of_the_first():
+    assert key_of("a", 7, "c1/1") == key_of("a", 7, "c9/5")
+    assert key_of("", 7, "c1/1") == key_of("", 7, "c9/5") != key_of("7", None, "")
+    assert key_of("", None, "c1/1") != key_of("", None, "c1/2")
+
+
+@pytest.mark.parametrize(
+    ("kind", "repeat", "tokens_span", "expected"),
+    [
+        ("idempotent", True, False, Course.SETTLED), ("tokened", False, False, Course.SETTLED),
+        ("tokened", True, False, Course.ABORT), ("tokened", True, True, Course.SETTLED),
+        ("side-effecting", True, False, Course.SETTLED),
+    ],
+)  # fmt: skip
+def test_what_may_have_run_on_a_withdrawn_version_is_not_new(kind, repeat, tokens_span, expected):
+    back = replace(SPLIT, share=0.0, withdrawn=True)
+    met = [key for key in KEYS if point("f", "v2", key) < 0.3]
+    others = [key for key in KEYS if point("f", "v2", key) >= 0.3]
+    assert {course(back, key, kind, repeat, tokens_span) for key in met} == {expected}
+    assert {course(back, key, kind, repeat, tokens_span) for key in others} == {Course.SETTLED}
+
+
+def test_without_a_candidate_all_go_to_the_settled_version():
+    assert course(Split("f", "v1"), "k", "tokened", True, False) is Course.SETTLED
+
+
+# evidence
+
+
+def test_a_report_that_comes_twice_late_or_out_of_order_adds_nothing():
+    evidence = Evidence()
+    assert evidence.report("e0", "s1", 5, Tally(100, 1, 10, 0))
+    assert not evidence.report("e0", "s1", 5, Tally(100, 1, 10, 0))
+    assert not evidence.report("e0", "s1", 5, Tally(60, 1, 6, 0))
+    assert evidence.report("e0", "s2", 5, Tally(5, 0, 1, 0))  # the edge started anew
+    assert evidence.report("e1", "s1", 5, Tally(7, 0, 2, 1))
+    assert evidence.minutes() == {5: Tally(112, 1, 13, 1)}
+
+
+def test_trouble_that_meets_both_alike_tells_nothing_of_harm():
+    assert harm_of(Tally(900, 900, 100, 100)) == 0.0
+    assert harm_of(Tally(900, 450, 100, 50)) < 0
+    assert harm_of(Tally(900, 9, 100, 30)) > 10
+
+
+def test_a_version_without_traffic_tells_nothing():
+    assert harm_of(Tally(900, 9, 0, 0)) == good_of(Tally(900, 9, 0, 0)) == good_of(Tally(0, 0, 90, 0)) == 0.0
+    evidence = Evidence()
+    evidence.report("e", "s", 0, Tally(10_000, 10, 20, 0))
+    assert not evidence.findings().may_grow
+
+
+def findings(rate, worse, seed, minutes=60, each=600, share=0.1, trouble=0.0):
+    """Minutes until it is turned back and until it may grow, None if neither."""
+    random, evidence = np.random.default_rng(seed), Evidence()
+    for minute in range(minutes):
+        shaken = trouble if minute % 7 == 3 else 0.0
+        new = int(random.binomial(each, share))
+        bad = [min(1.0, r + shaken) for r in (rate, rate + worse)]
+        counts = int(random.binomial(each - new, bad[0])), int(random.binomial(new, bad[1]))
+        evidence.report("e", "s", minute, Tally(each - new, counts[0], new, counts[1]))
+        found = evidence.findings()
+        if found.turn_back or found.may_grow:
+            return "back" if found.turn_back else "grow", minute + 1
+    return "held", minutes
+
+
+@pytest.mark.parametrize("trouble", [0.0, 0.3])
+def test_a_good_candidate_is_hardly_ever_turned_back(trouble):
+    ends = [findings(0.01, 0.0, seed, trouble=trouble)[0] for seed in range(100)]
+    assert ends.count("back") <= 3 and ends.count("grow") >= 90
+
+
+@pytest.mark.parametrize(("worse", "within"), [(0.1, 4), (0.3, 2)])
+def test_a_bad_candidate_is_turned_back_soon(worse, within):
+    ends = [findings(0.01, worse, seed) for seed in range(40)]
+    assert all(end == "back" for end, _ in ends)
+    assert sorted(minute for _, minute in ends)[len(ends) // 2] <= within
+
+
+# the life
+
+
+def rollout():
+    return Rollout("f", "v1", "v2", (0.01, 0.1, 0.5, 1.0), remembered=50_000)
+
+
+@pytest.fixture
+def growing():
+    made = rollout()
+    made.tell(Input.START, 0)
+    made.tell(Input.WARM, 0)
+    return made
+
+
+def good(made):
+    made.evidence.report("e", "s", len(made.history), Tally(5_000, 10, 5_000, 10))
+
+
+def test_it_loads_first_and_grows_by_evidence_up_to_settled(growing):
+    made = rollout()
+    assert made.tell(Input.START, 0) == DONE and made.split().share == 0.0
+    made.look(10, warm=False)
+    assert made.state is State.WARMING
+    made.look(20, warm=True)
+    assert made.split() == Split("f", "v1", "v2", 0.01, 0.01)
+    made.look(30, warm=True)
+    assert made.share == 0.01  # no evidence, no step
+    for expected in (0.1, 0.5, 1.0):
+        good(made)
+        made.look(40, warm=False)
+        assert made.share < expected  # evidence, but its copies do not stand
+        made.look(50, warm=True)
+        assert made.share == expected
+    good(made)
+    made.look(60, warm=True)
+    assert made.state is State.SETTLED and made.split() == Split("f", "v2")
+
+
+def test_harm_turns_it_back_even_while_held(growing):
+    assert growing.tell(Input.HOLD, 5, "duty", "looking") == DONE
+    growing.evidence.report("e", "s", 0, Tally(1_000, 5, 100, 40))
+    growing.look(10, warm=True)
+    assert growing.state is State.WITHDRAWING and growing.share == 0.0
+    assert growing.split() == Split("f", "v1", "v2", 0.0, 0.01, withdrawn=True)
+    growing.look(10 + 49_999, warm=True)
+    assert growing.state is State.WITHDRAWING
+    growing.look(10 + 50_000, warm=True)
+    assert growing.state is State.WITHDRAWN and growing.split() == Split("f", "v1")
+
+
+def test_each_step_is_judged_by_itself(growing):
+    good(growing)
+    growing.look(1, warm=True)
+    assert growing.share == 0.1 and growing.evidence.findings() == Findings(0.0, 0.0, 0, 0)
+
+
+def test_commands_may_be_given_twice(growing):
+    assert growing.tell(Input.HOLD, 1) == DONE and growing.tell(Input.HOLD, 2) == NOTHING
+    assert growing.tell(Input.BACK, 3) == DONE and growing.tell(Input.BACK, 4) == NOTHING
+    growing.tell(Input.FORGOTTEN, 5)
+    assert growing.tell(Input.BACK, 6) == NOTHING and growing.tell(Input.ADVANCE, 7) == REFUSED
+    assert [entry[3] for entry in growing.history] == ["start", "warm", "hold", "back", "forgotten"]
+
+
+def test_one_held_before_its_copies_stood_loads_first():
+    made = rollout()
+    made.tell(Input.START, 0)
+    made.tell(Input.HOLD, 1)
+    made.tell(Input.ADVANCE, 2)
+    assert made.state is State.WARMING and made.share == 0.0
+
+
+class Life(RuleBasedStateMachine):
+    """Any inputs in any order, beside a simple reference: what must always hold."""
+
+    @initialize()
+    def begin(self):
+        self.made, self.now, self.last, self.over = rollout(), 0, 0.0, False
+
+    @rule(given=st.sampled_from(Input), wait=st.integers(0, 60_000))
+    def tell(self, given, wait):
+        self.now += wait
+        before = (self.made.state, self.made.step)
+        said = self.made.tell(given, self.now)
+        if said != DONE:
+            assert (self.made.state, self.made.step) == before
+
+    @rule(tally=st.tuples(*[st.integers(0, 300)] * 4), warm=st.booleans())
+    def look(self, tally, warm):
+        settled, settled_bad, candidate, candidate_bad = tally
+        counts = Tally(settled + settled_bad, settled_bad, candidate + candidate_bad, candidate_bad)
+        self.made.evidence.report("e", "s", self.now, counts)
+        self.made.look(self.now, warm)
+
+    @invariant()
+    def holds(self):
+        made, split = self.made, self.made.split()
+        gone = made.state in (State.WITHDRAWING, State.WITHDRAWN)
+        assert not (self.over and not gone)  # what is withdrawn never comes back
+        self.over = gone
+        assert split.share == 0.0 or not gone
+        assert 0.0 <= made.share <= made.peak <= 1.0 or made.state is State.SETTLED
+        if not gone:
+            assert made.share >= self.last  # a share grows or is taken back, nothing between
+            self.last = made.share if made.state is not State.WARMING else 0.0
+        assert made.share in (0.0, 0.01, 0.1, 0.5, 1.0)
+
+
+Life.TestCase.settings = settings(max_examples=80, stateful_step_count=25, deadline=None, derandomize=True)
+TestLife = Life.TestCase
+
+
+def test_every_state_but_the_last_ones_can_be_taken_back():
+    ends = {State.SETTLED, State.WITHDRAWING, State.WITHDRAWN}
+    assert {state for state, given in LIFE if given is Input.BACK} == set(State) - ends
+
+
+# leases
+
+
+def beats(lease, begin, end, every=2_000, way=100):
+    for now in range(begin, end, every):
+        lease.beat(now - way, now)
+
+
+def test_a_share_is_used_only_after_steady_beats():
+    lease = Lease()
+    beats(lease, 0, STEADY_FOR)
+    assert not lease.usable(STEADY_FOR - 1)
+    beats(lease, STEADY_FOR, STEADY_FOR + 4_001)
+    assert lease.usable(STEADY_FOR + 4_100)
+
+
+def test_an_edge_without_word_stops_within_the_second_whatever_lies_in_its_socket():
+    lease = Lease()
+    beats(lease, 0, 40_001)
+    assert lease.usable(40_001)
+    assert not lease.usable(39_900 + LEASE) and LEASE + 100 < 10_000
+    lease.beat(39_950, 70_000)  # a beat that was held up on its way
+    assert not lease.usable(70_000)
+
+
+def test_one_that_stood_still_and_wakes_with_an_old_plan_sends_nothing_by_it():
+    lease = Lease()
+    beats(lease, 0, 40_001)
+    assert not lease.usable(60_000)
+    lease.beat(60_000, 60_050)
+    assert not lease.usable(60_050)
+
+
+def test_a_flapping_link_moves_the_traffic_once_and_not_with_every_gap():
+    lease, modes = Lease(), []
+    beats(lease, 0, 40_001)
+    for gap in range(5):
+        begin = 60_000 + gap * 20_000
+        beats(lease, begin, begin + 10_000)
+        modes.append(lease.usable(begin + 9_000))
+    assert modes == [False] * 5
+
+
+def test_the_table_of_leases_is_whole():
+    assert set(MODES) == {(mode, news) for mode in Mode for news in News}
