--- /dev/null
+++ b/lapistrestle/planner/keeper.py
@@ -0,0 +1,171 @@
+"""What the planner keeps of rollouts: the outcome of its entries, in order, and of nothing else. No I/O.
+
+Everything that changes anything is an entry: an operator's command, an edge's report, a look. `Keeper.take`
+is the only way in, so the same entries give the same state after a restart, and an entry is written before
+it is taken. Plans are numbered by the entry that changed them; an edge that knows a number is told what
+changed since.
+"""
+
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from lapistrestle.rollout.evidence import Findings, Tally
+from lapistrestle.rollout.life import NOTHING, REFUSED, Input, Rollout, State
+from lapistrestle.rollout.versions import Split
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+OVER = (State.SETTLED, State.WITHDRAWN)
+
+
+class Entry(Struct, tag_field="is", omit_defaults=True, kw_only=True):
+    """What all entries share: `at`, in tenths of a millisecond since the planner's first start."""
+
+    at: int
+
+
+class Command(Entry, tag="command"):
+    """An operator's. `id` is the command's own: one that comes twice is answered as the first time."""
+
+    id: Name
+    what: Literal["start", "advance", "hold", "resume", "back"]
+    fn: Name
+    who: Name
+    why: str = ""
+    candidate: str = ""
+    steps: tuple[float, ...] = (0.01, 0.05, 0.25, 1.0)
+    remembered: int = 600_000
+
+
+class Report(Entry, tag="report"):
+    """An edge's running counts of one minute of one candidate's step; `start` differs at each of its
+    starts."""
+
+    edge: Name
+    start: str
+    fn: Name
+    candidate: str
+    step: int
+    minute: int
+    counts: tuple[int, int, int, int]
+
+
+class Look(Entry, tag="look"):
+    """Now and again; `warm` names the functions whose next step's copies stand."""
+
+    warm: tuple[str, ...] = ()
+
+
+ENTRY = msgspec.json.Decoder(Command | Report | Look)
+encode = msgspec.json.Encoder().encode
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a command came to."""
+
+    outcome: str
+    says: str
+    state: str
+    share: float
+    number: int
+
+
+@dataclass
+class Keeper:
+    """All rollouts, as of the entries taken."""
+
+    number: int = 0
+    rollouts: dict[str, Rollout] = field(default_factory=dict)  # by function: the newest
+    ended: list[Rollout] = field(default_factory=list)  # those before it
+    settled: dict[str, str] = field(default_factory=dict)
+    replies: dict[str, Reply] = field(default_factory=dict)
+    changed: dict[str, int] = field(default_factory=dict)  # by function: the entry that changed its split
+    acknowledged: dict[str, int] = field(default_factory=dict)
+
+    def take(self, number: int, entry: Command | Report | Look) -> Reply | None:
+        """Take the entry of that number; a command's reply."""
+        if number != self.number + 1:
+            raise ValueError(f"entry {number} does not follow {self.number}")
+        self.number = number
+        before = {fn: rollout.split() for fn, rollout in self.rollouts.items()}
+        reply = None
+        match entry:
+            case Command():
+                reply = self.command(entry)
+            case Report():
+                self.report(entry)
+            case Look():
+                self.look(entry)
+        for fn, rollout in self.rollouts.items():
+            if rollout.state is State.SETTLED:
+                self.settled[fn] = rollout.candidate
+            if before.get(fn) != rollout.split():
+                self.changed[fn] = number
+        return reply
+
+    def command(self, command: Command) -> Reply:
+        known = self.replies.get(command.id)
+        if known is not None:
+            return known
+        outcome, says = self.start(command) if command.what == "start" else self.steer(command)
+        rollout = self.rollouts.get(command.fn)
+        state, share = (rollout.state.name.lower(), rollout.share) if rollout else ("none", 0.0)
+        reply = self.replies[command.id] = Reply(outcome, says, state, share, self.number)
+        return reply
+
+    def start(self, command: Command) -> tuple[str, str]:
+        fn, candidate = command.fn, command.candidate
+        running = self.rollouts.get(fn)
+        if running is not None and running.state not in OVER:
+            if running.candidate == candidate and running.state is not State.WITHDRAWING:
+                return NOTHING, f"{candidate} is being rolled out already"
+            return REFUSED, f"{fn} has {running.candidate} {running.state.name.lower()}; take that back first"
+        steps = command.steps
+        rising = all(a < b for a, b in pairwise(steps))
+        if not steps or not rising or steps[0] <= 0 or steps[-1] != 1:
+            return REFUSED, f"steps are {list(steps)}; shares must rise from above 0 to 1"
+        settled = self.settled.get(fn, "")
+        if not candidate or candidate == settled:
+            return NOTHING if candidate else REFUSED, f"{candidate or 'no version'} is what {fn} runs"
+        if running is not None:
+            self.ended.append(running)
+        made = self.rollouts[fn] = Rollout(fn, settled, candidate, steps, command.remembered)
+        outcome = made.tell(Input.START, command.at, command.who, command.why)
+        return outcome, f"{settled or 'none'} to {candidate}"
+
+    def steer(self, command: Command) -> tuple[str, str]:
+        rollout = self.rollouts.get(command.fn)
+        if rollout is None:
+            return REFUSED, f"{command.fn} has no rollout"
+        if command.candidate and command.candidate != rollout.candidate:
+            return REFUSED, f"{command.fn} has {rollout.candidate}, not {command.candidate}"
+        outcome = rollout.tell(Input[command.what.upper()], command.at, command.who, command.why)
+        return outcome, f"{rollout.candidate} is {rollout.state.name.lower()} at {rollout.share:.0%}"
+
+    def report(self, report: Report) -> None:
+        """Evidence of another step, or of a candidate that is gone, is none."""
+        rollout = self.rollouts.get(report.fn)
+        if rollout is not None and (rollout.candidate, rollout.step) == (report.candidate, report.step):
+            rollout.evidence.report(report.edge, report.start, report.minute, Tally(*report.counts))
+
+    def look(self, look: Look) -> dict[str, Findings]:
+        running = {fn: r for fn, r in self.rollouts.items() if r.state not in OVER}
+        return {fn: rollout.look(look.at, fn in look.warm) for fn, rollout in running.items()}
+
+    # what edges are told
+
+    def plan(self, after: int = -1) -> dict[str, Split]:
+        """Splits that changed after that number; all of them where none is known."""
+        return {fn: r.split() for fn, r in self.rollouts.items() if self.changed.get(fn, 0) > after}
+
+    def acknowledge(self, edge: str, number: int) -> None:
+        """An edge goes by this number now. Not an entry: it is asked anew after a restart."""
+        self.acknowledged[edge] = max(number, self.acknowledged.get(edge, 0))
+
+    def behind(self, number: int) -> list[str]:
+        """Edges that do not go by it yet."""
+        return sorted(edge for edge, has in self.acknowledged.items() if has < number)
--- /dev/null
+++ b/lapistrestle/store/__init__.py
@@ -0,0 +1,1 @@
+"""Storage that survives a kill at any byte."""
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,179 @@
+"""The planner's state and the journal beneath it: restarts, kills, and writers that come back."""
+
+import os
+import random
+import signal
+import sqlite3
+import subprocess
+import sys
+import time
+
+import pytest
+
+from lapistrestle.planner.keeper import ENTRY, Command, Keeper, Look, Report, encode
+from lapistrestle.rollout.life import DONE, NOTHING, REFUSED, State
+from lapistrestle.store.journal import Journal, Outdated, Unreadable
+
+
+def command(id_, what="start", fn="f", candidate="v2", **more):
+    return Command(at=more.pop("at", 0), id=id_, what=what, fn=fn, who="duty", candidate=candidate, **more)
+
+
+class Kept(Keeper):
+    """Numbers entries by itself."""
+
+    def add(self, entry):
+        return self.take(self.number + 1, entry)
+
+
+@pytest.fixture
+def kept():
+    return Kept()
+
+
+def good(step, minute=0):
+    return Report(
+        at=1, edge="e", start="s", fn="f", candidate="v2", step=step, minute=minute, counts=(5000, 9, 5000, 9)
+    )
+
+
+def test_a_command_that_comes_twice_is_answered_as_the_first_time(kept):
+    first = kept.add(command("1"))
+    assert first.outcome == DONE and first.state == "warming"
+    kept.add(Look(at=5, warm=("f",)))
+    assert kept.add(command("1")) == first
+
+
+def test_two_rollouts_of_one_function(kept):
+    kept.add(command("1"))
+    assert kept.add(command("2")).outcome == NOTHING
+    refused = kept.add(command("3", candidate="v3"))
+    assert refused.outcome == REFUSED and "v2" in refused.says
+    assert kept.add(command("4", fn="g", candidate="v3")).outcome == DONE
+
+
+def test_a_chain_of_rollouts_and_a_function_that_appears_for_the_first_time(kept):
+    kept.add(command("1", steps=(1.0,)))
+    kept.add(Look(at=1, warm=("f",)))
+    kept.add(good(0))
+    kept.add(Look(at=2, warm=("f",)))
+    assert kept.rollouts["f"].state is State.SETTLED and kept.settled == {"f": "v2"}
+    assert kept.add(command("2")).outcome == NOTHING  # it is what runs
+    assert kept.add(command("3", candidate="v3")).says == "v2 to v3"
+    assert kept.plan()["f"].settled == "v2" and len(kept.ended) == 1
+    kept.add(command("4", "back", candidate="v3"))
+    assert kept.plan()["f"].withdrawn
+    assert kept.add(command("5", candidate="v4")).outcome == REFUSED  # until v3 is forgotten
+    kept.add(Look(at=10**9))
+    assert kept.add(command("6", candidate="v4")).outcome == DONE
+
+
+def test_a_command_for_another_candidate_does_nothing(kept):
+    kept.add(command("1"))
+    assert kept.add(command("2", "back", candidate="v9")).outcome == REFUSED
+    assert kept.add(command("3", "back", fn="nobody")).outcome == REFUSED
+    assert kept.rollouts["f"].state is State.WARMING
+
+
+@pytest.mark.parametrize("steps", [(), (0.5,), (0.5, 0.1, 1.0), (0.0, 1.0), (0.2, 2.0)])
+def test_steps_must_rise_to_one(kept, steps):
+    assert kept.add(command("1", steps=steps)).outcome == REFUSED and not kept.rollouts
+
+
+def test_evidence_of_another_step_is_none(kept):
+    kept.add(command("1"))
+    kept.add(Look(at=1, warm=("f",)))
+    kept.add(good(0))
+    kept.add(Look(at=2, warm=("f",)))
+    assert kept.rollouts["f"].step == 1
+    kept.add(good(0))
+    kept.add(good(5))
+    assert kept.rollouts["f"].evidence.minutes() == {}
+
+
+def test_edges_are_told_what_changed_since_the_number_they_know(kept):
+    kept.add(command("1"))
+    kept.add(command("2", fn="g"))
+    known = kept.number
+    kept.add(Look(at=1, warm=("g",)))
+    assert set(kept.plan(known)) == {"g"} and set(kept.plan()) == {"f", "g"} and not kept.plan(kept.number)
+    kept.acknowledge("e0", known)
+    kept.acknowledge("e1", kept.number)
+    kept.acknowledge("e1", known)  # an old word, late
+    assert kept.behind(kept.number) == ["e0"]
+
+
+def test_the_same_entries_give_the_same_state(kept, tmp_path):
+    journal = Journal(tmp_path / "j")
+    entries = [command("1"), Look(at=1, warm=("f",)), good(0), Look(at=2, warm=("f",)),
+               command("2", "back", why="wrong prices", at=3)]  # fmt: skip
+    for entry in entries:
+        kept.take(journal.append([encode(entry)]), entry)
+    journal.close()
+    again = Keeper()
+    for number, line in Journal(tmp_path / "j").entries():
+        again.take(number, ENTRY.decode(line))
+    assert again.rollouts == kept.rollouts and again.plan() == kept.plan() and again.replies == kept.replies
+    assert again.rollouts["f"].history[-1] == (3, "duty", "wrong prices", "back", "withdrawing")
+
+
+def test_an_entry_that_does_not_follow_is_refused(kept):
+    with pytest.raises(ValueError, match="does not follow"):
+        kept.take(2, command("1"))
+
+
+def test_an_older_writer_that_comes_back_is_refused(tmp_path):
+    older = Journal(tmp_path / "j")
+    older.append([b"1"])
+    newer = Journal(tmp_path / "j")
+    newer.append([b"2"])
+    with pytest.raises(Outdated, match="writes here now"):
+        older.append([b"3"])
+    newer.append([b"4", b"5"])
+    assert [entry for _, entry in newer.entries()] == [b"1", b"2", b"4", b"5"]
+    assert [number for number, _ in newer.entries(after=2)] == [3, 4]
+
+
+def test_what_is_no_journal_is_said_to_be_none(tmp_path):
+    (tmp_path / "j").write_bytes(b"not a database at all, but long enough to be taken for one" * 40)
+    with pytest.raises(Unreadable, match=r"j: "):
+        Journal(tmp_path / "j")
+
+
+def test_a_failed_append_leaves_nothing(tmp_path):
+    journal = Journal(tmp_path / "j")
+    with pytest.raises((Unreadable, sqlite3.Error, TypeError)):
+        journal.append([b"1", object()])
+    assert journal.append([b"2"]) == 1 and [e for _, e in journal.entries()] == [b"2"]
+
+
+WRITER = """
+import sys
+from pathlib import Path
+from lapistrestle.store.journal import Journal
+journal = Journal(Path(sys.argv[1]))
+last = sum(1 for _ in journal.entries())
+while True:
+    group = [f"{last + i}:{'x' * 3000}".encode() for i in (1, 2, 3)]
+    last = journal.append(group)
+    print(last, flush=True)
+"""
+
+
+def test_what_was_acknowledged_survives_a_kill_at_any_moment(tmp_path):
+    """Groups of three are written; each kill must leave all that was acknowledged, and no group in part."""
+    path, chance, acknowledged = tmp_path / "j", random.Random(1), 0
+    for _ in range(12):
+        child = subprocess.Popen([sys.executable, "-c", WRITER, str(path)], stdout=subprocess.PIPE, text=True)
+        assert child.stdout
+        acknowledged = int(child.stdout.readline())
+        time.sleep(chance.uniform(0, 0.03))  # where in its writing it is met, not a proof of anything
+        os.kill(child.pid, signal.SIGKILL)
+        for line in child.stdout.read().split("\n"):
+            acknowledged = int(line) if line.endswith(tuple("0123456789")) else acknowledged
+        child.wait()
+        journal = Journal(path)
+        found = [entry.split(b":")[0] for _, entry in journal.entries()]
+        journal.close()
+        assert found == [str(n).encode() for n in range(1, len(found) + 1)]
+        assert len(found) >= acknowledged and len(found) % 3 == 0
