The planner runs: shares pushed to edges, evidence back, rollbacks within the second

A rollout must work in the running program and keep its promise when the planner or its connections do not. lapistrestle planner keeps rollouts and pushes numbered plans; edges route by version, report counts by minute, keep both versions loaded through the module's own orders, and use an unsettled share only under a lease. What is withdrawn is barred at the socket: RPCs that have not run move to the settled version, orders stop, copies may go. lapistrestle rollout start, advance, hold, resume, back, status, history; runners with faulty or slow versions; the checker judges withdrawals. Orders of a version without a lease went on for seconds where all connections stalled; the checker found it, they are barred too.

--- a/lapistrestle/checks/reading.py
+++ b/lapistrestle/checks/reading.py
@@ -149,6 +149,7 @@
         self.lists: dict[str, dict[str, str]] = {}  # edge: runner to the start that it was last told of
         self.stalls: dict[str, list[tuple[float, float]]] = {}
         self.kills: dict[str, list[float]] = {}
+        self.backs: list[tuple[float, int, str]] = []  # when it was accepted, line, version
         self.troubles: list[tuple[float, str, float]] = []
         self.end = 0.0
         lines = iter(tape)
@@ -199,6 +200,8 @@
             case "reads":
                 paused = self.connections[on].unread
                 paused[-1] = (paused[-1][0], at)
+            case "back":
+                self.backs.append((at, number, event["version"]))
             case "trouble":
                 self.troubles.append((at, event["kind"], event["lasts"]))
 
--- a/lapistrestle/checks/rules.py
+++ b/lapistrestle/checks/rules.py
@@ -260,12 +260,30 @@
     return judged
 
 
+def withdrawn_left(story: Story) -> Judged:
+    """No new work reaches a version later than a second after its withdrawal was accepted."""
+    judged = Judged("withdrawn versions left")
+    longest = 0.0
+    for back, line, name in story.backs:
+        for run in story.runs:
+            if run.message.fn == name and run.at > back:
+                longest = max(longest, run.at - back)
+                if run.at > back + 1000 + EPS:
+                    judged.breach(run.at, f"{name} gets work {run.at - back:.0f} ms later", line, run.line)
+        for hold in story.holds:
+            if hold.message.fn == name and hold.at > back + 1000 + EPS:
+                judged.breach(hold.at, f"{name} is ordered {hold.at - back:.0f} ms later", line, hold.line)
+    judged.figures = {"withdrawals": len(story.backs), "last call-out after one, ms": longest}
+    return judged
+
+
 RULES: tuple[Callable[[Story], Judged], ...] = (
     one_answer,
     no_effect_twice,
     drains_kept,
     cold_not_pushed,
     orders_rationed,
+    withdrawn_left,
 )
 
 
--- a/lapistrestle/command/main.py
+++ b/lapistrestle/command/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from lapistrestle.command import days, demo, programs
+from lapistrestle.command import days, demo, programs, rollouts
 from lapistrestle.deployment.load import Wrong, facts, load
 
 
@@ -46,5 +46,7 @@
         raise SystemExit(1)
 
 
-for command in (programs.edge, programs.runner, programs.roster, programs.call, days.day, demo.demo):
-    main.add_command(command)
+for program in (programs.edge, programs.runner, programs.roster, programs.call, rollouts.planner):
+    main.add_command(program)
+for group in (days.day, demo.demo, rollouts.rollout):
+    main.add_command(group)
--- a/lapistrestle/command/programs.py
+++ b/lapistrestle/command/programs.py
@@ -76,11 +76,13 @@
 @click.argument("deployment", type=PATH)
 @click.option("--port", type=int, help="Listen here instead of where the deployment says.")
 @click.option("--roster-port", type=int, help="Follow the roster here instead.")
+@click.option("--planner-port", type=int, help="Follow the planner here instead.")
 @tell_port
 @as_json
 def edge(
-    deployment: Path, port: int | None, roster_port: int | None, tell_port: Path | None, json_: bool
-) -> None:
+    deployment: Path, port: int | None, roster_port: int | None, planner_port: int | None,
+    tell_port: Path | None, json_: bool,
+) -> None:  # fmt: skip
     """Run an edge: answer clients by running their calls on the runners that the roster names.
 
     SIGTERM stops taking and finishes what is out; a second one aborts it.
@@ -90,10 +92,15 @@
         made.listen.port = port
     if roster_port is not None:
         made.roster.port = roster_port
+    if planner_port is not None:
+        made.planner.port = planner_port
     if not made.roster.port:
         raise Wrong(f"{deployment}: roster.port: is missing; an edge needs one (or --roster-port)")
     reactor = reactor_of_now()
-    program = Edge(reactor, made, make_log(json_))
+    try:
+        program = Edge(reactor, made, make_log(json_))
+    except CannotListenError as trouble:
+        raise click.ClickException(f"can't listen for peers: {trouble}") from None
     serve(reactor, program.start, tell_port, lambda: program.stop(reactor.stop))
 
 
--- /dev/null
+++ b/lapistrestle/command/rollouts.py
@@ -0,0 +1,184 @@
+"""`lapistrestle planner` and `lapistrestle rollout`."""
+
+import getpass
+import uuid
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+from twisted.internet.protocol import ClientFactory
+
+from lapistrestle.command.programs import as_json, reactor_of_now, serve, tell_port
+from lapistrestle.deployment.load import Wrong
+from lapistrestle.planner.program import Planner
+from lapistrestle.records.logs import make_log
+from lapistrestle.store.journal import Journal, Unreadable
+from lapistrestle.wire import messages as wire
+from lapistrestle.wire import plans
+from lapistrestle.wire.lines import LineBounds, Speaker, union
+
+
+@click.command()
+@click.argument("journal", type=click.Path(path_type=Path))
+@click.option("--port", default=0, help="0: a free one.")
+@tell_port
+@as_json
+def planner(journal: Path, port: int, tell_port: Path | None, json_: bool) -> None:
+    """Run a planner that keeps rollouts in the file JOURNAL and tells edges which version gets what share."""
+    reactor = reactor_of_now()
+    try:
+        kept = Journal(journal)
+    except Unreadable as trouble:
+        raise Wrong(str(trouble)) from None
+    program = Planner(reactor, kept, make_log(json_))
+    program.stopped = reactor.stop
+    serve(reactor, lambda: program.start(port), tell_port, reactor.stop)
+
+
+class Operator(Speaker):
+    protocol = plans.PLANNER
+    decoder = union(plans.FromPlanner)
+
+    def __init__(self, asking: "Asking") -> None:
+        super().__init__(LineBounds())
+        self.asking = asking
+
+    def met(self, hello: wire.Hello) -> None:
+        self.say(self.asking.message)
+
+    def heard(self, message: Any) -> None:
+        self.asking.answered(message)
+
+    def lost(self) -> None:
+        self.asking.answered(None)
+
+
+class Asking(ClientFactory):
+    """One question to the planner and its answer."""
+
+    noisy = False
+
+    def __init__(self, reactor: Any, message: wire.Message) -> None:
+        self.reactor, self.message = reactor, message
+        self.answer: Any = None
+        self.done = False
+
+    def buildProtocol(self, addr: Any) -> Operator:
+        return Operator(self)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.answered(None)
+
+    def answered(self, answer: Any) -> None:
+        if not self.done:
+            self.done, self.answer = True, answer
+            self.reactor.stop()
+
+
+def asked(port: int, message: wire.Message) -> Any:
+    """The planner's answer. Raises ClickException where none comes: the order may be given again, same id."""
+    reactor = reactor_of_now()
+    asking = Asking(reactor, message)
+    reactor.connectTCP("127.0.0.1", port, asking, timeout=3)
+    reactor.callLater(5, asking.answered, None)
+    reactor.run()
+    if asking.answer is None:
+        raise click.ClickException(f"no answer from a planner at port {port}; give the same order again")
+    if isinstance(asking.answer, wire.Fault | wire.Bye):
+        raise click.ClickException(asking.answer.why)
+    return asking.answer
+
+
+@click.group()
+def rollout() -> None:
+    """A new version of a function: let it grow by share, hold it, take it back."""
+
+
+port = click.option("--port", required=True, type=int, help="Of the planner.")
+
+
+def order(what: Any, help_: str) -> None:
+    """Makes `rollout WHAT`."""
+
+    @port
+    @click.option("--fn", required=True, help="The function.")
+    @click.option("--candidate", default="", help="The new version.", required=what == "start")
+    @click.option("--why", default="", help="Kept in the history.")
+    @click.option("--who", default=getpass.getuser, show_default="you")
+    @click.option("--id", "id_", help="The order's own; given twice, it is answered as the first time.")
+    @as_json
+    def command(
+        port: int, fn: str, candidate: str, why: str, who: str, id_: str | None, json_: bool, **more: Any
+    ) -> None:
+        made = plans.Order(id_ or uuid.uuid4().hex, what, fn, who, why, candidate, **more)
+        reply = asked(port, made)
+        if json_:
+            click.echo(msgspec.json.encode(reply))
+        else:
+            late = f"; not there yet: {', '.join(reply.behind)}" if reply.behind else ""
+            click.echo(f"{reply.outcome}: {reply.says}; {fn} is {reply.state} at {reply.share:.0%}{late}")
+        raise SystemExit(1 if reply.outcome == "refused" else 0)
+
+    made: Callable[..., None] = command
+    if what == "start":
+        made = click.option("--steps", default="1,5,25,100", callback=shares, show_default=True)(made)
+        made = click.option("--remembered", default=60_000.0, show_default=True,
+                            help="Milliseconds in which clients may come back.")(made)  # fmt: skip
+    rollout.command(what, help=help_)(made)
+
+
+def shares(ctx: click.Context, option: click.Parameter, said: str) -> tuple[float, ...]:
+    try:
+        return tuple(float(part) / 100 for part in said.split(","))
+    except ValueError:
+        raise click.BadParameter(f'"{said}"; expected percentages such as 1,5,25,100') from None
+
+
+order("start", "Begin: load the candidate, then give it its first share.")
+order("advance", "Go to the next step without waiting for evidence.")
+order("hold", "Stay at this share.")
+order("resume", "Go on after a hold.")
+order("back", "Take the candidate back: nothing new reaches it after a second.")
+
+
+@rollout.command()
+@port
+@as_json
+def status(port: int, json_: bool) -> None:
+    """How rollouts stand, and which plan each edge has."""
+    told: plans.Status = asked(port, plans.Ask())
+    if json_:
+        return click.echo(msgspec.json.encode(told))
+    table = Table(title=f"plan {told.number}, epoch {told.epoch}")
+    for head in ("function", "settled", "candidate", "state", "share", "settled bad/all", "candidate bad/all",
+                 "harm (back at 4.6)", "good (on at 3.0)"):  # fmt: skip
+        table.add_column(head)
+    for one in told.rollouts:
+        old, old_bad, new, new_bad = one.counts
+        table.add_row(
+            one.fn, one.settled or "-", one.candidate, one.state, f"{one.share:.0%}", f"{old_bad}/{old}",
+            f"{new_bad}/{new}", f"{one.harm:.1f}", f"{one.good:.1f}",
+        )  # fmt: skip
+    Console(width=120).print(table)
+    for edge, has in sorted(told.edges.items()):
+        click.echo(f"{edge}: plan {has}")
+
+
+@rollout.command()
+@port
+@click.option("--fn", required=True)
+@as_json
+def history(port: int, fn: str, json_: bool) -> None:
+    """What happened to a function's newest rollout, by whom and why."""
+    told: plans.Status = asked(port, plans.Ask())
+    found = [one for one in told.rollouts if one.fn == fn]
+    if not found:
+        raise click.ClickException(f"{fn} has no rollout")
+    if json_:
+        return click.echo(msgspec.json.encode(found[0].history))
+    for at, who, why, given, state in found[0].history:
+        click.echo(f"{at / 1000:10.1f} s  {given:10} by {who:10} to {state:12} {why}")
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -112,6 +112,12 @@
     ask_within: Span = Span(100_000)
 
 
+class Planner(Shape):
+    """Where versions of functions are planned; port 0: nowhere."""
+
+    port: Port = 0
+
+
 class Counting(Shape):
     """How the operators count service; the module may read it, no rule depends on it."""
 
@@ -131,5 +137,6 @@
     orders: Orders = field(default_factory=Orders)
     allowed: Allowed = field(default_factory=Allowed)
     roster: Roster = field(default_factory=Roster)
+    planner: Planner = field(default_factory=Planner)
     counting: Counting = field(default_factory=Counting)
     peers: list[Port] = field(default_factory=list)  # ports of the other front ends, by number
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -5,7 +5,7 @@
 import msgspec
 from twisted.internet.protocol import ServerFactory
 
-from lapistrestle.hosting.host import DENIED, Ticket
+from lapistrestle.hosting.host import ABORTED, DENIED, Ticket
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire.lines import Speaker, union
 
@@ -63,13 +63,11 @@
             edge.counts["turned away"] += 1
             come_back = edge.facts["longest_come_back"] / 10 if left > 0 else 0.0
             return self.say(wire.Answer(call.id, DENIED, come_back))
-        ticket = edge.host.arrived(
-            seat=self, asked=call, tag=f"{self.name}/{call.id}", fn=call.fn, method=method, customer=customer,
-            left=left, memory=call.memory, lanes=call.lanes,
-            work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat,
-        )  # fmt: skip
-        if not ticket.final:
-            self.open[call.id] = ticket
+        route = edge.route(call, self, method)
+        if not route.name:
+            edge.counts["turned away"] += 1
+            return self.say(wire.Answer(call.id, ABORTED))
+        edge.take(self, call, method, customer, left, route)
 
     def answer(self, ticket: Ticket, verdict: Any, come_back: int, body: Any) -> None:
         call = ticket.asked
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -9,12 +9,15 @@
 from lapistrestle.edge.following import Do, Following, News
 from lapistrestle.edge.linking import Input
 from lapistrestle.edge.peers import Peers
+from lapistrestle.edge.planning import PlannerSource
 from lapistrestle.edge.rosters import RosterSource
 from lapistrestle.edge.runners import Runner, bounds_of
-from lapistrestle.hosting.host import Errand, Flight, Hosting, Ticket
+from lapistrestle.hosting.host import DENIED, Errand, Flight, Hosting, Ticket
 from lapistrestle.hosting.timers import Timer
 from lapistrestle.hosting.turns import Turns
 from lapistrestle.interface import FnFacts, Outcome, SrvFacts
+from lapistrestle.rollout.routing import Route, Routing
+from lapistrestle.rollout.versions import key_of
 from lapistrestle.wire import messages as wire
 
 Log = Callable[..., None]
@@ -42,6 +45,8 @@
         self.heard = 0  # inputs so far
         self.turns, self.next_turn, self.turn_at = Turns(), None, -1
         self.source: RosterSource | None = None
+        self.planner: PlannerSource | None = None
+        self.routing = Routing()
         self.peers = Peers(self) if self.facts["may_tell_peers"] else None
         seed = place.seed if seed is None else seed
         self.host = Hosting(self, self.facts, seed, self.clock, self.margin // 2)
@@ -57,6 +62,9 @@
             self.source = RosterSource(self, deployment.roster.port)
             self.source.wanted = self.facts["list_asked"]
             self.source.start()
+        if deployment.planner.port:
+            self.planner = PlannerSource(self, deployment.planner.port)
+            self.planner.start()
         port: int = self.listening.getHost().port
         self.log("listening", port=port, edge=self.name)
         return port
@@ -142,15 +150,57 @@
         if self.counts["passed over"] <= 100:
             self.log("passed over", peer=name, why=why[:200])
 
+    # versions
+
+    def route(self, call: wire.Call, seat: ClientSpeaker, method: int) -> Route:
+        key = key_of(call.key, call.token, f"{seat.name}/{call.id}")
+        kind = self.facts["methods"][method]["kind"]
+        return self.routing.route(call.fn, key, kind, call.repeat, self.clock())
+
+    def take(
+        self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route
+    ) -> None:
+        """An RPC begins, or begins again under another version."""
+        ticket = self.host.arrived(
+            seat=seat, asked=call, tag=f"{seat.name}/{call.id}", fn=route.name, method=method,
+            customer=customer, left=left, memory=call.memory, lanes=call.lanes,
+            work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat, route=route,
+        )  # fmt: skip
+        if not ticket.final:
+            seat.open[call.id] = ticket
+
+    def move(self, ticket: Ticket) -> None:
+        """An RPC that has not run on a version that is barred now goes to the settled one, in its time."""
+        route = Route(self.routing.settled_name(ticket.fn.name))
+        left = ticket.deadline - self.clock()
+        self.take(ticket.seat, ticket.asked, ticket.method, ticket.customer, left, route)
+
+    def closed(self, ticket: Ticket, how: str) -> None:
+        """How an RPC ended is evidence for or against its version."""
+        if ticket.route is not None and ticket.route.candidate and how != "moved":
+            now = self.clock()
+            method = self.facts["methods"][ticket.method]
+            stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
+            bad = how != "ok" or now - ticket.began > min(method["deadline"], stretched)
+            self.routing.note(ticket.route, bad, now)
+
     # what the host asks (hosting.Outside)
 
     def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None:
+        late = ticket.deadline - self.clock() <= 0
+        if verdict == DENIED and not late and not self.stopping and self.barred(ticket.fn.name):
+            return self.move(ticket)  # a denial proves that another version harms nobody
         ticket.seat.answer(ticket, verdict, come_back, body)
 
     def stream(self, ticket: Ticket) -> None:
         ticket.seat.say(wire.Begun(ticket.asked.id))
 
+    def barred(self, name: str) -> bool:
+        return "@" in name and self.routing.barred(name, self.clock())
+
     def run(self, flight: Flight) -> None:
+        if self.barred(flight.ticket.fn.name):
+            return self.host.ended(flight.number, Outcome.MOOT)
         runner = self.runners.get(flight.srv.name)
         if runner is None:
             return self.host.ended(flight.number, Outcome.UNREACHABLE)
@@ -160,6 +210,8 @@
         return task.via is not None and task.via.withdraw(task.number, tell)
 
     def hold(self, errand: Errand) -> None:
+        if errand.fn is not None and errand.count and self.barred(errand.fn.name):
+            return self.host.ordered(errand.number, Outcome.FULL, 0)
         runner = self.runners.get(errand.srv.name)
         if runner is None:
             return self.host.ordered(errand.number, Outcome.UNREACHABLE, 0)
@@ -206,8 +258,9 @@
         if stopped is None:
             return
         self.log("stopped", **self.host.counts, **self.counts)
-        if self.source is not None:
-            self.source.stop()
+        for source in (self.source, self.planner):
+            if source is not None:
+                source.stop()
         for seat in list(self.seats):
             seat.cut("the edge stops")
         for runner in self.runners.values():
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -104,7 +104,7 @@
         ticket, asked = flight.ticket, flight.ticket.asked
         line = wire.encode(
             wire.Run(
-                flight.number, ticket.tag, asked.fn, asked.method, flight.within / 10, asked.customer,
+                flight.number, ticket.tag, ticket.fn.name, asked.method, flight.within / 10, asked.customer,
                 asked.memory, asked.lanes, asked.token, asked.key, asked.body,
             )
         )  # fmt: skip
--- /dev/null
+++ b/lapistrestle/edge/sources.py
@@ -0,0 +1,61 @@
+"""A connection that the edge keeps to one program, dialled anew whenever it breaks."""
+
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from lapistrestle.wire.lines import Speaker
+from lapistrestle.wire.messages import Message
+
+PAUSE = 2_000  # tenths of a millisecond between two dials
+
+
+class Source(ClientFactory):
+    """A subclass gives `speak`, and hears of `up` and `down`."""
+
+    noisy = False
+
+    def __init__(self, edge: Any, port: int) -> None:
+        self.edge, self.port = edge, port
+        self.speaker: Speaker | None = None
+        self.stopped = False
+
+    def start(self, _: object = None) -> None:
+        if not self.stopped:
+            time_out = self.edge.facts["dial_time_out"] / 10_000
+            self.edge.reactor.connectTCP("127.0.0.1", self.port, self, timeout=time_out)
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.speaker is not None:
+            self.speaker.transport.loseConnection()
+
+    def buildProtocol(self, addr: Any) -> Speaker:
+        self.speaker = self.speak()
+        self.edge.after(self.edge.facts["dial_time_out"], self.unmet, self.speaker)
+        return self.speaker
+
+    def unmet(self, speaker: Speaker) -> None:
+        """Half open and silent: dial anew."""
+        if self.speaker is speaker and not speaker.greeted:
+            speaker.transport.abortConnection()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.down(False)
+        self.edge.after(PAUSE, self.start, None)
+
+    def lost(self, speaker: Speaker) -> None:
+        if self.speaker is speaker:
+            self.speaker = None
+            self.down(True)
+            self.edge.after(PAUSE, self.start, None)
+
+    def say(self, message: Message) -> None:
+        if self.speaker is not None and self.speaker.greeted:
+            self.speaker.say(message)
+
+    def speak(self) -> Speaker:
+        raise NotImplementedError
+
+    def down(self, was_up: bool) -> None: ...
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -19,7 +19,7 @@
 OK: Final = "ok"
 DENIED: Final = "denied"
 ABORTED: Final = "aborted"
-COUNTED = ("taken", OK, DENIED, ABORTED, "left", "stray", "faults", "guarded")
+COUNTED = ("taken", OK, DENIED, ABORTED, "left", "moved", "stray", "faults", "guarded")
 NO_REPORT: Mapping[str, float] = {}
 
 
@@ -33,6 +33,7 @@
     stream: "Flight | None" = None  # the call-out whose answer has begun to stream
     guard: Timer | None = None
     flights: int = 0  # call-outs under way
+    route: Any = None  # the transport's own: which version it goes to
 
 
 @dataclass(eq=False)
@@ -66,6 +67,7 @@
     """What the transport does for the host. None of these may raise, nor call back within the call."""
 
     def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None: ...
+    def closed(self, ticket: Ticket, how: str) -> None: ...
     def stream(self, ticket: Ticket) -> None: ...
     def run(self, flight: Flight) -> None: ...
     def withdraw(self, task: Flight | Errand, tell: bool) -> bool: ...  # True if it never left
@@ -151,11 +153,12 @@
 
     def arrived(
         self, *, seat: Any, asked: Any, tag: str, fn: str, method: int, customer: int, left: int,
-        memory: float = 0.0, lanes: int = 1, work: int | None = None, repeat: bool = False,
+        memory: float = 0.0, lanes: int = 1, work: int | None = None, repeat: bool = False, route: Any = None,
     ) -> Ticket:  # fmt: skip
         """An RPC has come; `left` is what its client still waits."""
         now, facts = self.clock(), self.door.fn(fn, method, memory, lanes)
         ticket = Ticket(tag, facts, method, customer, now + left, work, repeat, asked=asked, seat=seat)
+        ticket.route = route
         self.open += 1
         self.counts["taken"] += 1
         ticket.guard = self.timers.at(ticket.deadline + self.slack, self.overdue, ticket)
@@ -230,6 +233,17 @@
     def told(self, peer: int, text: str) -> None:
         self.post(None, "told", peer, text)
 
+    def retract(self, ticket: Ticket) -> None:
+        """The host takes an RPC back that has not run, to have it placed anew under another function."""
+        if not ticket.final:
+            self.close(ticket, "moved")
+            self.post(ticket, "left", ticket)
+
+    def ask(self, call: Callable[..., Any], *args: Any) -> None:
+        """Have the module do something of its own between events, at the clock of now."""
+        self.module.now = self.clock()
+        call(*args)
+
     def stray(self) -> None:
         self.counts["stray"] += 1
 
@@ -252,6 +266,7 @@
         ticket.final = True
         self.open -= 1
         self.counts[how] += 1
+        self.outside.closed(ticket, how)
         if ticket.guard is not None:
             ticket.guard.stop()
 
--- a/lapistrestle/rollout/life.py
+++ b/lapistrestle/rollout/life.py
@@ -9,7 +9,7 @@
 
 State = Enum("State", "PROPOSED WARMING GROWING HELD SETTLED WITHDRAWING WITHDRAWN")
 Input = Enum("Input", "START WARM COLD GROW BAD ADVANCE HOLD RESUME BACK FORGOTTEN")
-SECOND = 10_000  # tenths of a millisecond
+MOST = 0.9  # until it settles, a part stays behind as what it is judged by, and stays loaded
 
 DONE, NOTHING, REFUSED = "done", "nothing to do", "refused"
 
@@ -34,7 +34,8 @@
     @property
     def share(self) -> float:
         growing = self.state in (State.GROWING, State.HELD) and self.step >= 0
-        return 1.0 if self.state is State.SETTLED else self.steps[self.step] if growing else 0.0
+        part = min(self.steps[self.step], MOST) if growing else 0.0
+        return 1.0 if self.state is State.SETTLED else part
 
     def split(self) -> Split:
         """What edges are told."""
@@ -43,7 +44,7 @@
         if self.state in (State.PROPOSED, State.WITHDRAWN):
             return Split(self.fn, self.settled)
         back = self.state is State.WITHDRAWING
-        return Split(self.fn, self.settled, self.candidate, self.share, self.peak, back)
+        return Split(self.fn, self.settled, self.candidate, self.share, self.peak, back, self.step)
 
     def tell(self, given: Input, now: int, who: str = "planner", why: str = "") -> str:
         """An input; what came of it. What a state has no answer for is refused, what is so already is
--- a/lapistrestle/rollout/versions.py
+++ b/lapistrestle/rollout/versions.py
@@ -5,7 +5,7 @@
 overrides that.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from hashlib import blake2b
 
@@ -26,6 +26,7 @@
     share: float = 0.0
     peak: float = 0.0
     withdrawn: bool = False
+    step: int = field(default=-1, compare=False)
 
 
 def point(fn: str, candidate: str, key: str) -> float:
--- a/lapistrestle/standins/runner.py
+++ b/lapistrestle/standins/runner.py
@@ -1,5 +1,6 @@
 """A runner on a socket: greets, takes calls and orders, and says how they ended."""
 
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -23,6 +24,14 @@
 BODY = msgspec.json.Decoder(Body)
 
 
+@dataclass
+class Fault:
+    """What is wrong with a version."""
+
+    errors: float = 0.0  # share of its calls that end in an error
+    slower: float = 1.0
+
+
 class Tokens:
     """The tokens that a group of runners remembers, with the time until which each is known."""
 
@@ -49,6 +58,8 @@
         self.tokens, self.tape, self.tells, self.fell = tokens, tape, tells, fell
         self.loads = loads if loads is not None else {}  # milliseconds that a load takes, by function
         self.weather = Weather(seed=start)
+        self.faults: dict[str, Fault] = {}  # by the name of a version
+        self.chance = Weather(seed=start + 1)
         self.engine = Engine(reactor, facts, store, self.fall, cold)
         self.speakers: dict[RunnerSpeaker, None] = {}
         self.count = 0
@@ -155,6 +166,7 @@
         except msgspec.MsgspecError:
             body = Body()
         did = [False]
+        fault = self.runner.faults.get(run.fn, Fault())
         came_known = self.runner.tokens.knows(run.token, self.reactor.seconds())
 
         def begin(task: Task) -> bool:
@@ -173,6 +185,8 @@
         def end(task: Task, outcome: Any, warmth: Any, more: dict[str, Any]) -> None:
             self.tasks.pop(run.call, None)
             tells = self.runner.tells
+            if outcome == "ok" and self.runner.chance.chance(fault.errors):
+                outcome = "error"
             self.say(
                 wire.Ended(
                     run.call, outcome, warmth if "warm" in tells or warmth == "load failed" else "",
@@ -183,7 +197,7 @@
             )  # fmt: skip
 
         load = self.runner.loads.get(run.fn, body.load) / 1000
-        task = Task(run.fn, body.work / 1000, run.memory, run.lanes, load, end, begin)
+        task = Task(run.fn, body.work * fault.slower / 1000, run.memory, run.lanes, load, end, begin)
         self.tasks[run.call] = task
         self.runner.engine.run(task)
 
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -12,7 +12,7 @@
 from lapistrestle.standins.client import Crowd, Habits, Line, Wish
 from lapistrestle.standins.engine import RunnerFacts
 from lapistrestle.standins.roster import RosterStandIn
-from lapistrestle.standins.runner import RunnerStandIn, Tokens
+from lapistrestle.standins.runner import Fault, RunnerStandIn, Tokens
 from lapistrestle.standins.script import Day, Machines
 from lapistrestle.standins.store import Store, StoreFacts
 from lapistrestle.standins.tape import Tape
@@ -82,6 +82,7 @@
         )
         self.roster = RosterStandIn(reactor, day.roster_lag / SECOND, self.tape)
         self.loads: dict[str, float] = {}
+        self.faults: dict[str, Fault] = {}
         self.slots = self.fleet()
         self.functions = self.catalogue()
         weights = [1 / (i + 1) ** day.traffic.popularity for i in range(len(self.functions))]
@@ -143,10 +144,12 @@
         tells: set[str] = {workers.reports}
         tells |= {"warm"} if workers.tells_warm else set()
         tells |= {"company"} if workers.tells_company else set()
-        return RunnerStandIn(
+        made = RunnerStandIn(
             self.reactor, name, start, facts, self.store, tokens, self.tape, cold, 0, frozenset(tells),
             self.loads, lambda runner: self.lost(runner),
         )  # fmt: skip
+        made.faults = self.faults
+        return made
 
     def lost(self, runner: RunnerStandIn) -> None:
         """It fell over; the roster hears that no process runs."""
--- /dev/null
+++ b/tests/test_rollout_days.py
@@ -0,0 +1,192 @@
+"""Rollouts in whole days: a planner, edges, runners with faulty versions, and troubles, in virtual time."""
+
+import pytest
+from days import Played, day
+
+from lapistrestle.planner.keeper import Command
+from lapistrestle.planner.program import Planner
+from lapistrestle.rollout.life import State
+from lapistrestle.standins.runner import Fault
+from lapistrestle.standins.virtual import Process
+from lapistrestle.store.journal import Journal
+
+NAME = "fn-0@v2"
+
+
+class Rolled(Played):
+    """A day with a planner that starts a rollout of fn-0 after two seconds."""
+
+    def __init__(self, script, path, fault=None, orders=(), steps=(0.3, 1.0), does=()):
+        self.path, self.fault, self.orders, self.steps, self.does = path, fault, orders, steps, does
+        super().__init__(script)
+
+    def prepare(self, reactor):
+        self.reactor = reactor
+        self.port = reactor.free_port()
+        self.deployment.planner.port = self.port
+        self.begin_planner()
+
+    def begin_planner(self):
+        self.process = Process(self.reactor, "planner")
+        self.planner = Planner(self.process, Journal(self.path), self.log)
+        self.planner.start(self.port)
+
+    def kill_planner(self):
+        self.process.kill()
+        self.planner.journal.close()
+
+    def begun(self, world):
+        self.world = world
+        if self.fault:
+            world.faults[NAME] = self.fault
+        self.at(2.0, lambda: self.order("start", steps=self.steps))
+        for when, what in self.orders:
+            self.at(when, lambda what=what: self.order(what))
+        for when, do in self.does:
+            self.at(when, lambda do=do: do(self))
+
+    def at(self, seconds, call):
+        self.world.reactor.callLater(seconds, call)
+
+    def order(self, what, **more):
+        planner = self.planner
+        now = planner.now()
+        name = f"{what}-{now}"
+        command = Command(at=now, id=name, what=what, fn="fn-0", who="duty", candidate="v2", **more)
+        reply = planner.add(command)
+        if what == "back":
+            self.world.tape.put("planner", "back", version=NAME)
+        return reply
+
+    @property
+    def rollout(self):
+        return self.planner.keeper.rollouts["fn-0"]
+
+    def runs(self):
+        return [run for run in self.story.runs if run.message.fn == NAME]
+
+
+def script(troubles=(), length="14 s", seed=1, like="slots"):
+    traffic = {"rate": 60, "functions": 3, "popularity": 1.2}
+    return day(like, troubles, seed, length=length, traffic=traffic)
+
+
+def test_a_good_version_is_loaded_first_and_grows_until_it_settles(tmp_path):
+    played = Rolled(script(length="60 s"), tmp_path / "j")
+    assert played.breaches() == [] and played.rollout.state is State.SETTLED
+    orders = [hold.at for hold in played.story.holds if hold.message.fn == NAME]
+    first = min(run.at for run in played.runs())
+    assert min(orders) < first
+    late = [run for run in played.story.runs if run.at > 58_000 and run.message.fn.startswith("fn-0")]
+    assert {run.message.fn for run in late} == {NAME}
+    ok = sum(c.answers[0][2].verdict == "ok" for c in played.story.calls if c.answers)
+    assert ok > 0.97 * len(played.story.calls)
+
+
+@pytest.mark.parametrize("fault", [Fault(errors=0.4), Fault(slower=40.0)])
+def test_a_bad_version_is_turned_back_by_evidence(tmp_path, fault):
+    played = Rolled(script(length="30 s"), tmp_path / "j", fault)
+    assert played.breaches() == []
+    assert played.rollout.state in (State.WITHDRAWING, State.WITHDRAWN)
+    back = next(at for at, _, _, given, _ in played.rollout.history if given == "bad")
+    began = next(at for at, _, _, given, _ in played.rollout.history if given == "start")
+    since = 2_000 + (back - began) / 10
+    assert played.runs() and max(run.at for run in played.runs()) < since + 1_000
+
+
+def test_retries_meet_the_version_of_their_first_try(tmp_path):
+    played = Rolled(script([{"kind": "refused", "at": "6 s", "lasts": "3 s"}]), tmp_path / "j")
+    versions = {}
+    for run in played.runs() + [r for r in played.story.runs if r.message.fn == "fn-0"]:
+        if run.at > 8_000:
+            versions.setdefault(run.message.key, set()).add(run.message.fn)
+    assert len(versions) > 50 and all(len(met) == 1 for met in versions.values())
+
+
+def stall(played):
+    edge = played.world.edges[0]
+    played.world.tape.put(edge.name, "stalled")
+    edge.stall()
+
+
+def resume(played):
+    edge = played.world.edges[0]
+    played.world.tape.put(edge.name, "resumed")
+    edge.resume()
+
+
+def mute(played):
+    """From now on no edge is told a plan; beats are answered as before."""
+    played.planner.edges.clear()
+
+
+TROUBLED = {
+    "quiet": [],
+    "an edge stands still and wakes with an old plan": [(6.9, stall), (8.9, resume)],
+    "the planner stands still just after": [(7.001, lambda p: p.process.stall())],
+    "the planner is killed between acceptance and push": [(6.999, mute), (7.0, lambda p: p.kill_planner())],
+    "all connections stall, none is closed": [(6.999, mute), (7.0, lambda p: p.process.stall())],
+    "the planner restarts": [(7.5, lambda p: p.kill_planner()), (9.0, lambda p: p.begin_planner())],
+}
+
+
+@pytest.mark.parametrize("name", TROUBLED)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_after_a_rollback_nothing_new_reaches_the_version_within_a_second(tmp_path, name, seed):
+    troubles = [{"kind": "zone_loss", "at": "6.5 s", "lasts": "3 s"}, {"kind": "slow", "at": "5 s"}]
+    does = TROUBLED[name]
+    played = Rolled(
+        script(troubles, seed=seed), tmp_path / "j", orders=[(7.0, "back")], steps=(0.5, 1.0), does=does
+    )
+    assert [run for run in played.runs() if 6_000 < run.at < 7_000], "it had traffic"
+    assert played.breaches() == []
+    assert played.world.crowd.open == 0
+    assert not played.logged("module raised") and not played.logged("deadline guarded")
+
+
+def test_an_edge_that_heeds_no_lease_is_caught(tmp_path):
+    def careless(played):
+        for edge in played.world.edges:
+            edge.edge.routing.lease.usable = lambda now: True
+
+    does = [(5.0, careless), (6.999, mute), (7.0, lambda p: p.process.stall())]
+    played = Rolled(script(), tmp_path / "j", orders=[(7.0, "back")], steps=(0.5, 1.0), does=does)
+    assert {breach.rule for breach in played.breaches()} == {"withdrawn versions left"}
+
+
+def test_what_the_planner_accepted_holds_after_its_restart(tmp_path):
+    played = Rolled(
+        script(),
+        tmp_path / "j",
+        orders=[(7.0, "back")],
+        does=[(7.0, lambda p: p.kill_planner()), (9.0, lambda p: p.begin_planner())],
+    )
+    assert played.rollout.state is State.WITHDRAWING and played.breaches() == []
+    edges = [edge.edge for edge in played.world.edges]
+    assert {edge.routing.epoch for edge in edges} == {2}
+    assert all(edge.routing.splits["fn-0"].withdrawn for edge in edges)
+
+
+def test_a_planner_away_moves_traffic_to_the_settled_version_and_back_once(tmp_path):
+    does = [(6.0, lambda p: p.kill_planner()), (8.5, lambda p: p.begin_planner())]
+    played = Rolled(script(length="20 s"), tmp_path / "j", does=does, steps=(0.5, 1.0))
+    assert played.breaches() == []
+    away = [run.at for run in played.runs() if 7_000 < run.at < 11_000]
+    again = [run.at for run in played.runs() if run.at > 13_500]
+    assert not away and again
+
+
+def test_an_older_planner_that_comes_back_is_heeded_by_nobody(tmp_path):
+    def newer(played):
+        played.older, played.older_process = played.planner, played.process
+        played.port = played.reactor.free_port()
+        played.begin_planner()
+
+    def use_older(played):
+        played.said = played.older.add(
+            Command(at=0, id="late", what="advance", fn="fn-0", who="nobody", candidate="v2")
+        )
+
+    played = Rolled(script(), tmp_path / "j", does=[(5.0, newer), (6.0, use_older)])
+    assert played.said is None and played.older.over
+    assert "late" not in played.planner.keeper.replies
