--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -1,6 +1,6 @@
 """Rollout decisions alone, on drawn traffic: the project's way beside two baselines on the same minutes.
 
-python benchmarks/rollout.py [--days 200] [--plot rollout.png]
+    python benchmarks/rollout.py [--days 200] [--plot rollout.png]
 
 *evidence* is the project's life of a rollout; *timer* grows every five minutes whatever happens and turns
 back at 30% bad answers in a minute; *threshold* grows every five minutes and turns back when the
--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -126,7 +126,7 @@
         rpc.fn.asked.life = LONG
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
-        self.taken.append(self.now)
+        self.taken.extend(() if rpc.moved else (self.now,))
         while self.taken and self.taken[0] <= self.now - self.facts["order_window"]:
             self.taken.popleft()  # where nothing is ever ordered it would grow without end
         self.drive(rpc, Input.ARRIVED)
--- a/lapistrestle/command/rollouts.py
+++ b/lapistrestle/command/rollouts.py
@@ -4,16 +4,18 @@
 import uuid
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import click
 import msgspec
+from msgspec import Meta
 from rich.console import Console
 from rich.table import Table
 from twisted.internet.protocol import ClientFactory
 
 from lapistrestle.command.programs import as_json, reactor_of_now, serve, tell_port
-from lapistrestle.deployment.load import Wrong
+from lapistrestle.deployment.load import Wrong, read_json5, shaped
+from lapistrestle.deployment.shape import Shape, Span
 from lapistrestle.planner.program import Planner
 from lapistrestle.records.logs import make_log
 from lapistrestle.store.journal import Journal, Unreadable
@@ -39,6 +41,13 @@
     serve(reactor, lambda: program.start(port), tell_port, reactor.stop)
 
 
+class Policy(Shape):
+    """Steps in percent, and for how long clients may come back."""
+
+    steps: list[Annotated[float, Meta(gt=0, le=100)]]
+    remembered: Span = Span(600_000)
+
+
 class Operator(Speaker):
     protocol = plans.PLANNER
     decoder = union(plans.FromPlanner)
@@ -114,6 +123,11 @@
     def command(
         port: int, fn: str, candidate: str, why: str, who: str, id_: str | None, json_: bool, **more: Any
     ) -> None:
+        if (path := more.pop("policy", None)) is not None:
+            value, text = read_json5(path)
+            policy = shaped(value, Policy, text, str(path))
+            more["steps"] = tuple(step / 100 for step in policy.steps)
+            more["remembered"] = policy.remembered / 10
         made = plans.Order(id_ or uuid.uuid4().hex, what, fn, who, why, candidate, **more)
         reply = asked(port, made)
         if json_:
@@ -126,6 +140,7 @@
     made: Callable[..., None] = command
     if what == "start":
         made = click.option("--steps", default="1,5,25,100", callback=shares, show_default=True)(made)
+        made = click.option("--policy", type=click.Path(path_type=Path), help="JSON5 file.")(made)
         made = click.option("--remembered", default=60_000.0, show_default=True,
                             help="Milliseconds in which clients may come back.")(made)  # fmt: skip
     rollout.command(what, help=help_)(made)
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -158,13 +158,15 @@
         return self.routing.route(call.fn, key, kind, call.repeat, self.clock())
 
     def take(
-        self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route
-    ) -> None:
+        self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route,
+        moved: bool = False, before: int = 0,
+    ) -> None:  # fmt: skip
         """An RPC begins, or begins again under another version."""
         ticket = self.host.arrived(
             seat=seat, asked=call, tag=f"{seat.name}/{call.id}", fn=route.name, method=method,
             customer=customer, left=left, memory=call.memory, lanes=call.lanes,
             work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat, route=route,
+            moved=moved, before=before,
         )  # fmt: skip
         if not ticket.final:
             seat.open[call.id] = ticket
@@ -173,7 +175,8 @@
         """An RPC that has not run on a version that is barred now goes to the settled one, in its time."""
         route = Route(self.routing.settled_name(ticket.fn.name))
         left = ticket.deadline - self.clock()
-        self.take(ticket.seat, ticket.asked, ticket.method, ticket.customer, left, route)
+        asked, tries = ticket.asked, ticket.tries()
+        self.take(ticket.seat, asked, ticket.method, ticket.customer, left, route, True, tries)
 
     def closed(self, ticket: Ticket, how: str) -> None:
         """How an RPC ended is evidence for or against its version."""
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -34,6 +34,11 @@
     guard: Timer | None = None
     flights: int = 0  # call-outs under way
     route: Any = None  # the transport's own: which version it goes to
+    before: int = 0  # call-outs made under another version, which count too
+    unsent: int = 0  # of its own, those that the host did not send
+
+    def tries(self) -> int:
+        return self.before + len(self.call_outs) - self.unsent
 
 
 @dataclass(eq=False)
@@ -154,11 +159,12 @@
     def arrived(
         self, *, seat: Any, asked: Any, tag: str, fn: str, method: int, customer: int, left: int,
         memory: float = 0.0, lanes: int = 1, work: int | None = None, repeat: bool = False, route: Any = None,
+        moved: bool = False, before: int = 0,
     ) -> Ticket:  # fmt: skip
         """An RPC has come; `left` is what its client still waits."""
         now, facts = self.clock(), self.door.fn(fn, method, memory, lanes)
         ticket = Ticket(tag, facts, method, customer, now + left, work, repeat, asked=asked, seat=seat)
-        ticket.route = route
+        ticket.route, ticket.moved, ticket.before = route, moved, before
         self.open += 1
         self.counts["taken"] += 1
         ticket.guard = self.timers.at(ticket.deadline + self.slack, self.overdue, ticket)
@@ -196,6 +202,7 @@
         ticket, now = flight.ticket, self.clock()
         del self.numbers[flight.call_out]
         ticket.flights -= 1
+        ticket.unsent += outcome is Outcome.MOOT
         if flight.timer is not None:
             flight.timer.stop()
         if outcome is Outcome.OK and not ticket.final and ticket.stream in (None, flight):
@@ -308,7 +315,7 @@
         ticket, now = call_out.rpc, self.clock()
         within = min(time_out, ticket.deadline - now) if time_out else ticket.deadline - now
         parallel = self.facts["may_parallel"] or not ticket.flights
-        tries = len(ticket.call_outs) <= self.facts["try_limit"]
+        tries = ticket.tries() <= self.facts["try_limit"]
         flight = Flight(self.next_number(), call_out, ticket, call_out.srv, now, within)
         self.flights[flight.number] = self.numbers[call_out] = flight
         ticket.flights += 1
--- a/lapistrestle/interface.py
+++ b/lapistrestle/interface.py
@@ -79,6 +79,7 @@
     deadline: int  # when the client gives up on this try
     work: int | None = None  # hint of the work, where given
     repeat: bool = False
+    moved: bool = False  # it was taken before, under another function, and has not run
     over: bool = False  # the final answer is out, or the client has left
     call_outs: list["CallOut"] = field(default_factory=list)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -74,6 +74,15 @@
     assert len(made.taken) == window // 5_000
 
 
+def test_an_rpc_that_is_placed_anew_under_another_version_counts_once():
+    made = dispatcher(2)
+    made.arrived(rpc(made))
+    again = rpc(made, name="f@v2")
+    again.moved = True
+    made.arrived(again)
+    assert len(made.taken) == 1 and again.call_outs
+
+
 @pytest.mark.parametrize("front_ends", [1, 3, 200])
 def test_a_cold_worker_gets_its_part_from_all_together_and_no_more(front_ends):
     sent = budget = 0
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -164,6 +164,25 @@
     assert second.outcome is Outcome.MOOT
 
 
+def test_tries_under_another_version_count_too(hosting):
+    for before, sent in ((1, 2), (3, 0)):
+        hosting.outside.acts.clear()
+        hosting.arrived(
+            seat=None,
+            asked=None,
+            tag="c1/r",
+            fn="f",
+            method=0,
+            customer=0,
+            left=30_000,
+            moved=True,
+            before=before,
+        )
+        while hosting.flights:
+            hosting.ended(out(hosting)[0], Outcome.ERROR)
+        assert len(hosting.outside.of("run")) == sent and answers(hosting)[-1][1] == "denied"
+
+
 def test_a_streamed_answer_has_no_deadline_and_a_break_ends_it(clock):
     settings = {**SETTINGS, "profiles": [{**SETTINGS["profiles"][0], "streamed": True}]}
     hosting = Hosting(Outside(), words.facts(settings), 7, clock)
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -92,6 +92,28 @@
     assert logged[0] == "listening" and logged[-1] == "stopped"
 
 
+def test_a_rollout_by_hand(tmp_path, started):
+    planner = started("planner", "planner", tmp_path / "journal")
+    to = ("--port", planner.wait_port(), "--fn", "f")
+    start = ("rollout", "start", *to, "--candidate", "v2", "--id", "one")
+    first = command(*start, "--policy", EXAMPLES / "careful.json5", "--json")
+    assert first.returncode == 0 and json.loads(first.stdout)["state"] == "warming"
+    planner.kill()
+    planner = started("planner2", "planner", tmp_path / "journal")
+    to = ("--port", planner.wait_port(), "--fn", "f")
+    again = command("rollout", "start", *to, "--candidate", "v2", "--id", "one", "--json")
+    assert json.loads(again.stdout) == json.loads(first.stdout)  # though it was killed
+    assert command("rollout", "start", *to, "--candidate", "v3").returncode == 1
+    back = command("rollout", "back", *to, "--why", "wrong prices")
+    assert back.returncode == 0 and "withdrawing at 0%" in back.stdout
+    assert "nothing to do" in command("rollout", "back", *to).stdout
+    assert "wrong prices" in command("rollout", "history", *to).stdout
+    assert json.loads(command("rollout", "status", *to[:2], "--json").stdout)["epoch"] == 2
+    assert "such as 1,5,25" in command("rollout", "start", *to, "--candidate", "v4", "--steps", "x").stderr
+    planner.kill()
+    assert "no answer from a planner" in command("rollout", "status", *to[:2]).stderr
+
+
 def test_the_demo_plays_and_stops_clean():
     result = command("demo", "--seconds", 2, "--runners", 2, env={**os.environ, "COLUMNS": "100"})
     assert result.returncode == 0, result.stdout + result.stderr
