--- /dev/null
+++ b/benchmarks/hunt.py
@@ -0,0 +1,113 @@
+"""Plays random days of overlapping troubles in virtual time and reports each that breaks a rule.
+
+    python benchmarks/hunt.py [--days 300] [--first 0] [--rollouts] [--processes 8]
+
+With --rollouts each day also has a rollout that an operator takes back, and the planner may be killed or
+stand still at any moment. A day is drawn from its number alone, so one that is found is played again by
+--first N --days 1.
+"""
+
+import io
+import multiprocessing
+import random
+import traceback
+import typing
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import judge
+from lapistrestle.checks.service import serve
+from lapistrestle.standins.play import play_virtual
+from lapistrestle.standins.script import Kind, make_day
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+KINDS = [kind for kind in typing.get_args(Kind) if not kind.startswith("planner")]
+SOCKETS = ("silent", "delayed", "split", "garbled", "broken")
+
+
+def drawn(number: int, rollouts: bool) -> dict[str, Any]:
+    """The script of one day."""
+    chance = random.Random(number)
+    troubles = []
+    for kind in chance.sample(KINDS, chance.choice((1, 2, 2, 3, 4))):
+        trouble: dict[str, Any] = {"kind": kind, "at": f"{chance.uniform(1, 10):.2f} s"}
+        trouble |= {"lasts": f"{chance.choice((0.4, 1, 3, 6))} s", "share": chance.choice((0.2, 0.4, 0.8))}
+        if kind in SOCKETS:
+            trouble["on"] = chance.choice(("runners", "roster", "clients"))
+            trouble["by"] = chance.choice(("50 ms", "300 ms", "2 s"))
+        troubles.append(trouble)
+    script: dict[str, Any] = {
+        "name": f"hunt-{number}",
+        "deployment": f"{chance.choice(('slots', 'archive', 'thumbs'))}.json5",
+        "length": "14 s",
+        "seed": number,
+        "fleet": {
+            "quick": {"count": 5, "cores": 4, "speed": 1.4, "memory": 8000},
+            "plain": {"count": 4, "cores": 2, "speed": 0.9, "memory": 6000},
+        },
+        "store": {"fetches": 8, "limit": 40},
+        "roster_lag": "1 s",
+        "traffic": {"rate": chance.choice((40, 60, 90)), "functions": 20},
+        "troubles": troubles,
+    }
+    if rollouts:
+        back = chance.uniform(6, 11)
+        wrong = chance.choice(({}, {"errors": 0.1}, {"slower": 5}))
+        version = {"at": "2 s", "back": f"{back:.3f} s", "steps": [50, 100], "wrong": wrong}
+        script["rollouts"] = [version]
+        script["traffic"] |= {"functions": 3, "popularity": 1.2}
+        kind = chance.choice(("planner_kill", "planner_stall", ""))
+        if kind:
+            at = max(0.1, back + chance.choice((0.0, 0.0002, 0.0006, 0.3, -0.4, -2.0)))
+            troubles.append({"kind": kind, "at": f"{at:.4f} s", "lasts": f"{chance.uniform(0.3, 3):.2f} s"})
+    return script
+
+
+def played(task: tuple[int, bool]) -> tuple[int, list[str], float]:
+    """Number, what was broken, service."""
+    number, rollouts = task
+    logs: list[str] = []
+
+    def log(what: str, **figures: Any) -> None:
+        if what in ("module raised", "deadline guarded"):
+            logs.append(f"{what}: {figures}"[:300])
+
+    try:
+        day, deployment = make_day(drawn(number, rollouts), path=EXAMPLES / "day.json5")
+        sink = io.BytesIO()
+        world = play_virtual(day, deployment, sink, log)
+        decode = msgspec.json.Decoder(dict[str, Any]).decode
+        story = Story(decode(line) for line in sink.getvalue().splitlines())
+        broken = [f"{b.rule}, at {b.at:.0f} ms: {b.says}" for rule in judge(story) for b in rule.breaches]
+        if world.crowd.open:
+            broken.append(f"{world.crowd.open} clients still wait")
+        return number, broken + logs, serve(story).total
+    except Exception:
+        return number, [traceback.format_exc()[-600:]], 0.0
+
+
+@click.command()
+@click.option("--days", default=300, show_default=True)
+@click.option("--first", default=0, show_default=True)
+@click.option("--rollouts", is_flag=True)
+@click.option("--processes", default=8, show_default=True)
+def main(days: int, first: int, rollouts: bool, processes: int) -> None:
+    """Hunt."""
+    tasks = [(number, rollouts) for number in range(first, first + days)]
+    found, service = 0, 0.0
+    with multiprocessing.Pool(processes) as pool:
+        for number, broken, total in pool.imap_unordered(played, tasks):
+            service += total
+            if broken:
+                found += 1
+                click.echo(f"day {number}: {len(broken)} broken, first: {broken[0]}")
+    click.echo(f"{days} days, {found} with a broken rule, mean service {service / days:.3f}")
+    raise SystemExit(1 if found else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -209,7 +209,7 @@
         def usable(srv: Srv) -> bool:
             open_ = srv.listing is Listing.SERVING and srv.held_back.get(rpc.customer, 0) <= self.now
             fit = open_ and (not trust or self.fit(srv))
-            return fit and self.allowed(rpc, srv) and self.cold_room(srv, rpc.method)
+            return fit and self.allowed(rpc, srv) and self.cold_room(srv, rpc)
 
         if tried and not any(usable(s) for s in self.walk(rpc.fn) if s not in tried):
             tried.clear()
@@ -232,7 +232,7 @@
         spot.begin(call_out)
         self.out, self.loading = self.out + (not cold), self.loading + cold
         if self.warmth_of(srv) < 1:
-            srv.sends.append((self.now, self.weight(rpc.method)))
+            srv.sends.append((self.now, self.heft(rpc)))
         self.host.call_out(call_out, self.time_out(rpc, spot, cold))
         return Input.SENT
 
@@ -443,7 +443,14 @@
             self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serving)
         return self.warm_size
 
-    def cold_room(self, srv: Srv, method: int) -> bool:
+    def heft(self, rpc: Rpc) -> float:
+        """What it puts on a cold worker: guards against functions much heavier than their method's usual;
+        harms where one is slow for another reason than its work."""
+        windows = [s.window for s in rpc.fn.spots.values() if s.window] if rpc.fn.iso is None else []
+        young = min((sum(w) / len(w) for w in windows), default=0.0)
+        return max(self.weight(rpc.method), max(self.iso(rpc.fn), young) * rpc.scale)
+
+    def cold_room(self, srv: Srv, rpc: Rpc) -> bool:
         """Rule 4: what all get answered for each unit of size and warmth is within capacity, so each keeps to
         its own part of that, as of the answers: a fleet may shrink at once. Parts under one call-out go by
         turns, spread over all by number and moving on each window: only one whose turn is within it sends."""
@@ -454,7 +461,7 @@
             srv.sends.popleft()
         taken = self.rate(self.ok_weight) * srv.size
         budget = CAUTION * self.facts["fall_multiple"] * share * window * taken
-        weight, all_ = self.weight(method), self.facts["dispatchers"]
+        weight, all_ = self.heft(rpc), self.facts["dispatchers"]
         turn = (self.facts["me"] + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
         return sum(w for _, w in srv.sends) + weight * (turn % 1) <= max(budget, weight / all_)
 
--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -114,7 +114,8 @@
             serving: list[Srv] = [s for s in module.walk(fn) if s.listing.name == "SERVING"][:KEEP]
             for srv in serving:
                 spot = fn.spot(srv)
-                if not spot.ordered:
+                stale = module.now - spot.seen > self.edge.facts["idle_life"] // 3
+                if not spot.ordered and (stale or not module.believed(spot)):
                     self.edge.host.ask(module.order, spot, max(1, module.believed(spot)))
                 stands += version == split.candidate and module.believed(spot) > 0
         return stands > 0 or not self.edge.facts["may_order"]
--- a/lapistrestle/standins/engine.py
+++ b/lapistrestle/standins/engine.py
@@ -86,6 +86,7 @@
         self.paused = False  # nothing moves
         self.kept: deque[Callable[[], None]] = deque()  # what a pause holds up
         self.pushed: deque[tuple[float, float]] = deque()  # work that came, while cold
+        self.load_fails: Callable[[str], bool] = lambda fn: False
         self.report_late = 0.0
         self.reports: deque[tuple[float, dict[str, float]]] = deque()
         reactor.callLater(0.5, self.sweep)
@@ -258,7 +259,7 @@
 
     def fetched(self, fn: str) -> Callable[[bool], None]:
         def done(ok: bool) -> None:
-            if not ok:
+            if not ok or self.load_fails(fn):
                 return self.when_awake(lambda: self.loaded(fn, False))
             rest = self.copies[fn].load * (1 - self.facts.fetch_share) * self.slower
             self.reactor.callLater(rest, self.when_awake, lambda: self.loaded(fn, True))
--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -9,11 +9,13 @@
 
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.program import Edge
+from lapistrestle.planner.program import Planner
 from lapistrestle.standins.children import Child
 from lapistrestle.standins.script import Day, plain
 from lapistrestle.standins.troubles import schedule
 from lapistrestle.standins.virtual import Process, VirtualReactor
 from lapistrestle.standins.world import SECOND, World
+from lapistrestle.store.journal import Journal
 
 Log = Callable[..., None]
 EdgeMaker = Callable[[Any, Deployment, Log], Edge]
@@ -64,7 +66,15 @@
     def make_edge(deployment: Deployment, start: int) -> VirtualEdge:
         return VirtualEdge(reactor, deployment, log, make)
 
-    world = World(outside, day, deployment, sink, make_edge)
+    with tempfile.TemporaryDirectory() as folder:
+        make_planner = virtual_planners(reactor, Path(folder) / "journal", log)
+        world = World(outside, day, deployment, sink, make_edge, make_planner)
+        run_virtual(reactor, world, begun)
+    return world
+
+
+def run_virtual(reactor: VirtualReactor, world: World, begun: Callable[[World], None] | None) -> None:
+    day, deployment = world.day, world.deployment
     began = reactor.seconds()
     world.start()
     schedule(world)
@@ -76,7 +86,46 @@
     reactor.run(began + day.length / SECOND + longest + 1.0)
     for line in world.crowd.lines:
         line.stopped = True
-    return world
+
+
+class VirtualPlanner:
+    """A planner as an object, in a process that can stand still or be killed."""
+
+    def __init__(self, reactor: VirtualReactor, port: int, journal: Path, log: Log) -> None:
+        self.name, self.process, self.at = "planner", Process(reactor, "planner"), port
+        self.planner = Planner(self.process, Journal(journal), log)
+
+    def start(self) -> None:
+        self.planner.start(self.at)
+
+    def port(self) -> int:
+        return self.at
+
+    def stall(self) -> None:
+        self.process.stall()
+
+    def resume(self) -> None:
+        self.process.resume()
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.planner.journal.close()
+
+
+def virtual_planners(reactor: VirtualReactor, journal: Path, log: Log) -> Callable[[], VirtualPlanner]:
+    port = reactor.free_port()
+    return lambda: VirtualPlanner(reactor, port, journal, log)
+
+
+class ProcessPlanner(Child):
+    """A planner as a process of its own, at the same port whenever it starts."""
+
+    def __init__(self, folder: Path, port: int) -> None:
+        super().__init__(folder, "planner", "planner", str(folder / "journal"), "--port", str(port), "--json")
+
+    def start(self) -> None:
+        super().start()
+        self.wait_port()
 
 
 class ProcessEdge(Child):
@@ -97,14 +146,19 @@
     reactor.seconds = time.monotonic  # a machine's clock set back must not move a timer
     made: list[ProcessEdge] = []
     worlds: list[World] = []
+    planners: list[ProcessPlanner] = []
     with tempfile.TemporaryDirectory() as folder:
 
         def make_edge(deployment: Deployment, start: int) -> ProcessEdge:
             made.append(ProcessEdge(Path(folder), deployment))
             return made[-1]
 
+        def make_planner() -> ProcessPlanner:
+            planners.append(ProcessPlanner(Path(folder), planners[0].known if planners else 0))
+            return planners[-1]
+
         def begin() -> None:
-            world = World(reactor, day, deployment, sink, make_edge)
+            world = World(reactor, day, deployment, sink, make_edge, make_planner)
             worlds.append(world)
             world.start()
             wait_for_edges(world, reactor.seconds() + 20)
@@ -123,9 +177,9 @@
         try:
             reactor.run()
         finally:
-            for edge in made:
+            for edge in [*made, *planners]:
                 edge.stop()
-            for edge in made:
+            for edge in [*made, *planners]:
                 for line in edge.lines():
                     log("edge", name=edge.name, line=line)
     return worlds[0]
--- a/lapistrestle/standins/runner.py
+++ b/lapistrestle/standins/runner.py
@@ -30,6 +30,16 @@
 
     errors: float = 0.0  # share of its calls that end in an error
     slower: float = 1.0
+    load_errors: float = 0.0  # share of its loads that fail
+    when_busy: float = 0.0  # only where at least this part of the cores is at work
+    customer: str = ""  # only for this one
+    after: float = 0.0  # only from this time on, in seconds of the reactor
+
+    def shows(self, customer: str, busy: float, now: float) -> bool:
+        return self.customer in ("", customer) and busy >= self.when_busy and now >= self.after
+
+
+SOUND = Fault()
 
 
 class Tokens:
@@ -58,9 +68,10 @@
         self.tokens, self.tape, self.tells, self.fell = tokens, tape, tells, fell
         self.loads = loads if loads is not None else {}  # milliseconds that a load takes, by function
         self.weather = Weather(seed=start)
+        self.engine = Engine(reactor, facts, store, self.fall, cold)
         self.faults: dict[str, Fault] = {}  # by the name of a version
         self.chance = Weather(seed=start + 1)
-        self.engine = Engine(reactor, facts, store, self.fall, cold)
+        self.engine.load_fails = lambda fn: self.chance.chance(self.faults.get(fn, SOUND).load_errors)
         self.speakers: dict[RunnerSpeaker, None] = {}
         self.count = 0
         self.listening = reactor.listenTCP(port, RunnerFactory(self), interface="127.0.0.1")
@@ -166,7 +177,9 @@
         except msgspec.MsgspecError:
             body = Body()
         did = [False]
-        fault = self.runner.faults.get(run.fn, Fault())
+        engine, fault = self.runner.engine, self.runner.faults.get(run.fn, SOUND)
+        busy = engine.running / engine.facts.cores
+        fault = fault if fault.shows(run.customer, busy, self.reactor.seconds()) else SOUND
         came_known = self.runner.tokens.knows(run.token, self.reactor.seconds())
 
         def begin(task: Task) -> bool:
--- a/lapistrestle/standins/script.py
+++ b/lapistrestle/standins/script.py
@@ -14,6 +14,7 @@
     "pauses", "preempt", "report_late", "retry_abuse", "scan", "slow", "throttle", "zone_loss",
     "refused", "broken", "silent", "delayed", "split", "garbled",
     "edge_kill", "store_slow", "roster_back", "roster_gap", "roster_restart", "unread",
+    "planner_stall", "planner_kill",
 ]  # fmt: skip
 
 
@@ -73,6 +74,28 @@
     on: Literal["runners", "roster", "clients"] = "runners"
 
 
+class Wrongness(Shape):
+    """What is wrong with a version, and when it shows."""
+
+    errors: Part = 0.0  # of its calls
+    slower: Positive = 1.0
+    load_errors: Part = 0.0  # of its loads
+    when_busy: Part = 0.0  # only where at least this part of the cores is at work
+    customer: str = ""  # only for this one
+    after: Span = Span(0)  # only so long after it was first started
+
+
+class Version(Shape):
+    """A rollout: started at `at`, taken back by the operator at `back` (0: not)."""
+
+    fn: str = "fn-0"
+    candidate: str = "v2"
+    at: Span = Span(20_000)
+    back: Span = Span(0)
+    steps: list[Annotated[float, Meta(gt=0, le=100)]] = field(default_factory=lambda: [5.0, 30.0, 100.0])
+    wrong: Wrongness = field(default_factory=Wrongness)
+
+
 class Day(Shape):
     name: str
     deployment: Any  # inline, or the path of a file beside the script
@@ -86,6 +109,7 @@
     store: StorePlan = field(default_factory=StorePlan)
     roster_lag: Span = Span(10_000)
     traffic: Traffic = field(default_factory=Traffic)
+    rollouts: list[Version] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
 
 
--- a/lapistrestle/standins/troubles.py
+++ b/lapistrestle/standins/troubles.py
@@ -85,6 +85,22 @@
     return all_of(partial(world.restart_edge, n) for n in chosen)
 
 
+def planner_stall(world: World, trouble: Trouble) -> End:
+    planner = world.planner
+    if planner is None:
+        return nothing
+    planner.stall()
+    return planner.resume
+
+
+def planner_kill(world: World, trouble: Trouble) -> End:
+    """It comes back at the same port, on the same journal."""
+    if world.planner is None:
+        return nothing
+    world.planner.kill()
+    return world.begin_planner
+
+
 # traffic
 
 
@@ -380,4 +396,6 @@
     "split": set_to("split", lambda t: True, False),
     "garbled": set_to("garble", lambda t: t.share / 20, 0.0),
     "unread": unread,
+    "planner_stall": planner_stall,
+    "planner_kill": planner_kill,
 }
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -8,15 +8,17 @@
 
 import msgspec
 
-from lapistrestle.deployment.shape import Deployment, Place
+from lapistrestle.deployment.shape import Deployment, Place, Planner
 from lapistrestle.standins.client import Crowd, Habits, Line, Wish
 from lapistrestle.standins.engine import RunnerFacts
+from lapistrestle.standins.operator import Operator
 from lapistrestle.standins.roster import RosterStandIn
 from lapistrestle.standins.runner import Fault, RunnerStandIn, Tokens
 from lapistrestle.standins.script import Day, Machines
 from lapistrestle.standins.store import Store, StoreFacts
 from lapistrestle.standins.tape import Tape
 from lapistrestle.wire.messages import Entry
+from lapistrestle.wire.plans import Order
 
 SECOND = 10_000
 
@@ -34,6 +36,7 @@
 
 
 MakeEdge = Callable[[Deployment, int], EdgeHandle]  # with the number of the start, for its seed
+MakePlanner = Callable[[], EdgeHandle]
 
 
 @dataclass(eq=False)
@@ -68,8 +71,9 @@
     """Builds and plays one day. `make_edge` decides whether edges are objects or processes."""
 
     def __init__(
-        self, reactor: Any, day: Day, deployment: Deployment, sink: BinaryIO, make_edge: MakeEdge
-    ) -> None:
+        self, reactor: Any, day: Day, deployment: Deployment, sink: BinaryIO, make_edge: MakeEdge,
+        make_planner: MakePlanner | None = None,
+    ) -> None:  # fmt: skip
         self.reactor, self.day, self.deployment = reactor, day, deployment
         self.random = random.Random(day.seed)
         self.tape = Tape(sink, reactor.seconds, header(day, deployment))
@@ -91,6 +95,10 @@
         wait = traffic.wait / SECOND
         habits = Habits(traffic.retries, wait, traffic.patience, traffic.marks, traffic.heeds)
         self.crowd = Crowd(reactor, habits, day.seed + 1, self.tape)
+        self.make_planner = make_planner
+        self.planner: EdgeHandle | None = None
+        if day.rollouts and make_planner is not None:
+            self.begin_planner()
         self.edges = [make_edge(self.edge_deployment(i), 0) for i in range(day.edges)]
         self.make_edge = make_edge
         self.rate, self.hot, self.scan = 1.0, 0.0, 0.0  # troubles of the traffic
@@ -98,9 +106,34 @@
         self.count = self.one_offs = 0
         self.began = reactor.seconds()
         self.over = False
+        self.operator: Operator | None = None
 
     # building
 
+    def begin_planner(self) -> None:
+        assert self.make_planner is not None
+        self.planner = self.make_planner()
+        self.planner.start()
+        self.deployment.planner = Planner(port=self.planner.port())
+
+    def roll_out(self) -> None:
+        """The day's rollouts, by an operator who gives each order until it is answered."""
+        operator = self.operator = Operator(self.reactor, lambda: self.deployment.planner.port, self.tape)
+        for version in self.day.rollouts:
+            wrong, name = version.wrong, f"{version.fn}@{version.candidate}"
+            at, back = version.at / SECOND, version.back / SECOND
+            self.faults[name] = Fault(
+                wrong.errors, wrong.slower, wrong.load_errors, wrong.when_busy, wrong.customer,
+                self.reactor.seconds() + at + wrong.after / SECOND,
+            )  # fmt: skip
+            orders = [(at, "start"), *([(back, "back")] if back else [])]
+            steps = tuple(step / 100 for step in version.steps)
+            for when, what in orders:
+                order = Order(
+                    f"{what} {name}", what, version.fn, "script", "", version.candidate, steps  # type: ignore[arg-type]
+                )
+                self.reactor.callLater(when, operator.give, order)
+
     def edge_deployment(self, number: int) -> Deployment:
         made = msgspec.structs.replace(self.deployment)
         zones = made.zones
@@ -190,6 +223,8 @@
             edge.start()
         self.crowd.lines = [Line(self.crowd, e.name, e.port) for e in self.edges]
         self.reactor.callLater(0.5, self.next_wish)
+        if self.planner is not None:
+            self.roll_out()
 
     def elapsed(self) -> float:
         return float(self.reactor.seconds() - self.began)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -161,7 +161,7 @@
 
 def test_rule_4_no_care_for_cold_runners():
     def change(edge):
-        edge.host.module.cold_room = lambda srv, method: True
+        edge.host.module.cold_room = lambda srv, rpc: True
 
     rules, says = caught(change, REPLACED)
     assert rules == {"4"} and "fell over" in says
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -93,10 +93,10 @@
         cold.booted = made.now
         made.ok_weight.add(made.now, 400_000.0 / 1.2 / front_ends)
         budget += made.rate(made.ok_weight) * 0.7 * 2.0 * 0.2 * 20_000 / made.weight(0)
-        while made.cold_room(cold, 0):
+        while made.cold_room(cold, rpc(made)):
             cold.sends.append((made.now, made.weight(0)))
             sent += 1
-        assert made.cold_room(warm, 0)
+        assert made.cold_room(warm, rpc(made))
     assert budget - 1 <= sent <= budget + 1.5
 
 
@@ -130,7 +130,27 @@
     for srv in made.srvs[:3]:
         srv.booted = made.now
         srv.sends.append((made.now, 10_000.0))
-    assert not made.cold_room(made.srvs[0], 0)
+    assert not made.cold_room(made.srvs[0], rpc(made))
+
+
+def test_a_function_heavier_than_its_method_fills_a_cold_worker_sooner():
+    """A version five times slower than the others of its method pushed cold workers over."""
+    made = dispatcher(2)
+    light, heavy = rpc(made), rpc(made, name="heavy")
+    assert made.heft(heavy) == made.heft(light) == made.weight(0)
+    heavy.fn.spot(made.srvs[0]).window.extend([20_000, 24_000])
+    assert made.heft(heavy) == 22_000
+    heavy.fn.iso, heavy.scale = 15_000.0, 2.0
+    assert made.heft(heavy) == 30_000 and made.heft(light) == made.weight(0)
+    made.ok_weight.add(made.now, 100_000.0)
+    made.srvs[0].booted = made.now
+    sent = {}
+    for one in (light, heavy):
+        made.srvs[0].sends.clear()
+        while made.cold_room(made.srvs[0], one):
+            made.srvs[0].sends.append((made.now, made.heft(one)))
+        sent[one.fn.name] = len(made.srvs[0].sends)
+    assert 0 <= sent["heavy"] < sent["f"]
 
 
 @pytest.mark.parametrize("left", [Listing.GONE, Listing.DRAINING])
@@ -143,7 +163,7 @@
         cold = made.srvs[0]
         cold.booted, sent = made.now, 0
         cold.sends.clear()
-        while made.cold_room(cold, 0):
+        while made.cold_room(cold, rpc(made)):
             cold.sends.append((made.now, made.weight(0)))
             sent += 1
         return sent
--- a/tests/test_rollout_days.py
+++ b/tests/test_rollout_days.py
@@ -190,3 +190,32 @@
     played = Rolled(script(), tmp_path / "j", does=[(5.0, newer), (6.0, use_older)])
     assert played.said is None and played.older.over
     assert "late" not in played.planner.keeper.replies
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"errors": 0.5},
+        {"errors": 0.5, "customer": "line-east"},
+        {"errors": 0.6, "when_busy": 0.25},
+        {"slower": 40, "after": "6 s"},
+        {"load_errors": 1.0},
+    ],
+    ids=str,
+)
+def test_a_scripted_version_that_is_wrong_in_its_own_way_never_settles(wrong):
+    version = {"candidate": "v2", "at": "2 s", "steps": [30, 100], "wrong": wrong}
+    troubles = [{"kind": "planner_kill", "at": "6 s", "lasts": "1 s"}, {"kind": "planner_stall", "at": "9 s"}]
+    played = Played(script(troubles, length="40 s") | {"rollouts": [version]})
+    assert played.breaches() == [] and played.world.crowd.open == 0
+    rollout = played.world.planner.planner.keeper.rollouts["fn-0"]
+    assert rollout.state in (State.WITHDRAWING, State.WITHDRAWN, State.WARMING), rollout.evidence.findings()
+    assert played.world.operator.replies[0].outcome == "done"
+
+
+def test_a_scripted_rollback_is_judged_and_the_tape_is_the_same_each_time():
+    version = {"candidate": "v2", "at": "2 s", "back": "9 s", "steps": [50, 100]}
+    troubles = [{"kind": "planner_kill", "at": "9 s", "lasts": "2 s"}]
+    first, second = (Played(script(troubles) | {"rollouts": [version]}) for _ in range(2))
+    assert first.tape == second.tape and first.breaches() == []
+    assert [version for _, _, version in first.story.backs] == [NAME]
