Dead code out of the planner, the stand-ins and the demo; policies in a folder of their own

A policy of steps lay among the example deployments, so the check of all of them failed. A last reading found the edges' plan numbers kept twice (by the connection and by the keeper, which only a test asked), the end of a rollout named twice, and constants that nothing used. Policies move to examples/policies; the connection alone keeps what its edge has; keeper.OVER alone names the ends.

--- a/lapistrestle/command/demo.py
+++ b/lapistrestle/command/demo.py
@@ -139,7 +139,6 @@
         now = reactor.seconds()
         if now >= until:
             return
-        crowd.counts["tries"] += 0
         number = crowd.counts["wishes"] + 1
         method = "book" if crowd.random.random() < 0.2 else "price"
         fn = f"{method}-rules-{min(int(crowd.random.expovariate(0.4)), 9)}"
--- a/lapistrestle/planner/keeper.py
+++ b/lapistrestle/planner/keeper.py
@@ -84,7 +84,6 @@
     settled: dict[str, str] = field(default_factory=dict)
     replies: dict[str, Reply] = field(default_factory=dict)
     changed: dict[str, int] = field(default_factory=dict)  # by function: the entry that changed its split
-    acknowledged: dict[str, int] = field(default_factory=dict)
 
     def take(self, number: int, entry: Command | Report | Look) -> Reply | None:
         """Take the entry of that number; a command's reply."""
@@ -161,11 +160,3 @@
     def plan(self, after: int = -1) -> dict[str, Split]:
         """Splits that changed after that number; all of them where none is known."""
         return {fn: r.split() for fn, r in self.rollouts.items() if self.changed.get(fn, 0) > after}
-
-    def acknowledge(self, edge: str, number: int) -> None:
-        """An edge goes by this number now. Not an entry: it is asked anew after a restart."""
-        self.acknowledged[edge] = max(number, self.acknowledged.get(edge, 0))
-
-    def behind(self, number: int) -> list[str]:
-        """Edges that do not go by it yet."""
-        return sorted(edge for edge, has in self.acknowledged.items() if has < number)
--- a/lapistrestle/planner/program.py
+++ b/lapistrestle/planner/program.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.protocol import ServerFactory
 
-from lapistrestle.planner.keeper import ENTRY, Command, Keeper, Look, Reply, Report, encode
+from lapistrestle.planner.keeper import ENTRY, OVER, Command, Keeper, Look, Reply, Report, encode
 from lapistrestle.rollout.versions import Split
 from lapistrestle.store.journal import Journal, Outdated, Unreadable
 from lapistrestle.wire import messages as wire
@@ -71,7 +71,7 @@
     def look(self) -> None:
         if not self.over:
             self.reactor.callLater(LOOK, self.look)
-            if any(not done(r.state.name) for r in self.keeper.rollouts.values()):
+            if any(r.state not in OVER for r in self.keeper.rollouts.values()):
                 self.add(Look(at=self.now(), warm=self.warm_functions()))
 
     def warm_functions(self) -> tuple[str, ...]:
@@ -106,10 +106,6 @@
         )  # fmt: skip
 
 
-def done(state: str) -> bool:
-    return state in ("SETTLED", "WITHDRAWN")
-
-
 def shown(split: Split) -> plans.Share:
     return plans.Share(
         split.fn, split.settled, split.candidate, split.share, split.peak, split.withdrawn, split.step
@@ -149,7 +145,6 @@
         match message:
             case plans.Beat():
                 self.has = max(self.has, message.has)
-                planner.keeper.acknowledge(self.name, message.has)
                 if not planner.over:
                     self.say(plans.Beat(message.asked))
             case plans.Counts():
--- a/lapistrestle/standins/tape.py
+++ b/lapistrestle/standins/tape.py
@@ -17,7 +17,7 @@
     """Writes events in the order in which they happen. Times are whole microseconds since the day began."""
 
     def __init__(self, sink: BinaryIO, seconds: Callable[[], float], header: dict[str, Any]) -> None:
-        self.sink, self.seconds, self.zero, self.last = sink, seconds, seconds(), 0
+        self.sink, self.seconds, self.zero = sink, seconds, seconds()
         sink.write(ENCODE({"tape": 1, **header}) + b"\n")
 
     def put(self, connection: str, what: str, **more: Any) -> None:
--- a/lapistrestle/standins/virtual.py
+++ b/lapistrestle/standins/virtual.py
@@ -17,7 +17,6 @@
 LATENCY = 150  # microseconds one way
 SOCKET = 262_144  # bytes that the two socket buffers take together
 BUFFER = 65_536  # bytes in a transport's own buffer before its producer is paused
-READ = 65_536  # bytes read in one turn
 
 
 class DelayedCall:
@@ -153,7 +152,6 @@
 class Listener:
     def __init__(self, process: Process, port: int, factory: Any) -> None:
         self.process, self.port, self.factory = process, port, factory
-        self.refusing = False  # a trouble: nothing is accepted
 
     def getHost(self) -> IPv4Address:
         return IPv4Address("TCP", "127.0.0.1", self.port)
@@ -181,7 +179,7 @@
         listener = self.process.reactor.ports.get(self.port)
         if self.given_up or self.process.dead:
             return
-        if listener is None or listener.refusing or listener.process.dead:
+        if listener is None or listener.process.dead:
             return self.process.deliver(self.fail, ConnectionRefusedError())  # type: ignore[no-untyped-call]
         here, there = Wire(self.process, self.port), Wire(listener.process, self.port)
         here.peer, there.peer, self.wire = there, here, here
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -97,10 +97,6 @@
     known = kept.number
     kept.add(Look(at=1, warm=("g",)))
     assert set(kept.plan(known)) == {"g"} and set(kept.plan()) == {"f", "g"} and not kept.plan(kept.number)
-    kept.acknowledge("e0", known)
-    kept.acknowledge("e1", kept.number)
-    kept.acknowledge("e1", known)  # an old word, late
-    assert kept.behind(kept.number) == ["e0"]
 
 
 def test_the_same_entries_give_the_same_state(kept, tmp_path):
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -96,7 +96,7 @@
     planner = started("planner", "planner", tmp_path / "journal")
     to = ("--port", planner.wait_port(), "--fn", "f")
     start = ("rollout", "start", *to, "--candidate", "v2", "--id", "one")
-    first = command(*start, "--policy", EXAMPLES / "careful.json5", "--json")
+    first = command(*start, "--policy", EXAMPLES / "policies" / "careful.json5", "--json")
     assert first.returncode == 0 and json.loads(first.stdout)["state"] == "warming"
     planner.kill()
     planner = started("planner2", "planner", tmp_path / "journal")
