--- a/lapistrestle/standins/virtual.py
+++ b/lapistrestle/standins/virtual.py
@@ -278,9 +278,6 @@
             self.braked = True
             self.producer.pauseProducing()
 
-    def writeSequence(self, parts: list[bytes]) -> None:
-        self.write(b"".join(parts))
-
     def arrive(self, data: bytes) -> None:
         """Bytes reached this end's socket, whether or not its process stands still."""
         self.unread.append(data)
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -104,7 +104,6 @@
         self.rate, self.hot, self.scan = 1.0, 0.0, 0.0  # troubles of the traffic
         self.hot_functions: list[Function] = []
         self.count = self.one_offs = 0
-        self.began = reactor.seconds()
         self.over = False
         self.operator: Operator | None = None
 
@@ -226,9 +225,6 @@
         if self.planner is not None:
             self.roll_out()
 
-    def elapsed(self) -> float:
-        return float(self.reactor.seconds() - self.began)
-
     def next_wish(self) -> None:
         """Arrivals at exponential gaps."""
         if self.over:
