Tokened RPCs that come back meet one version only; a step waits for the copies it needs

Need: a tokened RPC whose first try ran on the settled version met the candidate on its second, once the share had grown in between or another edge had a newer plan or a lease: its effect could come twice. And a step waited for one copy at each edge, whatever its share needed.

Change: an edge remembers which version it sent a tokened RPC to; where no edge can know it is aborted, which promises nothing. Edges are told of a step a second before it comes, so none with a lease has an older peak. `rollout/stock.py` reckons the copies that the next share needs and those to take everything back, within a part of memory, of orders and of loads; edges say what they lack, and `status` shows it. What has settled can be taken back; its predecessor is kept for as long as clients may come back. A planner asks whether it is the newest before it renews a lease; a silent planner connection is dialled anew. Bad answers of a version that an edge may not send to now are no evidence. The checker judges shares and repeats, and the stand-ins' tokens are known by version, which is harder.

--- a/lapistrestle/checks/reading.py
+++ b/lapistrestle/checks/reading.py
@@ -150,6 +150,8 @@
         self.stalls: dict[str, list[tuple[float, float]]] = {}
         self.kills: dict[str, list[float]] = {}
         self.backs: list[tuple[float, int, str]] = []  # when it was accepted, line, version
+        # by version: not in force before, in force at the latest, share
+        self.shares: dict[str, list[tuple[float, float, float]]] = {}
         self.troubles: list[tuple[float, str, float]] = []
         self.end = 0.0
         lines = iter(tape)
@@ -202,6 +204,9 @@
                 paused[-1] = (paused[-1][0], at)
             case "back":
                 self.backs.append((at, number, event["version"]))
+            case "share":
+                told = self.shares.setdefault(event["version"], [])
+                told.append((event["since"] / 1000, at, event["share"]))
             case "trouble":
                 self.troubles.append((at, event["kind"], event["lasts"]))
 
--- a/lapistrestle/checks/rules.py
+++ b/lapistrestle/checks/rules.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from scipy.stats import binom
+
 from lapistrestle.checks.reading import NEVER, Run, Story
 
 EPS = 5.0  # milliseconds by which the clocks of two sockets of one machine may seem to differ
@@ -277,6 +279,53 @@
     return judged
 
 
+def shares_kept(story: Story) -> Judged:
+    """No more of the keys reach a candidate than the share that it has, but for a second after it falls.
+
+    Shares are those that the planner told its operators; a count beyond what chance allows is a breach.
+    """
+    judged = Judged("shares kept")
+    worst = 1.0
+    for version, told in story.shares.items():
+        fn = version.partition("@")[0]
+        ends = [at for _, at, _ in told[1:]] + [NEVER]
+        met: dict[float, dict[str, Run]] = defaultdict(dict)  # by the share allowed: first runs by key
+        for run in story.runs:
+            if run.message.fn.partition("@")[0] == fn:
+                allowed = [share for (since, _, share), end in zip(told, ends, strict=True)
+                           if since <= run.at + EPS and run.at <= end + 1000 + EPS]  # fmt: skip
+                met[max(allowed, default=0.0)].setdefault(run.message.key or run.message.rpc, run)
+        for share, runs in sorted(met.items()):
+            there = [run for run in runs.values() if run.message.fn == version]
+            odds = float(binom.sf(len(there) - 1, len(runs), share))
+            worst = min(worst, odds)
+            if odds < 1e-9:
+                says = f"{version} gets {len(there)} of {len(runs)} keys, its share being {share:.0%}"
+                judged.breach(there[0].at, says, *(run.line for run in there[:5]))
+    judged.figures = {"versions": len(story.shares), "least likely count of keys, odds": worst}
+    return judged
+
+
+def repeats_on_their_version(story: Story) -> Judged:
+    """A tokened RPC whose client says that it comes back takes effect on one version only, as versions do
+    not know each other's tokens."""
+    judged = Judged("repeats on their version")
+    effects: dict[str, list[tuple[float, int, Run]]] = defaultdict(list)
+    for at, number, key, method, _, run in story.effects:
+        if story.header["methods"][method]["effect"] == "tokened" and run is not None and key:
+            effects[key].append((at, number, run))
+    came_back = 0
+    for key, seen in effects.items():
+        first = seen[0][2]
+        for at, number, run in seen[1:]:
+            came_back += 1
+            if run.message.fn != first.message.fn and run.call is not None and run.call.message.repeat:
+                says = f"{key} took effect on {first.message.fn} and, coming back, on {run.message.fn}"
+                judged.breach(at, says, first.line, run.line, number)
+    judged.figures = {"tokened keys": len(effects), "of them with a further effect": came_back}
+    return judged
+
+
 RULES: tuple[Callable[[Story], Judged], ...] = (
     one_answer,
     no_effect_twice,
@@ -284,6 +333,8 @@
     cold_not_pushed,
     orders_rationed,
     withdrawn_left,
+    shares_kept,
+    repeats_on_their_version,
 )
 
 
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -59,6 +59,7 @@
     soft_stretch: Positive = 0.0
     repeats_dropped_by: Literal["all", "zone", "cell"] = "cell"
     repeats_remembered: Span = Span(0)
+    repeats_across_versions: bool = False  # a version of a function knows the tokens of another
     gain: Positive = 1.0
     late_gain: Part = 0.0
     streamed: bool = False
--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -3,16 +3,17 @@
 from typing import Any
 
 from lapistrestle.edge.sources import Source
+from lapistrestle.rollout import stock
 from lapistrestle.rollout.routing import Routing, named
 from lapistrestle.rollout.versions import Split
-from lapistrestle.state import Srv
+from lapistrestle.state import Fn, Srv
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire import plans
 from lapistrestle.wire.lines import Speaker, union
 
 BEAT = 2_000  # tenths of a millisecond
 TELL = 10_000  # between two tellings of counts, and between two looks at what is kept loaded
-KEEP = 2  # workers on which either version of an unsettled function is kept, besides those it is used on
+UNHEARD = 30_000  # a connection on which no beat was answered for so long is dialled anew
 
 
 class PlannerSpeaker(Speaker):
@@ -27,6 +28,7 @@
         return wire.Hello(self.protocol, wire.VERSION, self.source.edge.name, start=self.source.start_name)
 
     def met(self, hello: wire.Hello) -> None:
+        self.source.heard = self.source.edge.clock()
         self.source.beat(None, once=True)
 
     def heard(self, message: Any) -> None:
@@ -35,7 +37,8 @@
             case plans.Plan():
                 self.source.told(message)
             case plans.Beat():
-                self.source.routing.lease.beat(message.asked, self.source.edge.clock())
+                self.source.heard = self.source.edge.clock()
+                self.source.routing.lease.beat(message.asked, self.source.heard)
 
     def unreadable(self, line: bytes, why: str) -> None:
         """It may have been a plan: dial anew and be told all."""
@@ -52,6 +55,7 @@
     def __init__(self, edge: Any, port: int) -> None:
         super().__init__(edge, port)
         self.routing: Routing = edge.routing
+        self.heard = 0  # when a beat was answered last
         self.start_name = f"{edge.name}-{edge.clock()}"
         edge.after(BEAT, self.beat, None)
         edge.after(TELL, self.tell, None)
@@ -60,13 +64,16 @@
         return PlannerSpeaker(self)
 
     def beat(self, _: object, once: bool = False) -> None:
+        if self.speaker is not None and self.speaker.greeted and self.edge.clock() - self.heard > UNHEARD:
+            self.speaker.cut("no beat was answered")
         self.say(plans.Beat(self.edge.clock(), self.routing.number))
         if not once and not self.stopped:
             self.edge.after(BEAT, self.beat, None)
 
     def told(self, plan: plans.Plan) -> None:
         splits = [
-            Split(s.fn, s.settled, s.candidate, s.share, s.peak, s.withdrawn, s.step) for s in plan.shares
+            Split(s.fn, s.settled, s.candidate, s.share, s.peak, s.withdrawn, s.step, s.next, s.done)
+            for s in plan.shares
         ]
         barred = self.routing.told(plan.epoch, plan.number, plan.whole, splits)
         if barred is None:
@@ -94,30 +101,61 @@
         for fn, candidate, step, minute, tally in self.routing.tell(now):
             self.say(plans.Counts(fn, candidate, step, minute, tally))
         for split in self.routing.splits.values():
-            if split.candidate and not split.withdrawn and self.routing.lease.usable(now):
-                stands = self.keep(split)
-                if stands:
-                    self.say(plans.Warm(split.fn, split.candidate))
+            if split.candidate:
+                share, lacks = self.keep(split)
+                if stock.phase(split) is stock.Phase.LOADING and self.routing.lease.usable(now):
+                    self.say(plans.Warm(split.fn, split.candidate, share, lacks))
         if not self.stopped:
             self.edge.after(TELL, self.tell, None)
 
-    def keep(self, split: Split) -> bool:
-        """Orders go through the module, so that rules 3 and 5 are kept by the one that counts. True once a
-        copy of the candidate stands, or where orders are not allowed and only calls load."""
-        module, door = self.edge.host.module, self.edge.host.door
-        model = door.fns.get(named(split.fn, split.settled)) or door.fns.get(split.fn)
-        if model is None:
-            return False
-        stands = 0
-        for version in (split.candidate, split.settled):
-            fn = door.fn(named(split.fn, version), model.method, model.memory, model.lanes)
-            serving: list[Srv] = [s for s in module.walk(fn) if s.listing.name == "SERVING"][:KEEP]
-            for srv in serving:
-                spot = fn.spot(srv)
-                stale = module.now - spot.seen > self.edge.facts["idle_life"] // 3
-                if not spot.ordered and (stale or not module.believed(spot)):
-                    self.edge.host.ask(module.order, spot, max(1, module.believed(spot)))
-                stands += version == split.candidate and module.believed(spot) > 0
-        return stands > 0 or not self.edge.facts["may_order"]
-
+    def keep(self, split: Split) -> tuple[float, str]:
+        """Have the copies that `rollout.stock` wants; the share that they stand for, and what is missing.
 
+        Orders go through the module, so that rules 3 and 5 are kept by the one that counts. Where they are
+        not allowed only calls load; an edge that has met no RPC of the function needs nothing.
+        """
+        module, door = self.edge.host.module, self.edge.host.door
+        module.now = self.edge.clock()
+        versions = (split.candidate, split.settled)
+        known = [fn for name in (*versions, "") if (fn := door.fns.get(named(split.fn, name))) is not None]
+        if not known or not self.edge.facts["may_order"]:
+            return split.next, ""
+        model = known[-1]
+        busy = sum(fn.asked.read(module.now) / fn.asked.life for fn in dict.fromkeys(known))
+        busy *= max(1.0, module.iso(model) / max(module.weight(model.method), 1.0))
+        shares = [split.next if part is None else part for part in stock.WANTED[stock.phase(split)]]
+        used = max((module.believed(spot) for fn in known for spot in fn.spots.values()), default=1)
+        stands = [
+            self.keep_version(named(split.fn, version), model, busy, share, used)
+            for version, share in zip(versions, shares, strict=True)
+        ]
+        lacking = next((stand for stand in stands if not stand.whole), None)
+        if lacking is None:
+            return split.next, ""
+        name = versions[stands.index(lacking)] or split.fn
+        has = f"{name} has {lacking.standing} of {lacking.wanted} copies"
+        return split.share, f"{has}; {stock.SAYS[lacking.lacks]}"
+
+    def keep_version(self, name: str, model: Fn, busy: float, share: float, used: int) -> stock.Stand:
+        edge, module = self.edge, self.edge.host.module
+        if self.edge.barred(name) or not share:
+            return stock.Stand(0, 0, stock.Lack.NOTHING)
+        fn = edge.host.door.fn(name, model.method, model.memory, model.lanes)
+        memory, idle_life = edge.facts["memory_by_kind"], edge.facts["idle_life"]
+        shelves: dict[stock.Shelf, Srv] = {}
+        for srv in module.walk(fn):
+            if srv.listing.name != "SERVING" or not module.fit(srv):
+                continue
+            size = memory[srv.kind] if srv.kind < len(memory) else 0.0
+            shelf = stock.Shelf(0, stock.room(size, fn.memory, used), cold=module.warmth_of(srv) < 1)
+            if (spot := fn.spots.get(srv)) is not None:
+                shelf.standing, shelf.waiting = module.believed(spot), bool(spot.ordered)
+                shelf.fresh = module.now - spot.seen <= idle_life // 3
+            shelves[shelf] = srv
+
+        def order(shelf: stock.Shelf, count: int) -> bool:
+            ordered: bool = module.order(fn.spot(shelves[shelf]), count, stock.ORDER_PART)
+            return ordered
+
+        wanted = stock.needed(busy, share, fn.lanes, edge.facts["dispatchers"])
+        return stock.keep(list(shelves), wanted, module.load_limit - module.loading, order)
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -155,7 +155,8 @@
     def route(self, call: wire.Call, seat: ClientSpeaker, method: int) -> Route:
         key = key_of(call.key, call.token, f"{seat.name}/{call.id}")
         kind = self.facts["methods"][method]["kind"]
-        return self.routing.route(call.fn, key, kind, call.repeat, self.clock())
+        span = self.deployment.methods[call.method].repeats_across_versions
+        return self.routing.route(call.fn, key, kind, call.repeat, self.clock(), span)
 
     def take(
         self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route,
@@ -174,13 +175,19 @@
     def move(self, ticket: Ticket) -> None:
         """An RPC that has not run on a version that is barred now goes to the settled one, in its time."""
         route = Route(self.routing.settled_name(ticket.fn.name))
+        fn, _, version = route.name.partition("@")
+        asked = ticket.asked
+        self.routing.remember(fn, key_of(asked.key, asked.token, ticket.tag), version)
         left = ticket.deadline - self.clock()
-        asked, tries = ticket.asked, ticket.tries()
+        tries = ticket.tries()
         self.take(ticket.seat, asked, ticket.method, ticket.customer, left, route, True, tries)
 
     def closed(self, ticket: Ticket, how: str) -> None:
-        """How an RPC ended is evidence for or against its version."""
+        """How an RPC ended is evidence for or against its version; not where this edge may not send there
+        now, as what ends badly then is no fault of the version."""
         if ticket.route is not None and ticket.route.candidate and how != "moved":
+            if how != "ok" and self.barred(ticket.fn.name):
+                return
             now = self.clock()
             method = self.facts["methods"][ticket.method]
             stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
--- a/lapistrestle/planner/keeper.py
+++ b/lapistrestle/planner/keeper.py
@@ -102,6 +102,8 @@
         for fn, rollout in self.rollouts.items():
             if rollout.state is State.SETTLED:
                 self.settled[fn] = rollout.candidate
+            elif self.settled.get(fn) == rollout.candidate:
+                self.settled[fn] = rollout.settled  # it had settled, and was taken back
             if before.get(fn) != rollout.split():
                 self.changed[fn] = number
         return reply
@@ -130,6 +132,8 @@
         settled = self.settled.get(fn, "")
         if not candidate or candidate == settled:
             return NOTHING if candidate else REFUSED, f"{candidate or 'no version'} is what {fn} runs"
+        if running is not None and running.kept:
+            return REFUSED, f"{settled} settled lately, and clients may still come back to it; wait"
         if running is not None:
             self.ended.append(running)
         made = self.rollouts[fn] = Rollout(fn, settled, candidate, steps, command.remembered)
@@ -143,6 +147,8 @@
         if command.candidate and command.candidate != rollout.candidate:
             return REFUSED, f"{command.fn} has {rollout.candidate}, not {command.candidate}"
         outcome = rollout.tell(Input[command.what.upper()], command.at, command.who, command.why)
+        if rollout.urged:
+            return outcome, f"{rollout.candidate} goes to {rollout.next:.0%} within two seconds"
         return outcome, f"{rollout.candidate} is {rollout.state.name.lower()} at {rollout.share:.0%}"
 
     def report(self, report: Report) -> None:
@@ -151,9 +157,12 @@
         if rollout is not None and (rollout.candidate, rollout.step) == (report.candidate, report.step):
             rollout.evidence.report(report.edge, report.start, report.minute, Tally(*report.counts))
 
+    def running(self) -> dict[str, Rollout]:
+        """Those that the clock or the evidence may still move."""
+        return {fn: r for fn, r in self.rollouts.items() if r.state not in OVER or r.kept}
+
     def look(self, look: Look) -> dict[str, Findings]:
-        running = {fn: r for fn, r in self.rollouts.items() if r.state not in OVER}
-        return {fn: rollout.look(look.at, fn in look.warm) for fn, rollout in running.items()}
+        return {fn: rollout.look(look.at, fn in look.warm) for fn, rollout in self.running().items()}
 
     # what edges are told
 
--- a/lapistrestle/planner/program.py
+++ b/lapistrestle/planner/program.py
@@ -5,6 +5,8 @@
 from twisted.internet.protocol import ServerFactory
 
 from lapistrestle.planner.keeper import ENTRY, OVER, Command, Keeper, Look, Reply, Report, encode
+from lapistrestle.rollout.life import Rollout, State
+from lapistrestle.rollout.stock import Readiness, Word
 from lapistrestle.rollout.versions import Split
 from lapistrestle.store.journal import Journal, Outdated, Unreadable
 from lapistrestle.wire import messages as wire
@@ -27,7 +29,7 @@
             self.base = max(self.base, entry.at)
         self.began = reactor.seconds()
         self.edges: dict[PlannerSpeaker, None] = {}
-        self.warm: dict[tuple[str, str], set[str]] = {}
+        self.readiness = Readiness()
         self.stopped: Any = None
         self.over = False
         log("journal read", entries=self.keeper.number, epoch=journal.epoch)
@@ -50,12 +52,7 @@
         try:
             number = self.journal.append([encode(entry)])
         except (Outdated, Unreadable) as trouble:
-            self.over = True
-            self.log("ends", why=str(trouble))
-            for speaker in list(self.edges):
-                speaker.cut("another planner writes the journal")
-            if self.stopped is not None:
-                self.stopped()
+            self.end(str(trouble))
             return None
         before = dict(self.keeper.changed)
         reply = self.keeper.take(number, entry)
@@ -68,17 +65,34 @@
                 speaker.catch_up()
         return reply
 
+    def end(self, why: str) -> None:
+        self.over = True
+        self.log("ends", why=why)
+        for speaker in list(self.edges):
+            speaker.cut("another planner writes the journal")
+        if self.stopped is not None:
+            self.stopped()
+
     def look(self) -> None:
         if not self.over:
             self.reactor.callLater(LOOK, self.look)
-            if any(r.state not in OVER for r in self.keeper.rollouts.values()):
+            if self.keeper.running():
                 self.add(Look(at=self.now(), warm=self.warm_functions()))
 
     def warm_functions(self) -> tuple[str, ...]:
-        """Those whose candidate stands at every edge that is connected."""
-        edges = {speaker.name for speaker in self.edges}
+        """Those that every connected edge has copies for the next share of."""
+        edges, now = {speaker.name for speaker in self.edges}, self.now()
         kept = self.keeper.rollouts.items()
-        return tuple(fn for fn, r in kept if edges and edges <= self.warm.get((fn, r.candidate), set()))
+        return tuple(
+            fn for fn, r in kept if self.readiness.ready(fn, r.candidate, r.next, edges, now)
+        )
+
+    def current(self) -> bool:
+        """Whether no newer planner writes the journal. One that did not ask would go on renewing leases on
+        shares that another has taken back."""
+        if not self.over and not self.journal.newest():
+            self.end("a newer planner writes the journal")
+        return not self.over
 
     def plan(self, after: int) -> plans.Plan:
         whole = after < 0
@@ -102,14 +116,21 @@
         counts = (total[0], total[1], total[2], total[3])
         return plans.Standing(
             fn, rollout.settled, rollout.candidate, rollout.state.name.lower(), rollout.share, rollout.step,
-            counts, round(found.harm, 3), round(found.good, 3), history,
+            counts, round(found.harm, 3), round(found.good, 3), history, rollout.next, self.waits(rollout),
         )  # fmt: skip
 
+    def waits(self, rollout: Rollout) -> dict[str, str]:
+        if rollout.state in OVER or rollout.state is State.WITHDRAWING:
+            return {}
+        edges = [speaker.name for speaker in self.edges]
+        return self.readiness.missing(rollout.fn, rollout.candidate, rollout.next, edges, self.now())
+
 
 def shown(split: Split) -> plans.Share:
     return plans.Share(
-        split.fn, split.settled, split.candidate, split.share, split.peak, split.withdrawn, split.step
-    )
+        split.fn, split.settled, split.candidate, split.share, split.peak, split.withdrawn, split.step,
+        split.next, split.done,
+    )  # fmt: skip
 
 
 class PlannerSpeaker(Speaker):
@@ -145,7 +166,7 @@
         match message:
             case plans.Beat():
                 self.has = max(self.has, message.has)
-                if not planner.over:
+                if planner.current():
                     self.say(plans.Beat(message.asked))
             case plans.Counts():
                 planner.add(
@@ -156,7 +177,8 @@
                     )
                 )  # fmt: skip
             case plans.Warm():
-                planner.warm.setdefault((message.fn, message.candidate), set()).add(self.name)
+                word = Word(message.share, message.lacks, planner.now())
+                planner.readiness.told(message.fn, message.candidate, self.name, word)
             case plans.Order():
                 self.order(message)
             case plans.Ask():
@@ -184,6 +206,8 @@
 
     def lost(self) -> None:
         self.planner.edges.pop(self, None)
+        if not any(speaker.name == self.name for speaker in self.planner.edges):
+            self.planner.readiness.gone(self.name)
 
 
 class Speakers(ServerFactory):
--- a/lapistrestle/rollout/routing.py
+++ b/lapistrestle/rollout/routing.py
@@ -5,10 +5,11 @@
 
 from lapistrestle.rollout.evidence import Tally
 from lapistrestle.rollout.lease import Lease
-from lapistrestle.rollout.versions import Course, Split, course
+from lapistrestle.rollout.versions import Course, Met, Split, course
 
 MINUTE = 600_000  # tenths of a millisecond
 KEPT = 3  # minutes whose counts are told again, in case they were lost
+REMEMBERED = 50_000  # tokened RPCs, twice; of one that is forgotten it is not known which version it met
 
 
 def named(fn: str, version: str) -> str:
@@ -37,6 +38,8 @@
     lease: Lease = field(default_factory=Lease)
     barred_names: set[str] = field(default_factory=set)
     counts: dict[tuple[str, str, int, int], Tally] = field(default_factory=dict)
+    met: dict[tuple[str, str], str] = field(default_factory=dict)  # function and key: the version
+    met_before: dict[tuple[str, str], str] = field(default_factory=dict)
 
     def told(self, epoch: int, number: int, whole: bool, splits: list[Split]) -> list[str] | None:
         """A plan came; names that it bars anew, or None if an older planner sent it or it is out of order.
@@ -55,21 +58,41 @@
         }
         return sorted(self.barred_names - before)
 
-    def route(self, fn: str, key: str, kind: str, repeat: bool, now: int) -> Route:
+    def route(
+        self, fn: str, key: str, kind: str, repeat: bool, now: int, tokens_span: bool = False
+    ) -> Route:
         split = self.splits.get(fn)
         if split is None:
             return Route(fn)
         if not split.candidate:
             return Route(named(fn, split.settled))
-        usable = self.lease.usable(now)
-        held = split if usable else replace(split, share=0.0)
-        match course(held, key, kind, repeat, tokens_span=False):
+        usable = split.done or self.lease.usable(now)
+        # without a lease a newer plan may have let any key meet the candidate at another edge
+        held = split if usable else replace(split, share=0.0, peak=1.0)
+        tokened = kind == "tokened"
+        met = self.met_by(split, key) if tokened and repeat else Met.UNKNOWN
+        match course(held, key, kind, repeat, tokens_span, met):
             case Course.ABORT:
                 return Route("")
             case Course.CANDIDATE:
-                return Route(named(fn, split.candidate), fn, split.candidate, split.step, True)
-        counts = usable and not split.withdrawn
-        return Route(named(fn, split.settled), fn, split.candidate if counts else "", split.step)
+                version, new = split.candidate, True
+            case Course.SETTLED:
+                version, new = split.settled, False
+        if tokened:
+            self.remember(fn, key, version)
+        counts = usable and not split.withdrawn and not split.done
+        return Route(named(fn, version), fn, split.candidate if counts else "", split.step, new)
+
+    def remember(self, fn: str, key: str, version: str) -> None:
+        """Where this tokened RPC is sent, for when its client comes back."""
+        if len(self.met) >= REMEMBERED:
+            self.met_before, self.met = self.met, {}
+        self.met[fn, key] = version
+
+    def met_by(self, split: Split, key: str) -> Met:
+        version = self.met.get((split.fn, key), self.met_before.get((split.fn, key)))
+        known = {split.settled: Met.SETTLED, split.candidate: Met.CANDIDATE}
+        return known.get(version, Met.UNKNOWN) if version is not None else Met.UNKNOWN
 
     def barred(self, name: str, now: int) -> bool:
         """Whether nothing new may go to this version now: withdrawn, or unsettled and without a lease."""
@@ -77,7 +100,9 @@
             return True
         fn, _, version = name.rpartition("@")
         split = self.splits.get(fn)
-        return bool(split and version and split.candidate == version and not self.lease.usable(now))
+        if split is None or not version or split.candidate != version or split.done:
+            return False
+        return not self.lease.usable(now)
 
     def settled_name(self, name: str) -> str:
         """Where RPCs of a barred version go instead."""
--- a/lapistrestle/rollout/versions.py
+++ b/lapistrestle/rollout/versions.py
@@ -10,14 +10,17 @@
 from hashlib import blake2b
 
 Course = Enum("Course", "SETTLED CANDIDATE ABORT")
+Met = Enum("Met", "SETTLED CANDIDATE UNKNOWN")  # where an edge sent earlier tries of this RPC itself
 
 
 @dataclass(frozen=True)
 class Split:
     """What an edge holds of one function: `share` of the keys go to `candidate`, the rest to `settled`.
 
-    `peak` is the largest share that the candidate has had: keys below it may have met it. A withdrawn
-    candidate has no share but keeps its peak until clients can no longer come back from it.
+    `peak` is the largest share that the candidate has had or gets next: keys below it may have met it at
+    an edge whose plan is newer. A withdrawn candidate has no share but keeps its peak until clients can no
+    longer come back from it. `next` is the share to load for. Once `done` the candidate is what runs, with
+    no lease, and the version before it is kept for clients that come back and for a change of mind.
     """
 
     fn: str
@@ -27,6 +30,8 @@
     peak: float = 0.0
     withdrawn: bool = False
     step: int = field(default=-1, compare=False)
+    next: float = 0.0
+    done: bool = False
 
 
 def point(fn: str, candidate: str, key: str) -> float:
@@ -41,30 +46,42 @@
     return f"k{key}" if key else f"t{token}" if token is not None else f"i{tag}"
 
 
-# what an RPC gets: by whether its key lies within the share, within the peak, and whether it may repeat work
-# that ran on the withdrawn version where its token is not known elsewhere
-COURSES: dict[tuple[bool, bool, bool], Course] = {
-    (True, True, False): Course.CANDIDATE,
-    (True, True, True): Course.CANDIDATE,  # its first try met the candidate too
-    (False, True, False): Course.SETTLED,
-    (False, True, True): Course.ABORT,
-    (False, False, False): Course.SETTLED,
-    (False, False, True): Course.SETTLED,  # its first try never met the candidate
+# what an RPC gets: by whether its key lies within the share, and within the peak
+NEW: dict[tuple[bool, bool], Course] = {
+    (True, True): Course.CANDIDATE,
+    (False, True): Course.SETTLED,
+    (False, False): Course.SETTLED,
+}
+# and where it may repeat work of another version that does not know its token: the same, and where it was
+# sent before
+REPEATS: dict[tuple[bool, bool, Met], Course] = {
+    (True, True, Met.CANDIDATE): Course.CANDIDATE,
+    (False, True, Met.CANDIDATE): Course.ABORT,  # withdrawn since, or without a lease
+    (False, False, Met.CANDIDATE): Course.ABORT,
+    (True, True, Met.SETTLED): Course.SETTLED,  # the share has grown since
+    (False, True, Met.SETTLED): Course.SETTLED,
+    (False, False, Met.SETTLED): Course.SETTLED,
+    (True, True, Met.UNKNOWN): Course.ABORT,  # at another edge, before the step or after it
+    (False, True, Met.UNKNOWN): Course.ABORT,
+    (False, False, Met.UNKNOWN): Course.SETTLED,  # no edge can have sent it to the candidate
 }
 
 
-def course(split: Split, key: str, kind: str, repeat: bool, tokens_span: bool) -> Course:
+def course(
+    split: Split, key: str, kind: str, repeat: bool, tokens_span: bool, met: Met = Met.UNKNOWN
+) -> Course:
     """What an RPC gets.
 
     Idempotent ones go wherever the share says. A side-effecting one comes back only after a denial, which
-    promised that nothing ran, so it is new wherever it goes. A tokened one that comes back may have run on
-    the candidate: where runners know tokens across versions (`tokens_span`) the settled version drops it;
-    where they do not it would run again as if it were new, so it is aborted, which promises nothing (rule
-    2). Without a mark for repeats every tokened RPC below the peak counts as one: hand `repeat` true then.
+    promised that nothing ran, so it is new wherever it goes. A tokened one that comes back may have run:
+    where runners know tokens across versions (`tokens_span`) any of them drops it; where they do not it
+    goes to the version that it met before, and is aborted, which promises nothing, where that is not known
+    or not allowed now (rule 2).
     """
     if not split.candidate:
         return Course.SETTLED
     at = point(split.fn, split.candidate, key)
     within = at < split.share and not split.withdrawn
-    may_repeat = repeat and kind == "tokened" and not tokens_span
-    return COURSES[within, within or at < split.peak, may_repeat]
+    if repeat and kind == "tokened" and not tokens_span:
+        return REPEATS[within, within or at < split.peak, met]
+    return NEW[within, within or at < split.peak]
--- a/lapistrestle/standins/operator.py
+++ b/lapistrestle/standins/operator.py
@@ -1,4 +1,5 @@
-"""An operator on a script: gives orders to the planner, the same one again until it is answered."""
+"""An operator on a script: gives orders to the planner, the same one again until it is answered, and notes
+on the tape what share each candidate is said to have."""
 
 from typing import Any
 
@@ -9,6 +10,8 @@
 from lapistrestle.wire import plans
 from lapistrestle.wire.lines import LineBounds, Speaker, union
 
+ASK = 0.2  # seconds between two questions
+
 
 class OperatorSpeaker(Speaker):
     protocol = plans.PLANNER
@@ -24,8 +27,11 @@
             self.say(order)
 
     def heard(self, message: Any) -> None:
-        if isinstance(message, plans.Reply):
-            self.operator.replied(message)
+        match message:
+            case plans.Reply():
+                self.operator.replied(message)
+            case plans.Status():
+                self.operator.told(message)
 
     def lost(self) -> None:
         self.operator.lost()
@@ -41,7 +47,10 @@
         self.open: dict[str, plans.Order] = {}
         self.up: OperatorSpeaker | None = None
         self.replies: list[plans.Reply] = []
+        self.shares: dict[str, float] = {}  # by version
+        self.seen = 0.0  # when the planner told last how things stand, in seconds
         self.dial()
+        self.ask()
 
     def dial(self) -> None:
         if self.port():
@@ -59,6 +68,21 @@
         self.up = None
         self.reactor.callLater(0.1, self.dial)
 
+    def ask(self) -> None:
+        if self.up is not None:
+            self.up.say(plans.Ask())
+        self.reactor.callLater(ASK, self.ask)
+
+    def told(self, status: plans.Status) -> None:
+        """A share that changed did so since the status before this one."""
+        for one in status.rollouts:
+            version = f"{one.fn}@{one.candidate}"
+            if self.shares.get(version, 0.0) != one.share:
+                self.shares[version] = one.share
+                since = self.tape.moment(self.seen)
+                self.tape.put("planner", "share", version=version, share=one.share, since=since)
+        self.seen = self.reactor.seconds()
+
     def give(self, order: plans.Order) -> None:
         self.open[order.id] = order
         if self.up is not None:
--- a/lapistrestle/standins/runner.py
+++ b/lapistrestle/standins/runner.py
@@ -43,17 +43,20 @@
 
 
 class Tokens:
-    """The tokens that a group of runners remembers, with the time until which each is known."""
+    """The tokens that a group of runners remembers for each version, with the time until which each is known.
+
+    The hard way: one version knows nothing of what ran on another.
+    """
 
     def __init__(self) -> None:
-        self.known: dict[int, float] = {}
+        self.known: dict[tuple[str, int], float] = {}
 
-    def knows(self, token: int | None, now: float) -> bool:
-        return token is not None and self.known.get(token, -1.0) >= now
+    def knows(self, fn: str, token: int | None, now: float) -> bool:
+        return token is not None and self.known.get((fn, token), -1.0) >= now
 
-    def note(self, token: int | None, until: float) -> None:
+    def note(self, fn: str, token: int | None, until: float) -> None:
         if token is not None:
-            self.known[token] = until
+            self.known[fn, token] = until
 
 
 class RunnerStandIn:
@@ -180,14 +183,14 @@
         engine, fault = self.runner.engine, self.runner.faults.get(run.fn, SOUND)
         busy = engine.running / engine.facts.cores
         fault = fault if fault.shows(run.customer, busy, self.reactor.seconds()) else SOUND
-        came_known = self.runner.tokens.knows(run.token, self.reactor.seconds())
+        came_known = self.runner.tokens.knows(run.fn, run.token, self.reactor.seconds())
 
         def begin(task: Task) -> bool:
             """A repeat is one by when it came: it may wait here for longer than its token is remembered."""
             runner, now = self.runner, self.reactor.seconds()
-            if came_known or runner.tokens.knows(run.token, now):
+            if came_known or runner.tokens.knows(run.fn, run.token, now):
                 return False
-            runner.tokens.note(run.token, now + runner.facts.remembers)
+            runner.tokens.note(run.fn, run.token, now + runner.facts.remembers)
             did[0] = True
             if runner.tape is not None:
                 runner.tape.put(
--- a/lapistrestle/store/journal.py
+++ b/lapistrestle/store/journal.py
@@ -57,6 +57,14 @@
             raise Unreadable(f"{self.path}: {trouble}") from None
         return int(last) + len(entries)
 
+    def newest(self) -> bool:
+        """Whether no writer came after this one; a journal that can't be read says no."""
+        try:
+            (newest,) = self.database.execute("select max(epoch) from epochs").fetchone()
+        except sqlite3.Error:
+            return False
+        return bool(newest == self.epoch)
+
     def entries(self, after: int = 0) -> Iterator[tuple[int, bytes]]:
         """Those with a number above `after`, in order."""
         query = "select number, entry from entries where number > ? order by number"
--- a/lapistrestle/wire/plans.py
+++ b/lapistrestle/wire/plans.py
@@ -12,6 +12,9 @@
 
 class Share(Struct, omit_defaults=True, gc=False):
     """One function's versions: this share of the keys goes to the candidate, the rest to the settled one.
+
+    `peak`: keys below it may have met the candidate; `next`: the share to load copies for; `done`: the
+    candidate is what runs, and the version before it is still kept.
     """
 
     fn: Name
@@ -21,6 +24,8 @@
     peak: Annotated[float, Meta(ge=0, le=1)] = 0.0
     withdrawn: bool = False
     step: int = -1
+    next: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    done: bool = False
 
 
 class Plan(Message, tag="plan"):
@@ -51,10 +56,13 @@
 
 
 class Warm(Message, tag="warm"):
-    """Copies of the candidate stand as far as this edge can tell."""
+    """The share that the copies of both versions stand for as far as this edge can tell, and what is missing
+    for more; each second."""
 
     fn: Name
     candidate: Name
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    lacks: str = ""
 
 
 class Order(Message, tag="order"):
@@ -97,6 +105,8 @@
     harm: float
     good: float
     history: list[tuple[float, str, str, str, str]]  # ms, who, why, input, state
+    next: float = 0.0
+    waits: dict[str, str] = field(default_factory=dict)  # edges without copies for the next share, and why
 
 
 class Status(Message, tag="status"):
