Loads of a withdrawn version are called off; what it is replaced by loads without a storm

Need: a rollback left loads of the withdrawn version waiting at runners and in the store, and once the planner had forgotten the version the module's own holds ordered copies of it again. A jam counted as need: a full fleet loaded twelve copies a second for a rollout.

Change: `unload` also calls off loads that are not fetched yet, and answers their orders. An edge goes on barring a version that was withdrawn until a plan names it again. What a function needs follows its method's time, at most twice of it; it goes up at once and down only when it is clearly less, and at most four copies of a version stand on one worker.

--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -55,6 +55,7 @@
     def __init__(self, edge: Any, port: int) -> None:
         super().__init__(edge, port)
         self.routing: Routing = edge.routing
+        self.wants: dict[str, stock.Want] = {}  # by name of a version
         self.heard = 0  # when a beat was answered last
         self.start_name = f"{edge.name}-{edge.clock()}"
         edge.after(BEAT, self.beat, None)
@@ -100,11 +101,13 @@
         now = self.edge.clock()
         for fn, candidate, step, minute, tally in self.routing.tell(now):
             self.say(plans.Counts(fn, candidate, step, minute, tally))
-        for split in self.routing.splits.values():
-            if split.candidate:
-                share, lacks = self.keep(split)
-                if stock.phase(split) is stock.Phase.LOADING and self.routing.lease.usable(now):
-                    self.say(plans.Warm(split.fn, split.candidate, share, lacks))
+        open_ = [split for split in self.routing.splits.values() if split.candidate]
+        names = {named(s.fn, version) for s in open_ for version in (s.candidate, s.settled)}
+        self.wants = {name: want for name, want in self.wants.items() if name in names}
+        for split in open_:
+            share, lacks = self.keep(split)
+            if stock.phase(split) is stock.Phase.LOADING and self.routing.lease.usable(now):
+                self.say(plans.Warm(split.fn, split.candidate, share, lacks))
         if not self.stopped:
             self.edge.after(TELL, self.tell, None)
 
@@ -122,21 +125,20 @@
             return split.next, ""
         model = known[-1]
         busy = sum(fn.asked.read(module.now) / fn.asked.life for fn in dict.fromkeys(known))
-        busy *= max(1.0, module.iso(model) / max(module.weight(model.method), 1.0))
+        busy *= stock.heavier(module.iso(model), module.weight(model.method))
         shares = [split.next if part is None else part for part in stock.WANTED[stock.phase(split)]]
-        used = max((module.believed(spot) for fn in known for spot in fn.spots.values()), default=1)
         stands = [
-            self.keep_version(named(split.fn, version), model, busy, share, used)
+            self.keep_version(named(split.fn, version), model, busy, share)
             for version, share in zip(versions, shares, strict=True)
         ]
-        lacking = next((stand for stand in stands if not stand.whole), None)
+        lacking = next((stand for stand in stands if not stand.enough), None)
         if lacking is None:
             return split.next, ""
         name = versions[stands.index(lacking)] or split.fn
         has = f"{name} has {lacking.standing} of {lacking.wanted} copies"
         return split.share, f"{has}; {stock.SAYS[lacking.lacks]}"
 
-    def keep_version(self, name: str, model: Fn, busy: float, share: float, used: int) -> stock.Stand:
+    def keep_version(self, name: str, model: Fn, busy: float, share: float) -> stock.Stand:
         edge, module = self.edge, self.edge.host.module
         if self.edge.barred(name) or not share:
             return stock.Stand(0, 0, stock.Lack.NOTHING)
@@ -147,7 +149,7 @@
             if srv.listing.name != "SERVING" or not module.fit(srv):
                 continue
             size = memory[srv.kind] if srv.kind < len(memory) else 0.0
-            shelf = stock.Shelf(0, stock.room(size, fn.memory, used), cold=module.warmth_of(srv) < 1)
+            shelf = stock.Shelf(0, stock.room(size, fn.memory), cold=module.warmth_of(srv) < 1)
             if (spot := fn.spots.get(srv)) is not None:
                 shelf.standing, shelf.waiting = module.believed(spot), bool(spot.ordered)
                 shelf.fresh = module.now - spot.seen <= idle_life // 3
@@ -157,5 +159,6 @@
             ordered: bool = module.order(fn.spot(shelves[shelf]), count, stock.ORDER_PART)
             return ordered
 
-        wanted = stock.needed(busy, share, fn.lanes, edge.facts["dispatchers"])
+        now = stock.needed(busy, share, fn.lanes, edge.facts["dispatchers"])
+        wanted = self.wants.setdefault(name, stock.Want()).follow(now)
         return stock.keep(list(shelves), wanted, module.load_limit - module.loading, order)
--- a/lapistrestle/rollout/routing.py
+++ b/lapistrestle/rollout/routing.py
@@ -52,10 +52,12 @@
             self.splits.clear()
         self.epoch, self.number = epoch, number
         self.splits |= {split.fn: split for split in splits}
-        before = self.barred_names
-        self.barred_names = {
-            named(s.fn, s.candidate) for s in self.splits.values() if s.candidate and s.withdrawn
-        }
+        before, held = self.barred_names, self.splits.values()
+        gone = {named(s.fn, s.candidate) for s in held if s.candidate and s.withdrawn}
+        used = {named(s.fn, s.settled) for s in held}
+        used |= {named(s.fn, s.candidate) for s in held if s.candidate and not s.withdrawn}
+        # what was withdrawn stays barred when the planner forgets it: the module may still hold copies of it
+        self.barred_names = (before | gone) - used
         return sorted(self.barred_names - before)
 
     def route(
--- a/lapistrestle/rollout/stock.py
+++ b/lapistrestle/rollout/stock.py
@@ -19,8 +19,11 @@
 from lapistrestle.rollout.versions import Split
 
 APART = 2  # workers at least: the loss of one must not leave a version cold
-MOST = 16  # copies that one order may name
+MOST = 4  # copies of one version on one worker
+EASE = 0.6  # of what is kept
+ENOUGH = 0.75  # of what is wanted; the rest is spare
 ORDER_PART = 0.5  # of the budget of orders; what RPCs wait for may use all of it
+HEAVIEST = 2.0  # times the usual; measured: without it a full fleet loaded twelve copies a second in vain
 MEMORY_PART = 0.25  # of a worker's memory for one version of one function
 
 Phase = Enum("Phase", "LOADING KEPT BACK")  # of a function with two versions, as an edge sees it
@@ -45,6 +48,12 @@
     return Phase.BACK if split.withdrawn else Phase.KEPT if split.done else Phase.LOADING
 
 
+def heavier(alone: float, usual: float) -> float:
+    """A function whose RPCs take longer than its method's usual keeps more copies busy. What an edge takes
+    for its time alone may have been learned in a jam, which more copies would only make worse."""
+    return min(HEAVIEST, max(1.0, alone / max(usual, 1.0)))
+
+
 def needed(busy: float, share: float, lanes: int, edges: int) -> int:
     """Copies for that share of the whole fleet's traffic; `busy`: RPCs under way on average at one edge."""
     lanes_used = busy * share * edges
@@ -62,10 +71,24 @@
     cold: bool = False  # the worker warms up
 
 
-def room(memory: float, copy: float, used: int) -> int:
-    """Copies on one worker: a part of its memory, and no more than the other version has on any one."""
-    by_memory = int(MEMORY_PART * memory / copy) if memory and copy else MOST
-    return max(1, min(MOST, by_memory, used)) if not memory or copy <= memory else 0
+@dataclass
+class Want:
+    """Follows what is needed up at once and down only when it is clearly less: each copy more or fewer is a
+    load somewhere."""
+
+    count: int = 0
+
+    def follow(self, now: int) -> int:
+        if now > self.count or now < EASE * self.count:
+            self.count = now
+        return self.count
+
+
+def room(memory: float, copy: float) -> int:
+    """Copies of one version on one worker: a part of its memory where that is told, and few."""
+    if memory and copy > memory:
+        return 0
+    return max(1, min(MOST, int(MEMORY_PART * memory / copy) if memory and copy else MOST))
 
 
 def spread(shelves: Iterable[Shelf], wanted: int) -> tuple[dict[Shelf, int], int]:
@@ -92,8 +115,10 @@
     lacks: Lack
 
     @property
-    def whole(self) -> bool:
-        return self.lacks is Lack.NOTHING
+    def enough(self) -> bool:
+        """All but a part of the spare: what is needed moves by one now and then, and no step waits for
+        that."""
+        return self.lacks is Lack.NOTHING or self.standing >= max(APART, ENOUGH * self.wanted)
 
 
 def keep(shelves: list[Shelf], wanted: int, loads: float, order: Callable[[Shelf, int], bool]) -> Stand:
--- a/lapistrestle/standins/engine.py
+++ b/lapistrestle/standins/engine.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lapistrestle.standins.store import Store
+from lapistrestle.standins.store import Fetch, Store
 
 
 @dataclass
@@ -62,6 +62,7 @@
     tasks: int = 0  # calls here, waiting or running
     used: float = 0.0  # when one was last used or asked for
     orders: list[tuple[int, Callable[[str, int], None]]] = field(default_factory=list)
+    fetches: list[Fetch] = field(default_factory=list)
 
     def idle(self) -> int:
         return self.standing - -(-self.busy // self.lanes)
@@ -255,16 +256,18 @@
         while self.load_queue and self.loads < self.facts.loads and not self.dead:
             fn = self.load_queue.popleft()
             self.loads += 1
-            self.store.fetch(self.copies[fn].load * self.facts.fetch_share, self.fetched(fn))
+            self.fetch(fn, self.copies[fn])
 
-    def fetched(self, fn: str) -> Callable[[bool], None]:
+    def fetch(self, fn: str, copies: Copies) -> None:
         def done(ok: bool) -> None:
+            copies.fetches.remove(fetch)
             if not ok or self.load_fails(fn):
                 return self.when_awake(lambda: self.loaded(fn, False))
-            rest = self.copies[fn].load * (1 - self.facts.fetch_share) * self.slower
+            rest = copies.load * (1 - self.facts.fetch_share) * self.slower
             self.reactor.callLater(rest, self.when_awake, lambda: self.loaded(fn, True))
 
-        return done
+        fetch = self.store.fetch(copies.load * self.facts.fetch_share, done)
+        copies.fetches.append(fetch)
 
     def loaded(self, fn: str, ok: bool) -> None:
         copies = self.copies[fn]
@@ -304,9 +307,20 @@
         self.settle(copies)
 
     def unload(self, fn: str) -> None:
+        """Drop idle copies, and loads that wait or are being fetched; a copy that starts already goes on."""
         copies = self.copies.get(fn)
-        if copies is not None and not copies.tasks:
-            copies.standing -= copies.idle()
+        if copies is None or copies.tasks:
+            return
+        copies.standing -= copies.idle()
+        waiting = self.load_queue.count(fn)
+        self.load_queue = deque(name for name in self.load_queue if name != fn)
+        for fetch in copies.fetches:
+            self.store.call_off(fetch)
+        self.loads -= len(copies.fetches)
+        copies.loading -= waiting + len(copies.fetches)
+        copies.fetches.clear()
+        self.settle(copies)
+        self.next_load()
 
     def sweep(self) -> None:
         """Idle copies go after their time."""
