A tokened RPC that may have run on a withdrawn version is aborted, not moved on

Cause: the module may deny a tokened RPC that may have run, since all its runners drop the token. The edge took that denial as proof and ran it anew on the settled version, which does not know the token.

Change: `after_denial` moves only what harms nobody elsewhere. Stand-ins tell a repeat by when it came.

--- a/benchmarks/hunt.py
+++ b/benchmarks/hunt.py
@@ -57,9 +57,16 @@
     if rollouts:
         back = chance.uniform(6, 11)
         wrong = chance.choice(({}, {"errors": 0.1}, {"slower": 5}))
-        version = {"at": "2 s", "back": f"{back:.3f} s", "steps": [50, 100], "wrong": wrong}
+        version: dict[str, Any] = {"at": "2 s", "back": f"{back:.3f} s", "steps": [50, 100], "wrong": wrong}
         script["rollouts"] = [version]
+        if chance.random() < 0.5:  # an operator pushes it on, past settling at times, and takes it back then
+            version |= {"steps": [20, 60, 100], "advance": ["5 s", "7 s", "9 s", "11 s"]}
+            version |= {"back": f"{back + 5:.3f} s", "remembered": chance.choice(("6 s", "1 min"))}
+            back, script["length"] = back + 5, "20 s"
         script["traffic"] |= {"functions": 3, "popularity": 1.2}
+        if "slots" not in script["deployment"] and chance.random() < 0.4:  # all with a token, coming back
+            name = "store" if "archive" in script["deployment"] else "publish"
+            script["traffic"] |= {"methods": {name: {}}, "patience": [0.1, 0.5], "retries": 4}
         kind = chance.choice(("planner_kill", "planner_stall", ""))
         if kind:
             at = max(0.1, back + chance.choice((0.0, 0.0002, 0.0006, 0.3, -0.4, -2.0)))
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -12,12 +12,12 @@
 from lapistrestle.edge.planning import PlannerSource
 from lapistrestle.edge.rosters import RosterSource
 from lapistrestle.edge.runners import Runner, bounds_of
-from lapistrestle.hosting.host import DENIED, Errand, Flight, Hosting, Ticket
+from lapistrestle.hosting.host import ABORTED, DENIED, Errand, Flight, Hosting, Ticket
 from lapistrestle.hosting.timers import Timer
 from lapistrestle.hosting.turns import Turns
 from lapistrestle.interface import FnFacts, Outcome, SrvFacts
 from lapistrestle.rollout.routing import Route, Routing
-from lapistrestle.rollout.versions import key_of
+from lapistrestle.rollout.versions import Course, after_denial, key_of
 from lapistrestle.wire import messages as wire
 
 Log = Callable[..., None]
@@ -154,9 +154,17 @@
 
     def route(self, call: wire.Call, seat: ClientSpeaker, method: int) -> Route:
         key = key_of(call.key, call.token, f"{seat.name}/{call.id}")
-        kind = self.facts["methods"][method]["kind"]
-        span = self.deployment.methods[call.method].repeats_across_versions
-        return self.routing.route(call.fn, key, kind, call.repeat, self.clock(), span)
+        return self.routing.route(
+            call.fn, key, self.kind(method), call.repeat, self.clock(), self.span(call)
+        )
+
+    def kind(self, method: int) -> str:
+        kind: str = self.facts["methods"][method]["kind"]
+        return kind
+
+    def span(self, call: wire.Call) -> bool:
+        """Whether one version knows the tokens of another."""
+        return self.deployment.methods[call.method].repeats_across_versions
 
     def take(
         self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route,
@@ -199,7 +207,10 @@
     def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None:
         late = ticket.deadline - self.clock() <= 0
         if verdict == DENIED and not late and not self.stopping and self.barred(ticket.fn.name):
-            return self.move(ticket)  # a denial proves that another version harms nobody
+            kind, span = self.kind(ticket.method), self.span(ticket.asked)
+            if after_denial(kind, ticket.ran_on is not None, span) is Course.SETTLED:
+                return self.move(ticket)
+            verdict, come_back = ABORTED, 0
         ticket.seat.answer(ticket, verdict, come_back, body)
 
     def stream(self, ticket: Ticket) -> None:
--- a/lapistrestle/rollout/versions.py
+++ b/lapistrestle/rollout/versions.py
@@ -85,3 +85,10 @@
     if repeat and kind == "tokened" and not tokens_span:
         return REPEATS[within, within or at < split.peak, met]
     return NEW[within, within or at < split.peak]
+
+
+def after_denial(kind: str, may_have_run: bool, tokens_span: bool) -> Course:
+    """What an RPC gets that was denied on a version that is barred now. A tokened one may be denied though
+    it may have run, as its version knows the token; another version does not."""
+    harmless = kind == "idempotent" or not may_have_run or (kind == "tokened" and tokens_span)
+    return Course.SETTLED if harmless else Course.ABORT
--- a/lapistrestle/standins/runner.py
+++ b/lapistrestle/standins/runner.py
@@ -43,20 +43,21 @@
 
 
 class Tokens:
-    """The tokens that a group of runners remembers for each version, with the time until which each is known.
+    """When each token took effect last within a group of runners, for each version by itself.
 
-    The hard way: one version knows nothing of what ran on another.
+    The hard way: one version knows nothing of what ran on another. A call is a repeat by when it came, as it
+    may wait here for longer than tokens are remembered.
     """
 
     def __init__(self) -> None:
-        self.known: dict[tuple[str, int], float] = {}
+        self.took: dict[tuple[str, int], float] = {}
 
-    def knows(self, fn: str, token: int | None, now: float) -> bool:
-        return token is not None and self.known.get((fn, token), -1.0) >= now
+    def repeats(self, fn: str, token: int | None, came: float, remembered: float) -> bool:
+        return token is not None and self.took.get((fn, token), -1e9) >= came - remembered
 
-    def note(self, fn: str, token: int | None, until: float) -> None:
+    def note(self, fn: str, token: int | None, now: float) -> None:
         if token is not None:
-            self.known[fn, token] = until
+            self.took[fn, token] = now
 
 
 class RunnerStandIn:
@@ -183,14 +184,13 @@
         engine, fault = self.runner.engine, self.runner.faults.get(run.fn, SOUND)
         busy = engine.running / engine.facts.cores
         fault = fault if fault.shows(run.customer, busy, self.reactor.seconds()) else SOUND
-        came_known = self.runner.tokens.knows(run.fn, run.token, self.reactor.seconds())
+        came = self.runner.reactor.seconds()
 
         def begin(task: Task) -> bool:
-            """A repeat is one by when it came: it may wait here for longer than its token is remembered."""
-            runner, now = self.runner, self.reactor.seconds()
-            if came_known or runner.tokens.knows(run.fn, run.token, now):
+            runner = self.runner
+            if runner.tokens.repeats(run.fn, run.token, came, runner.facts.remembers):
                 return False
-            runner.tokens.note(run.fn, run.token, now + runner.facts.remembers)
+            runner.tokens.note(run.fn, run.token, runner.reactor.seconds())
             did[0] = True
             if runner.tape is not None:
                 runner.tape.put(
--- a/lapistrestle/standins/script.py
+++ b/lapistrestle/standins/script.py
@@ -86,12 +86,15 @@
 
 
 class Version(Shape):
-    """A rollout: started at `at`, taken back by the operator at `back` (0: not)."""
+    """A rollout: started at `at`, pushed on by the operator at each `advance`, taken back at `back` (0: not).
+    """
 
     fn: str = "fn-0"
     candidate: str = "v2"
     at: Span = Span(20_000)
     back: Span = Span(0)
+    advance: list[Span] = field(default_factory=list)
+    remembered: Span = Span(600_000)
     steps: list[Annotated[float, Meta(gt=0, le=100)]] = field(default_factory=lambda: [5.0, 30.0, 100.0])
     wrong: Wrongness = field(default_factory=Wrongness)
 
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -125,12 +125,14 @@
                 wrong.errors, wrong.slower, wrong.load_errors, wrong.when_busy, wrong.customer,
                 self.reactor.seconds() + at + wrong.after / SECOND,
             )  # fmt: skip
-            orders = [(at, "start"), *([(back, "back")] if back else [])]
+            orders: list[tuple[float, Any]] = [(at, "start"), *([(back, "back")] if back else [])]
+            orders += [(when / SECOND, "advance") for when in version.advance]
             steps = tuple(step / 100 for step in version.steps)
             for when, what in orders:
                 order = Order(
-                    f"{what} {name}", what, version.fn, "script", "", version.candidate, steps  # type: ignore[arg-type]
-                )
+                    f"{what} {name} at {when}", what, version.fn, "script", "", version.candidate, steps,
+                    version.remembered / 10,
+                )  # fmt: skip
                 self.reactor.callLater(when, operator.give, order)
 
     def edge_deployment(self, number: int) -> Deployment:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -13,7 +13,16 @@
 from lapistrestle.rollout.lease import LEASE, MODES, STEADY_FOR, Lease, Mode, News
 from lapistrestle.rollout.life import DONE, LIFE, NOTHING, REFUSED, Input, Rollout, State
 from lapistrestle.rollout.routing import REMEMBERED, Routing
-from lapistrestle.rollout.versions import REPEATS, Course, Met, Split, course, key_of, point
+from lapistrestle.rollout.versions import (
+    REPEATS,
+    Course,
+    Met,
+    Split,
+    after_denial,
+    course,
+    key_of,
+    point,
+)
 
 SPLIT = Split("f", "v1", "v2", share=0.3, peak=0.3)
 S = 10_000
@@ -75,6 +84,15 @@
     assert set(REPEATS) == {(w, b, m) for w, b in ((True, True), (False, True), (False, False)) for m in Met}
 
 
+@pytest.mark.parametrize("may_have_run", [False, True])
+@pytest.mark.parametrize("span", [False, True])
+def test_a_denial_moves_only_what_harms_nobody_elsewhere(may_have_run, span):
+    expected = Course.ABORT if may_have_run and not span else Course.SETTLED
+    assert after_denial("tokened", may_have_run, span) is expected
+    assert after_denial("idempotent", may_have_run, span) is Course.SETTLED
+    assert after_denial("side-effecting", False, span) is Course.SETTLED
+
+
 def test_an_edge_without_a_lease_knows_no_peak():
     routing = Routing()
     routing.told(1, 1, True, [replace(SPLIT, share=0.0, peak=0.01)])
--- a/tests/test_rollout_days.py
+++ b/tests/test_rollout_days.py
@@ -344,3 +344,21 @@
 def test_and_without_a_storm_of_loads_where_none_were(tmp_path, seed):
     fetched, ok = settled_then_back(tmp_path / "j", remembered=20_000, back=60, seed=seed)
     assert fetched["standing"] == 0 and 0 < fetched["after"] <= 20 and ok > 0.95
+
+
+def slow_tokened_day(seed):
+    """A version so slow that its call-outs time out, with tokened RPCs alone, and a rollback."""
+    version = {"candidate": "v2", "at": "2 s", "back": "13 s", "steps": [50, 100], "wrong": {"slower": 12}}
+    day_ = script(length="17 s", seed=seed, like="thumbs") | {"rollouts": [version]}
+    day_["traffic"] |= {"methods": {"publish": {}}}
+    return day_
+
+
+def test_what_may_have_run_on_a_withdrawn_version_is_not_moved():
+    assert Played(slow_tokened_day(1)).breaches() == []
+
+
+def test_that_every_denied_one_moves_is_caught(monkeypatch):
+    """As it was: a denial of a tokened RPC was taken for proof that it had not run."""
+    monkeypatch.setattr("lapistrestle.edge.program.after_denial", lambda *asked: Course.SETTLED)
+    assert {breach.rule for breach in Played(slow_tokened_day(1)).breaches()} == {"2 no effect twice"}
