An edge keeps its last plan in a file and never starts on the version before a rollout

Cause: an edge that restarted knew no plan until the planner answered, and sent to the unversioned function in the meantime: the version before all rollouts, and for as long as the planner was away.

Change: `planner.keep` names a file that holds the last plan, whole at any moment; what it bars stays barred, its unsettled shares are not used without a lease, and an older planner is not heeded. An edge that knows no plan at all denies for two seconds, or until its first plan, then serves and says so.

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -18,7 +18,7 @@
 from rich.table import Table
 
 from lapistrestle.rollout.evidence import Tally
-from lapistrestle.rollout.life import Input, Rollout, State
+from lapistrestle.rollout.life import AHEAD, Input, Rollout, State
 
 STEPS = (0.01, 0.05, 0.25, 1.0)
 MINUTE = 600_000  # tenths of a millisecond
@@ -50,7 +50,8 @@
         tally = drawn(random, share, rate, worse, calls)
         harm += tally.candidate * worse
         made.evidence.report("e", "s", minute, tally)
-        made.look(minute * MINUTE, warm=True)
+        for at in (minute * MINUTE, minute * MINUTE + AHEAD):  # a step is told a second before it comes
+            made.look(at, warm=True)
         if made.state not in (State.GROWING, State.HELD):
             return End(made.state is State.SETTLED, minute + 1, round(harm))
     return End(False, LONGEST, round(harm))
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -117,6 +117,7 @@
     """Where versions of functions are planned; port 0: nowhere."""
 
     port: Port = 0
+    keep: str = ""  # file for the last plan, from which an edge goes on when it starts without a planner
 
 
 class Counting(Shape):
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -59,7 +59,8 @@
         if customer is None:
             return self.say(wire.Fault(f'customer "{call.customer}" is not known', call.id))
         left = int(call.left * 10) - edge.margin
-        if len(self.open) >= self.bounds.open_calls or edge.stopping or left <= 0:
+        full = len(self.open) >= self.bounds.open_calls
+        if full or edge.stopping or left <= 0 or (edge.planner is not None and edge.planner.unplanned()):
             edge.counts["turned away"] += 1
             come_back = edge.facts["longest_come_back"] / 10 if left > 0 else 0.0
             return self.say(wire.Answer(call.id, DENIED, come_back))
--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -1,5 +1,6 @@
 """The connection to the planner: beats out, plans in. What they mean is decided in `rollout.routing`."""
 
+from pathlib import Path
 from typing import Any
 
 from lapistrestle.edge.sources import Source
@@ -7,6 +8,7 @@
 from lapistrestle.rollout.routing import Routing, named
 from lapistrestle.rollout.versions import Split
 from lapistrestle.state import Fn, Srv
+from lapistrestle.store.plans import Kept, PlanFile
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire import plans
 from lapistrestle.wire.lines import Speaker, union
@@ -58,9 +60,37 @@
         self.wants: dict[str, stock.Want] = {}  # by name of a version
         self.heard = 0  # when a beat was answered last
         self.start_name = f"{edge.name}-{edge.clock()}"
+        self.began = edge.clock()
+        keep = edge.deployment.planner.keep
+        self.file = PlanFile(Path(keep)) if keep else None
+        self.recall()
         edge.after(BEAT, self.beat, None)
         edge.after(TELL, self.tell, None)
 
+    def recall(self) -> None:
+        try:
+            kept = self.file.read() if self.file else None
+        except (OSError, ValueError) as trouble:
+            return self.edge.log("kept plan can't be read", why=str(trouble))
+        if kept is not None:
+            splits = [plans.split_of(share) for share in kept.shares]
+            self.routing.recall(kept.epoch, kept.number, splits, kept.barred)
+            self.edge.log("kept plan", epoch=kept.epoch, number=kept.number, shares=len(kept.shares))
+
+    def keep_plan(self) -> None:
+        """An edge whose disk fails goes on from what it has in memory."""
+        if self.file is None:
+            return
+        routing = self.routing
+        shares = [plans.shown(split) for split in routing.splits.values()]
+        try:
+            self.file.write(Kept(routing.epoch, routing.number, shares, sorted(routing.barred_names)))
+        except OSError as trouble:
+            self.edge.log("plan not kept", why=str(trouble))
+
+    def unplanned(self) -> bool:
+        return self.routing.unplanned(self.edge.clock() - self.began)
+
     def speak(self) -> PlannerSpeaker:
         return PlannerSpeaker(self)
 
@@ -72,10 +102,7 @@
             self.edge.after(BEAT, self.beat, None)
 
     def told(self, plan: plans.Plan) -> None:
-        splits = [
-            Split(s.fn, s.settled, s.candidate, s.share, s.peak, s.withdrawn, s.step, s.next, s.done)
-            for s in plan.shares
-        ]
+        splits = [plans.split_of(share) for share in plan.shares]
         barred = self.routing.told(plan.epoch, plan.number, plan.whole, splits)
         if barred is None:
             self.edge.log("plan passed over", epoch=plan.epoch, number=plan.number, has=self.routing.number)
@@ -84,6 +111,7 @@
         for name in barred:
             self.withdraw(name)
         self.say(plans.Beat(self.edge.clock(), self.routing.number))
+        self.keep_plan()
 
     def withdraw(self, name: str) -> None:
         """Nothing new goes there from now on: RPCs that wait for its loads move, its copies may go."""
--- a/lapistrestle/planner/program.py
+++ b/lapistrestle/planner/program.py
@@ -7,7 +7,6 @@
 from lapistrestle.planner.keeper import ENTRY, OVER, Command, Keeper, Look, Reply, Report, encode
 from lapistrestle.rollout.life import Rollout, State
 from lapistrestle.rollout.stock import Readiness, Word
-from lapistrestle.rollout.versions import Split
 from lapistrestle.store.journal import Journal, Outdated, Unreadable
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire import plans
@@ -96,7 +95,7 @@
 
     def plan(self, after: int) -> plans.Plan:
         whole = after < 0
-        shares = [shown(split) for split in self.keeper.plan(after).values()]
+        shares = [plans.shown(split) for split in self.keeper.plan(after).values()]
         return plans.Plan(self.keeper.number, self.journal.epoch, shares, whole)
 
     def status(self) -> plans.Status:
@@ -126,13 +125,6 @@
         return self.readiness.missing(rollout.fn, rollout.candidate, rollout.next, edges, self.now())
 
 
-def shown(split: Split) -> plans.Share:
-    return plans.Share(
-        split.fn, split.settled, split.candidate, split.share, split.peak, split.withdrawn, split.step,
-        split.next, split.done,
-    )  # fmt: skip
-
-
 class PlannerSpeaker(Speaker):
     """The planner's end of a connection, of an edge or an operator."""
 
--- a/lapistrestle/rollout/routing.py
+++ b/lapistrestle/rollout/routing.py
@@ -9,6 +9,7 @@
 
 MINUTE = 600_000  # tenths of a millisecond
 KEPT = 3  # minutes whose counts are told again, in case they were lost
+PATIENCE = 20_000  # tenths of a millisecond in which an edge that knows no plan waits for its first
 REMEMBERED = 50_000  # tokened RPCs, twice; of one that is forgotten it is not known which version it met
 
 
@@ -60,6 +61,17 @@
         self.barred_names = (before | gone) - used
         return sorted(self.barred_names - before)
 
+    def recall(self, epoch: int, number: int, splits: list[Split], barred: list[str]) -> None:
+        """Go on from a plan that was kept over a restart. There is no lease on it, so its unsettled shares
+        are not used; what it bars stays barred, and no older planner is heeded."""
+        self.told(epoch, number, True, splits)
+        self.barred_names |= set(barred)
+
+    def unplanned(self, age: int) -> bool:
+        """Whether it is too early to say what version runs: an edge that just started would send to the one
+        before all rollouts. After that it serves: better than nothing, if the planner stays away."""
+        return self.number < 0 and age < PATIENCE
+
     def route(
         self, fn: str, key: str, kind: str, repeat: bool, now: int, tokens_span: bool = False
     ) -> Route:
--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -68,7 +68,7 @@
 
     with tempfile.TemporaryDirectory() as folder:
         make_planner = virtual_planners(reactor, Path(folder) / "journal", log)
-        world = World(outside, day, deployment, sink, make_edge, make_planner)
+        world = World(outside, day, deployment, sink, make_edge, make_planner, Path(folder))
         run_virtual(reactor, world, begun)
     return world
 
@@ -158,7 +158,7 @@
             return planners[-1]
 
         def begin() -> None:
-            world = World(reactor, day, deployment, sink, make_edge, make_planner)
+            world = World(reactor, day, deployment, sink, make_edge, make_planner, Path(folder))
             worlds.append(world)
             world.start()
             wait_for_edges(world, reactor.seconds() + 20)
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import accumulate
+from pathlib import Path
 from typing import Any, BinaryIO, Protocol
 
 import msgspec
@@ -72,7 +73,7 @@
 
     def __init__(
         self, reactor: Any, day: Day, deployment: Deployment, sink: BinaryIO, make_edge: MakeEdge,
-        make_planner: MakePlanner | None = None,
+        make_planner: MakePlanner | None = None, folder: Path | None = None,
     ) -> None:  # fmt: skip
         self.reactor, self.day, self.deployment = reactor, day, deployment
         self.random = random.Random(day.seed)
@@ -95,7 +96,7 @@
         wait = traffic.wait / SECOND
         habits = Habits(traffic.retries, wait, traffic.patience, traffic.marks, traffic.heeds)
         self.crowd = Crowd(reactor, habits, day.seed + 1, self.tape)
-        self.make_planner = make_planner
+        self.make_planner, self.folder = make_planner, folder
         self.planner: EdgeHandle | None = None
         if day.rollouts and make_planner is not None:
             self.begin_planner()
@@ -144,6 +145,9 @@
         )  # fmt: skip
         made.roster = msgspec.structs.replace(made.roster, port=self.roster.port)
         made.listen = msgspec.structs.replace(made.listen, port=0)
+        if self.folder is not None:
+            keep = str(self.folder / f"edge-{number}.plan")
+            made.planner = msgspec.structs.replace(made.planner, keep=keep)
         return made
 
     def fleet(self) -> list[Slot]:
--- a/lapistrestle/wire/plans.py
+++ b/lapistrestle/wire/plans.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta, Struct, field
 
+from lapistrestle.rollout.versions import Split
 from lapistrestle.wire.messages import Bye, Fault, Hello, Message, Name, Number
 
 PLANNER = "lapistrestle.planner"
@@ -28,6 +29,21 @@
     done: bool = False
 
 
+def shown(split: Split) -> Share:
+    """A split as it crosses the wire."""
+    return Share(
+        split.fn, split.settled, split.candidate, split.share, split.peak, split.withdrawn, split.step,
+        split.next, split.done,
+    )  # fmt: skip
+
+
+def split_of(share: Share) -> Split:
+    return Split(
+        share.fn, share.settled, share.candidate, share.share, share.peak, share.withdrawn, share.step,
+        share.next, share.done,
+    )  # fmt: skip
+
+
 class Plan(Message, tag="plan"):
     """Shares that changed since the number that the edge has; all of them where `whole`."""
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,13 +14,15 @@
 from lapistrestle.rollout.life import DONE, NOTHING, REFUSED, State
 from lapistrestle.rollout.versions import Split
 from lapistrestle.store.journal import Journal, Outdated, Unreadable
+from lapistrestle.store.plans import Kept, PlanFile
+from lapistrestle.wire.plans import Share
 
 
 def command(id_, what="start", fn="f", candidate="v2", **more):
     return Command(at=more.pop("at", 0), id=id_, what=what, fn=fn, who="duty", candidate=candidate, **more)
 
 
-class Kept(Keeper):
+class Numbered(Keeper):
     """Numbers entries by itself."""
 
     def add(self, entry):
@@ -29,7 +31,7 @@
 
 @pytest.fixture
 def kept():
-    return Kept()
+    return Numbered()
 
 
 def stepped(kept, at, warm=("f",)):
@@ -170,6 +172,8 @@
 import sys
 from pathlib import Path
 from lapistrestle.rollout.versions import Split
+from lapistrestle.store.plans import Kept, PlanFile
+from lapistrestle.wire.plans import Share
 from lapistrestle.store.journal import Journal
 journal = Journal(Path(sys.argv[1]))
 last = sum(1 for _ in journal.entries())
@@ -197,3 +201,30 @@
         journal.close()
         assert found == [str(n).encode() for n in range(1, len(found) + 1)]
         assert len(found) >= acknowledged and len(found) % 3 == 0
+
+
+# the plan that an edge keeps
+
+KEPT = Kept(3, 7, [Share("f", "v1", "v2", 0.5, 0.5)], ["g@v9"])
+
+
+def test_a_kept_plan_is_whole_or_the_one_before(tmp_path, monkeypatch):
+    file = PlanFile(tmp_path / "plan")
+    assert file.read() is None
+    file.write(KEPT)
+    assert file.read() == KEPT
+
+    def full(*asked):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr("os.fsync", full)
+    with pytest.raises(OSError, match="No space"):
+        file.write(Kept(4, 1, []))
+    assert file.read() == KEPT
+
+
+@pytest.mark.parametrize("bytes_", [b"", b"{", b'{"epoch":"x"}', b"\xff\xfe"])
+def test_a_kept_plan_that_can_not_be_read_is_named(tmp_path, bytes_):
+    (tmp_path / "plan").write_bytes(bytes_)
+    with pytest.raises(ValueError, match="plan"):
+        PlanFile(tmp_path / "plan").read()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -12,7 +12,7 @@
 from lapistrestle.rollout.evidence import Evidence, Findings, Tally, good_of, harm_of
 from lapistrestle.rollout.lease import LEASE, MODES, STEADY_FOR, Lease, Mode, News
 from lapistrestle.rollout.life import DONE, LIFE, NOTHING, REFUSED, Input, Rollout, State
-from lapistrestle.rollout.routing import REMEMBERED, Routing
+from lapistrestle.rollout.routing import PATIENCE, REMEMBERED, Routing
 from lapistrestle.rollout.versions import (
     REPEATS,
     Course,
@@ -124,6 +124,35 @@
     assert routing.met_by(SPLIT, "0") is Met.UNKNOWN
 
 
+def test_what_was_withdrawn_stays_barred_until_a_plan_names_it_again():
+    """The planner forgets it, and the module's own holds would load it anew."""
+    routing = Routing()
+    assert routing.told(1, 1, True, [replace(SPLIT, share=0.0, withdrawn=True)]) == ["f@v2"]
+    assert routing.told(1, 2, False, [Split("f", "v1")]) == [] and routing.barred("f@v2", 0)
+    routing.told(1, 3, False, [Split("f", "v1", "v3", 0.1, 0.1)])
+    assert routing.barred("f@v2", 0)
+    beats(routing.lease, 0, 40_001)
+    routing.told(1, 4, False, [replace(SPLIT, share=0.1)])
+    assert not routing.barred("f@v2", 40_001)
+
+
+def test_a_plan_kept_over_a_restart_gives_no_share_and_no_way_back():
+    routing = Routing()
+    routing.recall(3, 7, [replace(SPLIT, share=0.9, peak=0.9), Split("g", "v5")], ["h@v1"])
+    assert {routing.route("f", key, "idempotent", False, 0).name for key in KEYS[:50]} == {"f@v1"}
+    assert routing.route("g", "k", "idempotent", False, 0).name == "g@v5"
+    assert routing.barred("h@v1", 0) and routing.barred("f@v2", 0)
+    assert routing.told(2, 900, True, []) is None  # an older planner
+    assert routing.told(3, 7, True, [Split("g", "v5")]) == []
+
+
+def test_an_edge_that_knows_no_plan_waits_for_its_first_and_not_for_ever():
+    routing = Routing()
+    assert routing.unplanned(PATIENCE - 1) and not routing.unplanned(PATIENCE)
+    routing.told(1, 0, True, [])
+    assert not routing.unplanned(0)
+
+
 def test_what_is_settled_needs_no_lease():
     routing = Routing()
     routing.told(1, 1, True, [Split("f", "v1", "v2", 1.0, 1.0, done=True)])
--- a/tests/test_rollout_days.py
+++ b/tests/test_rollout_days.py
@@ -19,8 +19,10 @@
 class Rolled(Played):
     """A day with a planner that starts a rollout of fn-0 after two seconds."""
 
-    def __init__(self, script, path, fault=None, orders=(), steps=(0.3, 1.0), does=(), start=()):
-        self.start = dict(start)
+    def __init__(
+        self, script, path, fault=None, orders=(), steps=(0.3, 1.0), does=(), start=(), absent=False
+    ):
+        self.start, self.absent = dict(start), absent
         self.path, self.fault, self.orders, self.steps, self.does = path, fault, orders, steps, does
         super().__init__(script)
 
@@ -28,7 +30,8 @@
         self.reactor = reactor
         self.port = reactor.free_port()
         self.deployment.planner.port = self.port
-        self.begin_planner()
+        if not self.absent:
+            self.begin_planner()
 
     def begin_planner(self):
         self.process = Process(self.reactor, "planner")
@@ -43,6 +46,8 @@
         self.world = world
         if self.fault:
             world.faults[NAME] = self.fault
+        if self.absent:
+            return
         self.at(2.0, lambda: self.order("start", steps=self.steps, **self.start))
         for when, what in self.orders:
             self.at(when, lambda what=what: self.order(what))
@@ -362,3 +367,38 @@
     """As it was: a denial of a tokened RPC was taken for proof that it had not run."""
     monkeypatch.setattr("lapistrestle.edge.program.after_denial", lambda *asked: Course.SETTLED)
     assert {breach.rule for breach in Played(slow_tokened_day(1)).breaches()} == {"2 no effect twice"}
+
+
+# an edge that starts
+
+
+def restart(number):
+    def do(played):
+        played.world.tape.put(f"edge-{number}", "killed")
+        played.world.edges[number].kill()
+        played.world.restart_edge(number)
+
+    return do
+
+
+@pytest.mark.parametrize("planner_up", [True, False])
+def test_an_edge_that_starts_anew_never_sends_to_the_version_before(tmp_path, planner_up):
+    """Settled, and long so, when an edge restarts; with the planner down it goes on from the plan it kept."""
+    does = [(t, lambda p: p.order("advance")) for t in (8.0, 11.0, 14.0, 17.0)]
+    does += [] if planner_up else [(30.0, lambda p: p.kill_planner())]
+    does += [(31.0, restart(0)), (32.0, restart(1))]
+    played = Rolled(
+        script(length="36 s"), tmp_path / "j", steps=(0.5, 1.0), does=does, start={"remembered": 20_000}
+    )
+    assert played.rollout.state is State.SETTLED and played.breaches() == []
+    after = {run.message.fn for run in played.story.runs if run.at > 31_000}
+    assert NAME in after and "fn-0" not in after
+    assert len(played.logged("kept plan")) == 2
+
+
+def test_an_edge_without_plan_or_planner_denies_at_first_and_then_serves(tmp_path):
+    played = Rolled(script(length="8 s"), tmp_path / "j", absent=True)
+    answers = [(c.at, c.answers[0][2].verdict, c.answers[0][0] - c.at) for c in played.story.calls]
+    early = [(verdict, took) for at, verdict, took in answers if at < 2_000]
+    assert early and {verdict for verdict, _ in early} == {"denied"} and max(took for _, took in early) < 5
+    assert sum(verdict == "ok" for at, verdict, _ in answers if at > 2_100) > 100
