--- a/lapistrestle/command/rollouts.py
+++ b/lapistrestle/command/rollouts.py
@@ -169,18 +169,21 @@
     if json_:
         return click.echo(msgspec.json.encode(told))
     table = Table(title=f"plan {told.number}, epoch {told.epoch}")
-    for head in ("function", "settled", "candidate", "state", "share", "settled bad/all", "candidate bad/all",
-                 "harm (back at 4.6)", "good (on at 3.0)"):  # fmt: skip
+    for head in ("function", "settled", "candidate", "state", "share", "next", "settled bad/all",
+                 "candidate bad/all", "harm (back at 4.6)", "good (on at 3.0)"):  # fmt: skip
         table.add_column(head)
     for one in told.rollouts:
         old, old_bad, new, new_bad = one.counts
         table.add_row(
-            one.fn, one.settled or "-", one.candidate, one.state, f"{one.share:.0%}", f"{old_bad}/{old}",
-            f"{new_bad}/{new}", f"{one.harm:.1f}", f"{one.good:.1f}",
+            one.fn, one.settled or "-", one.candidate, one.state, f"{one.share:.0%}", f"{one.next:.0%}",
+            f"{old_bad}/{old}", f"{new_bad}/{new}", f"{one.harm:.1f}", f"{one.good:.1f}",
         )  # fmt: skip
-    Console(width=120).print(table)
+    Console(width=140).print(table)
     for edge, has in sorted(told.edges.items()):
         click.echo(f"{edge}: plan {has}")
+    for one in told.rollouts:
+        for edge, why in sorted(one.waits.items()):
+            click.echo(f"{one.fn} at {edge}: {why}")
 
 
 @rollout.command()
--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -161,7 +161,9 @@
         ]
         lacking = next((stand for stand in stands if not stand.enough), None)
         if lacking is None:
-            return split.next, ""
+            alone = [fn.iso if (fn := door.fns.get(named(split.fn, name))) else None for name in versions]
+            slower = stock.slower(*alone)
+            return (split.share, slower) if slower else (split.next, "")
         name = versions[stands.index(lacking)] or split.fn
         has = f"{name} has {lacking.standing} of {lacking.wanted} copies"
         return split.share, f"{has}; {stock.SAYS[lacking.lacks]}"
--- a/lapistrestle/rollout/stock.py
+++ b/lapistrestle/rollout/stock.py
@@ -24,6 +24,7 @@
 ENOUGH = 0.75  # of what is wanted; the rest is spare
 ORDER_PART = 0.5  # of the budget of orders; what RPCs wait for may use all of it
 HEAVIEST = 2.0  # times the usual; measured: without it a full fleet loaded twelve copies a second in vain
+SLOWER = 2.0  # times as long as the settled version; workers differ by less
 MEMORY_PART = 0.25  # of a worker's memory for one version of one function
 
 Phase = Enum("Phase", "LOADING KEPT BACK")  # of a function with two versions, as an edge sees it
@@ -60,6 +61,15 @@
     return ceil((lanes_used + sqrt(lanes_used)) / max(1, lanes)) if lanes_used > 0 else 0
 
 
+def slower(candidate: float | None, settled: float | None) -> str:
+    """Why a step waits though its copies stand: the candidate's time alone, as the module knows it, is far
+    above the settled version's. It holds and does not turn back, as either may have been learned in a jam;
+    both are renewed, and an operator may go on."""
+    if candidate is None or settled is None or candidate < SLOWER * settled:
+        return ""
+    return f"an answer takes {candidate / settled:.1f} times as long as the settled version's"
+
+
 @dataclass(eq=False)
 class Shelf:
     """One worker and one version, as an edge knows it."""
--- a/tests/test_rollout_days.py
+++ b/tests/test_rollout_days.py
@@ -402,3 +402,11 @@
     early = [(verdict, took) for at, verdict, took in answers if at < 2_000]
     assert early and {verdict for verdict, _ in early} == {"denied"} and max(took for _, took in early) < 5
     assert sum(verdict == "ok" for at, verdict, _ in answers if at > 2_100) > 100
+
+
+def test_a_version_that_is_three_times_slower_but_in_time_is_held(tmp_path):
+    played = Rolled(script(length="60 s"), tmp_path / "j", Fault(slower=3.0))
+    assert played.rollout.state is State.GROWING and played.rollout.step == 0
+    said = played.planner.status().rollouts[0].waits
+    assert any("times as long as the settled version's" in why for why in said.values())
+    assert played.rollout.evidence.findings().may_grow  # errors and soft deadlines alone would let it on
--- a/tests/test_stock.py
+++ b/tests/test_stock.py
@@ -11,6 +11,7 @@
     HEAVIEST,
     MEMORY_PART,
     MOST,
+    SLOWER,
     WANTED,
     Lack,
     Phase,
@@ -23,6 +24,7 @@
     needed,
     phase,
     room,
+    slower,
     spread,
 )
 from lapistrestle.rollout.versions import Split
@@ -53,6 +55,11 @@
     assert heavier(alone=25_000, usual=980) == HEAVIEST
 
 
+def test_a_far_slower_candidate_holds_the_step_and_says_so():
+    assert slower(900, 400) == "an answer takes 2.2 times as long as the settled version's"
+    assert slower(SLOWER * 400 - 1, 400) == slower(None, 400) == slower(900, None) == ""
+
+
 def test_room_is_a_part_of_memory_and_few():
     assert room(memory=8_000, copy=1_000) == int(MEMORY_PART * 8_000 / 1_000)
     assert room(memory=80_000, copy=500) == room(memory=0, copy=500) == MOST  # not told
