--- /dev/null
+++ b/lapistrestle/model/links.py
@@ -0,0 +1,213 @@
+"""What stands between clients, edges, runners and roster in the model: messages that arrive after a time.
+
+The objects here take the places of connections: an edge's link to one start of a runner, a client's line to
+an edge, and an edge's subscription to the roster. Nothing is encoded. A runner that dies breaks what was
+out there; one that is not there is not reached.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from lapistrestle.edge.clients import ClientSpeaker
+from lapistrestle.edge.following import Do
+from lapistrestle.edge.linking import Input
+from lapistrestle.edge.runners import OUTCOMES, WARMTH
+from lapistrestle.hosting.host import NO_REPORT, Errand, Flight
+from lapistrestle.interface import Outcome
+from lapistrestle.standins.client import Crowd, Line, Wish
+from lapistrestle.standins.runner import RunnerStandIn
+from lapistrestle.wire import messages as wire
+
+
+@dataclass
+class Ways:
+    """One-way times between zones, in seconds."""
+
+    within: float = 0.00015
+    between: float = 0.0005
+    zones: dict[str, str] = field(default_factory=dict)  # of edges and runners, by name
+
+    def time(self, one: str, other: str) -> float:
+        same = self.zones.get(one, "") == self.zones.get(other, "")
+        return self.within if same else self.between
+
+
+class RunnerLink:
+    """An edge's link to a runner at one port. It is its own `linking`: there is no wire that could stall."""
+
+    def __init__(self, edge: Any, name: str, runner: RunnerStandIn | None, way: float) -> None:
+        self.edge, self.name, self.runner, self.way = edge, name, runner, way
+        self.linking = self
+        self.out: dict[int, Flight | Errand] = {}
+        self.later = edge.reactor.callLater
+        self.later(2 * way, self.meet)
+
+    # as the edge knows it
+
+    def step(self, given: Input) -> None:
+        if given is Input.DROPPED:
+            self.break_off()
+
+    def give_back(self) -> None:
+        """Nothing waits here for a connection."""
+
+    def meet(self) -> None:
+        runner = self.runner
+        if runner is None or runner.engine.dead:
+            return
+        runner.speakers[self] = None  # type: ignore[index]
+        hello = wire.Hello(
+            wire.RUNNER, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
+            draining=runner.engine.draining,
+        )  # fmt: skip
+        self.edge.runner_met(self.name, hello)
+
+    def reached(self) -> bool:
+        return self.runner is not None and not self.runner.engine.dead
+
+    def send(self, task: Flight | Errand, message: Any) -> None:
+        task.via = self
+        self.out[task.number] = task
+        self.later(self.way, self.arrive, task.number, message)
+
+    def arrive(self, number: int, message: Any) -> None:
+        """At the runner; what is not there refuses at once."""
+        if number not in self.out:
+            return
+        if not self.reached():
+            self.later(self.way, self.end, number, Outcome.UNREACHABLE)
+        else:
+            assert self.runner is not None
+            self.runner.take(message, self, lambda said: self.later(self.way, self.back, said))
+
+    def run(self, flight: Flight) -> None:
+        ticket, asked = flight.ticket, flight.ticket.asked
+        self.send(
+            flight,
+            wire.Run(
+                flight.number, ticket.tag, ticket.fn.name, asked.method, flight.within / 10, asked.customer,
+                asked.memory, asked.lanes, asked.token, asked.key, asked.body,
+            ),
+        )  # fmt: skip
+
+    def hold(self, errand: Errand) -> None:
+        assert errand.fn is not None
+        fn = errand.fn
+        self.send(errand, wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes))
+
+    def probe(self, errand: Errand) -> None:
+        self.send(errand, wire.Probe(errand.number))
+
+    def unload(self, fn: str) -> None:
+        if self.reached():
+            assert self.runner is not None
+            self.later(self.way, self.runner.engine.unload, fn)
+
+    def withdraw(self, number: int, tell: bool) -> bool:
+        if tell and self.reached():
+            assert self.runner is not None
+            self.later(self.way, self.runner.take, wire.Cancel(number), self, lambda said: None)
+        self.out.pop(number, None)
+        return False
+
+    def drop_speaker(self) -> None: ...
+
+    # what the runner says
+
+    def back(self, said: Any) -> None:
+        host = self.edge.host
+        match said:
+            case wire.Ended():
+                if self.out.pop(said.call, None) is None:
+                    return host.stray()
+                host.ended(
+                    said.call, OUTCOMES[said.outcome], said.body, WARMTH[said.warmth], said.company,
+                    said.report or NO_REPORT,
+                )  # fmt: skip
+            case wire.Held():
+                if self.out.pop(said.order, None) is not None:
+                    host.ordered(said.order, OUTCOMES[said.outcome], said.count)
+            case wire.Probed():
+                if self.out.pop(said.probe, None) is not None:
+                    host.probed(said.probe, Outcome.OK, said.report or NO_REPORT)
+
+    def end(self, number: int, outcome: Outcome) -> None:
+        if self.out.pop(number, None) is None:
+            return
+        host = self.edge.host
+        if number in host.flights:
+            host.ended(number, outcome)
+        else:
+            host.errand_ended(number, outcome)
+
+    def say(self, message: Any) -> None:
+        if isinstance(message, wire.Draining) and self.runner is not None:
+            self.later(self.way, self.edge.runner_drains, self.name, self.runner.start)
+
+    def break_off(self) -> None:
+        """The runner died: what is out there may have run."""
+        for number in list(self.out):
+            self.later(self.way, self.end, number, Outcome.RESET)
+
+
+class Seat(ClientSpeaker):
+    """A client's place at an edge; answers go to its line."""
+
+    def __init__(self, edge: Any, line: "ModelLine") -> None:
+        super().__init__(edge, line.number)
+        self.line = line
+        edge.seats[self] = None
+
+    def say(self, message: Any) -> None:
+        self.line.crowd.reactor.callLater(self.line.way, self.line.heard, message)
+
+
+class ModelLine(Line):
+    """A client's line to one edge of the model."""
+
+    def __init__(self, crowd: Crowd, edge: Any, number: int, way: float) -> None:
+        self.crowd, self.edge, self.number, self.way = crowd, edge.name, number, way
+        self.open: dict[str, tuple[Wish, Any]] = {}
+        self.stopped = self.closed = False
+        self.seat = Seat(edge, self)
+        self.up = self  # type: ignore[assignment]
+
+    def say(self, message: Any) -> None:
+        self.crowd.reactor.callLater(self.way, self.seat.heard, message)
+
+    def heard(self, message: Any) -> None:
+        match message:
+            case wire.Answer():
+                self.answered(message.id, message.verdict, message.come_back / 1000)
+            case wire.Fault():
+                self.answered(message.id, "fault", 0.0)
+
+
+class Subscription:
+    """An edge's subscription to the roster."""
+
+    def __init__(self, edge: Any, roster: Any, way: float) -> None:
+        self.edge, self.roster, self.way = edge, roster, way
+        self.wanted = False
+
+    def start(self) -> None:
+        self.later(self.follow)
+
+    def later(self, call: Any, *args: Any) -> None:
+        self.edge.reactor.callLater(self.way, call, *args)
+
+    def follow(self) -> None:
+        self.roster.followers[self] = None
+        self.say(self.roster.whole())
+
+    def say(self, message: Any) -> None:
+        self.later(self.heard, message)
+
+    def heard(self, message: Any) -> None:
+        if self.edge.list_told(message) is Do.ASK:
+            self.later(self.follow)
+
+    def break_off(self) -> None:
+        """The roster began anew: follow it again."""
+        self.roster.followers.pop(self, None)
+        self.later(self.follow)
--- /dev/null
+++ b/lapistrestle/model/world.py
@@ -0,0 +1,173 @@
+"""One day in the model: the same script, fleet, troubles, clients and edges as on sockets."""
+
+import io
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, BinaryIO
+
+from lapistrestle.deployment.load import Wrong
+from lapistrestle.deployment.shape import Deployment
+from lapistrestle.edge.linking import Input
+from lapistrestle.edge.program import Edge
+from lapistrestle.model.clock import Clock
+from lapistrestle.model.links import ModelLine, RunnerLink, Subscription, Ways
+from lapistrestle.standins.client import Line, Wish
+from lapistrestle.standins.engine import RunnerFacts
+from lapistrestle.standins.runner import RunnerStandIn, Tokens
+from lapistrestle.standins.script import Day
+from lapistrestle.standins.troubles import schedule
+from lapistrestle.standins.world import SECOND, World
+
+# what needs a wire, or a process that stands still: only on sockets
+WIRES = frozenset(
+    ("balancer_stall", "refused", "broken", "silent", "delayed", "split", "garbled", "edge_kill", "unread",
+     "planner_stall", "planner_kill")
+)  # fmt: skip
+
+
+class ModelEdge(Edge):
+    """An edge whose connections are links of the model. Its decisions, versions, list and timers are those
+    of the program."""
+
+    def __init__(self, world: "ModelWorld", deployment: Deployment, log: Any) -> None:
+        self.world = world
+        self.subscription: Subscription | None = None
+        super().__init__(world.reactor, deployment, log)
+
+    def start(self) -> int:
+        self.subscription = Subscription(self, self.world.roster, self.world.ways.within)
+        if not self.facts["list_asked"] or self.wanted:
+            self.subscription.start()
+        return 1
+
+    wanted = False
+
+    def follow_list(self) -> None:
+        self.wanted = True
+        if self.subscription is not None:
+            self.subscription.start()
+
+    def tell_peer(self, peer: int | None, text: str) -> None:
+        me = self.facts["me"]
+        for number, handle in enumerate(self.world.edges):
+            if number != me and peer in (None, number):
+                told: Any = handle.edge.host.told  # type: ignore[attr-defined]
+                self.reactor.callLater(self.world.ways.between, told, me, text)
+
+    def address(self, name: str, port: int, start: str) -> None:
+        """As on sockets: another port is another process."""
+        link: Any = self.runners.get(name)
+        at = self.world.runners.get(port)
+        if link is not None and (port == 0 or link.runner is not at):
+            del self.runners[name]
+            link.step(Input.DROPPED)
+            link = None
+        if link is None and port:
+            made: Any = RunnerLink(self, name, at, self.world.ways.time(self.name, name))
+            self.runners[name] = made
+
+
+class Handle:
+    """How the day holds an edge of the model."""
+
+    def __init__(self, edge: ModelEdge) -> None:
+        self.edge, self.name = edge, edge.name
+
+    def start(self) -> None:
+        self.edge.start()
+
+    def port(self) -> int:
+        return 1
+
+    def stall(self) -> None: ...
+    def resume(self) -> None: ...
+    def kill(self) -> None: ...
+
+
+@dataclass
+class Outcome:
+    """What came of the wishes of a day; times in milliseconds."""
+
+    wishes: int = 0
+    gained: float = 0.0
+    asked: float = 0.0
+    windows: dict[int, list[float]] = field(default_factory=dict)  # by second: gain asked and gained
+    took: list[float] = field(default_factory=list)  # of those that were answered ok
+
+    @property
+    def service(self) -> float:
+        return self.gained / self.asked if self.asked else 1.0
+
+    def worst(self, seconds: int = 10) -> float:
+        """The worst of so many seconds in a row, by when wishes began."""
+        last = max(self.windows, default=0)
+        found = 1.0
+        for begin in range(max(1, last - seconds + 2)):
+            inside = [self.windows[s] for s in range(begin, begin + seconds) if s in self.windows]
+            asked = sum(a for a, _ in inside)
+            found = min(found, sum(g for _, g in inside) / asked) if asked else found
+        return found
+
+
+class ModelWorld(World):
+    """Builds one day of the model. Raises Wrong for what it can't play."""
+
+    def __init__(
+        self, day: Day, deployment: Deployment, sink: BinaryIO | None = None, log: Any = None
+    ) -> None:
+        for number, trouble in enumerate(day.troubles):
+            if trouble.kind in WIRES:
+                raise Wrong(f"troubles.{number}.kind: {trouble.kind} needs sockets; the model has none")
+        if day.rollouts:
+            raise Wrong("rollouts: the model has no planner yet")
+        self.runners: dict[int, RunnerStandIn] = {}
+        self.ways = Ways()
+        self.log = log or (lambda what, **figures: None)
+        self.outcome = Outcome()
+        make: Callable[..., Any] = lambda made, start: Handle(ModelEdge(self, made, self.log))  # noqa: E731
+        super().__init__(Clock(), day, deployment, sink or io.BytesIO(), make)
+        self.began = self.reactor.seconds()
+        if sink is None:
+            self.tape.put = lambda *what, **more: None  # type: ignore[method-assign]
+        for edge, handle in enumerate(self.edges):
+            zones = deployment.zones
+            self.ways.zones[handle.name] = zones[edge % len(zones)] if zones else ""
+        self.ways.zones |= {slot.name: slot.zone for slot in self.slots}
+        self.crowd.ended = self.ended
+
+    def boot(self, name: str, start: int, facts: RunnerFacts, tokens: Tokens, cold: bool) -> RunnerStandIn:
+        made = super().boot(name, start, facts, tokens, cold)
+        made.tape = None  # the links tell
+        self.runners[made.port] = made
+        return made
+
+    def lines(self) -> list[Line]:
+        return [
+            ModelLine(self.crowd, handle.edge, number, self.ways.within)  # type: ignore[attr-defined]
+            for number, handle in enumerate(self.edges)
+        ]
+
+    def ended(self, wish: Wish, ok: bool) -> None:
+        """A wish is over, for good or bad."""
+        method, now, outcome = self.deployment.methods[wish.method], self.reactor.seconds(), self.outcome
+        took = (now - wish.began) * 1000
+        deadline, soft = method.deadline / 10, (method.soft_deadline or method.deadline) / 10
+        gain = method.gain if took <= min(deadline, soft + method.soft_stretch * wish.work) else 0.0
+        gain = gain or (method.gain * method.late_gain if took <= deadline else 0.0)
+        outcome.wishes += 1
+        outcome.asked += method.gain
+        outcome.gained += gain * ok
+        window = outcome.windows.setdefault(int(wish.began - self.began), [0.0, 0.0])
+        window[0] += method.gain
+        window[1] += gain * ok
+        if ok:
+            outcome.took.append(took)
+
+    def play(self) -> Outcome:
+        """The whole day, and on until the last wish is over."""
+        self.start()
+        schedule(self)
+        self.reactor.run(self.day.length / SECOND)
+        self.over = True
+        self.reactor.run(max(m.deadline for m in self.deployment.methods.values()) / SECOND + 1.0)
+        return self.outcome
--- a/lapistrestle/standins/client.py
+++ b/lapistrestle/standins/client.py
@@ -163,6 +163,7 @@
         self.turn = 0
         self.counts = dict.fromkeys(("wishes", "ok", "given up", "tries"), 0)
         self.open = 0
+        self.ended: Callable[[Wish, bool], None] = lambda wish, ok: None
 
     def want(self, wish: Wish) -> None:
         self.counts["wishes"] += 1
@@ -187,6 +188,7 @@
         if verdict == "ok":
             self.counts["ok"] += 1
             self.open -= 1
+            self.ended(wish, True)
         elif verdict == "denied" or (
             (verdict == "aborted" and (wish.effect, wish.scope) in RETRIED) or wish.effect == "idempotent"
         ):
@@ -206,6 +208,7 @@
     def gave_up(self, wish: Wish) -> None:
         self.counts["given up"] += 1
         self.open -= 1
+        self.ended(wish, False)
 
 
 RETRIED = {("tokened", "all")}
--- a/lapistrestle/standins/runner.py
+++ b/lapistrestle/standins/runner.py
@@ -1,5 +1,6 @@
 """A runner on a socket: greets, takes calls and orders, and says how they ended."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -22,6 +23,7 @@
 
 
 BODY = msgspec.json.Decoder(Body)
+DID, DID_NOT = msgspec.Raw(b'{"did":true}'), msgspec.Raw(b'{"did":false}')
 
 
 @dataclass
@@ -77,6 +79,7 @@
         self.chance = Weather(seed=start + 1)
         self.engine.load_fails = lambda fn: self.chance.chance(self.faults.get(fn, SOUND).load_errors)
         self.speakers: dict[RunnerSpeaker, None] = {}
+        self.tasks: dict[tuple[Any, int], Task] = {}  # by the edge's connection and number
         self.count = 0
         self.listening = reactor.listenTCP(port, RunnerFactory(self), interface="127.0.0.1")
         self.port: int = self.listening.getHost().port
@@ -116,106 +119,108 @@
         else:
             self.listening = self.reactor.listenTCP(self.port, RunnerFactory(self), interface="127.0.0.1")
 
+    # what edges ask, over whatever they are connected by
 
-class RunnerFactory(ServerFactory):
-    noisy = False
-
-    def __init__(self, runner: RunnerStandIn) -> None:
-        self.runner = runner
-
-    def buildProtocol(self, addr: Any) -> "RunnerSpeaker | None":
-        if self.runner.engine.dead:
-            return None
-        self.runner.count += 1
-        return RunnerSpeaker(self.runner, f"{self.runner.start}/{self.runner.count}")
-
-
-class RunnerSpeaker(TapedSpeaker):
-    protocol = wire.RUNNER
-    decoder = union(wire.ToRunner)
-    speaks_first = False
-
-    def __init__(self, runner: RunnerStandIn, name: str) -> None:
-        super().__init__(LineBounds(), runner.reactor, runner.tape, runner.weather, name)
-        self.runner = runner
-        self.tasks: dict[int, Task] = {}
-
-    def connectionMade(self) -> None:
-        self.runner.speakers[self] = None
-        self.opened(runner=self.runner.name, start=self.runner.start)
-        super().connectionMade()
-
-    def greeting(self) -> wire.Hello:
-        runner = self.runner
-        return wire.Hello(
-            self.protocol, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
-            draining=runner.engine.draining,
-        )  # fmt: skip
-
-    def heard(self, message: Any) -> None:
-        engine, runner = self.runner.engine, self.runner
+    def take(self, message: Any, edge: Any, say: Callable[[Any], None]) -> None:
+        """A message of the edge at the other end of `edge`; answers go to `say`."""
+        engine = self.engine
         match message:
             case wire.Run():
-                self.run(message)
+                self.run(message, edge, say)
             case wire.Cancel():
-                if task := self.tasks.get(message.call):
+                if task := self.tasks.get((edge, message.call)):
                     engine.cancel(task)
             case wire.Hold():
-                load = runner.loads.get(message.fn, 500.0) / 1000
+                load = self.loads.get(message.fn, 500.0) / 1000
 
                 def held(outcome: Any, count: int) -> None:
-                    engine.when_awake(lambda: self.say(wire.Held(message.order, outcome, count)))
+                    engine.when_awake(lambda: say(wire.Held(message.order, outcome, count)))
 
                 engine.hold(message.fn, message.count, message.memory, message.lanes, load, held)
             case wire.Unload():
                 engine.unload(message.fn)
             case wire.Probe():
-                engine.when_awake(lambda: self.say(wire.Probed(message.probe, self.report("on_probe"))))
+                engine.when_awake(lambda: say(wire.Probed(message.probe, self.report("on_probe"))))
 
     def report(self, how: str) -> dict[str, float] | None:
-        return self.runner.engine.report() if {how, "inline"} & self.runner.tells else None
+        return self.engine.report() if {how, "inline"} & self.tells else None
 
-    def run(self, run: wire.Run) -> None:
+    def run(self, run: wire.Run, edge: Any, say: Callable[[Any], None]) -> None:
         try:
             body = BODY.decode(run.body)
         except msgspec.MsgspecError:
             body = Body()
         did = [False]
-        engine, fault = self.runner.engine, self.runner.faults.get(run.fn, SOUND)
+        engine, fault = self.engine, self.faults.get(run.fn, SOUND)
         busy = engine.running / engine.facts.cores
-        fault = fault if fault.shows(run.customer, busy, self.reactor.seconds()) else SOUND
-        came = self.runner.reactor.seconds()
+        came = self.reactor.seconds()
+        fault = fault if fault.shows(run.customer, busy, came) else SOUND
 
         def begin(task: Task) -> bool:
-            runner = self.runner
-            if runner.tokens.repeats(run.fn, run.token, came, runner.facts.remembers):
+            if self.tokens.repeats(run.fn, run.token, came, self.facts.remembers):
                 return False
-            runner.tokens.note(run.fn, run.token, runner.reactor.seconds())
+            self.tokens.note(run.fn, run.token, self.reactor.seconds())
             did[0] = True
-            if runner.tape is not None:
-                runner.tape.put(
-                    self.connection, "effect", call=run.call, key=run.key, method=run.method, token=run.token
+            if self.tape is not None:
+                self.tape.put(
+                    edge.connection, "effect", call=run.call, key=run.key, method=run.method, token=run.token
                 )
             return True
 
         def end(task: Task, outcome: Any, warmth: Any, more: dict[str, Any]) -> None:
-            self.tasks.pop(run.call, None)
-            tells = self.runner.tells
-            if outcome == "ok" and self.runner.chance.chance(fault.errors):
+            self.tasks.pop((edge, run.call), None)
+            if outcome == "ok" and self.chance.chance(fault.errors):
                 outcome = "error"
-            self.say(
+            say(
                 wire.Ended(
-                    run.call, outcome, warmth if "warm" in tells or warmth == "load failed" else "",
-                    more["company"] if "company" in tells else None,
-                    more["report"] if "inline" in tells else None,
-                    msgspec.Raw(b'{"did":true}' if did[0] else b'{"did":false}'),
+                    run.call, outcome, warmth if "warm" in self.tells or warmth == "load failed" else "",
+                    more["company"] if "company" in self.tells else None,
+                    more["report"] if "inline" in self.tells else None, DID if did[0] else DID_NOT,
                 )
             )  # fmt: skip
 
-        load = self.runner.loads.get(run.fn, body.load) / 1000
+        load = self.loads.get(run.fn, body.load) / 1000
         task = Task(run.fn, body.work * fault.slower / 1000, run.memory, run.lanes, load, end, begin)
-        self.tasks[run.call] = task
-        self.runner.engine.run(task)
+        self.tasks[edge, run.call] = task
+        engine.run(task)
+
+
+class RunnerFactory(ServerFactory):
+    noisy = False
+
+    def __init__(self, runner: RunnerStandIn) -> None:
+        self.runner = runner
+
+    def buildProtocol(self, addr: Any) -> "RunnerSpeaker | None":
+        if self.runner.engine.dead:
+            return None
+        self.runner.count += 1
+        return RunnerSpeaker(self.runner, f"{self.runner.start}/{self.runner.count}")
+
+
+class RunnerSpeaker(TapedSpeaker):
+    protocol = wire.RUNNER
+    decoder = union(wire.ToRunner)
+    speaks_first = False
+
+    def __init__(self, runner: RunnerStandIn, name: str) -> None:
+        super().__init__(LineBounds(), runner.reactor, runner.tape, runner.weather, name)
+        self.runner = runner
+
+    def connectionMade(self) -> None:
+        self.runner.speakers[self] = None
+        self.opened(runner=self.runner.name, start=self.runner.start)
+        super().connectionMade()
+
+    def greeting(self) -> wire.Hello:
+        runner = self.runner
+        return wire.Hello(
+            self.protocol, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
+            draining=runner.engine.draining,
+        )  # fmt: skip
+
+    def heard(self, message: Any) -> None:
+        self.runner.take(message, self, self.say)
 
     def lost(self) -> None:
         self.runner.speakers.pop(self, None)
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -226,11 +226,14 @@
     def start(self) -> None:
         for edge in self.edges:
             edge.start()
-        self.crowd.lines = [Line(self.crowd, e.name, e.port) for e in self.edges]
+        self.crowd.lines = self.lines()
         self.reactor.callLater(0.5, self.next_wish)
         if self.planner is not None:
             self.roll_out()
 
+    def lines(self) -> list[Line]:
+        return [Line(self.crowd, e.name, e.port) for e in self.edges]
+
     def next_wish(self) -> None:
         """Arrivals at exponential gaps."""
         if self.over:
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,159 @@
+"""The model: its clock, its runners against known results of queueing theory, and its days beside those on
+in-memory sockets."""
+
+import io
+from math import factorial
+
+import msgspec
+import numpy as np
+import pytest
+from days import EXAMPLES, day
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.service import serve
+from lapistrestle.deployment.load import Wrong
+from lapistrestle.model.clock import Clock
+from lapistrestle.model.world import ModelWorld, Outcome
+from lapistrestle.standins.engine import Engine, RunnerFacts, Task
+from lapistrestle.standins.play import play_virtual
+from lapistrestle.standins.script import make_day
+from lapistrestle.standins.store import Store, StoreFacts
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+def test_the_clock_plays_in_order_and_passes_over_what_was_cancelled(clock):
+    seen, began = [], clock.seconds()
+    for delay, name in ((0.3, "c"), (0.1, "a"), (0.1, "b"), (0.2, "off")):
+        due = clock.callLater(delay, lambda name=name: seen.append((name, round(clock.seconds() - began, 6))))
+        if name == "off":
+            due.cancel()
+    clock.run(0.25)
+    assert seen == [("a", 0.1), ("b", 0.1)]
+    clock.run(0.25)
+    assert seen[2:] == [("c", 0.3)] and clock.seconds() == began + 0.5
+
+
+# runners against theory: one function whose copies stand, work in seconds, Poisson arrivals
+
+
+def waits(clock, cores, rate, works, seed=1):
+    """The time that each call waited for a core."""
+    facts = RunnerFacts(cores=cores, memory=1e9, queue=10**9, idle_life=1e9)
+    engine = Engine(clock, facts, Store(clock, StoreFacts()), lambda: None, cold=False)
+    engine.hold("f", 1, 1.0, 10**6, 0.0, lambda outcome, count: None)
+    clock.run(1.0)
+    random, found = np.random.default_rng(seed), []
+
+    def arrive(number):
+        if number < len(works):
+            came, work = clock.seconds(), float(works[number])
+            clock.callLater(random.exponential(1 / rate), arrive, number + 1)
+            engine.run(
+                Task("f", work, 1.0, 10**6, 0.0, lambda *ended: None,
+                     lambda task: found.append(clock.seconds() - came) or True)
+            )  # fmt: skip
+
+    arrive(0)
+    clock.run(len(works) / rate + 1_000)
+    assert len(found) == len(works)
+    return np.array(found[len(found) // 10 :])
+
+
+def within(found, expected, batches=20):
+    """Whether the mean agrees, by batch means, at four standard errors: waits in a row are alike."""
+    means = np.array([batch.mean() for batch in np.array_split(found, batches)])
+    error = means.std(ddof=1) / batches**0.5
+    assert error < 0.15 * expected, "too few calls to say anything"
+    return abs(means.mean() - expected) < 4 * error
+
+
+def erlang_c(servers, load):
+    last = load**servers / factorial(servers) * servers / (servers - load)
+    return last / (sum(load**k / factorial(k) for k in range(servers)) + last)
+
+
+@pytest.mark.parametrize(("cores", "load"), [(1, 0.6), (4, 3.0), (16, 14.0)])
+def test_waits_of_m_m_c_follow_erlang(clock, cores, load):
+    works = np.random.default_rng(2).exponential(1.0, 60_000)
+    expected = erlang_c(cores, load) / (cores - load)
+    assert within(waits(clock, cores, load, works), expected)
+
+
+@pytest.mark.parametrize("shape", [4.0, 0.5])
+def test_waits_of_m_g_1_follow_pollaczek_and_khinchine(clock, shape):
+    works = np.random.default_rng(3).gamma(shape, 1 / shape, 80_000)
+    load, second = 0.6, 1 + 1 / shape
+    assert within(waits(clock, 1, load, works), load * second / (2 * (1 - load)))
+
+
+def test_what_is_wrong_by_a_tenth_would_be_seen(clock):
+    """The tests above can fail: a core that is a tenth slower leaves the interval."""
+    works = np.random.default_rng(2).exponential(1.1, 60_000)
+    assert not within(waits(clock, 4, 3.0, works), erlang_c(4, 3.0) / 1.0)
+
+
+def test_the_store_serves_what_its_capacity_says(clock):
+    """Fetches slow down in proportion above the capacity, so the throughput stays what it is there."""
+    store, done = Store(clock, StoreFacts(fetches=10, limit=1_000, tips_at=100.0)), []
+
+    def again(ok):
+        done.append(ok)
+        store.fetch(0.5, again)
+
+    for _ in range(20):
+        store.fetch(0.5, again)
+    clock.run(60.0)
+    assert all(done) and len(done) == pytest.approx(60 * 10 / 0.5, rel=0.06)
+
+
+# whole days
+
+
+def played(like="slots", troubles=(), seed=1, length="20 s", **more):
+    made, deployment = make_day(day(like, troubles, seed, length=length, **more), path=EXAMPLES / "day.json5")
+    return ModelWorld(made, deployment)
+
+
+def test_the_same_seed_gives_the_same_day_and_another_another():
+    first, second, other = (played(seed=seed).play() for seed in (3, 3, 4))
+    assert first == second != other
+
+
+@pytest.mark.parametrize("like", ["slots", "archive", "thumbs"])
+@pytest.mark.parametrize("kind", ["", "crash", "slow", "store_slow"])
+def test_the_model_agrees_with_the_program_on_in_memory_sockets(like, kind):
+    troubles = [{"kind": kind, "at": "8 s", "lasts": "4 s"}] if kind else []
+    outcome = played(like, troubles).play()
+    made, deployment = make_day(day(like, troubles, 1, length="20 s"), path=EXAMPLES / "day.json5")
+    sink = io.BytesIO()
+    play_virtual(made, deployment, sink)
+    service = serve(Story(msgspec.json.decode(line) for line in sink.getvalue().splitlines()))
+    assert outcome.wishes == service.asked  # the same day, wish by wish
+    assert outcome.service == pytest.approx(service.total, abs=0.03)
+
+
+def test_nothing_is_left_open_and_the_module_raises_nothing_under_troubles():
+    kinds = ["crash", "zone_loss", "deploy", "burst", "fast_errors", "roster_restart", "discovery_stale"]
+    world = played("thumbs", [{"kind": kind, "at": f"{3 + n} s"} for n, kind in enumerate(kinds)])
+    outcome = world.play()
+    assert world.crowd.open == 0 and outcome.wishes == world.crowd.counts["wishes"] > 1_000
+    for handle in world.edges:
+        counts = handle.edge.host.counts
+        assert counts["faults"] == counts["guarded"] == 0 and not handle.edge.host.flights
+
+
+@pytest.mark.parametrize("kind", ["silent", "edge_kill"])
+def test_what_needs_sockets_is_refused_before_anything_runs(kind):
+    with pytest.raises(Wrong, match=f"troubles.0.kind: {kind}"):
+        played(troubles=[{"kind": kind}])
+    with pytest.raises(Wrong, match="rollouts"):
+        played(rollouts=[{}])
+
+
+def test_the_worst_seconds_are_found():
+    outcome = Outcome(windows={second: [10.0, 1.0 if second in (20, 21) else 10.0] for second in range(60)})
+    assert outcome.worst(10) == pytest.approx(0.82) and outcome.worst(1) == 0.1
