Experiments in the model: variants under the same seeds, kept, compared and drawn

Need: questions of size and settings are answered by many runs, not by one.

Change: `lapistrestle experiment run` plays every combination of a file's settings under its seeds over the cores, goes on where it was stopped, and keeps each run with its settings and build; `compare` gives paired differences with intervals and says when they are noise; `plot` draws them.

--- /dev/null
+++ b/lapistrestle/model/experiment.py
@@ -0,0 +1,168 @@
+"""Experiments: which runs a file asks for, what counts as the same run, and what their figures say. No I/O.
+
+A variant changes named settings of one day; every variant is run under the same seeds, so it meets the same
+wishes at the same moments, and variants are compared seed by seed.
+"""
+
+import copy
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from itertools import product
+from typing import Annotated, Any
+
+import msgspec
+import numpy as np
+from msgspec import Meta, field
+from scipy import stats
+
+from lapistrestle.deployment.load import Wrong
+from lapistrestle.deployment.shape import Shape
+
+CONFIDENCE = 0.95
+FIGURES = ("service", "worst", "p50", "p99", "ok", "tries", "fetches", "calls")
+
+
+class Experiment(Shape):
+    """A file's content. `vary`: paths into the day, such as `edges` or `deployment.orders.share`, each with
+    the values to try; all combinations are run."""
+
+    name: str
+    day: Any  # inline, or the path of a script beside the file
+    vary: dict[str, Annotated[list[Any], Meta(min_length=1)]] = field(default_factory=dict)
+    seeds: Annotated[int, Meta(ge=1, le=10_000)] = 5
+    first_seed: int = 1
+
+
+Variant = tuple[tuple[str, Any], ...]
+
+
+@dataclass(frozen=True)
+class Planned:
+    """One run: a variant under a seed, and the day that comes of it."""
+
+    variant: Variant
+    seed: int
+    day: dict[str, Any]
+
+    @property
+    def key(self) -> str:
+        """What makes a run the same as another: every setting of its day, and nothing else."""
+        return blake2b(msgspec.json.encode(self.day, order="deterministic"), digest_size=12).hexdigest()
+
+
+def planned(experiment: Experiment, day: Mapping[str, Any]) -> list[Planned]:
+    """All runs, seed by seed, so that one that is stopped early has whole pairs. Raises Wrong where a path
+    leads nowhere."""
+    variants = [
+        tuple(zip(experiment.vary, values, strict=True)) for values in product(*experiment.vary.values())
+    ]
+    made = []
+    for seed in range(experiment.first_seed, experiment.first_seed + experiment.seeds):
+        for variant in variants:
+            changed = copy.deepcopy(dict(day)) | {"seed": seed}
+            for path, value in variant:
+                put(changed, path, value)
+            made.append(Planned(variant, seed, changed))
+    return made
+
+
+def put(day: dict[str, Any], path: str, value: Any) -> None:
+    """Set what a path names. The last name may be new: a setting that stands at its default."""
+    *way, last = path.split(".")
+    at: Any = day
+    for name in way:
+        if isinstance(at, list):
+            at = at[int(name)] if name.isdigit() and int(name) < len(at) else None
+        elif isinstance(at, dict):
+            at = at.setdefault(name, {})
+    if not isinstance(at, dict):
+        raise Wrong(f"vary.{path}: leads nowhere in the day")
+    at[last] = value
+
+
+def shown(variant: Variant) -> str:
+    return ", ".join(f"{path}={value}" for path, value in variant) or "the day"
+
+
+class Result(msgspec.Struct):
+    """What a run came to; one line of the results. `failed` is no result."""
+
+    key: str
+    variant: list[tuple[str, Any]]
+    seed: int
+    figures: dict[str, float] = {}
+    seconds: float = 0.0
+    build: str = ""
+    failed: str = ""
+
+
+def figures(
+    took: Sequence[float], wishes: int, service: float, worst: float, tries: int, fetches: int
+) -> Any:
+    times = np.array(took) if took else np.array([0.0])
+    return {
+        "service": service,
+        "worst": worst,
+        "p50": float(np.quantile(times, 0.5)),
+        "p99": float(np.quantile(times, 0.99)),
+        "ok": len(took) / max(1, wishes),
+        "tries": tries / max(1, wishes),
+        "fetches": float(fetches),
+        "calls": float(wishes),
+    }
+
+
+@dataclass(frozen=True)
+class Sure:
+    """A mean and how sure it is: half of its interval, from so many seeds; infinite from one."""
+
+    mean: float
+    half: float
+    seeds: int
+
+    @property
+    def noise(self) -> bool:
+        """Whether 0 lies within the interval."""
+        return abs(self.mean) <= self.half
+
+
+def sure(values: Sequence[float]) -> Sure:
+    """By Student's t, for means over seeds."""
+    count = len(values)
+    mean = float(np.mean(values))
+    if count < 2:
+        return Sure(mean, float("inf"), count)
+    spread = float(stats.sem(values))
+    return Sure(mean, float(stats.t.ppf((1 + CONFIDENCE) / 2, count - 1)) * spread, count)
+
+
+def by_variant(results: Iterable[Result]) -> dict[Variant, dict[int, Result]]:
+    """The last good result of each variant and seed, in the order of the file."""
+    made: dict[Variant, dict[int, Result]] = defaultdict(dict)
+    for result in results:
+        if not result.failed:
+            made[tuple((path, value) for path, value in map(tuple, result.variant))][result.seed] = result
+    return dict(made)
+
+
+def differences(results: Iterable[Result], base: Variant, figure: str) -> dict[Variant, Sure]:
+    """Each other variant against the base, seed by seed; only seeds that both have. Raises Wrong."""
+    found = by_variant(results)
+    if base not in found:
+        known = "; ".join(shown(variant) for variant in found)
+        raise Wrong(f"no results of {shown(base)}; known: {known or 'none'}")
+    made = {}
+    for variant, runs in found.items():
+        both = sorted(set(runs) & set(found[base]))
+        if variant != base and both:
+            pairs = [(runs[seed].figures, found[base][seed].figures) for seed in both]
+            made[variant] = sure([one[figure] - other[figure] for one, other in pairs])
+    return made
+
+
+def missing(plan: Sequence[Planned], results: Iterable[Result], build: str) -> list[Planned]:
+    """Runs that have no good result of this build yet."""
+    done = {result.key for result in results if not result.failed and result.build == build}
+    return [run for run in plan if run.key not in done]
--- /dev/null
+++ b/tests/test_experiment.py
@@ -0,0 +1,137 @@
+"""Experiments: which runs a file asks for, what counts as a result, and how sure a figure is."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+from days import EXAMPLES
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lapistrestle.command.experiments import results_of
+from lapistrestle.command.main import main
+from lapistrestle.deployment.load import Wrong
+from lapistrestle.model.experiment import (
+    Experiment,
+    Planned,
+    Result,
+    differences,
+    missing,
+    planned,
+    put,
+    sure,
+)
+
+DAY = {"name": "d", "traffic": {"rate": 10}, "troubles": [{"kind": "crash"}]}
+
+
+def test_every_combination_is_run_under_every_seed():
+    plan = planned(Experiment("x", DAY, {"edges": [1, 3], "traffic.rate": [5, 7, 9]}, seeds=2), DAY)
+    assert len(plan) == 12 and len({run.key for run in plan}) == 12
+    assert [run.seed for run in plan] == [1] * 6 + [2] * 6
+    assert plan[0].day == DAY | {"edges": 1, "seed": 1, "traffic": {"rate": 5}}
+    assert DAY["traffic"] == {"rate": 10}  # the day itself stays as it is
+
+
+def test_a_path_may_name_what_stands_at_its_default_or_one_of_a_list():
+    day = {"troubles": [{"kind": "crash"}]}
+    put(day, "store.fetches", 4)
+    put(day, "troubles.0.share", 0.5)
+    assert day == {"troubles": [{"kind": "crash", "share": 0.5}], "store": {"fetches": 4}}
+    with pytest.raises(Wrong, match=r"vary.troubles.7.share"):
+        put(day, "troubles.7.share", 1)
+
+
+def test_what_is_the_same_run_hangs_on_its_settings_alone():
+    one = Planned((("edges", 1),), 1, {"a": 1, "b": 2})
+    assert one.key == Planned((), 1, {"b": 2, "a": 1}).key != Planned((), 1, {"a": 1, "b": 3}).key
+
+
+def result(edges, seed, service, **more):
+    return Result(f"{edges}-{seed}", [("edges", edges)], seed, {"service": service}, **more)
+
+
+def test_differences_are_taken_seed_by_seed():
+    """Seeds differ far more than variants do; pairs show it all the same."""
+    results = [result(1, seed, 0.5 + 0.05 * seed) for seed in range(6)]
+    results += [result(3, seed, 0.52 + 0.05 * seed + 0.001 * (seed % 2)) for seed in range(6)]
+    ((variant, gap),) = differences(results, (("edges", 1),), "service").items()
+    assert variant == (("edges", 3),) and gap.mean == pytest.approx(0.0205) and not gap.noise
+    with pytest.raises(Wrong, match="known: edges=1; edges=3"):
+        differences(results, (("edges", 9),), "service")
+
+
+def test_a_failed_run_is_no_result_and_is_run_again():
+    plan = [Planned((), seed, {"seed": seed}) for seed in range(3)]
+    results = [Result(plan[0].key, [], 0, build="b")]
+    results += [Result(plan[1].key, [], 1, build="b", failed="it broke")]
+    results += [Result(plan[2].key, [], 2, build="older")]
+    assert [run.seed for run in missing(plan, results, "b")] == [1, 2]
+
+
+def test_one_seed_says_nothing_for_sure():
+    assert sure([0.7]).half == float("inf") and sure([0.7]).noise
+
+
+@given(st.lists(st.floats(-1, 1), min_size=2, max_size=30), st.floats(-5, 5))
+def test_an_interval_moves_with_its_values(values, by):
+    here, there = sure(values), sure([value + by for value in values])
+    assert there.mean == pytest.approx(here.mean + by, abs=1e-9)
+    assert there.half == pytest.approx(here.half, abs=1e-9) and here.half >= 0
+
+
+# the command
+
+
+@pytest.fixture
+def file(tmp_path):
+    path = tmp_path / "try.json5"
+    day = {
+        "name": "small", "deployment": str(EXAMPLES / "slots.json5"), "length": "5 s",
+        "traffic": {"rate": 20, "functions": 4},
+    }  # fmt: skip
+    path.write_text(json.dumps({"name": "try", "day": day, "vary": {"edges": [1, 2]}, "seeds": 2}))
+    return path
+
+
+def run(*args):
+    return CliRunner().invoke(main, ["experiment", *map(str, args)])
+
+
+def test_runs_are_kept_gone_on_with_compared_and_drawn(file, tmp_path):
+    kept = tmp_path / "try.results.jsonl"
+    first = run("run", file, "--processes", 2)
+    assert first.exit_code == 0 and "4 runs, 0 done before" in first.output, first.output
+    whole = kept.read_bytes().splitlines(keepends=True)
+    kept.write_bytes(b"".join(whole[:2]) + whole[2][:40])  # killed in the middle of a line
+    assert len(results_of(kept)) == 2
+    again = run("run", file, "--processes", 1)
+    assert "4 runs, 2 done before" in again.output and len(results_of(kept)) == 4
+    strip = [[r.key, r.figures] for r in results_of(kept)]
+    assert sorted(strip) == sorted([json.loads(line)["key"], json.loads(line)["figures"]] for line in whole)
+    told = json.loads(run("compare", kept, "--base", "edges=1", "--json").output)
+    assert [row["variant"] for row in told] == [{"edges": 1}, {"edges": 2}]
+    assert told[0]["difference"] is None and told[1]["difference"] is not None
+    drawn = run("plot", kept, tmp_path / "p.svg")
+    assert drawn.exit_code == 0 and (tmp_path / "p.svg").read_text().count("<path") > 10
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "says"),
+    [
+        ("edges", 0, "edges"), ("traffic.rates", 5, "did you mean rate"),
+        ("troubles", [{"kind": "silent", "at": "1 s"}], "needs sockets"),
+    ],
+)  # fmt: skip
+def test_what_is_wrong_is_named_before_anything_runs(file, tmp_path, path, value, says):
+    content = json.loads(file.read_text())
+    content["vary"] = {path: [value]}
+    file.write_text(json.dumps(content))
+    failed = run("run", file)
+    assert failed.exit_code == 1 and says in failed.output
+    assert not (tmp_path / "try.results.jsonl").exists()
+
+
+def test_a_file_that_is_no_results_is_named(tmp_path):
+    (tmp_path / "r").write_text("{}\n")
+    assert "r:1: no line of results" in run("compare", tmp_path / "r").output
