--- a/lapistrestle/model/links.py
+++ b/lapistrestle/model/links.py
@@ -16,6 +16,7 @@
 from lapistrestle.interface import Outcome
 from lapistrestle.standins.client import Crowd, Line, Wish
 from lapistrestle.standins.runner import RunnerStandIn
+from lapistrestle.standins.tape import Tape
 from lapistrestle.wire import messages as wire
 
 
@@ -32,15 +33,40 @@
         return self.within if same else self.between
 
 
-class RunnerLink:
+class Taped:
+    """One connection on the tape, if there is one: lines as they would have crossed the socket of whoever is
+    no edge, in the form that the checker reads."""
+
+    def __init__(self, tape: Tape | None, connection: str, greets: str, **who: Any) -> None:
+        self.tape, self.connection = tape, connection
+        if tape is not None:
+            tape.put(connection, "open", **who)
+        self.put("<", wire.Hello("lapistrestle", wire.VERSION, greets))
+
+    def put(self, sign: str, message: Any) -> None:
+        if self.tape is not None:
+            self.tape.put(self.connection, sign, line=wire.encode(message).decode())
+
+    def close(self) -> None:
+        """Once: a runner that died is also dropped when the roster says so."""
+        if self.tape is not None:
+            self.tape.put(self.connection, "close")
+        self.tape = None
+
+
+class RunnerLink(Taped):
     """An edge's link to a runner at one port. It is its own `linking`: there is no wire that could stall."""
 
-    def __init__(self, edge: Any, name: str, runner: RunnerStandIn | None, way: float) -> None:
+    def __init__(
+        self, edge: Any, name: str, runner: RunnerStandIn | None, way: float, tape: Tape | None = None
+    ) -> None:
         self.edge, self.name, self.runner, self.way = edge, name, runner, way
         self.linking = self
         self.out: dict[int, Flight | Errand] = {}
         self.later = edge.reactor.callLater
         self.later(2 * way, self.meet)
+        start = runner.start if runner is not None else ""
+        super().__init__(tape, f"{start}/{edge.name}/{edge.dials}", edge.name, runner=name, start=start)
 
     # as the edge knows it
 
@@ -60,6 +86,7 @@
             wire.RUNNER, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
             draining=runner.engine.draining,
         )  # fmt: skip
+        self.put(">", hello)
         self.edge.runner_met(self.name, hello)
 
     def reached(self) -> bool:
@@ -78,7 +105,12 @@
             self.later(self.way, self.end, number, Outcome.UNREACHABLE)
         else:
             assert self.runner is not None
-            self.runner.take(message, self, lambda said: self.later(self.way, self.back, said))
+            self.put("<", message)
+            self.runner.take(message, self, self.answer)
+
+    def answer(self, said: Any) -> None:
+        self.put(">", said)
+        self.later(self.way, self.back, said)
 
     def run(self, flight: Flight) -> None:
         ticket, asked = flight.ticket, flight.ticket.asked
@@ -106,10 +138,16 @@
     def withdraw(self, number: int, tell: bool) -> bool:
         if tell and self.reached():
             assert self.runner is not None
-            self.later(self.way, self.runner.take, wire.Cancel(number), self, lambda said: None)
+            self.later(self.way, self.cancelled, number)
         self.out.pop(number, None)
         return False
 
+    def cancelled(self, number: int) -> None:
+        if self.reached():
+            assert self.runner is not None
+            self.put("<", wire.Cancel(number))
+            self.runner.take(wire.Cancel(number), self, self.answer)
+
     def drop_speaker(self) -> None: ...
 
     # what the runner says
@@ -141,11 +179,13 @@
             host.errand_ended(number, outcome)
 
     def say(self, message: Any) -> None:
+        self.put(">", message)
         if isinstance(message, wire.Draining) and self.runner is not None:
             self.later(self.way, self.edge.runner_drains, self.name, self.runner.start)
 
     def break_off(self) -> None:
         """The runner died: what is out there may have run."""
+        self.close()
         for number in list(self.out):
             self.later(self.way, self.end, number, Outcome.RESET)
 
@@ -162,20 +202,24 @@
         self.line.crowd.reactor.callLater(self.line.way, self.line.heard, message)
 
 
-class ModelLine(Line):
+class ModelLine(Line, Taped):
     """A client's line to one edge of the model."""
 
-    def __init__(self, crowd: Crowd, edge: Any, number: int, way: float) -> None:
+    def __init__(self, crowd: Crowd, edge: Any, number: int, way: float, tape: Tape | None = None) -> None:
+        Taped.__init__(self, tape, f"{edge.name}/client", "", edge=edge.name)
         self.crowd, self.edge, self.number, self.way = crowd, edge.name, number, way
+        self.put("<", wire.Hello("lapistrestle", wire.VERSION, you=f"c{number}"))
         self.open: dict[str, tuple[Wish, Any]] = {}
         self.stopped = self.closed = False
         self.seat = Seat(edge, self)
         self.up = self  # type: ignore[assignment]
 
     def say(self, message: Any) -> None:
+        self.put(">", message)
         self.crowd.reactor.callLater(self.way, self.seat.heard, message)
 
     def heard(self, message: Any) -> None:
+        self.put("<", message)
         match message:
             case wire.Answer():
                 self.answered(message.id, message.verdict, message.come_back / 1000)
@@ -183,12 +227,12 @@
                 self.answered(message.id, "fault", 0.0)
 
 
-class Subscription:
+class Subscription(Taped):
     """An edge's subscription to the roster."""
 
-    def __init__(self, edge: Any, roster: Any, way: float) -> None:
+    def __init__(self, edge: Any, roster: Any, way: float, tape: Tape | None = None) -> None:
+        super().__init__(tape, f"roster/{edge.name}", edge.name, roster=True)
         self.edge, self.roster, self.way = edge, roster, way
-        self.wanted = False
 
     def start(self) -> None:
         self.later(self.follow)
@@ -201,6 +245,7 @@
         self.say(self.roster.whole())
 
     def say(self, message: Any) -> None:
+        self.put(">", message)
         self.later(self.heard, message)
 
     def heard(self, message: Any) -> None:
--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -15,6 +15,7 @@
 from lapistrestle.standins.engine import RunnerFacts
 from lapistrestle.standins.runner import RunnerStandIn, Tokens
 from lapistrestle.standins.script import Day
+from lapistrestle.standins.tape import Tape
 from lapistrestle.standins.troubles import schedule
 from lapistrestle.standins.world import SECOND, World
 
@@ -35,12 +36,13 @@
         super().__init__(world.reactor, deployment, log)
 
     def start(self) -> int:
-        self.subscription = Subscription(self, self.world.roster, self.world.ways.within)
+        self.subscription = Subscription(self, self.world.roster, self.world.ways.within, self.world.taped)
         if not self.facts["list_asked"] or self.wanted:
             self.subscription.start()
         return 1
 
     wanted = False
+    dials = 0  # links so far
 
     def follow_list(self) -> None:
         self.wanted = True
@@ -63,7 +65,9 @@
             link.step(Input.DROPPED)
             link = None
         if link is None and port:
-            made: Any = RunnerLink(self, name, at, self.world.ways.time(self.name, name))
+            way = self.world.ways.time(self.name, name)
+            self.dials += 1
+            made: Any = RunnerLink(self, name, at, way, self.world.taped)
             self.runners[name] = made
 
 
@@ -125,7 +129,10 @@
         self.log = log or (lambda what, **figures: None)
         self.outcome = Outcome()
         make: Callable[..., Any] = lambda made, start: Handle(ModelEdge(self, made, self.log))  # noqa: E731
+        self.taped: Tape | None = None
+        self.untold = sink is None
         super().__init__(Clock(), day, deployment, sink or io.BytesIO(), make)
+        self.taped = self.tape if sink else None
         self.began = self.reactor.seconds()
         if sink is None:
             self.tape.put = lambda *what, **more: None  # type: ignore[method-assign]
@@ -137,13 +144,13 @@
 
     def boot(self, name: str, start: int, facts: RunnerFacts, tokens: Tokens, cold: bool) -> RunnerStandIn:
         made = super().boot(name, start, facts, tokens, cold)
-        made.tape = None  # the links tell
+        made.tape = None if self.untold else self.tape
         self.runners[made.port] = made
         return made
 
     def lines(self) -> list[Line]:
         return [
-            ModelLine(self.crowd, handle.edge, number, self.ways.within)  # type: ignore[attr-defined]
+            ModelLine(self.crowd, handle.edge, number, self.ways.within, self.taped)  # type: ignore[attr-defined]
             for number, handle in enumerate(self.edges)
         ]
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -10,10 +10,11 @@
 from days import EXAMPLES, day
 
 from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import judge
 from lapistrestle.checks.service import serve
 from lapistrestle.deployment.load import Wrong
 from lapistrestle.model.clock import Clock
-from lapistrestle.model.world import ModelWorld, Outcome
+from lapistrestle.model.world import ModelEdge, ModelWorld, Outcome
 from lapistrestle.standins.engine import Engine, RunnerFacts, Task
 from lapistrestle.standins.play import play_virtual
 from lapistrestle.standins.script import make_day
@@ -157,3 +158,40 @@
 def test_the_worst_seconds_are_found():
     outcome = Outcome(windows={second: [10.0, 1.0 if second in (20, 21) else 10.0] for second in range(60)})
     assert outcome.worst(10) == pytest.approx(0.82) and outcome.worst(1) == 0.1
+
+
+# the tape: one checker, one form
+
+
+def judged(like, troubles, seed=1):
+    made, deployment = make_day(day(like, troubles, seed, length="20 s"), path=EXAMPLES / "day.json5")
+    sink = io.BytesIO()
+    world = ModelWorld(made, deployment, sink)
+    outcome = world.play()
+    story = Story(msgspec.json.decode(line) for line in sink.getvalue().splitlines())
+    assert serve(story).total == pytest.approx(outcome.service, abs=0.002)
+    assert len(story.runs) > 500 and len(story.calls) == world.crowd.counts["tries"]
+    return [breach for rule in judge(story) for breach in rule.breaches]
+
+
+@pytest.mark.parametrize("like", ["slots", "archive", "thumbs"])
+def test_the_checker_finds_the_rules_kept_on_the_tape_of_the_model(like):
+    kinds = ("crash", "deploy", "burst", "fast_errors")
+    assert judged(like, [{"kind": kind, "at": f"{3 + 3 * n} s"} for n, kind in enumerate(kinds)]) == []
+
+
+def test_it_finds_an_edge_that_hears_of_drains_too_late(monkeypatch):
+    told, drains = ModelEdge.list_told, ModelEdge.runner_drains
+    monkeypatch.setattr(
+        ModelEdge, "list_told", lambda edge, message: edge.reactor.callLater(2.0, told, edge, message)
+    )
+    monkeypatch.setattr(
+        ModelEdge, "runner_drains", lambda edge, *said: edge.reactor.callLater(2.0, drains, edge, *said)
+    )
+    found = judged("slots", [{"kind": "deploy", "at": "5 s", "lasts": "10 s", "share": 0.6}])
+    assert "3 drains kept" in {breach.rule for breach in found}
+
+
+def test_a_tape_changes_nothing_of_the_day():
+    made, deployment = make_day(day(length="10 s"), path=EXAMPLES / "day.json5")
+    assert ModelWorld(made, deployment, io.BytesIO()).play() == ModelWorld(made, deployment).play()
