--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -3,12 +3,15 @@
 import io
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, BinaryIO
 
 from lapistrestle.deployment.load import Wrong
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.linking import Input
 from lapistrestle.edge.program import Edge
+from lapistrestle.hosting.host import Hosting
+from lapistrestle.model.baselines import Baseline
 from lapistrestle.model.clock import Clock
 from lapistrestle.model.links import ModelLine, RunnerLink, Subscription, Ways
 from lapistrestle.standins.client import Line, Wish
@@ -34,6 +37,11 @@
         self.world = world
         self.subscription: Subscription | None = None
         super().__init__(world.reactor, deployment, log)
+        if world.day.policy != "module":
+            make = partial(Baseline, policy=world.day.policy, sees=world.sees)
+            self.host = Hosting(
+                self, self.facts, deployment.dispatcher.seed, self.clock, self.margin // 2, make
+            )
 
     def start(self) -> int:
         self.subscription = Subscription(self, self.world.roster, self.world.ways.within, self.world.taped)
@@ -131,6 +139,7 @@
         make: Callable[..., Any] = lambda made, start: Handle(ModelEdge(self, made, self.log))  # noqa: E731
         self.taped: Tape | None = None
         self.untold = sink is None
+        self.day = day
         super().__init__(Clock(), day, deployment, sink or io.BytesIO(), make)
         self.taped = self.tape if sink else None
         self.began = self.reactor.seconds()
@@ -139,6 +148,7 @@
         for edge, handle in enumerate(self.edges):
             zones = deployment.zones
             self.ways.zones[handle.name] = zones[edge % len(zones)] if zones else ""
+        self.by_name = {slot.name: slot for slot in self.slots}
         self.ways.zones |= {slot.name: slot.zone for slot in self.slots}
         self.crowd.ended = self.ended
 
@@ -148,6 +158,16 @@
         self.runners[made.port] = made
         return made
 
+    def sees(self, name: str, fn: str) -> tuple[float, float]:
+        """A runner as it is: whether a copy stands (1) or is being loaded (0.5), and calls by core, those on
+        their way too, as slow as it is now."""
+        slot = self.by_name[name]
+        engine, copies = slot.runner.engine, slot.runner.engine.copies.get(fn)
+        coming = sum(h.edge.host.module.out.get(h.edge.host.door.srv(name), 0) for h in self.edges)  # type: ignore[attr-defined]
+        crowd = coming * engine.slower / (max(1, engine.facts.cores - engine.taken) * engine.facts.speed)
+        copy = 0.0 if copies is None else 1.0 if copies.standing else 0.5 if copies.loading else 0.0
+        return copy, crowd + (1e9 if engine.dead or engine.failing else 0)
+
     def lines(self) -> list[Line]:
         return [
             ModelLine(self.crowd, handle.edge, number, self.ways.within, self.taped)  # type: ignore[attr-defined]
--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any, BinaryIO
 
+from lapistrestle.deployment.load import Wrong
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.program import Edge
 from lapistrestle.planner.program import Planner
@@ -58,6 +59,7 @@
 
     `prepare` is called before anything is built, `begun` once the day has begun.
     """
+    decided_by_module(day)
     reactor = VirtualReactor()
     outside = Process(reactor, "stand-ins")
     if prepare is not None:
@@ -73,6 +75,12 @@
     return world
 
 
+def decided_by_module(day: Day) -> None:
+    """Raises Wrong: the program knows no other policy."""
+    if day.policy != "module":
+        raise Wrong(f'policy: is "{day.policy}"; other policies than the module are in the model only')
+
+
 def run_virtual(reactor: VirtualReactor, world: World, begun: Callable[[World], None] | None) -> None:
     day, deployment = world.day, world.deployment
     began = reactor.seconds()
@@ -140,6 +148,7 @@
 
 def play_real(day: Day, deployment: Deployment, sink: BinaryIO, log: Log = quiet) -> World:
     """The day on loopback sockets, in its own time. Edges are processes, stand-ins live in this one."""
+    decided_by_module(day)
     from twisted.internet import reactor as default
 
     reactor: Any = default
--- a/lapistrestle/standins/script.py
+++ b/lapistrestle/standins/script.py
@@ -105,6 +105,8 @@
     length: Span = Span(200_000)
     seed: int = 1
     edges: Annotated[int, Meta(ge=1, le=1000)] = 3
+    # who decides; others than the module in the model only
+    policy: Literal["module", "random", "round robin", "fewest of two", "fewest", "hash", "greedy"] = "module"
     fleet: dict[str, Machines] = field(default_factory=lambda: {"plain": Machines(count=8)})
     fetch_share: Part = 0.7
     drops_waiting: bool = True
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -13,6 +13,7 @@
 from lapistrestle.checks.rules import judge
 from lapistrestle.checks.service import serve
 from lapistrestle.deployment.load import Wrong
+from lapistrestle.model.baselines import POLICIES
 from lapistrestle.model.clock import Clock
 from lapistrestle.model.world import ModelEdge, ModelWorld, Outcome
 from lapistrestle.standins.engine import Engine, RunnerFacts, Task
@@ -195,3 +196,36 @@
 def test_a_tape_changes_nothing_of_the_day():
     made, deployment = make_day(day(length="10 s"), path=EXAMPLES / "day.json5")
     assert ModelWorld(made, deployment, io.BytesIO()).play() == ModelWorld(made, deployment).play()
+
+
+# baselines
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+@pytest.mark.parametrize("like", ["slots", "archive"])
+def test_a_baseline_answers_every_wish_once_and_runs_nothing_twice(like, policy):
+    troubles = [{"kind": "crash", "at": "5 s"}, {"kind": "fast_errors", "at": "8 s"}]
+    script = day(like, troubles, length="15 s", policy=policy)
+    made, deployment = make_day(script, path=EXAMPLES / "day.json5")
+    sink = io.BytesIO()
+    world = ModelWorld(made, deployment, sink)
+    outcome = world.play()
+    assert world.crowd.open == 0 and outcome.service > 0.3
+    assert all(handle.edge.host.counts["faults"] == 0 for handle in world.edges)
+    story = Story(msgspec.json.decode(line) for line in sink.getvalue().splitlines())
+    kept = {rule.name: rule.breaches for rule in judge(story)}
+    assert kept["1 one final answer"] == kept["2 no effect twice"] == kept["5 orders within budget"] == []
+
+
+def test_the_module_stands_between_chance_and_one_that_sees_all():
+    services, more = {}, {"length": "20 s", "traffic": {"rate": 120, "functions": 20}}
+    for policy in ("random", "module", "greedy"):
+        days = [played(seed=seed, policy=policy, **more).play() for seed in (1, 2)]
+        services[policy] = sum(outcome.service for outcome in days)
+    assert services["random"] < services["module"] < services["greedy"]
+
+
+def test_the_program_knows_no_other_policy():
+    made, deployment = make_day(day(policy="hash"), path=EXAMPLES / "day.json5")
+    with pytest.raises(Wrong, match='policy: is "hash"'):
+        play_virtual(made, deployment, io.BytesIO())
