What the model wrote again calls the edge's and the checker's own pieces

Cause: a reading of the whole change. The model built runner messages, told the host of ends, greeted and weighed answers beside the edge, the runner stand-in and the checker; shares crossed the wire by hand, field by field, twice; a Hosting was made twice for baselines; some state and two functions had no reader left.

Change: `run_of`, `hold_of`, `tell` and `tell_lost` serve edge and model, `hello` both ends of runners, `worth` checker and model; splits convert by their names; an edge takes the maker of its module; `Routing.moved` says and remembers where an RPC goes. Two figures differ: the model counts orders and probes that end twice as stray, and an RPC moved off a barred version that no plan names goes to the plain function, where it would have come back to itself without end.

--- a/lapistrestle/checks/service.py
+++ b/lapistrestle/checks/service.py
@@ -1,8 +1,9 @@
 """How good the service was, from the tape: gain answered over gain asked for."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from lapistrestle.checks.reading import Story, Wish
 
@@ -22,9 +23,12 @@
 
 def gain(story: Story, wish: Wish) -> float:
     """A client's retries count with its first try."""
-    method = story.header["methods"][wish.method]
-    took = wish.answered - wish.at
-    if took <= min(method["deadline"], method["soft"] + method["stretch"] * wish.work):
+    return worth(story.header["methods"][wish.method], wish.answered - wish.at, wish.work)
+
+
+def worth(method: Mapping[str, Any], took: float, work: float) -> float:
+    """What an answer after `took` is worth, by the method's figures of a tape's header; milliseconds."""
+    if took <= min(method["deadline"], method["soft"] + method["stretch"] * work):
         return float(method["gain"])
     return float(method["gain"] * method["late_gain"]) if took <= method["deadline"] else 0.0
 
--- a/lapistrestle/command/experiments.py
+++ b/lapistrestle/command/experiments.py
@@ -3,6 +3,7 @@
 import multiprocessing
 import time
 import traceback
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
@@ -82,8 +83,6 @@
 
 def build() -> str:
     """What the results are results of: the package's own sources."""
-    from hashlib import blake2b
-
     digest = blake2b(digest_size=6)
     for file in sorted(Path(__file__).parents[1].rglob("*.py")):
         digest.update(file.read_bytes())
@@ -140,7 +139,7 @@
     apart = model.differences(told, first, figure)
     rows: list[dict[str, Any]] = []
     for variant, runs in found.items():
-        mean, gap = model.sure([r.figures[figure] for r in runs.values()]), apart.get(variant)
+        mean, gap = model.mean(runs, figure), apart.get(variant)
         rows.append({"variant": dict(variant), "seeds": mean.seeds, "mean": mean.mean, "half": mean.half,
                      "difference": gap and gap.mean, "difference_half": gap and gap.half,
                      "noise": gap and gap.noise})  # fmt: skip
@@ -180,9 +179,7 @@
         lines: dict[str, list[tuple[Any, model.Sure]]] = {}
         for variant, runs in found.items():
             rest = model.shown(tuple(pair for pair in variant if pair[0] != axis))
-            lines.setdefault(rest, []).append(
-                (dict(variant)[axis], model.sure([r.figures[name] for r in runs.values()]))
-            )
+            lines.setdefault(rest, []).append((dict(variant)[axis], model.mean(runs, name)))
         for rest, points in lines.items():
             xs = [x for x, _ in points]
             axes[row][0].errorbar(
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment.load import facts
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.clients import Clients, ClientSpeaker
@@ -27,7 +28,10 @@
 class Edge:
     """One front end on one reactor, whose clock must be monotonic: one set back would hold the timers."""
 
-    def __init__(self, reactor: Any, deployment: Deployment, log: Log, seed: int | None = None) -> None:
+    def __init__(
+        self, reactor: Any, deployment: Deployment, log: Log, seed: int | None = None,
+        make: Callable[..., Any] = Dispatcher,
+    ) -> None:  # fmt: skip
         place = deployment.dispatcher
         self.reactor, self.deployment, self.log, self.name = reactor, deployment, log, place.name
         self.facts, self.bounds = facts(deployment), bounds_of(deployment.listen)
@@ -49,7 +53,7 @@
         self.routing = Routing()
         self.peers = Peers(self) if self.facts["may_tell_peers"] else None
         seed = place.seed if seed is None else seed
-        self.host = Hosting(self, self.facts, seed, self.clock, self.margin // 2)
+        self.host = Hosting(self, self.facts, seed, self.clock, self.margin // 2, make)
 
     def clock(self) -> int:
         return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
@@ -182,12 +186,9 @@
 
     def move(self, ticket: Ticket) -> None:
         """An RPC that has not run on a version that is barred now goes to the settled one, in its time."""
-        route = Route(self.routing.settled_name(ticket.fn.name))
-        fn, _, version = route.name.partition("@")
-        asked = ticket.asked
-        self.routing.remember(fn, key_of(asked.key, asked.token, ticket.tag), version)
+        asked, tries = ticket.asked, ticket.tries()
+        route = self.routing.moved(ticket.fn.name, key_of(asked.key, asked.token, ticket.tag))
         left = ticket.deadline - self.clock()
-        tries = ticket.tries()
         self.take(ticket.seat, asked, ticket.method, ticket.customer, left, route, True, tries)
 
     def closed(self, ticket: Ticket, how: str) -> None:
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -21,6 +21,43 @@
 }  # fmt: skip
 
 
+def run_of(flight: Flight) -> wire.Run:
+    """A call-out as the runner is told of it."""
+    ticket, asked = flight.ticket, flight.ticket.asked
+    return wire.Run(
+        flight.number, ticket.tag, ticket.fn.name, asked.method, flight.within / 10, asked.customer,
+        asked.memory, asked.lanes, asked.token, asked.key, asked.body,
+    )  # fmt: skip
+
+
+def hold_of(errand: Errand) -> wire.Hold:
+    assert errand.fn is not None
+    fn = errand.fn
+    return wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes)
+
+
+def tell(host: Hosting, said: wire.Ended | wire.Held | wire.Probed) -> None:
+    """How what the host asked for ended, as the runner says."""
+    match said:
+        case wire.Ended():
+            host.ended(
+                said.call, OUTCOMES[said.outcome], said.body, WARMTH[said.warmth], said.company,
+                said.report or NO_REPORT,
+            )  # fmt: skip
+        case wire.Held():
+            host.ordered(said.order, OUTCOMES[said.outcome], said.count)
+        case wire.Probed():
+            host.probed(said.probe, Outcome.OK, said.report or NO_REPORT)
+
+
+def tell_lost(host: Hosting, number: int, outcome: Outcome) -> None:
+    """It ended without word from the runner."""
+    if number in host.flights:
+        host.ended(number, outcome)
+    else:
+        host.errand_ended(number, outcome)
+
+
 class RunnerSpeaker(Speaker):
     """Our end of one connection to a runner; detached once that connection no longer counts."""
 
@@ -101,14 +138,7 @@
 
     def run(self, flight: Flight) -> None:
         flight.via = self
-        ticket, asked = flight.ticket, flight.ticket.asked
-        line = wire.encode(
-            wire.Run(
-                flight.number, ticket.tag, ticket.fn.name, asked.method, flight.within / 10, asked.customer,
-                asked.memory, asked.lanes, asked.token, asked.key, asked.body,
-            )
-        )  # fmt: skip
-        if not self.linking.send(flight.number, line + b"\n"):
+        if not self.linking.send(flight.number, wire.encode(run_of(flight)) + b"\n"):
             self.host.ended(flight.number, Outcome.FULL)
 
     def withdraw(self, number: int, tell: bool) -> bool:
@@ -120,10 +150,9 @@
         return False
 
     def hold(self, errand: Errand) -> None:
-        assert errand.fn is not None
-        errand.via, fn = self, errand.fn
-        hold = wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes)
-        if not self.linking.send(errand.number, wire.encode(hold) + b"\n", prompt=errand.count > 0):
+        errand.via = self
+        line = wire.encode(hold_of(errand)) + b"\n"
+        if not self.linking.send(errand.number, line, prompt=errand.count > 0):
             self.host.ordered(errand.number, Outcome.FULL, 0)
 
     def unload(self, fn: str) -> None:
@@ -158,31 +187,28 @@
         self.edge.input()
         match message:
             case wire.Ended():
-                known = self.linking.ended(message.call)
-                if not known:
-                    return self.host.stray()
-                self.host.ended(
-                    message.call, OUTCOMES[message.outcome], message.body, WARMTH[message.warmth],
-                    message.company, message.report or NO_REPORT,
-                )  # fmt: skip
+                self.tell_if(self.linking.ended(message.call), message)
             case wire.RunBegun():
                 if message.call in self.linking.out:
                     self.host.begun(message.call)
                 else:
                     self.host.stray()
             case wire.Held():
-                if not self.linking.ended(message.order):
-                    return self.host.stray()
-                self.host.ordered(message.order, OUTCOMES[message.outcome], message.count)
+                self.tell_if(self.linking.ended(message.order), message)
             case wire.Probed():
-                if not self.linking.ended(message.probe):
-                    return self.host.stray()
-                self.host.probed(message.probe, Outcome.OK, message.report or NO_REPORT)
+                self.tell_if(self.linking.ended(message.probe), message)
             case wire.Draining():
                 self.edge.runner_drains(self.linking.name, self.start)
             case wire.Fault():
                 self.edge.passed_over(self.linking.name, f"it could not take a line: {message.why}")
 
+    def tell_if(self, known: object, said: Any) -> None:
+        """What ends twice or was never asked is passed over."""
+        if known:
+            tell(self.host, said)
+        else:
+            self.host.stray()
+
     # what the linking asks (Rim)
 
     def dial(self) -> None:
@@ -238,10 +264,7 @@
             self.end(number, Outcome.RESET)
 
     def end(self, number: int, outcome: Outcome) -> None:
-        if number in self.host.flights:
-            self.host.ended(number, outcome)
-        else:
-            self.host.errand_ended(number, outcome)
+        tell_lost(self.host, number, outcome)
 
 
 def bounds_of(listen: Any) -> LineBounds:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -246,11 +246,6 @@
             self.close(ticket, "moved")
             self.post(ticket, "left", ticket)
 
-    def ask(self, call: Callable[..., Any], *args: Any) -> None:
-        """Have the module do something of its own between events, at the clock of now."""
-        self.module.now = self.clock()
-        call(*args)
-
     def stray(self) -> None:
         self.counts["stray"] += 1
 
--- a/lapistrestle/model/clock.py
+++ b/lapistrestle/model/clock.py
@@ -37,23 +37,21 @@
 class Port:
     """What listens in the model: a number by which it is found."""
 
-    def __init__(self, clock: "Clock", number: int) -> None:
-        self.clock, self.port = clock, number
+    def __init__(self, number: int) -> None:
+        self.port = number
 
     def getHost(self) -> "Port":
         return self
 
-    def stopListening(self) -> None:
-        self.clock.open.discard(self.port)
+    def stopListening(self) -> None: ...
 
 
 class Clock:
-    """A reactor without sockets. `open` are the ports at which something listens."""
+    """A reactor without sockets."""
 
     def __init__(self) -> None:
         self.env = simpy.Environment(START)
         self.last_port = 0
-        self.open: set[int] = set()
 
     def seconds(self) -> float:
         return float(self.env.now) / 1e6
@@ -63,9 +61,7 @@
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Port:
         self.last_port += not port
-        number = port or self.last_port
-        self.open.add(number)
-        return Port(self, number)
+        return Port(port or self.last_port)
 
     def listenUDP(self, port: int, protocol: Any, interface: str = "") -> None:
         """Edges of the model tell each other without datagrams."""
--- a/lapistrestle/model/experiment.py
+++ b/lapistrestle/model/experiment.py
@@ -138,6 +138,11 @@
     return Sure(mean, float(stats.t.ppf((1 + CONFIDENCE) / 2, count - 1)) * spread, count)
 
 
+def mean(runs: Mapping[int, Result], figure: str) -> Sure:
+    """Of one variant, over its seeds."""
+    return sure([result.figures[figure] for result in runs.values()])
+
+
 def by_variant(results: Iterable[Result]) -> dict[Variant, dict[int, Result]]:
     """The last good result of each variant and seed, in the order of the file."""
     made: dict[Variant, dict[int, Result]] = defaultdict(dict)
--- a/lapistrestle/model/links.py
+++ b/lapistrestle/model/links.py
@@ -11,8 +11,8 @@
 from lapistrestle.edge.clients import ClientSpeaker
 from lapistrestle.edge.following import Do
 from lapistrestle.edge.linking import Input
-from lapistrestle.edge.runners import OUTCOMES, WARMTH
-from lapistrestle.hosting.host import NO_REPORT, Errand, Flight
+from lapistrestle.edge.runners import hold_of, run_of, tell, tell_lost
+from lapistrestle.hosting.host import Errand, Flight
 from lapistrestle.interface import Outcome
 from lapistrestle.standins.client import Crowd, Line, Wish
 from lapistrestle.standins.runner import RunnerStandIn
@@ -82,10 +82,7 @@
         if runner is None or runner.engine.dead:
             return
         runner.speakers[self] = None  # type: ignore[index]
-        hello = wire.Hello(
-            wire.RUNNER, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
-            draining=runner.engine.draining,
-        )  # fmt: skip
+        hello = runner.hello()
         self.put(">", hello)
         self.edge.runner_met(self.name, hello)
 
@@ -113,19 +110,10 @@
         self.later(self.way, self.back, said)
 
     def run(self, flight: Flight) -> None:
-        ticket, asked = flight.ticket, flight.ticket.asked
-        self.send(
-            flight,
-            wire.Run(
-                flight.number, ticket.tag, ticket.fn.name, asked.method, flight.within / 10, asked.customer,
-                asked.memory, asked.lanes, asked.token, asked.key, asked.body,
-            ),
-        )  # fmt: skip
+        self.send(flight, run_of(flight))
 
     def hold(self, errand: Errand) -> None:
-        assert errand.fn is not None
-        fn = errand.fn
-        self.send(errand, wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes))
+        self.send(errand, hold_of(errand))
 
     def probe(self, errand: Errand) -> None:
         self.send(errand, wire.Probe(errand.number))
@@ -156,27 +144,19 @@
         host = self.edge.host
         match said:
             case wire.Ended():
-                if self.out.pop(said.call, None) is None:
-                    return host.stray()
-                host.ended(
-                    said.call, OUTCOMES[said.outcome], said.body, WARMTH[said.warmth], said.company,
-                    said.report or NO_REPORT,
-                )  # fmt: skip
+                number = said.call
             case wire.Held():
-                if self.out.pop(said.order, None) is not None:
-                    host.ordered(said.order, OUTCOMES[said.outcome], said.count)
+                number = said.order
             case wire.Probed():
-                if self.out.pop(said.probe, None) is not None:
-                    host.probed(said.probe, Outcome.OK, said.report or NO_REPORT)
+                number = said.probe
+        if self.out.pop(number, None) is not None:
+            tell(host, said)
+        else:
+            host.stray()
 
     def end(self, number: int, outcome: Outcome) -> None:
-        if self.out.pop(number, None) is None:
-            return
-        host = self.edge.host
-        if number in host.flights:
-            host.ended(number, outcome)
-        else:
-            host.errand_ended(number, outcome)
+        if self.out.pop(number, None) is not None:
+            tell_lost(self.edge.host, number, outcome)
 
     def say(self, message: Any) -> None:
         self.put(">", message)
--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -6,11 +6,12 @@
 from functools import partial
 from typing import Any, BinaryIO
 
+from lapistrestle.checks.service import worth
+from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment.load import Wrong
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.linking import Input
 from lapistrestle.edge.program import Edge
-from lapistrestle.hosting.host import Hosting
 from lapistrestle.model.baselines import Baseline
 from lapistrestle.model.clock import Clock
 from lapistrestle.model.links import ModelLine, RunnerLink, Subscription, Ways
@@ -20,7 +21,7 @@
 from lapistrestle.standins.script import Day
 from lapistrestle.standins.tape import Tape
 from lapistrestle.standins.troubles import schedule
-from lapistrestle.standins.world import SECOND, World
+from lapistrestle.standins.world import SECOND, World, header
 
 # what needs a wire, or a process that stands still: only on sockets
 WIRES = frozenset(
@@ -36,12 +37,9 @@
     def __init__(self, world: "ModelWorld", deployment: Deployment, log: Any) -> None:
         self.world = world
         self.subscription: Subscription | None = None
-        super().__init__(world.reactor, deployment, log)
-        if world.day.policy != "module":
-            make = partial(Baseline, policy=world.day.policy, sees=world.sees)
-            self.host = Hosting(
-                self, self.facts, deployment.dispatcher.seed, self.clock, self.margin // 2, make
-            )
+        policy = world.day.policy
+        make = Dispatcher if policy == "module" else partial(Baseline, policy=policy, sees=world.sees)
+        super().__init__(world.reactor, deployment, log, make=make)
 
     def start(self) -> int:
         self.subscription = Subscription(self, self.world.roster, self.world.ways.within, self.world.taped)
@@ -137,13 +135,11 @@
         self.log = log or (lambda what, **figures: None)
         self.outcome = Outcome()
         make: Callable[..., Any] = lambda made, start: Handle(ModelEdge(self, made, self.log))  # noqa: E731
-        self.taped: Tape | None = None
+        self.methods = header(day, deployment)["methods"]
         self.untold = sink is None
-        self.day = day
         super().__init__(Clock(), day, deployment, sink or io.BytesIO(), make)
-        self.taped = self.tape if sink else None
         self.began = self.reactor.seconds()
-        if sink is None:
+        if self.untold:
             self.tape.put = lambda *what, **more: None  # type: ignore[method-assign]
         for edge, handle in enumerate(self.edges):
             zones = deployment.zones
@@ -152,9 +148,14 @@
         self.ways.zones |= {slot.name: slot.zone for slot in self.slots}
         self.crowd.ended = self.ended
 
+    @property
+    def taped(self) -> Tape | None:
+        """The tape, if anybody reads it."""
+        return None if self.untold else self.tape
+
     def boot(self, name: str, start: int, facts: RunnerFacts, tokens: Tokens, cold: bool) -> RunnerStandIn:
         made = super().boot(name, start, facts, tokens, cold)
-        made.tape = None if self.untold else self.tape
+        made.tape = self.taped
         self.runners[made.port] = made
         return made
 
@@ -176,17 +177,15 @@
 
     def ended(self, wish: Wish, ok: bool) -> None:
         """A wish is over, for good or bad."""
-        method, now, outcome = self.deployment.methods[wish.method], self.reactor.seconds(), self.outcome
-        took = (now - wish.began) * 1000
-        deadline, soft = method.deadline / 10, (method.soft_deadline or method.deadline) / 10
-        gain = method.gain if took <= min(deadline, soft + method.soft_stretch * wish.work) else 0.0
-        gain = gain or (method.gain * method.late_gain if took <= deadline else 0.0)
+        method, outcome = self.methods[wish.method], self.outcome
+        took = (self.reactor.seconds() - wish.began) * 1000
+        gain = worth(method, took, wish.work) if ok else 0.0
         outcome.wishes += 1
-        outcome.asked += method.gain
-        outcome.gained += gain * ok
+        outcome.asked += method["gain"]
+        outcome.gained += gain
         window = outcome.windows.setdefault(int(wish.began - self.began), [0.0, 0.0])
-        window[0] += method.gain
-        window[1] += gain * ok
+        window[0] += method["gain"]
+        window[1] += gain
         if ok:
             outcome.took.append(took)
 
--- a/lapistrestle/rollout/life.py
+++ b/lapistrestle/rollout/life.py
@@ -8,7 +8,7 @@
 from lapistrestle.rollout.versions import Split
 
 State = Enum("State", "PROPOSED WARMING GROWING HELD SETTLED WITHDRAWING WITHDRAWN")
-Input = Enum("Input", "START TELL WARM COLD GROW BAD ADVANCE HOLD RESUME BACK FORGOTTEN")
+Input = Enum("Input", "START TELL WARM GROW BAD ADVANCE HOLD RESUME BACK FORGOTTEN")
 MOST = 0.9  # until it settles, a part stays behind as what it is judged by, and stays loaded
 AHEAD = 10_000  # tenths of a millisecond; the plan of an edge with a lease is no older
 
@@ -82,7 +82,8 @@
         """Once in a while: what the evidence, the loads and the clock say. `warm`: the next step's copies
         stand."""
         findings = self.evidence.findings()
-        given, why = Input.COLD, ""
+        given: Input | None = None
+        why = ""
         if findings.turn_back and (self.state, Input.BAD) in LIFE:
             given, why = Input.BAD, f"harm {findings.harm:.1f}"
         elif self.state is State.WARMING and warm:
@@ -93,9 +94,12 @@
             given, why = Input.GROW, f"good {findings.good:.1f}"
         elif (self.state is State.WITHDRAWING or self.kept) and now - self.since >= self.remembered:
             given = Input.FORGOTTEN
-        if given in STEPS and (self.told is None or now - self.told < AHEAD):
-            given = Input.COLD if self.told is not None else Input.TELL
-        self.tell(given, now, why=why)
+        if given in STEPS and self.told is None:
+            given = Input.TELL
+        elif given in STEPS and self.told is not None and now - self.told < AHEAD:
+            given = None
+        if given is not None:
+            self.tell(given, now, why=why)
         return findings
 
     # effects
--- a/lapistrestle/rollout/routing.py
+++ b/lapistrestle/rollout/routing.py
@@ -118,10 +118,14 @@
             return False
         return not self.lease.usable(now)
 
-    def settled_name(self, name: str) -> str:
-        """Where RPCs of a barred version go instead."""
+    def moved(self, name: str, key: str) -> Route:
+        """Where an RPC of a barred version goes instead, and is remembered to have gone."""
         fn = name.rpartition("@")[0]
-        return named(fn, self.splits[fn].settled) if fn in self.splits else name
+        split = self.splits.get(fn)
+        if split is None:
+            return Route(fn)  # as where no plan names it
+        self.remember(fn, key, split.settled)
+        return Route(named(fn, split.settled))
 
     def note(self, route: Route, bad: bool, now: int) -> None:
         """An RPC of this route has ended."""
--- a/lapistrestle/rollout/stock.py
+++ b/lapistrestle/rollout/stock.py
@@ -139,15 +139,13 @@
     parts, short = spread(shelves, wanted)
     standing = sum(min(shelf.standing, part) for shelf, part in parts.items())
     missing = [shelf for shelf, part in parts.items() if shelf.standing < part]
-    lacks = Lack.ROOM if short and shelves else Lack.WORKERS if short else Lack.NOTHING
+    lacks = Lack.LOADS if missing else Lack.NOTHING
+    if short:
+        lacks = Lack.ROOM if shelves else Lack.WORKERS
     for shelf, part in parts.items():
         if shelf.standing >= part and not shelf.fresh and not shelf.waiting and not order(shelf, part):
             break  # it may be gone by the next look, which then orders it first
-    for shelf in missing:
-        if lacks is Lack.NOTHING:
-            lacks = Lack.LOADS
-        if shelf.waiting:
-            loads -= parts[shelf] - shelf.standing
+    loads -= sum(parts[shelf] - shelf.standing for shelf in missing if shelf.waiting)
     for shelf in missing:
         if shelf.waiting or loads <= 0:
             continue
--- a/lapistrestle/standins/runner.py
+++ b/lapistrestle/standins/runner.py
@@ -91,6 +91,12 @@
         """Milliseconds since the start."""
         return min(86_400_000.0, round((self.reactor.seconds() - self.engine.booted) * 1000, 1))
 
+    def hello(self) -> wire.Hello:
+        return wire.Hello(
+            wire.RUNNER, wire.VERSION, self.name, start=self.start, up_for=self.up_for(),
+            draining=self.engine.draining,
+        )  # fmt: skip
+
     def kill(self) -> None:
         self.engine.dead = True
         self.listening.stopListening()
@@ -213,11 +219,7 @@
         super().connectionMade()
 
     def greeting(self) -> wire.Hello:
-        runner = self.runner
-        return wire.Hello(
-            self.protocol, wire.VERSION, runner.name, start=runner.start, up_for=runner.up_for(),
-            draining=runner.engine.draining,
-        )  # fmt: skip
+        return self.runner.hello()
 
     def heard(self, message: Any) -> None:
         self.runner.take(message, self, self.say)
--- a/lapistrestle/store/journal.py
+++ b/lapistrestle/store/journal.py
@@ -43,7 +43,7 @@
         try:
             database.execute("begin immediate")
             try:
-                (newest,) = database.execute("select max(epoch) from epochs").fetchone()
+                newest = self.newest_epoch()
                 if newest != self.epoch:
                     raise Outdated(f"{self.path}: epoch {newest} writes here now, not {self.epoch}")
                 (last,) = database.execute("select coalesce(max(number), 0) from entries").fetchone()
@@ -60,10 +60,13 @@
     def newest(self) -> bool:
         """Whether no writer came after this one; a journal that can't be read says no."""
         try:
-            (newest,) = self.database.execute("select max(epoch) from epochs").fetchone()
+            return self.newest_epoch() == self.epoch
         except sqlite3.Error:
             return False
-        return bool(newest == self.epoch)
+
+    def newest_epoch(self) -> int:
+        (newest,) = self.database.execute("select max(epoch) from epochs").fetchone()
+        return int(newest)
 
     def entries(self, after: int = 0) -> Iterator[tuple[int, bytes]]:
         """Those with a number above `after`, in order."""
--- a/lapistrestle/wire/plans.py
+++ b/lapistrestle/wire/plans.py
@@ -3,7 +3,7 @@
 
 from typing import Annotated, Literal
 
-from msgspec import Meta, Struct, field
+from msgspec import Meta, Struct, convert, field
 
 from lapistrestle.rollout.versions import Split
 from lapistrestle.wire.messages import Bye, Fault, Hello, Message, Name, Number
@@ -30,18 +30,12 @@
 
 
 def shown(split: Split) -> Share:
-    """A split as it crosses the wire."""
-    return Share(
-        split.fn, split.settled, split.candidate, split.share, split.peak, split.withdrawn, split.step,
-        split.next, split.done,
-    )  # fmt: skip
+    """A split as it crosses the wire: the same names."""
+    return convert(split, Share, from_attributes=True)
 
 
 def split_of(share: Share) -> Split:
-    return Split(
-        share.fn, share.settled, share.candidate, share.share, share.peak, share.withdrawn, share.step,
-        share.next, share.done,
-    )  # fmt: skip
+    return convert(share, Split, from_attributes=True)
 
 
 class Plan(Message, tag="plan"):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -136,6 +136,15 @@
     assert not routing.barred("f@v2", 40_001)
 
 
+def test_a_moved_one_goes_to_the_settled_version_and_comes_back_there():
+    routing = Routing()
+    routing.told(1, 1, True, [replace(SPLIT, share=0.0, peak=1.0, withdrawn=True)])
+    assert routing.moved("f@v2", "k1").name == "f@v1"
+    assert routing.route("f", "k1", "tokened", True, 0).name == "f@v1"
+    assert routing.route("f", "k2", "tokened", True, 0).name == ""
+    assert routing.moved("h@v9", "k1").name == "h"  # never to the barred version itself
+
+
 def test_a_plan_kept_over_a_restart_gives_no_share_and_no_way_back():
     routing = Routing()
     routing.recall(3, 7, [replace(SPLIT, share=0.9, peak=0.9), Split("g", "v5")], ["h@v1"])
