An experiment killed in its first line goes on; its results stay readable

Cause: what was torn was cut off by writing the file anew up to its last whole line and one more line end; where no line was whole, an empty line stayed, and the file was no longer taken for results.

Change: the file is truncated behind its last whole line, and not written anew.

--- a/lapistrestle/command/experiments.py
+++ b/lapistrestle/command/experiments.py
@@ -1,6 +1,7 @@
 """`lapistrestle experiment`: run, compare and plot experiments in the model."""
 
 import multiprocessing
+import os
 import time
 import traceback
 from hashlib import blake2b
@@ -101,8 +102,9 @@
     todo = [(run, name) for run in model.missing(plan, known, name)]
     click.echo(f"{len(plan)} runs, {len(plan) - len(todo)} done before; results in {kept}")
     began, failed, calls = time.perf_counter(), 0, 0.0
-    if kept.exists() and not kept.read_bytes().endswith(b"\n") and kept.stat().st_size:
-        kept.write_bytes(kept.read_bytes().rpartition(b"\n")[0] + b"\n")  # the line that was torn
+    if kept.exists():
+        whole = kept.read_bytes()
+        os.truncate(kept, whole.rfind(b"\n") + 1)  # drops a line that was torn, also where it is the only one
     with kept.open("ab") as sink, multiprocessing.Pool(processes or None) as pool:
         for made in track(pool.imap(play, todo), "runs", len(todo), console=Console(stderr=True)):
             sink.write(msgspec.json.encode(made) + b"\n")
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -116,6 +116,13 @@
     assert drawn.exit_code == 0 and (tmp_path / "p.svg").read_text().count("<path") > 10
 
 
+def test_a_run_that_was_killed_in_its_first_line_is_gone_on_with(file, tmp_path):
+    kept = tmp_path / "try.results.jsonl"
+    kept.write_bytes(b'{"key":"abc')
+    assert run("run", file, "--processes", 1).exit_code == 0
+    assert len(results_of(kept)) == 4
+
+
 @pytest.mark.parametrize(
     ("path", "value", "says"),
     [
