A miss away from home loads nothing where company is told; the load time dates a miss

To blame: missed ordered at every miss, presumed held a miss for the idle life, place denied while own loads were many. Now the home is tried after a miss elsewhere and only what misses there is loaded; a miss counts for two load times (bringup-ms, not passed on before); company told in answers adds a copy on the next worker (more = single); an RPC that a load can't reach in time neither orders nor is parked, and one whose client leaves before the wait ends is denied at once. Full workers are not warm.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -123,7 +123,7 @@
             self.host.wake_me(PERIOD, rpc.fn)
         met = MEMORY * max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serving))  # each, in MEMORY
         self.stretch = min(LONG / MEMORY, max(1.0, 1 / met))
-        rpc.fn.asked.life = LONG
+        rpc.fn.asked.life = self.demand.life = int(LONG * self.stretch)
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         self.taken.extend(() if rpc.moved else (self.now,))
@@ -176,7 +176,8 @@
             in_use.append(fn.spot(srv))
             if in_use[-1].out < self.capacity(in_use[-1]):
                 return self.send(rpc, in_use[-1])
-        warm, loads = [s for s in in_use if self.believed(s)], [s for s in in_use if s.loading]
+        warm = [s for s in in_use if self.believed(s) and self.now >= s.srv.full_until]
+        loads = [s for s in in_use if s.loading]
         zones = [self.zone(s) for s in warm]
         open_ = [s for s, zone in zip(warm, zones, strict=True) if zone is not Zone.UNSAFE]
         calm = min(zones, default=Zone.UNSAFE) < Zone.WARNING
@@ -188,10 +189,10 @@
                 return self.send(rpc, cold)
             if cold:
                 self.order(cold, 1)
-        last = open_ or warm or loads or in_use * room  # where none is known warm, the home in the order
+        last = open_ or warm or loads or in_use * (room or self.facts["absent_misses"])
         near = [(self.crowd(s.srv), s) for s in last if self.now >= s.srv.full_until]
         fewest = min((wait for wait, _ in near), default=inf)
-        if fewest + self.iso(fn) * rpc.scale > rpc.began + self.soft(rpc) - self.now:
+        if fewest + self.iso(fn) * rpc.scale > min(rpc.began + self.soft(rpc), rpc.deadline) - self.now:
             return Input.NOWHERE  # it would wait past what earns its gain, and make others do so
         ties = [s for wait, s in near if wait == fewest]
         spot = ties[self.chance(len(ties))]
@@ -258,15 +259,21 @@
         return Input.NOWHERE if out_of or (made >= most and not missed) else self.place(rpc, spot)
 
     def missed(self, rpc: Rpc, spot: Spot | None) -> Input:
-        """After a miss answer a hold of one loads; the RPC waits for it, so it can't overtake the order."""
-        may_wait = self.facts["absent_misses"] and len(rpc.call_outs) < self.facts["try_limit"]
-        if spot and may_wait and (spot.loading or self.order(spot, 1)):
-            home = next(self.candidates(rpc, self.walk(rpc.fn)), None)
-            if not (home and home is not spot.srv and self.presumed(rpc.fn.spot(home))):
-                spot.waiters.append(rpc)
-                return Input.WAITS
+        """After a miss away from the home, where all front ends meet, the home is tried. There a hold of one
+        loads, and the RPC waits for it, so it can't overtake the order, unless a load would come too late."""
+        if spot is None or not self.facts["absent_misses"] or len(rpc.call_outs) >= self.facts["try_limit"]:
+            return self.again(rpc, spot)
+        met, first = [c.srv for c in rpc.call_outs], next(iter(self.walk(rpc.fn)), None)
+        home = next(self.candidates(rpc, self.walk(rpc.fn)), None)
+        if home and first not in met and self.presumed(rpc.fn.spot(home)):
+            if not self.facts["tells_company"]:  # else copies are added where it is told that RPCs wait
+                self.order(spot, 1)
             return self.send(rpc, rpc.fn.spot(home))
-        return self.again(rpc, spot)
+        late = self.now + (rpc.fn.load or 0) + self.iso(rpc.fn) * rpc.scale > rpc.deadline
+        if late or not (spot.loading or self.order(spot, 1)):
+            return self.again(rpc, spot)
+        spot.waiters.append(rpc)
+        return Input.WAITS
 
     def park(self, rpc: Rpc, _: Spot | None) -> None:
         self.host.wake_me(max(1, int(rpc.deadline - self.now - self.iso(rpc.fn))), rpc)
@@ -319,6 +326,8 @@
             srv.full_until = 0
             if not load and call_out.company <= 1:
                 self.light[rpc.method].add(self.now, answer.took)
+        if outcome is Outcome.OK and answer.company is not None:
+            self.grow(spot, rpc, answer.company)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
             self.further.add(self.now, outcome is Outcome.OK)
         if call_out.cold and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMED_OUT):
@@ -347,6 +356,16 @@
             harm = outcome not in (Outcome.OK, Outcome.CANCELLED) or took > bound
             self.judge_health(srv, harm, call_out.sent)
 
+    def grow(self, spot: Spot, rpc: Rpc, company: int) -> None:
+        """A copy on the next worker of the order where RPCs of all front ends wait for a lane: guards against
+        front ends that each see too little of a function to know that it is hot; harms where the wait is short."""
+        if company < self.believed(spot) * spot.fn.lanes or self.loading >= self.load_limit:
+            return
+        spots = (spot.fn.spot(srv) for srv in self.candidates(rpc, self.entered(spot.fn)))
+        cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
+        if cold and not cold.loading:
+            self.order(cold, 1)
+
     def weight(self, method: int) -> float:
         return self.light[method].read(self.facts["methods"][method]["soft_deadline"] / 4)
 
@@ -396,7 +415,8 @@
 
     def presumed(self, spot: Spot) -> bool:
         """Others, who share the order, may keep one warm: a guess, made where a miss answer is cheap."""
-        lately = self.now - max(spot.missing, spot.srv.emptied) <= self.facts["idle_life"]
+        told = self.facts["idle_life"] if spot.fn.load is None else 2 * spot.fn.load
+        lately = self.now - max(spot.missing, spot.srv.emptied) <= told
         return self.stretch > 1 and self.facts["absent_misses"] and not lately
 
     def capacity(self, spot: Spot) -> int:
--- a/lapistrestle/interface.py
+++ b/lapistrestle/interface.py
@@ -66,6 +66,7 @@
     method: int = 0
     memory: float = 0.0
     lanes: int = 1
+    load: int | None = None  # usual time of a load when nothing is in its way, where RPCs tell
 
 
 @dataclass(eq=False)
