--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -17,6 +17,7 @@
 
 SECOND = 10_000  # in tenths of a millisecond
 PERIOD = 5 * SECOND  # of the holds, as the design page says
+FULL = SECOND // 2  # a worker whose queue was full is passed over: queues turn over faster than zones
 BACKOFF = 2 * SECOND  # out of use after Unsafe, as the design page says
 WINDOW = 30  # latencies in a window, as the design page says
 EASE = 1.15  # the bound is never nearer to iso latency than this, as the design page says
@@ -338,7 +339,7 @@
         if outcome is Outcome.MISS:
             spot.copies, spot.missing = 0, self.now
         if outcome is Outcome.FULL and answer.took < self.weight(rpc.method) / 4:  # its queue is, for all
-            srv.full_until = self.now + int(BACKOFF * self.stretch)  # or the next ok answer
+            srv.full_until = self.now + FULL  # or the next ok answer
         elif outcome is Outcome.FULL:  # with room, but it holds this customer back
             srv.held_back[rpc.customer] = self.now + int(BACKOFF * self.stretch)
         if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
@@ -358,7 +359,7 @@
 
     def grow(self, spot: Spot, rpc: Rpc, company: int) -> None:
         """A copy on the next worker of the order where RPCs of all front ends wait for a lane: guards against
-        front ends that each see too little of a function to know that it is hot; harms where the wait is short."""
+        front ends that each see too little of a function to know it is hot; harms where waits are short."""
         if company < self.believed(spot) * spot.fn.lanes or self.loading >= self.load_limit:
             return
         spots = (spot.fn.spot(srv) for srv in self.candidates(rpc, self.entered(spot.fn)))
@@ -559,6 +560,18 @@
             if self.loading < self.load_limit if count > self.believed(spot) else count > used.get(spot, 0):
                 self.order(spot, count, HOLD_PART)
 
+    def learnt(self) -> list[tuple[float, float]]:
+        """What still means the same after a restart or on another fleet: for each method the latency of a usual
+        RPC alone and the usual hint. Nothing of workers, copies, customers or load: that is learnt anew."""
+        return [(a.read(0.0), b.read(0.0)) for a, b in zip(self.light, self.hints, strict=True)]
+
+    def recall(self, learnt: Sequence[tuple[float, float]]) -> None:
+        """Each figure counts as one sample, so that the first answers outweigh it; 0 is none."""
+        for kept, means in zip(learnt, zip(self.light, self.hints, strict=True), strict=True):
+            for figure, mean in zip(kept, means, strict=True):
+                if figure > 0:
+                    mean.add(self.now, figure)
+
     def list_failed(self) -> None: ...  # asked anew when the next renewal is due
 
     def probed(self, srv: Srv, outcome: Outcome, took: int, report: Mapping[str, float]) -> None: ...
