--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -561,8 +561,8 @@
                 self.order(spot, count, HOLD_PART)
 
     def learnt(self) -> list[tuple[float, float]]:
-        """What still means the same after a restart or on another fleet: for each method the latency of a usual
-        RPC alone and the usual hint. Nothing of workers, copies, customers or load: that is learnt anew."""
+        """What still means the same after a restart or on another fleet: for each method the latency of a
+        usual RPC alone and the usual hint. Of workers, copies, customers and load nothing does."""
         return [(a.read(0.0), b.read(0.0)) for a, b in zip(self.light, self.hints, strict=True)]
 
     def recall(self, learnt: Sequence[tuple[float, float]]) -> None:
