An edge keeps what its methods' RPCs take, over a restart and a move; calls tell load times

Every setting the module now reads comes from the program too: load times by an optional field of the call, company told as before by workers.tells_company. dispatcher.keep names a file of the two figures of each method that outlive a fleet; a missing, cut, older or foreign file is logged and the edge starts afresh. Thirteen tests on virtual wires; the first seconds after a switch know the usual latency (900 in place of a quarter of the soft deadline) and nothing else of the old fleet.

--- a/lapistrestle/command/programs.py
+++ b/lapistrestle/command/programs.py
@@ -299,7 +299,7 @@
     """Send calls to an edge and show the answers. Ends with status 1 unless all are ok."""
     reactor = reactor_of_now()
     body = msgspec.Raw(msgspec.json.encode({"work": work, "load": load}))
-    made = wire.Call("", fn, method, left, customer, memory, lanes, work, token=token, body=body)
+    made = wire.Call("", fn, method, left, customer, memory, lanes, work, token=token, load=load, body=body)
     plan = Plan(reactor, made, count, rate)
     reactor.connectTCP("127.0.0.1", port, plan, timeout=5)
     reactor.callLater(left / 1000 + (count / rate if rate else 0) + 5, reactor.stop)
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -42,6 +42,7 @@
     of: Count = 1
     zone: str = ""
     seed: int = 0
+    keep: str = ""  # file for what it has learnt of the methods, from which it starts; "": none is kept
 
 
 class Listen(Shape):
--- /dev/null
+++ b/lapistrestle/edge/keeping.py
@@ -0,0 +1,49 @@
+"""Keeps what the module has learnt in a file and tells it at the start. What outlives a move, it decides."""
+
+from pathlib import Path
+from typing import Any
+
+from lapistrestle.store import learnt
+from lapistrestle.store.learnt import Learnt
+
+EACH = 100_000  # tenths of a millisecond between two writings
+
+
+class Keeping:
+    """One edge's. A file that can't be read, or a disk that fails, never stops the edge."""
+
+    def __init__(self, edge: Any, path: str) -> None:
+        self.edge, self.path = edge, Path(path)
+        self.recall()
+        edge.after(EACH, self.step, None)
+
+    def recall(self) -> None:
+        """A method whose deadlines have changed, or that is new, starts afresh."""
+        try:
+            kept = learnt.read(self.path)
+        except FileNotFoundError:
+            return self.edge.log("nothing learnt is kept yet", file=str(self.path))
+        except (OSError, ValueError) as trouble:
+            return self.edge.log("kept figures can't be read, starting afresh", why=str(trouble))
+        none, same, figures = Learnt(0, 0, 0.0, 0.0), list[str](), list[tuple[float, float]]()
+        for name, facts in zip(self.edge.methods, self.edge.facts["methods"], strict=True):
+            had = kept.get(name, none)
+            if (had.soft_deadline, had.deadline) != (facts["soft_deadline"], facts["deadline"]):
+                had = none
+            same += [name] if had is not none else []
+            figures.append((had.alone, had.hint))
+        self.edge.host.module.recall(figures)
+        self.edge.log("kept figures", carried=same, afresh=[m for m in self.edge.methods if m not in same])
+
+    def step(self, _: object) -> None:
+        if not self.edge.stopping:
+            self.write()
+            self.edge.after(EACH, self.step, None)
+
+    def write(self) -> None:
+        rows = zip(self.edge.methods, self.edge.facts["methods"], self.edge.host.module.learnt(), strict=True)
+        methods = {name: Learnt(m["soft_deadline"], m["deadline"], *figures) for name, m, figures in rows}
+        try:
+            learnt.write(self.path, methods)
+        except OSError as trouble:
+            self.edge.log("learnt figures not kept", why=str(trouble))
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -8,6 +8,7 @@
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.clients import Clients, ClientSpeaker
 from lapistrestle.edge.following import Do, Following, News
+from lapistrestle.edge.keeping import Keeping
 from lapistrestle.edge.linking import Input
 from lapistrestle.edge.peers import Peers
 from lapistrestle.edge.planning import PlannerSource
@@ -54,6 +55,7 @@
         self.peers = Peers(self) if self.facts["may_tell_peers"] else None
         seed = place.seed if seed is None else seed
         self.host = Hosting(self, self.facts, seed, self.clock, self.margin // 2, make)
+        self.keeping = Keeping(self, place.keep) if place.keep else None
 
     def clock(self) -> int:
         return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
@@ -179,7 +181,7 @@
             seat=seat, asked=call, tag=f"{seat.name}/{call.id}", fn=route.name, method=method,
             customer=customer, left=left, memory=call.memory, lanes=call.lanes,
             work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat, route=route,
-            moved=moved, before=before,
+            moved=moved, before=before, load=None if call.load is None else int(call.load * 10),
         )  # fmt: skip
         if not ticket.final:
             seat.open[call.id] = ticket
@@ -279,6 +281,8 @@
         stopped, self.stopped = self.stopped, None
         if stopped is None:
             return
+        if self.keeping is not None:
+            self.keeping.write()
         self.log("stopped", **self.host.counts, **self.counts)
         for source in (self.source, self.planner):
             if source is not None:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -159,10 +159,11 @@
     def arrived(
         self, *, seat: Any, asked: Any, tag: str, fn: str, method: int, customer: int, left: int,
         memory: float = 0.0, lanes: int = 1, work: int | None = None, repeat: bool = False, route: Any = None,
-        moved: bool = False, before: int = 0,
+        moved: bool = False, before: int = 0, load: int | None = None,
     ) -> Ticket:  # fmt: skip
         """An RPC has come; `left` is what its client still waits."""
         now, facts = self.clock(), self.door.fn(fn, method, memory, lanes)
+        facts.load = load if load is not None else facts.load
         ticket = Ticket(tag, facts, method, customer, now + left, work, repeat, asked=asked, seat=seat)
         ticket.route, ticket.moved, ticket.before = route, moved, before
         self.open += 1
--- a/lapistrestle/store/plans.py
+++ b/lapistrestle/store/plans.py
@@ -38,14 +38,19 @@
 
     def write(self, kept: Kept) -> None:
         """Raises OSError; what was there before then still is."""
-        beside = self.path.with_name(self.path.name + ".new")
-        with beside.open("wb") as file:
-            file.write(msgspec.json.encode(kept))
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(beside, self.path)
-        folder = os.open(self.path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        put(self.path, msgspec.json.encode(kept))
+
+
+def put(path: Path, data: bytes) -> None:
+    """The file's new content, whole or not at all. Raises OSError."""
+    beside = path.with_name(path.name + ".new")
+    with beside.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(beside, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- a/lapistrestle/wire/messages.py
+++ b/lapistrestle/wire/messages.py
@@ -68,6 +68,7 @@
     token: Number | None = None
     key: str = ""
     body: Raw = NO_BODY
+    load: Millis | None = None
 
 
 class Leave(Message, tag="leave"):
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,123 @@
+"""What an edge has learnt, over restarts and a move: which figures carry over, and files that are no use."""
+
+import pytest
+from helpers import dispatcher, rpc
+from test_edge import CALL, Stage
+
+from lapistrestle.deployment.load import Wrong, shaped
+from lapistrestle.deployment.shape import Deployment
+from lapistrestle.edge.keeping import Keeping
+from lapistrestle.store import learnt
+
+
+@pytest.fixture
+def stage():
+    return Stage()
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "edge.learnt"
+
+
+def book(stage, **changed):
+    return {
+        name: learnt.Learnt(changed.get("soft", m["soft_deadline"]), m["deadline"], 900.0, 40.0)
+        for name, m in zip(stage.edge.methods, stage.edge.facts["methods"], strict=True)
+    }
+
+
+def said(stage):
+    return stage.logs[-1]
+
+
+def test_the_first_seconds_after_a_switch_know_what_a_usual_rpc_takes(stage, path):
+    learnt.write(path, book(stage))
+    module = stage.edge.host.module
+    before = module.weight(0)
+    Keeping(stage.edge, str(path))
+    assert module.weight(0) == 900.0 != before
+    assert said(stage) == ("kept figures", {"carried": list(stage.edge.methods), "afresh": []})
+    assert not module.ok_count.read(module.now) and module.stretch == 1.0 and module.load_limit == 1.0
+
+
+def test_a_kept_figure_counts_as_one_sample():
+    made = dispatcher()
+    made.recall([(900.0, 40.0)] + [(0.0, 0.0)] * 2)
+    made.light[0].add(made.now, 1_100)
+    assert made.weight(0) == 1_000.0 and made.learnt()[1] == (0.0, 0.0)
+    heavy = rpc(made)
+    heavy.work = 120
+    made.arrived(heavy)
+    assert heavy.scale == 1.5
+
+
+def test_a_method_with_other_deadlines_starts_afresh(stage, path):
+    learnt.write(path, book(stage, soft=1))
+    before = stage.edge.host.module.weight(0)
+    Keeping(stage.edge, str(path))
+    assert stage.edge.host.module.weight(0) == before and said(stage)[1]["carried"] == []
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (None, "kept yet"),
+        (b"", "can't be read"),
+        (b'{"shape":1,"methods":{"a":{"soft_dead', "can't be read"),
+        (b'{"shape":0,"methods":{}}', "can't be read"),
+        (b'{"shape":1,"methods":{"a":[1,2]}}', "can't be read"),
+        (
+            b'{"shape":1,"methods":{"a":{"soft_deadline":1,"deadline":1,"alone":-5,"hint":1}}}',
+            "can't be read",
+        ),
+    ],
+)
+def test_a_file_that_is_no_use_is_said_and_the_edge_starts_afresh(stage, path, data, why):
+    if data is not None:
+        path.write_bytes(data)
+    before = stage.edge.host.module.learnt()
+    keeping = Keeping(stage.edge, str(path))
+    assert why in said(stage)[0] and stage.edge.host.module.learnt() == before
+    keeping.write()
+    assert set(learnt.read(path)) == set(stage.edge.methods)
+
+
+def test_a_disk_that_fails_never_stops_the_edge(stage, tmp_path):
+    keeping = Keeping(stage.edge, str(tmp_path / "no" / "folder"))
+    keeping.write()
+    assert said(stage)[0] == "learnt figures not kept"
+
+
+def test_the_setting_is_checked_and_absent_keeps_nothing(stage):
+    assert stage.edge.keeping is None
+    with pytest.raises(Wrong, match=r"x.json5.*dispatcher.keep.*is 5; expected text"):
+        shaped({"methods": {}, "dispatcher": {"keep": 5}}, Deployment, "", "x.json5")
+
+
+def test_the_usual_time_of_a_load_reaches_the_module_from_the_line(stage):
+    client = stage.client()
+    for id_, more, kept in (("1", {}, None), ("2", {"load": 1200.0}, 12_000), ("3", {}, 12_000)):
+        client.say(**CALL, id=id_, **more)
+        stage.run()
+        assert stage.edge.host.door.fns["f"].load == kept
+    client.say(**CALL, id="4", load=-1)
+    stage.run()
+    assert client.heard("fault") and stage.edge.host.door.fns["f"].load == 12_000
+
+
+def test_an_edge_that_stops_writes_what_it_has_learnt_and_the_next_one_starts_from_it(stage, path):
+    stage.edge.keeping = Keeping(stage.edge, str(path))
+    client = stage.client()
+    client.say(**CALL, id="1")
+    stage.run()
+    ((peer, run),) = stage.runs()
+    stage.run(0.12)
+    peer.say(**{"is": "ended", "call": run["call"], "outcome": "ok", "warmth": "stood"})
+    stage.run()
+    learnt_ = stage.edge.host.module.learnt()
+    stage.edge.stop(lambda: None)
+    stage.run(0.5)
+    after = Stage()
+    Keeping(after.edge, str(path))
+    assert learnt_[0][0] > 1_000 and after.edge.host.module.learnt() == learnt_
