--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -376,6 +376,50 @@
     assert one.over and len(acts(made, "deny")) == 1 and patient.call_outs
 
 
+def test_a_full_worker_is_open_again_after_half_a_second_however_seldom_it_is_met():
+    made = front_end_of_many()
+    one = rpc(made)
+    made.arrived(one)
+    srv = one.call_outs[0].srv
+    made.ended(one.call_outs[0], Outcome.FULL, Answer(5))
+    assert made.now < srv.full_until <= made.now + SECOND // 2
+
+
+def test_where_the_only_warm_worker_is_full_the_next_of_the_order_is_used():
+    """Seen at surplus-main: denied with 30 of 50 workers open, as the one known warm was full."""
+    made = front_end_of_many(**{"when-absent": "load"})
+    one = rpc(made)
+    home, second = made.walk(one.fn)[:2]
+    spot = one.fn.spot(home)
+    spot.copies, spot.seen, home.full_until = 1, made.now, made.now + 100
+    one.deadline = made.now + 30_000
+    made.arrived(one)
+    assert [c.srv for c in one.call_outs] == [second]
+
+
+def test_many_own_loads_do_not_deny_where_a_miss_costs_little():
+    made = front_end_of_many()
+    one = rpc(made)
+    one.deadline = made.now + 30_000
+    for srv in made.srvs:
+        one.fn.spot(srv).missing = made.now
+    made.loading, made.load_limit = 18, 1.0
+    made.arrived(one)
+    assert not one.over and one.call_outs
+
+
+def test_an_rpc_that_a_load_cannot_reach_neither_orders_nor_waits():
+    made = front_end_of_many(**{"says-company": True})
+    one = rpc(made)
+    one.fn.load, one.deadline = 20_000, made.now + 5_000
+    one.state = State.PLACING
+    home = made.walk(one.fn)[0]
+    made.send(one, one.fn.spot(home))
+    one.state = State.OUT
+    made.ended(one.call_outs[0], Outcome.MISS, Answer(10))
+    assert not acts(made, "order") and not one.fn.spot(home).waiters
+
+
 def test_a_hold_asks_for_what_was_used_and_a_share_of_the_spare():
     made = dispatcher(2)
     made.facts = {**made.facts, "dispatchers": 1}
