--- a/lapistrestle/edge/keeping.py
+++ b/lapistrestle/edge/keeping.py
@@ -24,17 +24,25 @@
         except FileNotFoundError:
             return self.edge.log("nothing learnt is kept yet", file=str(self.path))
         except (OSError, ValueError) as trouble:
-            return self.edge.log("kept figures can't be read, starting afresh", why=str(trouble))
+            self.edge.log("kept figures can't be read, starting afresh", why=str(trouble))
+            return self.set_aside()
         none, same, figures = Learnt(0, 0, 0.0, 0.0), list[str](), list[tuple[float, float]]()
         for name, facts in zip(self.edge.methods, self.edge.facts["methods"], strict=True):
             had = kept.get(name, none)
             if (had.soft_deadline, had.deadline) != (facts["soft_deadline"], facts["deadline"]):
                 had = none
-            same += [name] if had is not none else []
+            same += [name] if had.alone or had.hint else []
             figures.append((had.alone, had.hint))
         self.edge.host.module.recall(figures)
         self.edge.log("kept figures", carried=same, afresh=[m for m in self.edge.methods if m not in same])
 
+    def set_aside(self) -> None:
+        """Guards against writing over a file that was never ours: what could not be read is kept beside."""
+        try:
+            self.path.replace(self.path.with_name(self.path.name + ".unread"))
+        except OSError as trouble:
+            self.edge.log("learnt figures not kept", why=str(trouble))
+
     def step(self, _: object) -> None:
         if not self.edge.stopping:
             self.write()
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -79,6 +79,8 @@
     before = stage.edge.host.module.learnt()
     keeping = Keeping(stage.edge, str(path))
     assert why in said(stage)[0] and stage.edge.host.module.learnt() == before
+    aside = path.with_name("edge.learnt.unread")
+    assert aside.read_bytes() == data if data is not None else not aside.exists()
     keeping.write()
     assert set(learnt.read(path)) == set(stage.edge.methods)
 
