One search for the next cold worker, one place where a load time is kept

Cause: read again, grow repeated the search of place, missed walked the order twice and looked for the home also where it was not wanted, and adapter and host each kept the load time of a function. Change: first_cold serves both, missed looks only after a miss away from home, Door.fn keeps the time. A test for a miss that comes when the list is empty.

--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -92,12 +92,10 @@
     def demand(self, fields: Fields) -> None:
         name, method = fields.get("image") or "", fields.get("class") or 0
         memory, lanes = fields.get("ram-mb") or 0.0, int(fields.get("width") or 1)
-        fn = self.door.fn(name, method, memory, lanes)
-        if fields.get("bringup-ms") is not None:
-            fn.load = words.span(int(1000 * fields["bringup-ms"]))
+        load = None if fields.get("bringup-ms") is None else words.span(int(1000 * fields["bringup-ms"]))
         rpc = Rpc(
             tag=fields["msg-id"],
-            fn=fn,
+            fn=self.door.fn(name, method, memory, lanes, load),
             method=method,
             customer=fields.get("user-group") or 0,
             deadline=words.span(fields["not-after"]),
--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -184,8 +184,7 @@
         calm = min(zones, default=Zone.UNSAFE) < Zone.WARNING
         room = self.loading < (1 if warm else 4) * self.load_limit
         if not loads and not calm and room:
-            spots = (fn.spot(srv) for srv in self.candidates(rpc, order))
-            cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
+            cold = self.first_cold(rpc, order)
             if cold and not warm:
                 return self.send(rpc, cold)
             if cold:
@@ -202,6 +201,11 @@
             return Input.WAITS
         return self.send(rpc, spot)
 
+    def first_cold(self, rpc: Rpc, order: Iterable[Srv]) -> Spot | None:
+        """Where a further copy would go: the first in the order without one that is not Unsafe."""
+        spots = (rpc.fn.spot(srv) for srv in self.candidates(rpc, order))
+        return next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
+
     def candidates(self, rpc: Rpc, order: Iterable[Srv]) -> Iterator[Srv]:
         """Workers of an order that this RPC may go to; those it has tried only where there is no other."""
         fn, miss = rpc.fn, Outcome.MISS
@@ -264,9 +268,10 @@
         loads, and the RPC waits for it, so it can't overtake the order, unless a load would come too late."""
         if spot is None or not self.facts["absent_misses"] or len(rpc.call_outs) >= self.facts["try_limit"]:
             return self.again(rpc, spot)
-        met, first = [c.srv for c in rpc.call_outs], next(iter(self.walk(rpc.fn)), None)
-        home = next(self.candidates(rpc, self.walk(rpc.fn)), None)
-        if home and first not in met and self.presumed(rpc.fn.spot(home)):
+        order = self.walk(rpc.fn)
+        away = not any(c.srv in order[:1] for c in rpc.call_outs)
+        home = next(self.candidates(rpc, order), None) if away else None
+        if home and self.presumed(rpc.fn.spot(home)):
             if not self.facts["tells_company"]:  # else copies are added where it is told that RPCs wait
                 self.order(spot, 1)
             return self.send(rpc, rpc.fn.spot(home))
@@ -362,8 +367,7 @@
         front ends that each see too little of a function to know it is hot; harms where waits are short."""
         if company < self.believed(spot) * spot.fn.lanes or self.loading >= self.load_limit:
             return
-        spots = (spot.fn.spot(srv) for srv in self.candidates(rpc, self.entered(spot.fn)))
-        cold = next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
+        cold = self.first_cold(rpc, self.entered(spot.fn))
         if cold and not cold.loading:
             self.order(cold, 1)
 
--- a/lapistrestle/hosting/door.py
+++ b/lapistrestle/hosting/door.py
@@ -24,7 +24,8 @@
             self.srvs[name] = Srv(name)
         return self.srvs[name]
 
-    def fn(self, name: str, method: int, memory: float, lanes: int) -> Fn:
+    def fn(self, name: str, method: int, memory: float, lanes: int, load: int | None = None) -> Fn:
+        """`load`: as this RPC tells it; the last that was told stands."""
         fn = self.fns.get(name)
         if fn is None:
             fn = self.fns[name] = Fn(name, method, memory, max(1, lanes))
@@ -32,6 +33,7 @@
                 self.fns.popitem(last=False)
         elif self.most:
             self.fns.move_to_end(name)
+        fn.load = fn.load if load is None else load
         return fn
 
     def keep_token(self, token: object) -> int:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -162,8 +162,7 @@
         moved: bool = False, before: int = 0, load: int | None = None,
     ) -> Ticket:  # fmt: skip
         """An RPC has come; `left` is what its client still waits."""
-        now, facts = self.clock(), self.door.fn(fn, method, memory, lanes)
-        facts.load = load if load is not None else facts.load
+        now, facts = self.clock(), self.door.fn(fn, method, memory, lanes, load)
         ticket = Ticket(tag, facts, method, customer, now + left, work, repeat, asked=asked, seat=seat)
         ticket.route, ticket.moved, ticket.before = route, moved, before
         self.open += 1
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -341,6 +341,15 @@
     assert acts(made, "order") and one.fn.spot(home).waiters == [one]
 
 
+def test_a_miss_that_comes_when_no_worker_is_left_is_denied_at_once():
+    made = dispatcher(1)
+    one = rpc(made)
+    made.arrived(one)
+    made.listed([], whole=True)
+    made.ended(one.call_outs[0], Outcome.MISS, Answer(10))
+    assert one.over and len(acts(made, "deny")) == 1 and not acts(made, "order")
+
+
 def test_a_miss_is_believed_no_longer_than_a_load_takes():
     made = front_end_of_many()
     spot = Fn("f", load=10_000).spot(made.srvs[0])
