--- a/lapistrestle/store/learnt.py
+++ b/lapistrestle/store/learnt.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lapistrestle.store.plans import put
+from lapistrestle.store import files
 
 SHAPE = 1  # of the file; another one is not read
 
@@ -31,10 +31,7 @@
 
 def read(path: Path) -> dict[str, Learnt]:
     """By method. Raises OSError or ValueError, with the file's name, where it can't be read."""
-    try:
-        book = READ.decode(path.read_bytes())
-    except msgspec.MsgspecError as trouble:
-        raise ValueError(f"{path}: {trouble}") from None
+    book = files.take(path, READ)
     if book.shape != SHAPE:
         raise ValueError(f"{path}: is of shape {book.shape}; expected {SHAPE}")
     return book.methods
@@ -42,4 +39,4 @@
 
 def write(path: Path, methods: dict[str, Learnt]) -> None:
     """Raises OSError; what was there before then still is."""
-    put(path, msgspec.json.encode(Book(SHAPE, methods)))
+    files.put(path, msgspec.json.encode(Book(SHAPE, methods)))
--- a/lapistrestle/store/plans.py
+++ b/lapistrestle/store/plans.py
@@ -1,10 +1,10 @@
 """The last plan that an edge was told, in a file: whole at any moment, or the one before it."""
 
-import os
 from pathlib import Path
 
 import msgspec
 
+from lapistrestle.store import files
 from lapistrestle.wire.plans import Share
 
 
@@ -30,27 +30,10 @@
         """None where there is none. Raises OSError or ValueError, with the file's name, where it can't be
         read."""
         try:
-            return READ.decode(self.path.read_bytes())
+            return files.take(self.path, READ)
         except FileNotFoundError:
             return None
-        except msgspec.MsgspecError as trouble:
-            raise ValueError(f"{self.path}: {trouble}") from None
 
     def write(self, kept: Kept) -> None:
         """Raises OSError; what was there before then still is."""
-        put(self.path, msgspec.json.encode(kept))
-
-
-def put(path: Path, data: bytes) -> None:
-    """The file's new content, whole or not at all. Raises OSError."""
-    beside = path.with_name(path.name + ".new")
-    with beside.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(beside, path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+        files.put(self.path, msgspec.json.encode(kept))
