--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from lapistrestle.benchlink import words
+from lapistrestle.deployment import words
 from lapistrestle.choice import Dispatcher
 from lapistrestle.hosting.door import Door
 from lapistrestle.interface import Answer, CallOut, FnFacts, Listing, RpcFacts, SrvFacts
--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -165,7 +165,7 @@
 
 
 def facts(made: Deployment) -> Facts:
-    """The plain map that the module reads; `benchlink.words` makes the same from the bench's settings."""
+    """The plain map that the module reads; `deployment.words` makes the same from the bench's settings."""
     workers, orders, allowed, roster = made.workers, made.orders, made.allowed, made.roster
     return {
         "me": made.dispatcher.number,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from lapistrestle.benchlink import words
+from lapistrestle.deployment import words
 from lapistrestle.choice import Dispatcher
 from lapistrestle.interface import SrvFacts
 from lapistrestle.state import Fn, Rpc, Srv
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -6,7 +6,7 @@
 import pytest
 from helpers import SETTINGS
 
-from lapistrestle.benchlink import words
+from lapistrestle.deployment import words
 from lapistrestle.benchlink.wire import Links, Malformed, serve
 
 D = {"dispatcher-id": "dispatcher/0"}
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lapistrestle.benchlink import words
+from lapistrestle.deployment import words
 from lapistrestle.deployment.load import Wrong, facts, load
 from lapistrestle.standins.script import plain, read_day
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import SETTINGS
 
-from lapistrestle.benchlink import words
+from lapistrestle.deployment import words
 from lapistrestle.choice import Dispatcher
 from lapistrestle.hosting.door import Door
 from lapistrestle.hosting.host import Hosting
