--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from lapistrestle.deployment import words
 from lapistrestle.choice import Dispatcher
+from lapistrestle.deployment import words
 from lapistrestle.hosting.door import Door
 from lapistrestle.interface import Answer, CallOut, FnFacts, Listing, RpcFacts, SrvFacts
 from lapistrestle.state import Rpc
--- a/lapistrestle/deployment/words.py
+++ b/lapistrestle/deployment/words.py
@@ -1,4 +1,4 @@
-"""The wire's words and units in ours, and back."""
+"""The platform's settings, words and units in ours, and back: for the simulator and for sockets."""
 
 from typing import Any
 
@@ -20,6 +20,14 @@
 LISTINGS = {"SERVING": Listing.SERVING, "DRAINING": Listing.DRAINING, "DELETED": Listing.GONE}
 KINDS = {"idempotent": "idempotent", "deduplicated": "tokened", "at_most_once": "side-effecting"}
 WARMTH = (Warmth.UNTOLD, Warmth.STOOD, Warmth.BEGAN_LOAD, Warmth.JOINED_LOAD, Warmth.LOAD_FAILED)
+SAID = {  # figures of a load report as sockets name them, and as settings do
+    "inflight": "outstanding",
+    "queue": "backlog",
+    "util": "utilization",
+    "latency_ms": "recent_ms",
+    "qps": "throughput",
+    "eps": "errors_per_s",
+}
 
 
 def moment(micros: int) -> int:
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -92,11 +92,32 @@
 
 
 class Clients(ServerFactory):
+    """The front of the line protocol."""
+
     noisy = False
 
     def __init__(self, edge: Any) -> None:
         self.edge, self.last = edge, 0
+        self.seats: dict[ClientSpeaker, None] = {}
+        self.listening: Any = None
 
     def buildProtocol(self, addr: Any) -> ClientSpeaker:
         self.last += 1
         return ClientSpeaker(self.edge, self.last)
+
+    def listen(self) -> int:
+        wanted = self.edge.deployment.listen.port
+        self.listening = self.edge.reactor.listenTCP(wanted, self, interface="127.0.0.1")
+        port: int = self.listening.getHost().port
+        return port
+
+    def close(self) -> None:
+        if self.listening is not None:
+            self.listening.stopListening()
+
+    def open(self) -> list[Ticket]:
+        return [t for seat in self.seats for t in seat.open.values()]
+
+    def end(self) -> None:
+        for seat in list(self.seats):
+            seat.cut("the edge stops")
--- /dev/null
+++ b/lapistrestle/edge/core.py
@@ -0,0 +1,204 @@
+"""The edge without its ways in and out: one module instance, its clock and timers, the workers it may reach.
+
+It is given a front (clients), a way to speak to runners and sources of the list; each set is one protocol.
+"""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from lapistrestle.choice import Dispatcher
+from lapistrestle.hosting.host import Errand, Flight, Hosting, Ticket
+from lapistrestle.hosting.timers import Timer
+from lapistrestle.hosting.turns import Turns
+from lapistrestle.interface import Facts, FnFacts, Listing, Outcome, SrvFacts
+
+Log = Callable[..., None]
+TENTHS = 10_000  # of a millisecond in a second
+
+
+class Front(Protocol):
+    """Where clients come in."""
+
+    def listen(self) -> int: ...  # the port
+    def close(self) -> None: ...  # take no new connections
+    def open(self) -> list[Ticket]: ...
+    def end(self) -> None: ...  # leave every connection
+
+
+class Way(Protocol):
+    """How one runner is spoken to. `address` tells it from another process under its name."""
+
+    address: Any
+
+    def named(self) -> None: ...  # it is on the list now
+    def dropped(self) -> None: ...  # it is gone: what is out may still end
+    def give_back(self) -> None: ...  # it drains: what waits to be written is not sent
+    def run(self, flight: Flight) -> None: ...
+    def withdraw(self, number: int, tell: bool) -> bool: ...
+    def hold(self, errand: Errand) -> None: ...
+    def unload(self, fn: str) -> None: ...
+    def probe(self, errand: Errand) -> None: ...
+    def end(self) -> None: ...  # leave it at once
+
+
+class ListSource(Protocol):
+    """Who tells the list of workers."""
+
+    def start(self) -> None: ...
+    def follow(self) -> None: ...
+    def stop(self) -> None: ...
+
+
+class Core:
+    """One front end on one reactor, whose clock must be monotonic: one set back would hold the timers."""
+
+    def __init__(
+        self, reactor: Any, name: str, facts: Facts, log: Log, seed: int, slack: int = 0,
+        make: Callable[..., Any] = Dispatcher,
+    ) -> None:  # fmt: skip
+        self.reactor, self.name, self.facts, self.log = reactor, name, facts, log
+        self.runners: dict[str, Any] = {}
+        self.counts = dict.fromkeys(("turned away", "unreadable", "passed over"), 0)
+        self.stopping = False
+        self.stopped: Callable[[], None] | None = None
+        self.heard = 0  # inputs so far
+        self.turns, self.next_turn, self.turn_at = Turns(), None, -1
+        self.front: Front
+        self.speech: Callable[[str, Any, str], Way]
+        self.sources: list[ListSource] = []
+        self.host = Hosting(self, facts, seed, self.clock, slack, make)
+
+    def clock(self) -> int:
+        return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
+
+    def start(self) -> int:
+        """Listen, and follow the list. Returns the port."""
+        port = self.front.listen()
+        for source in self.sources:
+            source.start()
+        self.log("listening", port=port, edge=self.name)
+        return port
+
+    # turns and timers
+
+    def input(self) -> None:
+        self.heard += 1
+
+    def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Timer:
+        timer = self.host.timers.at(self.clock() + delay, call, arg)
+        self.wake()
+        return timer
+
+    def wake(self) -> None:
+        """Have the reactor call `turn` when the next timer is due."""
+        due = self.host.timers.next()
+        if due is None or (self.next_turn is not None and self.turn_at <= due):
+            return
+        if self.next_turn is not None:
+            self.next_turn.cancel()
+        self.turn_at = due
+        self.next_turn = self.reactor.callLater(max(0.0, due / TENTHS - self.reactor.seconds()), self.turn)
+
+    def turn(self) -> None:
+        self.next_turn = None
+        due, now = self.host.timers.next(), self.clock()
+        if due is not None and due <= now:
+            if not self.turns.may_fire(now, due, self.heard):
+                self.turn_at = due
+                self.next_turn = self.reactor.callLater(0, self.turn)
+                return
+            self.host.turn()
+        self.wake()
+
+    # the list and the runners
+
+    def address(self, name: str, address: Any, start: str = "") -> None:
+        """A runner listens here now. At another address it is another process; the old way ends its calls."""
+        runner = self.runners.get(name)
+        if runner is not None and (not address or runner.address != address):
+            del self.runners[name]
+            runner.dropped()
+            runner = None
+        if runner is None and address and not self.stopping:
+            runner = self.runners[name] = self.speech(name, address, start)
+            runner.named()
+
+    def held_back(self, told: tuple[SrvFacts, ...]) -> None:
+        """Lines that wait for a runner that drains are not sent later: rule 3 binds at the socket."""
+        for facts_ in told:
+            if facts_.listing is not Listing.SERVING and facts_.name in self.runners:
+                self.runners[facts_.name].give_back()
+
+    def passed_over(self, name: str, why: str) -> None:
+        self.counts["passed over"] += 1
+        if self.counts["passed over"] <= 100:
+            self.log("passed over", peer=name, why=why[:200])
+
+    # what the host asks (hosting.Outside)
+
+    def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None:
+        ticket.seat.answer(ticket, verdict, come_back, body)
+
+    def closed(self, ticket: Ticket, how: str) -> None: ...
+
+    def stream(self, ticket: Ticket) -> None: ...
+
+    def run(self, flight: Flight) -> None:
+        runner = self.runners.get(flight.srv.name)
+        if runner is None:
+            return self.host.ended(flight.number, Outcome.UNREACHABLE)
+        runner.run(flight)
+
+    def withdraw(self, task: Flight | Errand, tell: bool) -> bool:
+        return task.via is not None and task.via.withdraw(task.number, tell)
+
+    def hold(self, errand: Errand) -> None:
+        runner = self.runners.get(errand.srv.name)
+        if runner is None:
+            return self.host.ordered(errand.number, Outcome.UNREACHABLE, 0)
+        runner.hold(errand)
+
+    def unload(self, srv: SrvFacts, fn: FnFacts) -> None:
+        if runner := self.runners.get(srv.name):
+            runner.unload(fn.name)
+
+    def probe(self, errand: Errand) -> None:
+        runner = self.runners.get(errand.srv.name)
+        if runner is None:
+            return self.host.probed(errand.number, Outcome.UNREACHABLE, {})
+        runner.probe(errand)
+
+    def tell_peer(self, peer: int | None, text: str) -> None: ...
+
+    def follow_list(self) -> None:
+        for source in self.sources:
+            source.follow()
+
+    # the end
+
+    def stop(self, stopped: Callable[[], None]) -> None:
+        """Take nothing new and finish what is out; a second call answers all of it as aborted at once."""
+        if self.stopping:
+            self.host.abort_all(self.front.open())
+            return self.finish()
+        self.stopping, self.stopped = True, stopped
+        self.log("stopping", open=self.host.open)
+        self.front.close()
+        self.look()
+
+    def look(self, _: object = None) -> None:
+        if not self.host.open:
+            return self.finish()
+        self.after(100, self.look, None)
+
+    def finish(self) -> None:
+        stopped, self.stopped = self.stopped, None
+        if stopped is None:
+            return
+        self.log("stopped", **self.host.counts, **self.counts)
+        for source in self.sources:
+            source.stop()
+        self.front.end()
+        for runner in self.runners.values():
+            runner.end()
+        stopped()
--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -23,7 +23,7 @@
     """What the transport does: dial, write a line, close; `ask` is a request to be told DUE after a delay."""
 
     def dial(self) -> None: ...
-    def write(self, line: bytes) -> None: ...
+    def write(self, line: bytes, number: int = 0) -> None: ...
     def close(self) -> None: ...
     def ask(self, delay: int) -> None: ...
     def never_left(self, numbers: list[int]) -> None: ...
@@ -39,6 +39,7 @@
     log: Callable[[str], None]
     clock: Callable[[], int]
     state: Link = Link.IDLE
+    prompt: int = PROMPT
     waiting: deque[tuple[int, bytes, int | None]] = field(default_factory=deque)  # number or 0, line, until
     out: dict[int, None] = field(default_factory=dict)  # written, without an end yet
     rests: int = 0  # dials that failed in a row
@@ -64,11 +65,11 @@
         if prompt and self.state is Link.SLOW:
             return False
         if self.state is Link.OPEN:
-            self.rim.write(line)
+            self.rim.write(line, number if owed else 0)
             if owed:
                 self.out[number] = None
             return True
-        self.waiting.append((number if owed else 0, line, self.clock() + PROMPT if prompt else None))
+        self.waiting.append((number if owed else 0, line, self.clock() + self.prompt if prompt else None))
         self.step(Input.WANTED)
         return True
 
@@ -101,7 +102,7 @@
             if until is not None and now > until:
                 stale.append(number)
                 continue
-            self.rim.write(line)
+            self.rim.write(line, number)
             if number:
                 self.out[number] = None
         if stale:
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -128,12 +128,27 @@
 
     def __init__(self, edge: Any, name: str, port: int, start: str) -> None:
         self.edge, self.port, self.start = edge, port, start
+        self.address = port
         self.linking = Linking(name, self, lambda text: edge.log("link", figures=text), edge.clock)
         self.speaker: RunnerSpeaker | None = None
         self.dialling: Dial | None = None
         self.connector: Any = None
         self.patience: Any = None
 
+    # what the core tells
+
+    def named(self) -> None:
+        self.linking.step(Input.NAMED)
+
+    def dropped(self) -> None:
+        self.linking.step(Input.DROPPED)
+
+    def give_back(self) -> None:
+        self.linking.give_back()
+
+    def end(self) -> None:
+        self.drop_speaker()
+
     # what the host asks
 
     def run(self, flight: Flight) -> None:
@@ -245,7 +260,7 @@
         elif dial is not None and self.connector is not None:
             self.connector.disconnect()
 
-    def write(self, line: bytes) -> None:
+    def write(self, line: bytes, number: int = 0) -> None:
         if self.speaker is not None:
             self.speaker.say_line(line)
 
@@ -257,14 +272,11 @@
 
     def never_left(self, numbers: list[int]) -> None:
         for number in numbers:
-            self.end(number, Outcome.UNREACHABLE)
+            tell_lost(self.host, number, Outcome.UNREACHABLE)
 
     def broke(self, numbers: list[int]) -> None:
         for number in numbers:
-            self.end(number, Outcome.RESET)
-
-    def end(self, number: int, outcome: Outcome) -> None:
-        tell_lost(self.host, number, outcome)
+            tell_lost(self.host, number, Outcome.RESET)
 
 
 def bounds_of(listen: Any) -> LineBounds:
--- a/lapistrestle/edge/sources.py
+++ b/lapistrestle/edge/sources.py
@@ -21,6 +21,8 @@
         self.speaker: Speaker | None = None
         self.stopped = False
 
+    def follow(self) -> None: ...
+
     def start(self, _: object = None) -> None:
         if not self.stopped:
             time_out = self.edge.facts["dial_time_out"] / 10_000
--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -62,15 +62,15 @@
                 told: Any = handle.edge.host.told  # type: ignore[attr-defined]
                 self.reactor.callLater(self.world.ways.between, told, me, text)
 
-    def address(self, name: str, port: int, start: str) -> None:
-        """As on sockets: another port is another process."""
+    def address(self, name: str, address: Any, start: str = "") -> None:
+        """As on sockets: another address is another process."""
         link: Any = self.runners.get(name)
-        at = self.world.runners.get(port)
-        if link is not None and (port == 0 or link.runner is not at):
+        at = self.world.runners.get(address)
+        if link is not None and (address == 0 or link.runner is not at):
             del self.runners[name]
             link.step(Input.DROPPED)
             link = None
-        if link is None and port:
+        if link is None and address:
             way = self.world.ways.time(self.name, name)
             self.dials += 1
             made: Any = RunnerLink(self, name, at, way, self.world.taped)
--- /dev/null
+++ b/lapistrestle/node/board.py
@@ -0,0 +1,276 @@
+"""The notice board: frames of numbered events, without I/O, then the connection that follows it.
+
+An event counts once, and only right after the one before. Whatever else comes, or fails to come, leads to
+asking anew with the number of the last event that came whole.
+"""
+
+import struct
+import time
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from lapistrestle.deployment import words
+from lapistrestle.edge.core import TENTHS, Core
+from lapistrestle.interface import Listing, SrvFacts
+from lapistrestle.node.place import Place, Row, split
+from lapistrestle.node.streams import Stream, dial
+
+HEAD = struct.Struct(">IQB")
+RECORD = struct.Struct(">IIHBBBHIQ")
+NOTHING, WHOLE, CHANGES = range(3)
+MOST = HEAD.size + RECORD.size * 65_536  # bytes of a frame
+LISTINGS = (Listing.SERVING, Listing.DRAINING, Listing.GONE)
+STATES = {listing: state for state, listing in enumerate(LISTINGS)}
+
+SILENCE = 22_000  # tenths of a millisecond: two of the empty frames have not come
+PAUSE = 1_000  # between two dials
+DIAL = 5_000
+UNIX_TENTHS = 10  # in a millisecond
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A runner in an event."""
+
+    id: int
+    host: int
+    port: int
+    state: int
+    zone: int
+    kind: int
+    cell: int
+    weight: int  # thousandths
+    started: int  # Unix milliseconds; 0: long ago
+
+    @property
+    def name(self) -> str:
+        return f"s-{self.id:08x}"
+
+    @property
+    def address(self) -> str:
+        return ".".join(str(self.host >> shift & 255) for shift in (24, 16, 8, 0)) + f":{self.port}"
+
+
+class Frame(msgspec.Struct, frozen=True):
+    number: int
+    kind: int
+    entries: tuple[Entry, ...] = ()
+
+
+class Unreadable(Exception):
+    """Bytes that are no frame: nothing after them can be read."""
+
+
+class Frames:
+    """Bytes to frames."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """The frames that are whole now. Raises Unreadable, after which `done` holds those before it."""
+        data = self.rest + data
+        self.done: list[Frame] = []
+        at = 0
+        while len(data) - at >= 4:
+            size = int.from_bytes(data[at : at + 4], "big")
+            if not 9 <= size <= MOST - 4:
+                raise Unreadable(f"a frame of {size} bytes")
+            if len(data) - at < 4 + size:
+                break
+            self.done.append(frame_of(data[at : at + 4 + size]))
+            at += 4 + size
+        self.rest = data[at:]
+        return self.done
+
+
+def frame_of(data: bytes) -> Frame:
+    _, number, kind = HEAD.unpack_from(data)
+    size = len(data) - HEAD.size
+    if kind > CHANGES or (kind == NOTHING and size) or size % RECORD.size:
+        raise Unreadable(f"kind {kind} with {size} bytes")
+    entries = tuple(Entry(*row) for row in RECORD.iter_unpack(data[HEAD.size :]))
+    if any(entry.state >= len(LISTINGS) or not entry.port for entry in entries):
+        raise Unreadable("a record out of range")
+    return Frame(number, kind, entries)
+
+
+News = Enum("News", "REPEAT NEXT GAP")
+Do = Enum("Do", "PASS TAKE ASK")
+
+# what is done with a frame, by its kind and how its number lies to the last one taken
+FOLLOWING: dict[tuple[int, News], Do] = {
+    (NOTHING, News.REPEAT): Do.PASS,
+    (NOTHING, News.NEXT): Do.ASK,  # it speaks of an event that did not come
+    (NOTHING, News.GAP): Do.ASK,
+    (WHOLE, News.REPEAT): Do.PASS,
+    (WHOLE, News.NEXT): Do.TAKE,
+    (WHOLE, News.GAP): Do.TAKE,  # it holds what was missed
+    (CHANGES, News.REPEAT): Do.PASS,
+    (CHANGES, News.NEXT): Do.TAKE,
+    (CHANGES, News.GAP): Do.ASK,
+}
+
+
+def news(number: int, last: int) -> News:
+    return News.REPEAT if number <= last else News.NEXT if number == last + 1 else News.GAP
+
+
+class Link(Stream):
+    """One connection to the board."""
+
+    def __init__(self, board: "Board", sock: Any) -> None:
+        super().__init__(board.core.reactor, sock, dialled=True)
+        self.board, self.frames = board, Frames()
+        self.heard = board.core.clock()
+
+    def made(self) -> None:
+        self.heard = self.board.core.clock()
+        self.send(self.board.last.to_bytes(8, "big"))
+
+    def received(self, data: bytes) -> None:
+        self.board.core.input()
+        self.heard = self.board.core.clock()
+        why = ""
+        try:
+            self.frames.feed(data)
+        except Unreadable as trouble:
+            why = str(trouble)
+        for frame in self.frames.done:
+            if self.board.told(frame) is Do.ASK:
+                return self.drop("a gap in the numbers")
+        if why:
+            self.drop(why)
+
+    def lost(self, why: str) -> None:
+        self.board.lost(self, why)
+
+
+class Board:
+    """Follows the board at one address from the last number on; holds the list it told."""
+
+    def __init__(self, core: Core, place: Place) -> None:
+        self.core, self.place = core, place
+        self.address = place.file.board
+        self.last = 0
+        self.link: Link | None = None
+        self.stopped = False
+        self.fast = True  # the next dial need not wait
+        self.listed: set[str] = set()
+        self.offset = int(time.time() * TENTHS) - core.clock()  # of the Unix clock to ours
+        self.zones = {name: i for i, name in enumerate(place.told.zones)}
+        self.kinds = {name: i for i, name in enumerate(place.told.models)}
+
+    def ready(self) -> bool:
+        return self.last > 0
+
+    # core.ListSource
+
+    def start(self) -> None:
+        known = self.place.file.known
+        for notice in known.notices:
+            if notice.rev > self.last:
+                rows = [self.entry(row) for row in notice.pool.servers]
+                self.take(rows, notice.pool.full)
+                self.last = notice.rev
+        self.last = max(self.last, known.rev)
+        self.core.after(SILENCE, self.listen, None)
+        self.dial()
+
+    def follow(self) -> None: ...  # it is always followed
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.link is not None:
+            self.link.drop("the dispatcher ends")
+
+    def move(self, address: str | None) -> None:
+        """The board is at another address from now on."""
+        if address is None or address == self.address:
+            return
+        self.core.log("board moves", to=address, last=self.last)
+        self.address = address
+        if self.link is not None:
+            self.link.drop("the board is elsewhere")
+        else:
+            self.dial()
+
+    # the connection
+
+    def dial(self, _: object = None) -> None:
+        if self.stopped or self.link is not None or self.address is None:
+            return
+        try:
+            self.link = Link(self, dial(*split(self.address)))
+        except OSError:
+            self.core.after(PAUSE, self.dial, None)
+            return
+        self.core.after(DIAL, self.unmade, self.link)
+        self.link.begin()
+
+    def unmade(self, link: Link) -> None:
+        if link.dialling:
+            link.drop("no connection in time")
+
+    def lost(self, link: Link, why: str) -> None:
+        """Asked again at once after one that told something, else after a pause."""
+        if self.link is not link:
+            return
+        self.link = None
+        if not self.stopped:
+            if not link.dialling:  # one that stays away is told once
+                self.core.log("board lost", why=why, last=self.last)
+            self.core.after(1 if self.fast else PAUSE, self.dial, None)
+            self.fast = False
+
+    def listen(self, _: object) -> None:
+        """Silence beyond the empty frames means that the board no longer tells."""
+        link = self.link
+        if link is not None and not link.dialling and self.core.clock() - link.heard >= SILENCE:
+            link.drop("silence")
+        if not self.stopped:
+            self.core.after(SILENCE // 8, self.listen, None)
+
+    # what it tells
+
+    def told(self, frame: Frame) -> Do:
+        do = FOLLOWING[frame.kind, news(frame.number, self.last)]
+        if do is Do.TAKE:
+            self.fast = True
+            self.last = frame.number
+            self.take(list(frame.entries), frame.kind == WHOLE)
+        return do
+
+    def take(self, entries: list[Entry], whole: bool) -> None:
+        """In one turn the module hears it, ways open, and lines that wait for what drains are taken back."""
+        facts = tuple(self.facts(entry) for entry in entries)
+        named = {entry.name for entry in entries}
+        self.core.host.listed(facts, whole)
+        for name in self.listed - named if whole else ():
+            self.core.address(name, "")
+        for entry in entries:
+            gone = LISTINGS[entry.state] is Listing.GONE
+            self.core.address(entry.name, "" if gone else entry.address)
+        self.listed = named if whole else self.listed | named
+        self.listed -= {entry.name for entry in entries if LISTINGS[entry.state] is Listing.GONE}
+        self.core.held_back(facts)
+
+    def facts(self, entry: Entry) -> SrvFacts:
+        booted = entry.started * UNIX_TENTHS - self.offset if entry.started else None
+        return SrvFacts(
+            entry.name, entry.zone, entry.cell, entry.kind, entry.weight / 1000, LISTINGS[entry.state], booted
+        )
+
+    def entry(self, row: Row) -> Entry:
+        """A row of the file, where places and kinds stand by name."""
+        host, port = split(row.addr)
+        number = 0
+        for part in host.split("."):
+            number = number << 8 | int(part)
+        state = STATES[words.LISTINGS.get(row.state, Listing.SERVING)]
+        zone, kind = self.zones.get(row.zone, 0), self.kinds.get(row.kind, 0)
+        weight, started = round(row.weight * 1000), int(row.started_ms)
+        return Entry(int(row.id[2:], 16), number, port, state, zone, kind, row.cell, weight, started)
+
+
--- /dev/null
+++ b/lapistrestle/node/runners.py
@@ -0,0 +1,389 @@
+"""The speech of the platform's runners: JSON lines over a pool of connections to each. `edge.linking` decides
+what becomes of lines; placing, repeats and health are the module's."""
+
+import binascii
+import socket
+from base64 import b64decode, b64encode
+from typing import Any
+
+import msgspec
+
+from lapistrestle.edge.core import Core
+from lapistrestle.edge.linking import Input, Link, Linking, Rim
+from lapistrestle.hosting.host import NO_REPORT, Errand, Flight
+from lapistrestle.interface import Outcome
+from lapistrestle.node.place import Place, split
+from lapistrestle.node.streams import Stream, dial
+
+LINE = 131_072  # bytes of the longest line taken: a body of 16 KiB in base64 several times over
+PROMPT = 300  # tenths of a millisecond that an order may wait for its connection; its window is seconds
+EACH_MOST = 16  # connections to one runner: one bad answer ends all that its connection carries
+SECOND = 10_000
+USABLE = (Link.OPEN, Link.DIALING, Link.SLOW)
+
+RUNS = {
+    "200": Outcome.OK, "404": Outcome.MISS, "503": Outcome.FULL, "500": Outcome.ERROR, "504": Outcome.MOOT,
+}  # fmt: skip
+ORDERS = {"200": Outcome.OK, "503": Outcome.FULL, "500": Outcome.ERROR}
+PROBES = {"alive": Outcome.OK, "dead": Outcome.ERROR}
+
+Figure = int | float | str
+
+
+class Attrs(msgspec.Struct):
+    company: Figure = 0
+    slots_up: Figure = 0
+    use: str = ""
+
+
+NO_ATTRS = Attrs()
+
+
+class Said(msgspec.Struct):
+    """An answer of a runner."""
+
+    verb: str
+    rid: str
+    attrs: Attrs | None = None
+    content: str | None = None
+
+
+SAID = msgspec.json.Decoder(Said)
+
+
+def report_of(use: str, names: dict[str, str]) -> dict[str, float]:
+    """The figures of a load report under the names that the module knows. Raises ValueError."""
+    found: dict[str, float] = {}
+    for entry in use.split(";"):
+        name, _, figure = entry.partition(":")
+        if name in names:
+            found[names[name]] = float(figure)
+    return found
+
+
+class Socket(Stream):
+    """The descriptor beneath a wire."""
+
+    def __init__(self, wire: "Wire", sock: socket.socket) -> None:
+        super().__init__(wire.core.reactor, sock, dialled=True)
+        self.wire = wire
+
+    def made(self) -> None:
+        self.wire.linking.step(Input.GREETED)
+
+    def received(self, data: bytes) -> None:
+        self.wire.received(data)
+
+    def drained(self) -> None:
+        self.wire.linking.step(Input.EASED)
+
+    def lost(self, why: str) -> None:
+        self.wire.lost()
+
+
+class Wire(Rim):
+    """One connection to a runner."""
+
+    def __init__(self, runner: "Runner") -> None:
+        self.runner, self.speech = runner, runner.speech
+        self.core: Core = runner.core
+        self.linking = Linking(runner.name, self, lambda _: None, self.core.clock, prompt=PROMPT)
+        self.stream: Socket | None = None
+        self.rest = b""
+        self.by_rid: dict[str, int] = {}
+        self.rids: dict[int, str] = {}
+        self.since = self.core.clock()  # of its last use
+        self.unsent = set[int]()  # once lost: what was not written whole
+
+    def load(self) -> int:
+        return len(self.linking.out) + len(self.linking.waiting)
+
+    def send(self, number: int, rid: str, line: bytes, prompt: bool = False) -> bool:
+        self.since = self.core.clock()
+        self.by_rid[rid], self.rids[number] = number, rid
+        if self.linking.send(number, line, prompt=prompt):
+            return True
+        self.forget(number)
+        return False
+
+    def forget(self, number: int) -> None:
+        rid = self.rids.pop(number, None)
+        if rid is not None and self.by_rid.get(rid) == number:
+            del self.by_rid[rid]
+
+    def withdraw(self, number: int, tell: bool) -> bool:
+        """Wait no longer for this number; True if its line never left. `tell` the runner otherwise."""
+        rid = self.rids.get(number)
+        self.forget(number)
+        if self.linking.withdraw(number):
+            return True
+        if tell and rid is not None and self.stream is not None:
+            self.stream.send(b'{"verb":"STOP","rid":"%s"}\n' % rid.encode())
+        return False
+
+    # what comes
+
+    def received(self, data: bytes) -> None:
+        self.core.input()
+        lines = (self.rest + data if self.rest else data).split(b"\n")
+        self.rest = lines.pop()
+        for line in lines:
+            if self.stream is None:
+                return
+            if not self.heard(line):
+                return self.spoilt("a line that can't be read")
+        if len(self.rest) > LINE:
+            self.spoilt("a line without end")
+
+    def spoilt(self, why: str) -> None:
+        """What follows a bad line can't be trusted: everything on this connection may have run."""
+        self.core.passed_over(self.runner.name, why)
+        if self.stream is not None:
+            self.stream.drop(why)
+
+    def heard(self, line: bytes) -> bool:
+        """False if the line is no answer."""
+        try:
+            said = SAID.decode(line)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            return False
+        if said.verb not in RUNS and said.verb not in PROBES:
+            return False
+        number = self.by_rid.get(said.rid)
+        if number is None:
+            self.core.host.stray()
+            return True
+        attrs = said.attrs or NO_ATTRS
+        try:
+            if number in self.core.host.flights:
+                return self.ran(number, said, attrs)
+            return self.errand_ended(number, said, attrs)
+        except (ValueError, OverflowError, binascii.Error):
+            return False
+
+    def end(self, number: int) -> None:
+        self.since = self.core.clock()
+        self.forget(number)
+        self.linking.ended(number)
+
+    def ran(self, number: int, said: Said, attrs: Attrs) -> bool:
+        outcome = RUNS.get(said.verb)
+        if outcome is None:
+            return False
+        body = b64decode(said.content or "", validate=True) if outcome is Outcome.OK else b""
+        told = self.speech.company and outcome in (Outcome.OK, Outcome.FULL)
+        company = int(attrs.company) if told else None
+        report = report_of(attrs.use, self.speech.names) if attrs.use else NO_REPORT
+        if outcome is Outcome.MOOT:  # the runner had it, so it counts as a try
+            self.core.host.flights[number].ticket.before += 1
+        self.end(number)
+        self.core.host.ended(number, outcome, body, company=company, report=report)
+        return True
+
+    def errand_ended(self, number: int, said: Said, attrs: Attrs) -> bool:
+        if said.verb in PROBES:
+            report = report_of(attrs.use, self.speech.names)
+            self.end(number)
+            self.core.host.probed(number, PROBES[said.verb], report)
+        elif said.verb in ORDERS:
+            count = int(attrs.slots_up)
+            self.end(number)
+            self.core.host.ordered(number, ORDERS[said.verb], count)
+        else:
+            return False
+        return True
+
+    def lost(self) -> None:
+        self.core.input()
+        stream, self.stream, self.rest = self.stream, None, b""
+        if stream is None:
+            return
+        self.runner.left(self)
+        self.unsent = {mark for _, mark in stream.unsent if mark}
+        self.linking.step(Input.FAILED if self.linking.state is Link.DIALING else Input.BROKE)
+
+    # what the linking asks (Rim)
+
+    def dial(self) -> None:
+        try:
+            self.stream = Socket(self, dial(*self.runner.address))
+        except OSError:
+            self.core.after(1, self.undialled, None)
+            return
+        self.stream.begin()
+        self.core.after(self.core.facts["dial_time_out"], self.unmade, self.stream)
+
+    def undialled(self, _: object) -> None:
+        self.runner.left(self)
+        self.linking.step(Input.FAILED)
+
+    def unmade(self, stream: Socket) -> None:
+        if stream.dialling:
+            stream.drop("no connection in time")
+
+    def write(self, line: bytes, number: int = 0) -> None:
+        if self.stream is not None:
+            self.stream.send(line, number)
+            if self.stream is not None and self.stream.unsent:
+                self.linking.step(Input.SLOWED)
+
+    def close(self) -> None:
+        stream, self.stream = self.stream, None
+        self.runner.left(self)
+        if stream is not None:
+            stream.drop("no longer needed")
+
+    def ask(self, delay: int) -> None: ...  # a lost connection is not dialled anew: another is, when needed
+
+    def never_left(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.lose(number, Outcome.UNREACHABLE)
+
+    def broke(self, numbers: list[int]) -> None:
+        """What was not written whole never ran, what was may have."""
+        for number in numbers:
+            self.lose(number, Outcome.UNREACHABLE if number in self.unsent else Outcome.RESET)
+
+    def lose(self, number: int, outcome: Outcome) -> None:
+        self.forget(number)
+        if number in self.core.host.flights:
+            self.core.host.ended(number, outcome)
+        else:
+            self.core.host.errand_ended(number, outcome)
+
+
+class Runner:
+    """One runner at one address, and the pool of connections to it."""
+
+    def __init__(self, speech: "Speech", name: str, address: tuple[str, int]) -> None:
+        self.speech, self.core, self.name, self.address = speech, speech.core, name, address
+        self.wires: list[Wire] = []
+
+    # what the core tells
+
+    def named(self) -> None:
+        self.open_one()
+
+    def dropped(self) -> None:
+        for wire in list(self.wires):
+            wire.linking.step(Input.DROPPED)
+
+    def give_back(self) -> None:
+        for wire in list(self.wires):
+            wire.linking.give_back()
+
+    def end(self) -> None:
+        for wire in list(self.wires):
+            wire.close()
+
+    # the pool
+
+    def left(self, wire: Wire) -> None:
+        if wire in self.wires:
+            self.wires.remove(wire)
+            self.speech.wires -= 1
+
+    def open_one(self) -> Wire | None:
+        if len(self.wires) >= EACH_MOST or not self.speech.room():
+            return None
+        wire = Wire(self)
+        self.wires.append(wire)
+        self.speech.wires += 1
+        wire.linking.step(Input.WANTED)
+        return wire
+
+    def pick(self, used: list[Any]) -> Wire | None:
+        """The connection with the least on it, made or about to be; where that one is busy a further one is
+        opened beside it, so that a bad answer ends little else."""
+        best: Wire | None = None
+        least, dialling = self.speech.streams, False
+        for wire in self.wires:
+            state = wire.linking.state
+            if state not in USABLE or wire in used:
+                continue
+            dialling = dialling or state is Link.DIALING
+            held = wire.load()
+            if state is not Link.OPEN:
+                held += 16  # what waits there waits longer
+            if held < least:
+                best, least = wire, held
+        if best is None:
+            return self.open_one()
+        if least and not dialling:
+            self.open_one()
+        return best
+
+    # what the host asks
+
+    def run(self, flight: Flight) -> None:
+        ticket, asked = flight.ticket, flight.ticket.asked
+        wire = self.pick(asked.used)
+        line = b'{"verb":"RUN","rid":"%s","attrs":{%s,"budget":%d%s},"content":"%s"}\n' % (
+            asked.id, asked.head, max(1, flight.within // 10), asked.key, b64encode(asked.body),
+        )  # fmt: skip
+        flight.via = wire
+        if wire is None or not wire.send(flight.number, ticket.tag, line):
+            return self.core.host.ended(flight.number, Outcome.FULL)
+        asked.used.append(wire)
+
+    def hold(self, errand: Errand) -> None:
+        assert errand.fn is not None
+        attrs = b'{"path":"%s","slots_up":%d}' % (errand.fn.name.encode(), errand.count)
+        self.errand(errand, b"HOLD", b',"attrs":' + attrs, errand.count > 0)
+
+    def probe(self, errand: Errand) -> None:
+        self.errand(errand, b"INFO", b"", False)
+
+    def errand(self, errand: Errand, verb: bytes, attrs: bytes, prompt: bool) -> None:
+        wire, tag = self.pick([]), f"t{errand.number}"
+        errand.via = wire
+        line = b'{"verb":"%s","rid":"%s"%s}\n' % (verb, tag.encode(), attrs)
+        if wire is None or not wire.send(errand.number, tag, line, prompt):
+            self.core.host.errand_ended(errand.number, Outcome.FULL)
+
+    def unload(self, fn: str) -> None:
+        if wire := self.pick([]):
+            wire.linking.send(0, b'{"verb":"FREE","rid":"%s"}\n' % fn.encode(), owed=False)
+
+    def withdraw(self, number: int, tell: bool) -> bool:
+        return False  # flights and errands name their wire
+
+
+class Speech:
+    """All connections to runners."""
+
+    def __init__(self, core: Core, place: Place) -> None:
+        limits = place.told.limits
+        self.core, self.streams = core, limits.streams_per_conn
+        self.names = place.report_names
+        self.company = bool(core.facts["tells_company"])
+        self.idle = limits.conn_idle // 100 * 6 // 10  # well before the runner would
+        self.most = place.file.limits.sockets * 2 // 5
+        self.wires = 0
+
+    def __call__(self, name: str, address: Any, start: str = "") -> Runner:
+        return Runner(self, name, split(address))
+
+    def start(self) -> None:
+        self.core.after(SECOND, self.sweep, None)
+
+    def sweep(self, _: object) -> None:
+        now = self.core.clock()
+        for runner in self.core.runners.values():
+            for wire in list(runner.wires):
+                if wire.linking.state is Link.OPEN and not wire.load() and now - wire.since > self.idle:
+                    wire.close()
+        self.core.after(SECOND, self.sweep, None)
+
+    def room(self) -> bool:
+        """Whether one more may be opened; where none may, one that idles elsewhere makes room."""
+        if self.wires < self.most:
+            return True
+        idle = [
+            w for r in self.core.runners.values() if len(r.wires) > 1
+            for w in r.wires if w.linking.state is Link.OPEN and not w.load()
+        ]  # fmt: skip
+        if not idle:
+            return False
+        min(idle, key=lambda w: w.since).close()
+        return True
--- /dev/null
+++ b/lapistrestle/node/streams.py
@@ -0,0 +1,201 @@
+"""A connection on the reactor that tells what has left.
+
+Twisted's own transports keep what they are given, and nobody learns how much of it was written. Rules 2 and 3
+hang on just that, so connections of the platform's protocol are descriptors of their own, on the reactor's
+readers and writers. Each reads a bounded piece a turn: a client at full speed must not keep the rest waiting.
+"""
+
+import errno
+import os
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+READ = 16_384  # bytes of one connection a turn
+
+
+class Stream:
+    """One connected or connecting socket. A subclass gives `received`, `lost` and, where it dials, `made`."""
+
+    def __init__(self, reactor: Any, sock: socket.socket, dialled: bool = False) -> None:
+        self.reactor, self.sock = reactor, sock
+        self.dialling, self.dead, self.closing = dialled, False, False
+        self.unsent: deque[tuple[bytes, int]] = deque()  # pieces, each with a mark of the sender's own
+        self.at = 0  # bytes of the first piece that have left
+        self.waiting = 0  # bytes that have not
+        self.writing = self.reading = False
+
+    def begin(self) -> None:
+        if self.dialling:
+            self.watch_writes(True)
+        else:
+            self.watch_reads(True)
+
+    def watch_reads(self, on: bool) -> None:
+        if on is not self.reading and not self.dead:
+            self.reading = on
+            (self.reactor.addReader if on else self.reactor.removeReader)(self)
+
+    def watch_writes(self, on: bool) -> None:
+        if on is not self.writing and not self.dead:
+            self.writing = on
+            (self.reactor.addWriter if on else self.reactor.removeWriter)(self)
+
+    # what the reactor asks
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def logPrefix(self) -> str:
+        return type(self).__name__
+
+    def doRead(self) -> None:
+        if self.dead:
+            return
+        try:
+            data = self.sock.recv(READ)
+        except OSError as trouble:
+            if trouble.errno not in AGAIN:
+                self.drop(trouble.strerror or "lost")
+            return
+        if not data:
+            return self.drop("closed by the peer")
+        self.received(data)
+
+    def doWrite(self) -> None:
+        if self.dead:
+            return
+        if self.dialling:
+            trouble = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if trouble:
+                return self.drop(os.strerror(trouble))
+            self.dialling = False
+            self.watch_writes(False)
+            self.watch_reads(True)
+            return self.made()
+        self.flush()
+
+    def connectionLost(self, reason: Any) -> None:
+        self.drop("lost")
+
+    # what its owner asks
+
+    def send(self, data: bytes, mark: int = 0) -> None:
+        """Write at once as much as the socket takes; the rest follows when it can."""
+        if self.dead:
+            return
+        self.unsent.append((data, mark))
+        self.waiting += len(data)
+        if len(self.unsent) == 1 and not self.dialling:
+            self.flush()
+
+    def flush(self) -> None:
+        while self.unsent and not self.dead:
+            data = self.unsent[0][0]
+            try:
+                sent = self.sock.send(data[self.at :] if self.at else data)
+            except OSError as trouble:
+                if trouble.errno in AGAIN:
+                    break
+                return self.drop(trouble.strerror or "lost")
+            self.at, self.waiting = self.at + sent, self.waiting - sent
+            if self.at < len(data):
+                break
+            self.unsent.popleft()
+            self.at = 0
+        if self.unsent:
+            return self.watch_writes(True)
+        if self.closing:
+            return self.drop("done")
+        if self.writing:
+            self.watch_writes(False)
+            self.drained()
+
+    def close(self) -> None:
+        """Close once all is written."""
+        self.closing = True
+        self.watch_reads(False)
+        if not self.unsent:
+            self.drop("done")
+
+    def drop(self, why: str) -> None:
+        """Close now."""
+        if self.dead:
+            return
+        self.reactor.removeReader(self)
+        self.reactor.removeWriter(self)
+        self.dead = True
+        self.sock.close()
+        self.lost(why)
+
+    # for subclasses
+
+    def made(self) -> None: ...
+
+    def received(self, data: bytes) -> None: ...
+
+    def drained(self) -> None: ...
+
+    def lost(self, why: str) -> None: ...
+
+
+def dial(host: str, port: int) -> socket.socket:
+    """A socket that has begun to connect. Raises OSError where that fails at once."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((host, port))
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, os.strerror(code))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Listener:
+    """Accepts connections, a few a turn."""
+
+    EACH = 16
+
+    def __init__(self, reactor: Any, host: str, port: int, taken: Callable[[socket.socket], None]) -> None:
+        self.reactor, self.taken = reactor, taken
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind((host, port))
+            self.sock.listen(1024)
+        except OSError:
+            self.sock.close()
+            raise
+        self.closed = False
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def logPrefix(self) -> str:
+        return "Listener"
+
+    def doRead(self) -> None:
+        for _ in range(self.EACH):
+            try:
+                sock, _addr = self.sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.taken(sock)
+
+    def connectionLost(self, reason: Any) -> None:
+        self.close()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.reactor.removeReader(self)
+            self.sock.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from lapistrestle.deployment import words
 from lapistrestle.choice import Dispatcher
+from lapistrestle.deployment import words
 from lapistrestle.interface import SrvFacts
 from lapistrestle.state import Fn, Rpc, Srv
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -6,8 +6,8 @@
 import pytest
 from helpers import SETTINGS
 
-from lapistrestle.deployment import words
 from lapistrestle.benchlink.wire import Links, Malformed, serve
+from lapistrestle.deployment import words
 
 D = {"dispatcher-id": "dispatcher/0"}
 INIT = {"Init": {**D, "rng-seed": 5, "settings": SETTINGS}}
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,8 +3,8 @@
 import pytest
 from helpers import SETTINGS
 
-from lapistrestle.deployment import words
 from lapistrestle.choice import Dispatcher
+from lapistrestle.deployment import words
 from lapistrestle.hosting.door import Door
 from lapistrestle.hosting.host import Hosting
 from lapistrestle.interface import Outcome, SrvFacts
