A late full answer bars no customer where there is only one; silence ends with the last call-out

Counters by worker in the log showed three of six serving workers with no call-out of ours for up to twelve seconds, neither suspect nor draining. Each had answered FULL after some 160 ms: learn() in choice.py took that for a worker that holds this customer back and passed it over for two seconds, which on a site without customers is everything. Likewise fit(): unheard stayed set when the last call-out there timed out, and with nothing out nothing could end it. Ruled out: pressure (never on), the cold budget (their size was in full), health.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -325,7 +325,7 @@
         spot, call_out.outcome = rpc.fn.spot(srv), outcome
         spot.end(call_out)
         self.out, self.loading = self.out - (not call_out.cold), self.loading - call_out.cold
-        if outcome is not Outcome.TIMED_OUT:
+        if outcome is not Outcome.TIMED_OUT or not srv.warm:  # with nothing out it can't break its silence
             srv.unheard = self.now if srv.warm else None
         self.learn(spot, call_out, outcome, answer)
         if MEANING[outcome] is Input.MAY_HAVE_RUN and rpc.ran_on is None:
@@ -361,8 +361,9 @@
         srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
         if outcome is Outcome.MISS:
             spot.copies, spot.missing = 0, self.now
-        if outcome is Outcome.FULL and answer.took < self.weight(rpc.method) / 4:  # its queue is, for all
-            srv.full_until = self.now + FULL  # or the next ok answer
+        alone = len(self.facts["customers"]) < 2  # then no customer is held back for the others' sake
+        if outcome is Outcome.FULL and (alone or answer.took < self.weight(rpc.method) / 4):
+            srv.full_until = self.now + FULL  # its queue is, for all, until the next ok answer
         elif outcome is Outcome.FULL:  # with room, but it holds this customer back
             srv.held_back[rpc.customer] = self.now + int(BACKOFF * self.stretch)
         if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -74,8 +74,11 @@
             self.dialling = False
             self.watch_writes(False)
             self.watch_reads(True)
-            return self.made()
-        self.flush()
+            self.made()
+        if self.unsent:
+            self.flush()
+        elif not self.dead:
+            self.watch_writes(False)
 
     def connectionLost(self, reason: Any) -> None:
         self.drop("lost")
--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -320,3 +320,77 @@
     def cut(self) -> None:
         for follower in list(self.followers):
             follower.drop("cut")
+
+
+def configuration(listen: str, board: str) -> dict[str, Any]:
+    """A small one: three classes, one of each effect."""
+    classes = [("search", "idempotent"), ("publish", "deduplicated"), ("bill", "at_most_once")]
+    profiles = [
+        {"name": name, "aim": 1_000_000, "deadline": 3_000_000, "idempotency": effect,
+         "repeat-window": 2_000_000}
+        for name, effect in classes
+    ]  # fmt: skip
+    return {
+        "name": "n0", "listen": listen, "seed": "1", "board": board, "limits": {"sockets": 256},
+        "settings": {
+            "zones": ["here"], "models": ["std"], "profiles": profiles,
+            "limits": {"try-limit": 3, "cancel": True, "dial-timeout": 250_000},
+            "family-info": {"placement-calls": True, "load-period": 5_000_000, "free-loads": 3,
+                            "load-share": 0.2, "idle-life": 8_000_000, "when-absent": "miss",
+                            "answer-within": 9_000_000},
+        },
+    }  # fmt: skip
+
+
+def main() -> None:
+    """Start a dispatcher as the platform does, two runners and a board, send calls and show the answers."""
+    import json
+    import os
+    import signal
+    import subprocess
+    import sys
+    import tempfile
+
+    class Clock(Hand):
+        """The hand, moved by the real clock."""
+
+        def pump(self, seconds: float, done: Callable[[], bool]) -> None:
+            end = time.monotonic() + seconds
+            while not done() and time.monotonic() < end:
+                self.run(0.01)
+                time.sleep(0.01)
+
+    hand = Clock()
+    board, runners = BoardEnd(hand), [RunnerEnd(hand), RunnerEnd(hand)]
+    for runner in runners:
+        runner.loaded = {}
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    board.tell(1, 1, *(row(i + 1, runner.port) for i, runner in enumerate(runners)))
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "config.json")
+        with open(path, "w") as file:
+            json.dump(configuration(f"127.0.0.1:{port}", f"127.0.0.1:{board.port}"), file)
+        node = subprocess.Popen(
+            [sys.executable, "-m", "lapistrestle.node"], env=os.environ | {"EDGE_CONFIG": path}
+        )
+        try:
+            hand.pump(10.0, lambda: bool(board.asked))
+            hand.pump(0.3, lambda: False)
+            client = WebServer(hand, port)
+            numbers = [client.ask(fn=f"{i % 3:016x}", body=b"call %d" % i) for i in range(6)]
+            hand.pump(5.0, lambda: all(client.status(n) is not None for n in numbers))
+            for number in numbers:
+                print(number, client.status(number), client.body(number) if client.status(number) else "")
+            print(f"runs {[len(r.runs) for r in runners]}, loaded {[r.loaded for r in runners]}")
+        finally:
+            node.send_signal(signal.SIGTERM)
+            hand.pump(5.0, lambda: node.poll() is not None)
+            if node.poll() is None:
+                node.kill()
+            print(f"exit {node.wait()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -467,6 +467,36 @@
     assert made.srvs == [stays] and len(one.fn.marks) < 3 and len(one.fn.spots) < 3
 
 
+@pytest.mark.parametrize("customers, closed", [([], False), ([{"quota": 2.0}, {"quota": 9.0}], True)])
+def test_a_late_full_answer_bars_a_customer_only_where_there_is_another(customers, closed):
+    """Without customers it barred everything for two seconds, and three of six workers stood idle."""
+    made = dispatcher(2)
+    made.facts = {**made.facts, "customers": customers}
+    one = rpc(made)
+    home = made.walk(one.fn)[0]
+    one.state = State.OUT
+    made.send(one, one.fn.spot(home))
+    made.now += 1_600
+    made.ended(one.call_outs[0], Outcome.FULL, Answer(1_600))
+    assert (home.held_back.get(0, 0) > made.now) is closed
+    made.now += SECOND // 2
+    assert (home in made.candidates(rpc(made), made.ring)) is not closed
+
+
+def test_a_worker_whose_last_call_out_timed_out_is_not_silent_for_good():
+    made = dispatcher(1)
+    one = rpc(made)
+    home = made.srvs[0]
+    one.fn.spot(home).copies, one.fn.spot(home).seen = 1, made.now
+    one.state = State.OUT
+    made.send(one, one.fn.spot(home))
+    made.now += 30_000
+    assert not made.fit(home)
+    made.ended(one.call_outs[0], Outcome.TIMED_OUT, Answer(30_000))
+    made.now += 30_000
+    assert made.fit(home)
+
+
 def test_a_worker_whose_line_of_loads_is_full_gets_no_load_until_one_ends_there():
     made = dispatcher(3)
     made.taken.extend([made.now] * 100)
@@ -528,6 +558,8 @@
 
 def test_a_full_answer_that_took_long_holds_back_that_customer_alone():
     made = dispatcher(1, **{"when-absent": "load"})
+    made.facts = {**made.facts, "customers": [{"quota": 0.0}, {"quota": 0.0}]}
+    made.asked = [Sum(50_000), Sum(50_000)]
     one, same, other = rpc(made), rpc(made), rpc(made)
     other.customer = 1
     made.arrived(one)
