A broken connection is no restart: its order stands, and what is loaded there stays believed

Checked against the sockets: the runner goes on loading, since an order stands even if its connection ends; the module believed the worker empty (learn and ordered in choice.py set emptied on every reset), released the waiting RPCs to other workers and ordered the same anew. Where absent functions miss, a reset no longer empties a worker, and an order that was reset counts as standing; a refused connection still empties.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -358,7 +358,8 @@
             sure = self.facts["tells_warm"] or self.facts["absent_misses"]
             if sure or self.srv_zone(spot) < Zone.WARNING:  # else its queue may be what was slow
                 self.judge_load(fn, outcome is Outcome.OK, answer.took)
-        srv.emptied = self.now if outcome in (Outcome.UNREACHABLE, Outcome.RESET) else srv.emptied
+        died = (Outcome.UNREACHABLE,) if self.facts["absent_misses"] else (Outcome.UNREACHABLE, Outcome.RESET)
+        srv.emptied = self.now if outcome in died else srv.emptied  # one reset is no death; a miss would tell
         if outcome is Outcome.MISS:
             spot.copies, spot.missing = 0, self.now
         alone = len(self.facts["customers"]) < 2  # then no customer is held back for the others' sake
@@ -539,6 +540,8 @@
             srv.line_until = self.now + FULL if outcome is Outcome.FULL else 0
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
             spot.copies, spot.seen, spot.missing = count, self.now, spot.missing if count else self.now
+        elif outcome is Outcome.RESET and self.facts["absent_misses"]:  # the order itself stands
+            spot.copies, spot.seen = max(1, spot.copies), self.now
         elif outcome in (Outcome.RESET, Outcome.UNREACHABLE):
             srv.emptied = self.now
             self.judge_health(srv, True, self.now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -497,6 +497,36 @@
     assert made.fit(home)
 
 
+def test_an_order_whose_connection_broke_stands_and_its_waiters_go_there():
+    """Seen on sockets: ten orders a second lost their connection, and what they loaded was ordered anew."""
+    made = dispatcher(2)
+    made.taken.extend([made.now] * 100)
+    one = rpc(made)
+    home = made.walk(one.fn)[0]
+    spot = one.fn.spot(home)
+    made.order(spot, 1)
+    one.state = State.PARKED
+    spot.waiters.append(one)
+    made.ordered(home, one.fn, Outcome.RESET, 0, 6_000)
+    assert one.call_outs[0].srv is home and not one.call_outs[0].cold and home.emptied < 0
+
+
+@pytest.mark.parametrize(
+    "absent, outcome, emptied",
+    [("miss", Outcome.RESET, False), ("load", Outcome.RESET, True), ("miss", Outcome.UNREACHABLE, True)],
+)
+def test_a_reset_alone_is_no_restart_where_a_miss_would_tell(absent, outcome, emptied):
+    made = dispatcher(2, **{"when-absent": absent})
+    one, other = rpc(made), rpc(made, name="g")
+    home = made.walk(one.fn)[0]
+    stands = other.fn.spot(home)
+    stands.copies, stands.seen = 1, made.now - 1
+    one.state = State.OUT
+    made.send(one, one.fn.spot(home))
+    made.ended(one.call_outs[0], outcome, Answer(10))
+    assert (made.believed(stands) == 0) is emptied
+
+
 def test_a_worker_whose_line_of_loads_is_full_gets_no_load_until_one_ends_there():
     made = dispatcher(3)
     made.taken.extend([made.now] * 100)
