--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -325,7 +325,7 @@
         spot, call_out.outcome = rpc.fn.spot(srv), outcome
         spot.end(call_out)
         self.out, self.loading = self.out - (not call_out.cold), self.loading - call_out.cold
-        if outcome is not Outcome.TIMED_OUT or not srv.warm:  # with nothing out it can't break its silence
+        if outcome is not Outcome.TIMED_OUT:
             srv.unheard = self.now if srv.warm else None
         self.learn(spot, call_out, outcome, answer)
         if MEANING[outcome] is Input.MAY_HAVE_RUN and rpc.ran_on is None:
@@ -476,7 +476,7 @@
         """Neither suspect nor silent; a suspect one gets one call-out at a time once its pause is over."""
         silence = 0 if srv.unheard is None else self.now - srv.unheard
         if silence and silence > 4 * max(self.weight(m) for m in range(len(self.light))):
-            return False
+            return silence > LONG and not srv.out  # with nothing out it could not break its silence
         return not srv.suspect or (self.now >= srv.due and not srv.out)
 
     def warmth_of(self, srv: Srv) -> float:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -493,8 +493,12 @@
     made.now += 30_000
     assert not made.fit(home)
     made.ended(one.call_outs[0], Outcome.TIMED_OUT, Answer(30_000))
-    made.now += 30_000
+    home.suspect = False
+    assert not made.fit(home)
+    made.now += 100_000
     assert made.fit(home)
+    made.send(rpc(made), one.fn.spot(home))
+    assert not made.fit(home)  # one at a time, until it is heard from
 
 
 def test_an_order_whose_connection_broke_stands_and_its_waiters_go_there():
