Half requests of a crowd are bounded together; the dispatcher as a process is tested

Need: 32 requests a connection with bodies of 16 KiB that never end, on a hundred connections, are 59 MB of a limit of 64. What has not come whole is now bounded over all connections by an eighth of the memory, open RPCs by a quarter of it, and EDGE_LISTEN is checked like the file. Tests: that crowd; the process from start over SIGHUP (a bad file, a new board) to SIGTERM; what it can't start with in one line; what is switched off is not imported.

--- a/lapistrestle/node/__main__.py
+++ b/lapistrestle/node/__main__.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any
 
-from lapistrestle.node.place import Place, Wrong, fields_of, read
+from lapistrestle.node.place import ADDRESS, Place, Wrong, fields_of, read
 from lapistrestle.node.program import Node
 from lapistrestle.records.lean import make_log
 
@@ -24,6 +24,8 @@
 def place_of_now() -> Place:
     path, listen, name = fields_of(os.environ)
     place = read(path)
+    if listen and not ADDRESS.fullmatch(listen):
+        raise Wrong(f"EDGE_LISTEN is {listen!r}; expected an address and a port, such as 10.0.0.4:10080")
     place.file.listen = listen or place.file.listen
     place.file.name = name or place.file.name
     return place
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -20,6 +20,7 @@
 IDLE = 60_000  # clients close theirs sooner; who keeps one for good loses it
 SWEEP = 2_500
 MOST_UNSENT = 1_048_576  # bytes towards a client that does not read
+MOST_HELD = 65_536  # bytes of half requests that one connection may hold when memory runs short
 MOST_WORK = 600_000.0  # milliseconds
 MOST_MEMORY = 1e6  # MB
 MOST_LANES = 1024
@@ -85,6 +86,7 @@
         self.tickets: dict[int, Ticket] = {}
         self.asked = False  # it has brought a whole request
         self.since = front.core.clock()  # connected, or without an open request
+        self.held = 0  # bytes of what has not come whole
         self.half, self.half_since = 0, 0  # the first request that has not come whole, and since when
 
     def received(self, data: bytes) -> None:
@@ -110,6 +112,10 @@
                     return self.drop(event.why)
         if self.waiting > MOST_UNSENT:
             return self.drop("does not read")
+        held = self.reader.held()
+        self.front.held, self.held = self.front.held + held - self.held, held
+        if self.front.held > self.front.most_held and held > MOST_HELD:
+            return self.drop("holds too much that is not whole")
         half = next(iter(self.reader.begun), 0)
         if half != self.half:
             self.half, self.half_since = half, self.front.core.clock()
@@ -149,6 +155,7 @@
     def lost(self, why: str) -> None:
         self.front.core.input()
         self.front.seats.pop(self, None)
+        self.front.held, self.held = self.front.held - self.held, 0
         self.front.idle.pop(self, None)
         tickets, self.tickets = list(self.tickets.values()), {}
         for ticket in tickets:
@@ -164,7 +171,10 @@
         self.seats: dict[Seat, None] = {}
         self.idle: OrderedDict[Seat, None] = OrderedDict()  # without an open request, longest idle first
         self.most = place.file.limits.sockets * 9 // 20
-        self.most_open = place.told.limits.max_open
+        memory = place.file.limits.memory_mb * 1e6
+        self.held, self.most_held = 0, memory / 8  # bytes of what has not come whole
+        most = max(256, int(memory / 4 / records.MOST_BODY))  # if each brings the longest body
+        self.most_open = min(place.told.limits.max_open, most)
         self.listener: Listener | None = None
         self.ready: Callable[[], bool] = lambda: False  # whether the list stands; the source knows
         self.leaving = False
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/place.py
@@ -1,5 +1,6 @@
 """What a dispatcher is told of its place: the file that EDGE_CONFIG names, checked."""
 
+import re
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any
@@ -10,7 +11,8 @@
 from lapistrestle.deployment import words
 from lapistrestle.interface import Facts
 
-Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+ADDRESS = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}")
+Address = Annotated[str, Meta(pattern=f"^{ADDRESS.pattern}$")]
 
 
 class Wrong(Exception):
--- a/lapistrestle/node/records.py
+++ b/lapistrestle/node/records.py
@@ -84,6 +84,10 @@
     def ended(self, number: int) -> None:
         self.open.discard(number)
 
+    def held(self) -> int:
+        """Bytes kept of what has not come whole."""
+        return len(self.rest) + sum(len(b.params) + len(b.body) for b in self.begun.values())
+
     def feed(self, data: bytes) -> list[Event]:
         if self.broken:
             return []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -39,13 +39,13 @@
 class Stage:
     """A dispatcher that knows its runners, and everyone it talks to."""
 
-    def __init__(self, runners=2, sockets=256, **settings):
+    def __init__(self, runners=2, sockets=256, memory_mb=192, **settings):
         self.hand, self.logs = Hand(), []
         self.board = BoardEnd(self.hand)
         self.runners = [RunnerEnd(self.hand) for _ in range(runners)]
         file = {
             "name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": sockets}, "board": f"127.0.0.1:{self.board.port}",
+            "limits": {"sockets": sockets, "memory_mb": memory_mb}, "board": f"127.0.0.1:{self.board.port}",
             "settings": SETTINGS | settings,
         }  # fmt: skip
         self.place = parse(msgspec.json.encode(file), "config.json")
@@ -206,6 +206,25 @@
     assert not stage.runs() and not stage.node.front.seats
 
 
+def test_half_requests_of_a_crowd_are_bounded_together(stages):
+    stage = stages(memory_mb=4)
+    crowd = [stage.client() for _ in range(6)]
+    for client in crowd:
+        for _ in range(16):
+            client.ask(body=b"x" * 16_000, whole=False)
+        stage.hand.quiet()
+        assert stage.node.front.held <= 500_000 + 65_536 + 262_144
+    assert any(client.closed for client in crowd)
+    good = stage.client()
+    number = good.ask(id="9b1f03aa5c7e2d41")
+    stage.hand.until(lambda: good.status(number))
+    assert good.status(number) == 200
+    for client in crowd:
+        client.drop("over")
+    stage.hand.quiet()
+    assert stage.node.front.held == 0
+
+
 def test_half_a_request_and_silent_connections_are_closed_within_three_seconds(stage):
     silent, half, good = stage.client(), stage.client(), stage.client()
     half.ask(whole=False)
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,130 @@
+"""The dispatcher as the platform starts it: a process, its environment, its signals."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, configuration, row
+
+HEAVY = ("numpy", "scipy", "matplotlib", "rich", "simpy", "lmdb", "structlog", "click", "json5")
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class World:
+    """A board, a runner and a dispatcher in a process of its own."""
+
+    def __init__(self, folder):
+        self.hand = Hand()
+        self.board, self.runner = BoardEnd(self.hand), RunnerEnd(self.hand)
+        self.board.tell(1, 1, row(1, self.runner.port))
+        self.port, self.path, self.processes = free_port(), folder / "config.json", []
+        self.told = configuration(f"127.0.0.1:{self.port}", f"127.0.0.1:{self.board.port}")
+        self.write(self.told)
+
+    def write(self, told):
+        self.path.write_text(told if isinstance(told, str) else json.dumps(told))
+
+    def start(self, **more):
+        env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+        made = subprocess.Popen(
+            [sys.executable, "-m", "lapistrestle.node"], env=env | {"EDGE_CONFIG": str(self.path)} | more,
+            stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        self.processes.append(made)
+        return made
+
+    def until(self, done, seconds=20):
+        """Serve until something holds; the stand-ins' clock follows the real one."""
+        end = time.monotonic() + seconds
+        while not done():
+            assert time.monotonic() < end, "it never came"
+            self.hand.run(0.01)
+            time.sleep(0.01)
+
+    def call(self, id):
+        client = WebServer(self.hand, self.port)
+        number = client.ask(id=id)
+        self.until(lambda: client.status(number) is not None)
+        return client.status(number), client
+
+    def end(self):
+        for made in self.processes:
+            if made.poll() is None:
+                made.kill()
+            made.wait()
+            made.stderr.close()
+        for end in (self.board, self.runner):
+            end.listener.close()
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = World(tmp_path)
+    yield made
+    made.end()
+
+
+def test_it_serves_moves_to_a_new_board_and_ends_with_zero(world):
+    node = world.start()
+    world.until(lambda: world.board.asked)
+    world.until(lambda: world.runner.lines)
+    status, client = world.call("9b1f03aa5c7e2d41")
+    assert status == 200 and client.body(1) == b"hello"
+    world.write("{nonsense")
+    node.send_signal(signal.SIGHUP)
+    other = BoardEnd(world.hand)
+    world.until(lambda: "refused" in node.stderr.readline())
+    world.write(world.told | {"board": f"127.0.0.1:{other.port}"})
+    node.send_signal(signal.SIGHUP)
+    world.until(lambda: other.asked)
+    assert other.asked[0] == 1 and world.call("9b1f03aa5c7e2d42")[0] == 200
+    node.send_signal(signal.SIGTERM)
+    assert world.call("9b1f03aa5c7e2d43")[0] == 200  # connections still come
+    world.until(lambda: node.poll() is not None)
+    assert node.returncode == 0
+    other.listener.close()
+
+
+@pytest.mark.parametrize(
+    "told, more, code, says",
+    [
+        ("{", {}, 2, "config.json"),
+        (None, {"EDGE_CONFIG": ""}, 2, "EDGE_CONFIG"),
+        (None, {"EDGE_CONFIG": "/nowhere"}, 2, "/nowhere"),
+        (None, {"EDGE_LISTEN": "127.0.0.1:TAKEN"}, 1, "can't listen"),
+        (None, {"EDGE_LISTEN": "nowhere"}, 2, "EDGE_LISTEN"),
+    ],
+)
+def test_what_it_cannot_start_with_is_told_in_one_line(world, told, more, code, says):
+    if told:
+        world.write(told)
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = str(taken.getsockname()[1])
+        node = world.start(**{k: v.replace("TAKEN", port) for k, v in more.items()})
+        _, errors = node.communicate(timeout=30)
+    assert node.returncode == code
+    lines = [line for line in errors.splitlines() if not line.startswith("{")]
+    assert len(lines) == 1 and says in lines[0]
+
+
+def test_what_is_switched_off_is_not_imported():
+    code = "import lapistrestle.node.__main__, sys; print(*sys.modules)"
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    loaded = told.stdout.split()
+    assert "lapistrestle.node.front" in loaded
+    assert not set(HEAVY) & {name.split(".")[0] for name in loaded}
+    off = ("planner", "rollout", "command", "standins", "edge.program")
+    assert not [name for name in loaded if name.startswith(tuple(f"lapistrestle.{part}" for part in off))]
