A runner named again keeps its connections until its address or its start changes

Cause: the core compares a way's address with the list's, and node's runner had split the text into host and port, so the two never matched: each mention of a runner, a drain too, dropped its pool and dialled anew. Found in review; a test of a drain shows another pool and fails before the change. Change: the board names a process by address and start, the runner keeps just that. The start counts, since a machine that came back under its id has none of the old connections; the address alone, tried first, left them in place.

--- a/lapistrestle/node/board.py
+++ b/lapistrestle/node/board.py
@@ -248,10 +248,10 @@
         named = {entry.name for entry in entries}
         self.core.host.listed(facts, whole)
         for name in self.listed - named if whole else ():
-            self.core.address(name, "")
+            self.core.address(name, None)
         for entry in entries:
             gone = LISTINGS[entry.state] is Listing.GONE
-            self.core.address(entry.name, "" if gone else entry.address)
+            self.core.address(entry.name, None if gone else (entry.address, entry.started))
         self.listed = named if whole else self.listed | named
         self.listed -= {entry.name for entry in entries if LISTINGS[entry.state] is Listing.GONE}
         self.core.held_back(facts)
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -213,7 +213,7 @@
 
     def dial(self) -> None:
         try:
-            self.stream = Socket(self, dial(*self.runner.address))
+            self.stream = Socket(self, dial(*split(self.runner.address[0])))
         except OSError:
             self.core.after(1, self.undialled, None)
             return
@@ -262,7 +262,7 @@
 
 
 class Runner:
-    """One runner at one address, and the pool of connections to it."""
+    """One start of a runner at one address, and the pool of connections to it."""
 
     def __init__(self, speech: "Speech", name: str, address: tuple[str, int]) -> None:
         self.speech, self.core, self.name, self.address = speech, speech.core, name, address
@@ -376,7 +376,7 @@
         self.wires = 0
 
     def __call__(self, name: str, address: Any, start: str = "") -> Runner:
-        return Runner(self, name, split(address))
+        return Runner(self, name, address)
 
     def start(self) -> None:
         self.core.after(SECOND, self.sweep, None)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -398,6 +398,19 @@
 # the board
 
 
+def test_a_runner_named_again_at_its_address_keeps_its_connections(stage):
+    """Each mention of a runner had replaced its pool, so that a drain dialled it anew."""
+    runner = stage.node.core.runners["s-00000001"]
+    wires, lines = list(runner.wires), list(stage.runners[0].lines)
+    stage.board.tell(2, 2, stage.row(0, state=1))
+    stage.hand.until(lambda: stage.srvs()["s-00000001"].listing is Listing.DRAINING)
+    assert stage.node.core.runners["s-00000001"] is runner
+    assert wires and runner.wires == wires and stage.runners[0].lines == lines
+    stage.board.tell(3, 2, stage.row(0, started=1_700_000_000_000))  # its machine went and came back
+    stage.hand.until(lambda: not any(wire.stream for wire in wires))
+    assert stage.node.core.runners["s-00000001"] is not runner
+
+
 def test_events_count_once_and_a_gap_asks_anew_with_the_last_whole_number(stage):
     stage.board.raw(frame(1, 2, stage.row(0, state=2)))  # told before
     stage.hand.quiet()
