The node calls the edge's own pieces where it had written them again; dead state goes

Cause: read once more as a whole, the change had written some things twice: the reactor with its signals and collector (now edge/running.py, called by both programs), the end without word of a call-out, order or probe (Hosting.lost, for both protocols and the model), the time-out of a dial (Stream.unmade), which outcomes show that a worker is empty (Dispatcher.died, asked by answers and orders). State that could be derived is gone: the board's list of names beside the core's runners, the line runner's port beside its address; so are arguments, attributes and a method that nobody used. Behaviour stays.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -26,9 +26,10 @@
 from twisted.internet.protocol import ClientFactory, ServerFactory
 from twisted.protocols.basic import LineReceiver
 
-from lapistrestle.command.programs import reactor_of_now, serve
+from lapistrestle.command.programs import serve
 from lapistrestle.deployment.load import load
 from lapistrestle.edge.program import Edge
+from lapistrestle.edge.running import reactor_of_now
 from lapistrestle.standins.roster import RosterStandIn
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire.lines import LineBounds, Speaker, union
--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -52,6 +52,9 @@
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
         self.orders, self.taken = deque[int](), deque[int]()
+        self.died = {Outcome.UNREACHABLE}  # what shows that nothing stands there any more
+        if not facts["absent_misses"]:  # else one reset is no death: a miss would tell
+            self.died.add(Outcome.RESET)
         if facts["list_asked"]:
             self.follow()
 
@@ -358,8 +361,7 @@
             sure = self.facts["tells_warm"] or self.facts["absent_misses"]
             if sure or self.srv_zone(spot) < Zone.WARNING:  # else its queue may be what was slow
                 self.judge_load(fn, outcome is Outcome.OK, answer.took)
-        died = (Outcome.UNREACHABLE,) if self.facts["absent_misses"] else (Outcome.UNREACHABLE, Outcome.RESET)
-        srv.emptied = self.now if outcome in died else srv.emptied  # one reset is no death; a miss would tell
+        srv.emptied = self.now if outcome in self.died else srv.emptied
         if outcome is Outcome.MISS:
             spot.copies, spot.missing = 0, self.now
         alone = len(self.facts["customers"]) < 2  # then no customer is held back for the others' sake
@@ -473,7 +475,7 @@
             self.host.log(f"{srv.name} fit again")
 
     def fit(self, srv: Srv) -> bool:
-        """Neither suspect nor silent; a suspect one gets one call-out at a time once its pause is over."""
+        """Neither suspect nor silent; such a one gets one call-out at a time once its pause is over."""
         silence = 0 if srv.unheard is None else self.now - srv.unheard
         if silence and silence > 4 * max(self.weight(m) for m in range(len(self.light))):
             return silence > LONG and not srv.out  # with nothing out it could not break its silence
@@ -540,11 +542,11 @@
             srv.line_until = self.now + FULL if outcome is Outcome.FULL else 0
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
             spot.copies, spot.seen, spot.missing = count, self.now, spot.missing if count else self.now
-        elif outcome is Outcome.RESET and self.facts["absent_misses"]:  # the order itself stands
-            spot.copies, spot.seen = max(1, spot.copies), self.now
-        elif outcome in (Outcome.RESET, Outcome.UNREACHABLE):
+        elif outcome in self.died:
             srv.emptied = self.now
             self.judge_health(srv, True, self.now)
+        elif outcome is Outcome.RESET:  # the order itself stands
+            spot.copies, spot.seen = max(1, spot.copies), self.now
         self.release(spot)
 
     def release(self, spot: Spot) -> None:
--- a/lapistrestle/command/demo.py
+++ b/lapistrestle/command/demo.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 from twisted.internet.protocol import ClientFactory
 
-from lapistrestle.command.programs import reactor_of_now
+from lapistrestle.edge.running import reactor_of_now
 from lapistrestle.standins.children import Child
 from lapistrestle.standins.client import Crowd, Habits, Line, Wish
 from lapistrestle.wire import messages as wire
--- a/lapistrestle/command/programs.py
+++ b/lapistrestle/command/programs.py
@@ -1,6 +1,5 @@
 """The programs: edge, and the stand-ins runner and roster; and `call`, which sends calls to an edge."""
 
-import gc
 import random
 import signal
 import sys
@@ -18,6 +17,7 @@
 
 from lapistrestle.deployment.load import Wrong, load, read_json5, shaped
 from lapistrestle.edge.program import Edge
+from lapistrestle.edge.running import reactor_of_now, run
 from lapistrestle.records.logs import make_log
 from lapistrestle.standins.engine import RunnerFacts
 from lapistrestle.standins.roster import RosterStandIn
@@ -31,15 +31,6 @@
 as_json = click.option("--json", "json_", is_flag=True, help="JSON lines instead of lines for people.")
 
 
-def reactor_of_now() -> Any:
-    """Twisted's reactor on the monotonic clock: the machine's time may be set while we run."""
-    from twisted.internet import reactor
-
-    made: Any = reactor
-    made.seconds = time.monotonic
-    return made
-
-
 def told(path: Path | None, port: int) -> None:
     """Whole at once, so that a reader never meets half a number."""
     if path is not None:
@@ -60,14 +51,7 @@
             reactor.stop()
 
     failed: list[int] = []
-    # What stands at the start is never garbage, and an RPC leaves no cycle behind: full collections find
-    # next to nothing, yet each holds every RPC up for tens of milliseconds. They still come, but rarely.
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(stop))
-    reactor.callWhenRunning(begin)
-    reactor.run(installSignalHandlers=False)
+    run(reactor, begin, dict.fromkeys((signal.SIGTERM, signal.SIGINT), stop))
     if failed:
         raise SystemExit(1)
 
--- a/lapistrestle/command/rollouts.py
+++ b/lapistrestle/command/rollouts.py
@@ -13,9 +13,10 @@
 from rich.table import Table
 from twisted.internet.protocol import ClientFactory
 
-from lapistrestle.command.programs import as_json, reactor_of_now, serve, tell_port
+from lapistrestle.command.programs import as_json, serve, tell_port
 from lapistrestle.deployment.load import Wrong, read_json5, shaped
 from lapistrestle.deployment.shape import Shape, Span
+from lapistrestle.edge.running import reactor_of_now
 from lapistrestle.planner.program import Planner
 from lapistrestle.records.logs import make_log
 from lapistrestle.store.journal import Journal, Unreadable
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -26,7 +26,8 @@
 
 
 class Way(Protocol):
-    """How one runner is spoken to. `address` tells it from another process under its name."""
+    """How one runner is spoken to. `address` tells it from another process under its name. What it is asked
+    to do takes as `via` whoever can withdraw it."""
 
     address: Any
 
@@ -34,7 +35,6 @@
     def dropped(self) -> None: ...  # it is gone: what is out may still end
     def give_back(self) -> None: ...  # it drains: what waits to be written is not sent
     def run(self, flight: Flight) -> None: ...
-    def withdraw(self, number: int, tell: bool) -> bool: ...
     def hold(self, errand: Errand) -> None: ...
     def unload(self, fn: str) -> None: ...
     def probe(self, errand: Errand) -> None: ...
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -40,8 +40,8 @@
         self.routing = Routing()
         seed = place.seed if seed is None else seed
         super().__init__(reactor, place.name, facts(deployment), log, seed, self.margin // 2, make)
-        self.front = self.clients = Clients(self)
-        self.seats = self.clients.seats
+        clients = Clients(self)
+        self.front, self.seats = clients, clients.seats
         self.speech = lambda name, port, start: Runner(self, name, port, start)
         if deployment.roster.port:
             self.source = RosterSource(self, deployment.roster.port)
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -50,14 +50,6 @@
             host.probed(said.probe, Outcome.OK, said.report or NO_REPORT)
 
 
-def tell_lost(host: Hosting, number: int, outcome: Outcome) -> None:
-    """It ended without word from the runner."""
-    if number in host.flights:
-        host.ended(number, outcome)
-    else:
-        host.errand_ended(number, outcome)
-
-
 class RunnerSpeaker(Speaker):
     """Our end of one connection to a runner; detached once that connection no longer counts."""
 
@@ -127,8 +119,7 @@
     """One runner at one address; a start elsewhere makes another."""
 
     def __init__(self, edge: Any, name: str, port: int, start: str) -> None:
-        self.edge, self.port, self.start = edge, port, start
-        self.address = port
+        self.edge, self.address, self.start = edge, port, start
         self.linking = Linking(name, self, lambda text: edge.log("link", figures=text), edge.clock)
         self.speaker: RunnerSpeaker | None = None
         self.dialling: Dial | None = None
@@ -231,7 +222,7 @@
         time_out = self.edge.facts["dial_time_out"] / 10_000
         self.stop_patience()
         self.patience = self.edge.reactor.callLater(time_out, self.unmet, dial)
-        self.connector = self.edge.reactor.connectTCP("127.0.0.1", self.port, dial, timeout=time_out)
+        self.connector = self.edge.reactor.connectTCP("127.0.0.1", self.address, dial, timeout=time_out)
 
     def unmet(self, dial: Dial) -> None:
         """Half open and silent: a connection without a greeting is none."""
@@ -272,11 +263,11 @@
 
     def never_left(self, numbers: list[int]) -> None:
         for number in numbers:
-            tell_lost(self.host, number, Outcome.UNREACHABLE)
+            self.host.lost(number, Outcome.UNREACHABLE)
 
     def broke(self, numbers: list[int]) -> None:
         for number in numbers:
-            tell_lost(self.host, number, Outcome.RESET)
+            self.host.lost(number, Outcome.RESET)
 
 
 def bounds_of(listen: Any) -> LineBounds:
--- a/lapistrestle/hosting/door.py
+++ b/lapistrestle/hosting/door.py
@@ -32,16 +32,21 @@
         fn = self.fns.get(name)
         if fn is None:
             fn = self.fns[name] = Fn(name, method, memory, max(1, lanes))
-            for _ in range(2 if self.most is not None else 0):
-                oldest = next(iter(self.fns.values()))
-                idle = len(self.fns) > self.idle and not (oldest.spots or oldest.marks)
-                if idle or len(self.fns) > (self.most or 0):
-                    del self.fns[oldest.name]
+            if self.most:
+                self.trim(self.most)
         elif self.most:
             self.fns.move_to_end(name)
         fn.load = fn.load if load is None else load
         return fn
 
+    def trim(self, most: int) -> None:
+        """Two for each new one, so that what had grown shrinks again."""
+        for _ in range(2):
+            oldest = next(iter(self.fns.values()))
+            held = oldest.spots or oldest.marks
+            if len(self.fns) > (most if held else min(self.idle, most)):
+                del self.fns[oldest.name]
+
     def keep_token(self, token: object) -> int:
         """A number for the token, to be given back when it is due."""
         self.last_token += 1
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -306,6 +306,13 @@
             unsent = self.outside.withdraw(errand, False)
             self.errand_ended(errand.number, Outcome.UNREACHABLE if unsent else Outcome.TIMED_OUT)
 
+    def lost(self, number: int, outcome: Outcome) -> None:
+        """A call-out, an order or a probe has ended without word from the runner."""
+        if number in self.flights:
+            self.ended(number, outcome)
+        else:
+            self.errand_ended(number, outcome)
+
     def errand_ended(self, number: int, outcome: Outcome) -> None:
         """An order or a probe has ended without word from the runner."""
         errand = self.errands.get(number)
--- a/lapistrestle/model/links.py
+++ b/lapistrestle/model/links.py
@@ -11,7 +11,7 @@
 from lapistrestle.edge.clients import ClientSpeaker
 from lapistrestle.edge.following import Do
 from lapistrestle.edge.linking import Input
-from lapistrestle.edge.runners import hold_of, run_of, tell, tell_lost
+from lapistrestle.edge.runners import hold_of, run_of, tell
 from lapistrestle.hosting.host import Errand, Flight
 from lapistrestle.interface import Outcome
 from lapistrestle.standins.client import Crowd, Line, Wish
@@ -156,7 +156,7 @@
 
     def end(self, number: int, outcome: Outcome) -> None:
         if self.out.pop(number, None) is not None:
-            tell_lost(self.edge.host, number, outcome)
+            self.edge.host.lost(number, outcome)
 
     def say(self, message: Any) -> None:
         self.put(">", message)
--- a/lapistrestle/node/__main__.py
+++ b/lapistrestle/node/__main__.py
@@ -1,39 +1,18 @@
 """`python -m lapistrestle.node`: one dispatcher of the platform, in the foreground."""
 
-import gc
 import os
 import signal
 import sys
-import time
-from typing import Any
 
-from lapistrestle.node.place import ADDRESS, Place, Wrong, fields_of, read
+from lapistrestle.edge.running import reactor_of_now, run
+from lapistrestle.node.place import Wrong, place_of
 from lapistrestle.node.program import Node
 from lapistrestle.records.lean import make_log
 
 
-def reactor_of_now() -> Any:
-    """Twisted's reactor on the monotonic clock: the machine's time may be set while we run."""
-    from twisted.internet import reactor
-
-    made: Any = reactor
-    made.seconds = time.monotonic
-    return made
-
-
-def place_of_now() -> Place:
-    path, listen, name = fields_of(os.environ)
-    place = read(path)
-    if listen and not ADDRESS.fullmatch(listen):
-        raise Wrong(f"EDGE_LISTEN is {listen!r}; expected an address and a port, such as 10.0.0.4:10080")
-    place.file.listen = listen or place.file.listen
-    place.file.name = name or place.file.name
-    return place
-
-
 def main() -> int:
     try:
-        place = place_of_now()
+        place = place_of(os.environ)
     except Wrong as trouble:
         print(f"lapistrestle: {trouble}", file=sys.stderr)
         return 2
@@ -51,18 +30,14 @@
 
     def reload() -> None:
         try:
-            node.renewed(place_of_now())
+            node.renewed(place_of(os.environ))
         except Wrong as trouble:
             node.core.log("configuration refused, the old one holds", why=str(trouble))
 
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(node.leave, reactor.stop))
-    # What stands at the start is never garbage, and full collections hold every RPC up: they come rarely.
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
-    reactor.callWhenRunning(begin)
-    reactor.run(installSignalHandlers=False)
+    def leave() -> None:
+        node.leave(reactor.stop)
+
+    run(reactor, begin, {signal.SIGHUP: reload, signal.SIGTERM: leave, signal.SIGINT: leave})
     return failed[0] if failed else 0
 
 
--- a/lapistrestle/node/board.py
+++ b/lapistrestle/node/board.py
@@ -6,6 +6,7 @@
 
 import struct
 import time
+from collections.abc import Sequence
 from enum import Enum
 from typing import Any
 
@@ -157,7 +158,6 @@
         self.link: Link | None = None
         self.stopped = False
         self.fast = True  # the next dial need not wait
-        self.listed: set[str] = set()
         self.offset = int(time.time() * TENTHS) - core.clock()  # of the Unix clock to ours
         self.zones = {name: i for i, name in enumerate(place.told.zones)}
         self.kinds = {name: i for i, name in enumerate(place.told.models)}
@@ -206,13 +206,9 @@
         except OSError:
             self.core.after(PAUSE, self.dial, None)
             return
-        self.core.after(DIAL, self.unmade, self.link)
+        self.core.after(DIAL, self.link.unmade, None)
         self.link.begin()
 
-    def unmade(self, link: Link) -> None:
-        if link.dialling:
-            link.drop("no connection in time")
-
     def lost(self, link: Link, why: str) -> None:
         """Asked again at once after one that told something, else after a pause."""
         if self.link is not link:
@@ -239,21 +235,19 @@
         if do is Do.TAKE:
             self.fast = True
             self.last = frame.number
-            self.take(list(frame.entries), frame.kind == WHOLE)
+            self.take(frame.entries, frame.kind == WHOLE)
         return do
 
-    def take(self, entries: list[Entry], whole: bool) -> None:
+    def take(self, entries: Sequence[Entry], whole: bool) -> None:
         """In one turn the module hears it, ways open, and lines that wait for what drains are taken back."""
         facts = tuple(self.facts(entry) for entry in entries)
         named = {entry.name for entry in entries}
         self.core.host.listed(facts, whole)
-        for name in self.listed - named if whole else ():
+        for name in [name for name in self.core.runners if name not in named] if whole else ():
             self.core.address(name, None)
         for entry in entries:
             gone = LISTINGS[entry.state] is Listing.GONE
             self.core.address(entry.name, None if gone else (entry.address, entry.started))
-        self.listed = named if whole else self.listed | named
-        self.listed -= {entry.name for entry in entries if LISTINGS[entry.state] is Listing.GONE}
         self.core.held_back(facts)
 
     def facts(self, entry: Entry) -> SrvFacts:
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -166,7 +166,7 @@
     """Listens, checks requests, hands them to the host."""
 
     def __init__(self, core: Core, place: Place) -> None:
-        self.core, self.place = core, place
+        self.core = core
         self.host_port = split(place.file.listen)
         self.seats: dict[Seat, None] = {}
         self.idle: OrderedDict[Seat, None] = OrderedDict()  # without an open request, longest idle first
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/place.py
@@ -128,6 +128,12 @@
         raise Wrong(f"{path}: settings can't be used: {trouble}") from None
 
 
-def fields_of(environ: Mapping[str, str]) -> tuple[str | None, str, str]:
-    """The file, and where to listen and under which name, where the environment says so."""
-    return environ.get("EDGE_CONFIG"), environ.get("EDGE_LISTEN", ""), environ.get("EDGE_NAME", "")
+def place_of(environ: Mapping[str, str]) -> Place:
+    """As the file says that the environment names; where to listen and the name may stand there too. Raises
+    Wrong."""
+    place, listen = read(environ.get("EDGE_CONFIG")), environ.get("EDGE_LISTEN", "")
+    if listen and not ADDRESS.fullmatch(listen):
+        raise Wrong(f"EDGE_LISTEN is {listen!r}; expected an address and a port, such as 10.0.0.4:10080")
+    place.file.listen = listen or place.file.listen
+    place.file.name = environ.get("EDGE_NAME") or place.file.name
+    return place
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -21,7 +21,6 @@
     def __init__(
         self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher
     ) -> None:
-        self.place = place
         seed = int(place.file.seed, 16)
         self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make)
         self.speech, self.board = Speech(self.core, place), Board(self.core, place)
--- a/lapistrestle/node/records.py
+++ b/lapistrestle/node/records.py
@@ -235,9 +235,8 @@
     return HEAD.pack(1, kind, number, len(content), 0, 0) + content
 
 
-def end_record(number: int, protocol_status: int = COMPLETE, app_status: int = 0) -> bytes:
-    content = app_status.to_bytes(4, "big") + bytes((protocol_status, 0, 0, 0))
-    return record(END, number, content)
+def end_record(number: int, protocol_status: int = COMPLETE) -> bytes:
+    return record(END, number, bytes((0, 0, 0, 0, protocol_status, 0, 0, 0)))
 
 
 def answer(number: int, head: bytes, body: bytes) -> bytes:
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -218,17 +218,13 @@
             self.core.after(1, self.undialled, None)
             return
         self.stream.begin()
-        self.core.after(self.core.facts["dial_time_out"], self.unmade, self.stream)
+        self.core.after(self.core.facts["dial_time_out"], self.stream.unmade, None)
 
     def undialled(self, _: object) -> None:
         self.runner.left(self)
         self.linking.step(Input.FAILED)
         self.let_go()
 
-    def unmade(self, stream: Socket) -> None:
-        if stream.dialling:
-            stream.drop("no connection in time")
-
     def write(self, line: bytes, number: int = 0) -> None:
         if self.stream is not None:
             self.stream.send(line, number)
@@ -255,10 +251,7 @@
 
     def lose(self, number: int, outcome: Outcome) -> None:
         self.forget(number)
-        if number in self.core.host.flights:
-            self.core.host.ended(number, outcome)
-        else:
-            self.core.host.errand_ended(number, outcome)
+        self.core.host.lost(number, outcome)
 
 
 class Runner:
@@ -359,9 +352,6 @@
         if wire := self.pick([]):
             wire.linking.send(0, b'{"verb":"FREE","rid":"%s"}\n' % fn.encode(), owed=False)
 
-    def withdraw(self, number: int, tell: bool) -> bool:
-        return False  # flights and errands name their wire
-
 
 class Speech:
     """All connections to runners."""
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -123,6 +123,11 @@
         if not self.unsent:
             self.drop("done")
 
+    def unmade(self, _: object = None) -> None:
+        """The time to connect is up."""
+        if self.dialling:
+            self.drop("no connection in time")
+
     def drop(self, why: str) -> None:
         """Close now."""
         if self.dead:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner
 
 from lapistrestle.command.main import main
-from lapistrestle.command.programs import reactor_of_now
+from lapistrestle.edge.running import reactor_of_now
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
