The platform's stand-ins take Twisted's Clock in place of a clock of their own

Cause: the reactor in the player's hand had a heap of timers and a timer class, which twisted.internet.task.Clock has; the trial run and the process test each had the same real-time loop and the same search for a free port. Change: Hand is a Clock with sockets beside it; Hand.follow and free_port serve both. The trial run waits until the dispatcher has met its runners, no longer 0.3 s.

--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -3,51 +3,36 @@
 All on one reactor with a clock in the player's hand: sockets are real, time passes only when told to.
 """
 
-import heapq
+import json
+import os
 import select
+import signal
 import socket
 import struct
+import subprocess
+import sys
+import tempfile
 import time
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
+from twisted.internet.task import Clock
 
 from lapistrestle.node import records
 from lapistrestle.node.streams import Listener, Stream, dial
 
-Play = Callable[[], None]
 
-
-class Later:
-    def __init__(self, when: float, call: Play) -> None:
-        self.when, self.call, self.off = when, call, False
-
-    def cancel(self) -> None:
-        self.off = True
-
-    def active(self) -> bool:
-        return not self.off
-
-
-class Hand:
+class Hand(Clock):
     """A reactor whose clock stands until it is moved by hand; sockets are served meanwhile."""
 
+    rightNow = 1_000.0
+
     def __init__(self) -> None:
-        self.now, self.count = 1_000.0, 0
+        super().__init__()
         self.readers: dict[Any, None] = {}
         self.writers: dict[Any, None] = {}
-        self.due: list[tuple[float, int, Later]] = []
-
-    def seconds(self) -> float:
-        return self.now
-
-    def callLater(self, delay: float, call: Play) -> Later:
-        self.count += 1
-        later = Later(self.now + delay, call)
-        heapq.heappush(self.due, (later.when, self.count, later))
-        return later
 
     def addReader(self, end: Any) -> None:
         self.readers[end] = None
@@ -77,12 +62,9 @@
         idle = 0
         while idle < 3:
             ran = self.serve(0.0005)
-            while self.due and self.due[0][0] <= self.now:
-                later = heapq.heappop(self.due)[2]
-                if not later.off:
-                    later.call()
-                    ran = True
-            idle = 0 if ran else idle + 1
+            due = self.calls and self.calls[0].getTime() <= self.rightNow
+            self.advance(0)
+            idle = 0 if ran or due else idle + 1
 
     def until(self, done: Callable[[], Any]) -> None:
         """Serve until something holds, without time passing; raises after ten real seconds."""
@@ -95,14 +77,25 @@
 
     def run(self, seconds: float) -> None:
         """Let time pass, from one due call to the next."""
-        end = self.now + seconds
+        end = self.rightNow + seconds
         self.quiet()
-        while self.due and self.due[0][0] <= end:
-            self.now = max(self.now, self.due[0][0])
+        while self.calls and self.calls[0].getTime() <= end:
+            self.rightNow = max(self.rightNow, self.calls[0].getTime())
             self.quiet()
-        self.now = end
+        self.rightNow = end
         self.quiet()
 
+    def follow(self, done: Callable[[], Any], seconds: float = 20.0) -> bool:
+        """Let time pass as the real one does, for a program outside, until something holds; False if it did
+        not in that time."""
+        end = time.monotonic() + seconds
+        while not done():
+            if time.monotonic() > end:
+                return False
+            self.run(0.01)
+            time.sleep(0.01)
+        return True
+
 
 class WebServer(Stream):
     """A client's connection: requests out, answers in."""
@@ -251,7 +244,7 @@
             line.reset()
 
 
-RECORD = struct.Struct(">IIHBBBHIQ")
+RECORD = struct.Struct(">IIHBBBHIQ")  # read off the page once more: a check on the dispatcher's own
 
 
 def row(
@@ -322,6 +315,13 @@
             follower.drop("cut")
 
 
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 def configuration(listen: str, board: str) -> dict[str, Any]:
     """A small one: three classes, one of each effect."""
     classes = [("search", "idempotent"), ("publish", "deduplicated"), ("bill", "at_most_once")]
@@ -344,29 +344,11 @@
 
 def main() -> None:
     """Start a dispatcher as the platform does, two runners and a board, send calls and show the answers."""
-    import json
-    import os
-    import signal
-    import subprocess
-    import sys
-    import tempfile
-
-    class Clock(Hand):
-        """The hand, moved by the real clock."""
-
-        def pump(self, seconds: float, done: Callable[[], bool]) -> None:
-            end = time.monotonic() + seconds
-            while not done() and time.monotonic() < end:
-                self.run(0.01)
-                time.sleep(0.01)
-
-    hand = Clock()
+    hand = Hand()
     board, runners = BoardEnd(hand), [RunnerEnd(hand), RunnerEnd(hand)]
     for runner in runners:
         runner.loaded = {}
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+    port = free_port()
     board.tell(1, 1, *(row(i + 1, runner.port) for i, runner in enumerate(runners)))
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "config.json")
@@ -376,18 +358,16 @@
             [sys.executable, "-m", "lapistrestle.node"], env=os.environ | {"EDGE_CONFIG": path}
         )
         try:
-            hand.pump(10.0, lambda: bool(board.asked))
-            hand.pump(0.3, lambda: False)
+            hand.follow(lambda: board.asked and all(runner.lines for runner in runners))
             client = WebServer(hand, port)
             numbers = [client.ask(fn=f"{i % 3:016x}", body=b"call %d" % i) for i in range(6)]
-            hand.pump(5.0, lambda: all(client.status(n) is not None for n in numbers))
+            hand.follow(lambda: all(client.status(n) is not None for n in numbers))
             for number in numbers:
                 print(number, client.status(number), client.body(number) if client.status(number) else "")
             print(f"runs {[len(r.runs) for r in runners]}, loaded {[r.loaded for r in runners]}")
         finally:
             node.send_signal(signal.SIGTERM)
-            hand.pump(5.0, lambda: node.poll() is not None)
-            if node.poll() is None:
+            if not hand.follow(lambda: node.poll() is not None):
                 node.kill()
             print(f"exit {node.wait()}")
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -6,21 +6,14 @@
 import socket
 import subprocess
 import sys
-import time
 
 import pytest
 
-from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, configuration, row
+from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, configuration, free_port, row
 
 HEAVY = ("numpy", "scipy", "matplotlib", "rich", "simpy", "lmdb", "structlog", "click", "json5")
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class World:
     """A board, a runner and a dispatcher in a process of its own."""
 
@@ -44,13 +37,8 @@
         self.processes.append(made)
         return made
 
-    def until(self, done, seconds=20):
-        """Serve until something holds; the stand-ins' clock follows the real one."""
-        end = time.monotonic() + seconds
-        while not done():
-            assert time.monotonic() < end, "it never came"
-            self.hand.run(0.01)
-            time.sleep(0.01)
+    def until(self, done):
+        assert self.hand.follow(done), "it never came"
 
     def call(self, id):
         client = WebServer(self.hand, self.port)
