The ration counts ids once, RPCs from when they came, and orders until they crossed

Ruled out: orders sent twice, counts over a restart, RPCs taken back, unknown functions. Change: an id counts once in a window; an RPC carries the earliest moment it may have come; an order without answer counts as about to cross, one that took long from when it may have; the program listens after the reactor's first turn; runners are dialled when needed and connections kept until two seconds before the runner would close them.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -5,6 +5,7 @@
 are in `interface.py`, objects that the host makes in `state.py`, design and departures in `docs/design.md`.
 """
 
+from bisect import bisect_right, insort
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from itertools import islice
@@ -13,7 +14,7 @@
 
 from lapistrestle import interface as face
 from lapistrestle.interface import Answer, CallOut, Facts, Host, Listing, Outcome, Warmth
-from lapistrestle.state import Fn, Input, Mean, Rpc, Spot, Srv, State, Sum, Zone
+from lapistrestle.state import Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Zone
 
 SECOND = 10_000  # in tenths of a millisecond
 PERIOD = 5 * SECOND  # of the holds, as the design page says
@@ -51,7 +52,8 @@
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
-        self.orders, self.taken = deque[int](), deque[int]()
+        self.orders, self.taken = list[int](), deque[int]()  # answered orders: when each may have crossed
+        self.pending, self.load_took = 0, Mean(LONG)  # orders without answer, and how long loads take
         self.died = {Outcome.UNREACHABLE}  # what shows that nothing stands there any more
         if not facts["absent_misses"]:  # else one reset is no death: a miss would tell
             self.died.add(Outcome.RESET)
@@ -143,7 +145,7 @@
         rpc.fn.asked.life = self.demand.life = int(LONG * self.stretch)
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
-        self.taken.extend(() if rpc.moved else (self.now,))
+        self.taken.extend(() if rpc.moved else (self.now if rpc.came is None else rpc.came,))
         while self.taken and self.taken[0] <= self.now - self.facts["order_window"]:
             self.taken.popleft()  # where nothing is ever ordered it would grow without end
         self.drive(rpc, Input.ARRIVED)
@@ -517,25 +519,30 @@
         return sum(w for _, w in srv.sends) + weight * (turn % 1) <= max(budget, weight / all_)
 
     def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
-        """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders."""
-        window = self.facts["order_window"]
-        for times in (self.orders, self.taken):
-            while times and times[0] <= self.now - window:
-                times.popleft()
+        """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders. What
+        counts is where they cross: one without answer may be about to, and RPCs are older there by then."""
+        window, lag = self.facts["order_window"], self.facts["order_lag"]
+        del self.orders[: bisect_right(self.orders, self.now - window - lag)]
+        while self.taken and self.taken[0] <= self.now - window + lag:
+            self.taken.popleft()
         most = part * (self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken))
-        room = self.facts["may_order"] and (not window or len(self.orders) + 1 <= most)
+        room = self.facts["may_order"] and (not window or len(self.orders) + self.pending + 1 <= most)
         load = count > self.believed(spot)
         if not room or spot.srv.listing is not Listing.SERVING or (load and self.now < spot.srv.line_until):
             return False
-        self.orders.append(self.now)
-        spot.ordered.append(load)
+        self.pending += 1
+        spot.ordered.append(Order(self.now, load))
         spot.loading, self.loading = spot.loading + load, self.loading + load
         self.host.order(spot.srv, spot.fn, min(16, count))
         return True
 
     def ordered(self, srv: Srv, fn: Fn, outcome: Outcome, count: int, took: int) -> None:
         spot = fn.spot(srv)
-        load = spot.ordered.popleft()
+        order, self.pending = spot.ordered.popleft(), self.pending - 1
+        load, late = order.load, took - 2 * self.load_took.read(took)  # it may have lain on the way
+        insort(self.orders, order.sent + max(0, int(late)))
+        if load and outcome is Outcome.OK:
+            self.load_took.add(self.now, took)
         spot.loading, self.loading = spot.loading - load, self.loading - load
         self.judge_load(fn, outcome is not Outcome.ERROR, took)
         if load:  # guards the ration, and RPCs in wait, against a worker whose line of loads is full
--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -210,6 +210,7 @@
         "fall_multiple": workers.fall_multiple,
         "absent_misses": workers.absent == "miss",
         "order_window": int(orders.window),
+        "order_lag": 0,  # the transport says how long it may let an order wait
         "orders_free": orders.free,
         "orders_share": orders.share,
         "order_time_out": int(orders.time_out),
--- a/lapistrestle/deployment/words.py
+++ b/lapistrestle/deployment/words.py
@@ -108,6 +108,7 @@
         "fall_multiple": number(rules, "fall-multiple", 1.0),
         "absent_misses": info.get("when-absent") == "miss",
         "order_window": span(number(info, "load-period")),
+        "order_lag": 0,  # the transport says how long it may let an order wait
         "orders_free": number(info, "free-loads", 0.0),
         "orders_share": number(info, "load-share", 0.0),
         "order_time_out": span(number(info, "answer-within")),
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from lapistrestle.choice import Dispatcher
+from lapistrestle.edge.linking import PROMPT
 from lapistrestle.hosting.host import Errand, Flight, Hosting, Ticket
 from lapistrestle.hosting.timers import Timer
 from lapistrestle.hosting.turns import Turns
@@ -54,9 +55,11 @@
 
     def __init__(
         self, reactor: Any, name: str, facts: Facts, log: Log, seed: int, slack: int = 0,
-        make: Callable[..., Any] = Dispatcher,
+        make: Callable[..., Any] = Dispatcher, prompt: int = PROMPT,
     ) -> None:  # fmt: skip
-        self.reactor, self.name, self.facts, self.log = reactor, name, facts, log
+        """`prompt`: tenths of a millisecond that an order may wait for its connection."""
+        self.reactor, self.name, self.log = reactor, name, log
+        self.facts: Facts = {**facts, "order_lag": prompt}
         self.runners: dict[str, Any] = {}
         self.counts = dict.fromkeys(("turned away", "unreadable", "passed over"), 0)
         self.stopping = False
@@ -66,11 +69,17 @@
         self.front: Front
         self.speech: Callable[[str, Any, str], Way]
         self.sources: list[ListSource] = []
-        self.host = Hosting(self, facts, seed, self.clock, slack, make)
+        self.host = Hosting(self, self.facts, seed, self.clock, slack, make)
 
     def clock(self) -> int:
         return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
 
+    def came(self) -> int:
+        """The earliest moment at which what is read now may have come: a program that stood still reads late,
+        and by the sockets' count its RPCs are older than by its own."""
+        looked = getattr(self.reactor, "looked", None)
+        return self.clock() if looked is None else int(looked[0] * TENTHS)
+
     def start(self) -> int:
         """Listen, and follow the list. Returns the port."""
         port = self.front.listen()
--- a/lapistrestle/edge/running.py
+++ b/lapistrestle/edge/running.py
@@ -6,23 +6,37 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+SETTLE = 0.02  # seconds between the reactor's first turn and the program's beginning
+
 
 def reactor_of_now() -> Any:
-    """Twisted's reactor on the monotonic clock: the machine's time may be set while we run."""
+    """Twisted's reactor on the monotonic clock: the machine's time may be set while we run. `looked`: when it
+    last turned to its sockets before this time, and this time; what is read now came after the former."""
     from twisted.internet import reactor
 
     made: Any = reactor
     made.seconds = time.monotonic
+    iterate, made.looked = made.doIteration, (time.monotonic(),) * 2
+
+    def look(delay: float) -> None:
+        made.looked = made.looked[1], time.monotonic()
+        iterate(delay)
+
+    made.doIteration = look
     return made
 
 
 def run(reactor: Any, begin: Callable[[], None], signals: Mapping[int, Callable[[], None]]) -> None:
-    """Run until the reactor is stopped; each signal calls what belongs to it, in the reactor's turn."""
+    """Run until the reactor is stopped; each signal calls what belongs to it, in the reactor's turn.
+
+    It begins, and listens, only once the start is paid for: what a socket takes before that waits for as long
+    as the start still lasts, where its sender could have gone elsewhere at once. One that was killed is asked
+    again under its address within seconds, on a slow core long before it is ready."""
     # What stands at the start is never garbage, and an RPC leaves no cycle behind: full collections find
     # next to nothing, yet each holds every RPC up for tens of milliseconds. They still come, but rarely.
     gc.freeze()
     gc.set_threshold(50_000, 20, 100)
     for number, call in signals.items():
         signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(reactor.callLater, SETTLE, begin)
     reactor.run(installSignalHandlers=False)
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -169,12 +169,12 @@
     def arrived(
         self, *, seat: Any, asked: Any, tag: str, fn: str, method: int, customer: int, left: int,
         memory: float = 0.0, lanes: int = 1, work: int | None = None, repeat: bool = False, route: Any = None,
-        moved: bool = False, before: int = 0, load: int | None = None,
+        moved: bool = False, before: int = 0, load: int | None = None, came: int | None = None,
     ) -> Ticket:  # fmt: skip
-        """An RPC has come; `left` is what its client still waits."""
+        """An RPC has come; `left` is what its client still waits, `came` the earliest that it came."""
         now, facts = self.clock(), self.door.fn(fn, method, memory, lanes, load)
         ticket = Ticket(tag, facts, method, customer, now + left, work, repeat, asked=asked, seat=seat)
-        ticket.route, ticket.moved, ticket.before = route, moved, before
+        ticket.route, ticket.moved, ticket.before, ticket.came = route, moved, before, came
         self.open += 1
         self.counts["taken"] += 1
         ticket.guard = self.timers.at(ticket.deadline + self.slack, self.overdue, ticket)
--- a/lapistrestle/interface.py
+++ b/lapistrestle/interface.py
@@ -80,7 +80,8 @@
     deadline: int  # when the client gives up on this try
     work: int | None = None  # hint of the work, where given
     repeat: bool = False
-    moved: bool = False  # it was taken before, under another function, and has not run
+    moved: bool = False  # it was taken before: under another function and has not run, or under the same id
+    came: int | None = None  # the earliest that it may have been taken, where it was read late
     over: bool = False  # the final answer is out, or the client has left
     call_outs: list["CallOut"] = field(default_factory=list)
 
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -178,6 +178,7 @@
         self.listener: Listener | None = None
         self.ready: Callable[[], bool] = lambda: False  # whether the list stands; the source knows
         self.leaving = False
+        self.ids: OrderedDict[str, int] = OrderedDict()  # those taken in the last window of orders, and when
         self.lingering: dict[str, Ticket] = {}  # by id, until the last call-out has ended
         self.methods = {}
         for number, profile in enumerate(place.told.profiles):
@@ -244,6 +245,16 @@
             self.lingering.pop(tag).call_outs.clear()  # they point to each other
         self.core.after(SWEEP, self.sweep, None)
 
+    def taken_before(self, tag: str) -> bool:
+        """Whether an RPC of this id came within the window of orders, where an id counts once: guards the
+        ration against clients that send the same again as soon as it is turned away."""
+        now = self.core.clock()
+        while self.ids and next(iter(self.ids.values())) <= now - self.core.facts["order_window"]:
+            self.ids.popitem(last=False)
+        known = tag in self.ids
+        self.ids.setdefault(tag, now)
+        return known
+
     # requests
 
     def request(self, seat: Seat, request: records.Request) -> None:
@@ -302,6 +313,7 @@
             seat=seat, asked=asked, tag=tag, fn=fn.decode(), method=number, customer=0, left=left,
             memory=memory, lanes=int(lanes or 1), work=None if work is None else max(1, int(work * 10)),
             repeat=repeat == b"1", load=None if load is None else int(load * 10),
+            moved=self.taken_before(tag), came=self.core.came(),
         )  # fmt: skip
         if not ticket.final:
             seat.tickets[request.number] = ticket
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -8,7 +8,7 @@
 from lapistrestle.node.board import Board
 from lapistrestle.node.front import Front
 from lapistrestle.node.place import Place
-from lapistrestle.node.runners import Speech
+from lapistrestle.node.runners import PROMPT, Speech
 
 GUARD = 40  # tenths of a millisecond past its deadline at which an RPC is answered whatever the module does
 LINGER = 7_500  # after SIGTERM new connections and requests still come for some tenths of a second
@@ -22,7 +22,7 @@
         self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher
     ) -> None:
         seed = int(place.file.seed, 16)
-        self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make)
+        self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make, PROMPT)
         self.speech, self.board = Speech(self.core, place), Board(self.core, place)
         self.front = Front(self.core, place)
         self.front.ready = self.board.ready
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -263,8 +263,7 @@
 
     # what the core tells
 
-    def named(self) -> None:
-        self.open_one()
+    def named(self) -> None: ...  # dialled when first needed: most runners are never met by most dispatchers
 
     def dropped(self) -> None:
         for wire in list(self.wires):
@@ -361,7 +360,8 @@
         self.core, self.streams = core, limits.streams_per_conn
         self.names = place.report_names
         self.company = bool(core.facts["tells_company"])
-        self.idle = limits.conn_idle // 100 * 6 // 10  # well before the runner would
+        idle = limits.conn_idle // 100
+        self.idle = max(idle * 6 // 10, idle - 2 * SECOND)  # before the runner would
         self.most = place.file.limits.sockets * 2 // 5
         self.wires = 0
 
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -77,6 +77,14 @@
         self.iso.add(now, alone)
 
 
+@dataclass(eq=False)
+class Order:
+    """One order to hold copies, until it has been answered."""
+
+    sent: int
+    load: bool  # more copies than were believed to stand
+
+
 @dataclass(eq=False)
 class Spot:
     """One function on one worker."""
@@ -92,7 +100,7 @@
     out: int = 0  # own call-outs of the function there
     peak: int = 0  # most of them at once since the last hold
     loading: int = 0  # own loads under way there
-    ordered: deque[bool] = field(default_factory=deque)  # orders without answer: whether each is a load
+    ordered: deque[Order] = field(default_factory=deque)  # those without answer
     waiters: list["Rpc"] = field(default_factory=list)
 
     def begin(self, call_out: CallOut) -> None:
