What misses is loaded at its home, and an RPC goes on only where a copy may stand

Seen in the dispatchers' logs, each RPC with its call-outs: RPCs went to workers that had only been looked at for a load, since first_cold made a spot of each and spots count as used before; what missed last got the order, seldom the home (218 of 4,410 orders); of further call-outs to cold workers 16, 4, 3 and 2 in a hundred met a copy; one order in four followed a company told by an answer that came quickly. At fault: first_cold, missed, the cold branch of place, the call of grow. Change: only chosen workers become spots; the order goes to the first of the order whose line is open; after a miss no cold worker is tried; grow wants an answer past the bound; a miss counts for two usual loads where RPCs name none.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -205,9 +205,9 @@
         room = self.loading < (1 if warm else 4) * self.load_limit
         if not loads and not calm and room:
             cold = self.first_cold(rpc, order, bool(warm or rpc.call_outs))
-            if cold and not warm:
-                return self.send(rpc, cold)
-            if cold:
+            if cold and not warm and not any(c.outcome is Outcome.MISS for c in rpc.call_outs):
+                return self.send(rpc, cold)  # of those sent on blindly after a miss one in twenty met a copy
+            if cold and warm:
                 self.order(cold, 1)
         blind = not rpc.call_outs if self.facts["absent_misses"] else room  # after a miss only what may load
         last = open_ or warm or loads or in_use * blind
@@ -222,17 +222,24 @@
             return Input.WAITS
         return self.send(rpc, spot)
 
-    def first_cold(self, rpc: Rpc, order: Iterable[Srv], to_load: bool = True) -> Spot | None:
+    def first_cold(
+        self, rpc: Rpc, order: Iterable[Srv], to_load: bool = True, missed: bool = False
+    ) -> Spot | None:
         """Where a further copy would go: the first in the order without one that is not Unsafe, and, to load
-        it there, whose line of loads is not full."""
-        open_ = (s for s in self.candidates(rpc, order) if not to_load or self.now >= s.line_until)
-        spots = (rpc.fn.spot(s) for s in open_)
-        return next((s for s in spots if not self.believed(s) and self.zone(s) is not Zone.UNSAFE), None)
-
-    def candidates(self, rpc: Rpc, order: Iterable[Srv]) -> Iterator[Srv]:
+        it there, whose line of loads is not full; for what waits there also one that it `missed` at."""
+        fn = rpc.fn
+        for srv in self.candidates(rpc, order, missed):
+            spot = fn.spots.get(srv) or Spot(srv, fn)  # one only looked at is not one used before
+            fit = not self.believed(spot) and self.zone(spot) is not Zone.UNSAFE
+            if fit and (not to_load or self.now >= srv.line_until):
+                return fn.spot(srv)
+        return None
+
+    def candidates(self, rpc: Rpc, order: Iterable[Srv], missed: bool = False) -> Iterator[Srv]:
         """Workers of an order that this RPC may go to; those it has tried only where there is no other."""
         fn, miss = rpc.fn, Outcome.MISS
-        tried = {c.srv for c in rpc.call_outs if c.outcome is not miss or not fn.spot(c.srv).copies}
+        told = [c for c in rpc.call_outs if c.outcome is not miss or not (missed or fn.spot(c.srv).copies)]
+        tried = {c.srv for c in told}
         trust = 2 * self.suspects <= len(self.serving)  # else don't crowd the rest
 
         def usable(srv: Srv) -> bool:
@@ -299,8 +306,8 @@
                 self.order(spot, 1)
             return self.send(rpc, rpc.fn.spot(home))
         late = self.now + (rpc.fn.load or 0) + self.iso(rpc.fn) * rpc.scale > rpc.deadline
-        if not late and not spot.loading and self.now < spot.srv.line_until:
-            spot = self.first_cold(rpc, order) or spot
+        if not late and not spot.loading:
+            spot = self.first_cold(rpc, order, missed=True) or spot
         if late or not (spot.loading or self.order(spot, 1)):
             return self.again(rpc, spot)
         spot.waiters.append(rpc)
@@ -357,7 +364,7 @@
             srv.full_until = 0
             if not load and call_out.company <= 1:
                 self.light[rpc.method].add(self.now, answer.took)
-        if outcome is Outcome.OK and answer.company is not None:
+        if outcome is Outcome.OK and answer.company is not None and answer.took > self.bound(fn) * rpc.scale:
             self.grow(spot, rpc, answer.company)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
             self.further.add(self.now, outcome is Outcome.OK)
@@ -447,7 +454,7 @@
 
     def presumed(self, spot: Spot) -> bool:
         """Others, who share the order, may keep one warm: a guess, made where a miss answer is cheap."""
-        told = self.facts["idle_life"] if spot.fn.load is None else 2 * spot.fn.load
+        told = 2 * (spot.fn.load or self.load_took.read(self.facts["idle_life"] / 2))
         lately = self.now - max(spot.missing, spot.srv.emptied) <= told
         return self.stretch > 1 and self.facts["absent_misses"] and not lately
 
