--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -205,10 +205,10 @@
         room = self.loading < (1 if warm else 4) * self.load_limit
         if not loads and not calm and room:
             cold = self.first_cold(rpc, order, bool(warm or rpc.call_outs))
-            if cold and not warm and not any(c.outcome is Outcome.MISS for c in rpc.call_outs):
-                return self.send(rpc, cold)  # of those sent on blindly after a miss one in twenty met a copy
             if cold and warm:
                 self.order(cold, 1)
+            elif cold and not any(c.outcome is Outcome.MISS for c in rpc.call_outs):
+                return self.send(rpc, cold)  # of those sent on blindly after a miss one in twenty met a copy
         blind = not rpc.call_outs if self.facts["absent_misses"] else room  # after a miss only what may load
         last = open_ or warm or loads or in_use * blind
         near = [(self.crowd(s.srv), s) for s in last if self.now >= s.srv.full_until]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,7 +186,7 @@
 
 
 def test_no_runner_is_dialled_before_it_is_needed(stages):
-    """200 dispatchers that each met a hundred runners at once stood still for a second (herd+mass)."""
+    """Dialled as soon as they were named, 15,145 connections were made where 10,470 do (herd+mass)."""
     stage = stages(runners=4)
     stage.hand.run(2)
     assert not any(runner.lines for runner in stage.runners)
