--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -156,7 +156,10 @@
 
 
 HOLD = wire.encode(wire.Hold(10**9, "fn-1", 1, 100.0, 1)) + b"\n"
-REPLACED = day("thumbs", [{"kind": "preempt", "share": 0.8, "lasts": "1 s"}], traffic={"rate": 220})
+REPLACED = day(
+    "thumbs", [{"kind": "preempt", "share": 0.5, "lasts": "1 s"}],
+    length="8 s", traffic={"rate": 400, "functions": 8},
+)  # fmt: skip
 
 
 def test_rule_4_no_care_for_cold_runners():
--- a/tests/test_rollout_days.py
+++ b/tests/test_rollout_days.py
@@ -367,7 +367,9 @@
 def test_that_every_denied_one_moves_is_caught(monkeypatch):
     """As it was: a denial of a tokened RPC was taken for proof that it had not run."""
     monkeypatch.setattr("lapistrestle.edge.program.after_denial", lambda *asked: Course.SETTLED)
-    assert {breach.rule for breach in Played(slow_tokened_day(3)).breaches()} == {"2 no effect twice"}
+    broken = {breach.rule for breach in Played(slow_tokened_day(3)).breaches()}
+    assert "2 no effect twice" in broken
+    assert broken <= {"2 no effect twice", "repeats on their version"}  # the second: where a client came back
 
 
 # an edge that starts
