--- /dev/null
+++ b/lapistrestle/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatchers among themselves: who is there, what they tell one another, allowances within a whole."""
--- /dev/null
+++ b/lapistrestle/standins/fleet.py
@@ -0,0 +1,125 @@
+"""Many dispatchers' talk in virtual time, and what breaks between them: the rig of the fleet's tests."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from lapistrestle.fleet.talk import Talk
+from lapistrestle.hosting.timers import Timer
+from lapistrestle.standins.virtual import LATENCY, Process, VirtualReactor
+
+TENTHS = 10_000
+
+
+class Links:
+    """Every link between two ports: how long a datagram takes, whether it is lost, doubled or late.
+
+    `fates` gives for one datagram the microseconds after which copies of it arrive; none: it is lost.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.cut: set[tuple[int, int]] = set()  # from port, to port
+        self.lost = self.doubled = 0.0
+        self.delays = (LATENCY, LATENCY)
+
+    def fates(self, source: int, target: int) -> list[int]:
+        if (source, target) in self.cut or self.random.random() < self.lost:
+            return []
+        copies = 1 + (self.random.random() < self.doubled)
+        return [round(self.random.uniform(*self.delays)) for _ in range(copies)]
+
+    def sever(self, some: list[int], others: list[int], both: bool = True) -> None:
+        """Nothing from `some` reaches `others` any more, nor back where `both`."""
+        for a in some:
+            for b in others:
+                self.cut |= {(a, b), (b, a)} if both else {(a, b)}
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+
+class Ground:
+    """What a `Talk` needs of its program, on a process of the virtual reactor whose clock may run wrong."""
+
+    def __init__(self, reactor: VirtualReactor, name: str, drift: float = 0.0) -> None:
+        self.reactor: Any = Process(reactor, name)
+        self.drift = drift
+        self.logs: list[str] = []
+        self.over: list[str] = []
+
+    def clock(self) -> int:
+        return int(self.reactor.seconds() * (1 + self.drift) * TENTHS + 0.001)
+
+    def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Timer:
+        timer = Timer(self.clock() + delay, call, arg)
+        self.reactor.callLater(delay / TENTHS / (1 + self.drift), lambda: timer.call(timer.arg))
+        return timer
+
+    def input(self) -> None: ...
+
+    def passed_over(self, name: str, why: str) -> None:
+        self.over.append(f"{name}: {why}")
+
+    def log(self, what: str, **figures: Any) -> None:
+        self.logs.append(f"{self.clock()} {figures.get('figures', what)}")
+
+
+class Cluster:
+    """Dispatchers that only talk. `make` builds one, by default a plain `Talk`."""
+
+    def __init__(self, seed: int = 1, **facts: Any) -> None:
+        self.reactor, self.links, self.seed = VirtualReactor(), Links(seed), seed
+        self.reactor.links = self.links.fates
+        self.facts: dict[str, Any] = {"fleet": "f", **facts}
+        self.talks: dict[str, Talk] = {}
+        self.starts = 0
+
+    def port(self, name: str) -> int:
+        return int(name.rsplit("-", 1)[1]) + 40_000
+
+    def add(
+        self, name: str, seeds: tuple[str, ...] = (), boot: int | None = None, zone: str = "", port: int = 0,
+        drift: float = 0.0, **facts: Any,
+    ) -> Talk:  # fmt: skip
+        self.starts += 1
+        ground = Ground(self.reactor, name, drift)
+        made = {**self.facts, "port": port or self.port(name), **facts,
+                "seeds": tuple(("127.0.0.1", self.port(s)) for s in seeds)}  # fmt: skip
+        boot = round(self.reactor.seconds() * 1000) if boot is None else boot
+        talk = Talk(ground, made, name, zone, boot, self.seed * 1_000 + self.starts, self.seed + self.starts)
+        self.talks[name] = talk
+        talk.start()
+        return talk
+
+    def many(self, count: int, zones: int = 1) -> list[Talk]:
+        return [self.add(f"e-{i}", ("e-0", "e-1")[: max(1, i)], zone=f"z{i % zones}") for i in range(count)]
+
+    def process(self, name: str) -> Process:
+        made: Process = self.talks[name].ground.reactor
+        return made
+
+    def kill(self, name: str) -> None:
+        self.process(name).kill()
+        self.reactor.datagrams.pop(self.talks.pop(name).facts["port"], None)
+
+    def run(self, seconds: float) -> None:
+        self.reactor.run(self.reactor.seconds() + seconds)
+
+    def view(self, name: str) -> set[str]:
+        """Who counts as there, in that one's eyes."""
+        return {m.name for m in self.talks[name].members.here()}
+
+    def agreed(self) -> bool:
+        """Whether each sees all the others that run, and nobody else."""
+        names = set(self.talks)
+        return all(self.view(name) == names - {name} for name in names)
+
+    def until(self, done: Callable[[], bool], within: float, step: float = 0.5) -> float:
+        """Run until it is so; the seconds it took, or infinity."""
+        began = self.reactor.seconds()
+        while self.reactor.seconds() - began < within:
+            if done():
+                return self.reactor.seconds() - began
+            self.run(step)
+        return float("inf")
--- a/lapistrestle/standins/virtual.py
+++ b/lapistrestle/standins/virtual.py
@@ -43,6 +43,7 @@
         self.count = 0
         self.ports: dict[int, Listener] = {}
         self.datagrams: dict[int, Datagrams] = {}
+        self.links: Callable[[int, int], list[int]] = lambda source, target: [LATENCY]  # fates of a datagram
         self.last_port = 20_000
 
     def seconds(self) -> float:
@@ -333,7 +334,8 @@
         self.process, self.port, self.protocol = process, port, protocol
 
     def write(self, data: bytes, address: tuple[str, int]) -> None:
-        self.process.reactor.at(LATENCY, self.pass_on, data, address[1])
+        for delay in self.process.reactor.links(self.port, address[1]):
+            self.process.reactor.at(delay, self.pass_on, data, address[1])
 
     def pass_on(self, data: bytes, port: int) -> None:
         there = self.process.reactor.datagrams.get(port)
