--- a/lapistrestle/wire/fleet.py
+++ b/lapistrestle/wire/fleet.py
@@ -184,6 +184,11 @@
     return msgspec.structs.replace(claim, **fields)
 
 
+def aged(row: Row, age: int) -> Row:
+    """The same row as it is passed on, `age` after it was true."""
+    return msgspec.structs.replace(row, age=age)
+
+
 def size(part: Part) -> int:
     """Bytes that a claim, row or verdict takes."""
     return len(ENCODER.encode(part))
--- /dev/null
+++ b/tests/test_allowance.py
@@ -0,0 +1,209 @@
+"""Parts of a whole: their sum never passes it, under any schedule; and faults planted in them are caught."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lapistrestle.fleet.allowance import Allowance, Loan
+from lapistrestle.wire.fleet import Lend, Lent
+
+WHOLE, FACTS = 100, {"lasts": 4_000, "settle": 500, "drift": 0.1}
+
+
+class Schedule:
+    """Some dispatchers, each with a clock that runs wrong, and datagrams that come when chance says."""
+
+    def __init__(self, seed, count=4, kind=Allowance):
+        self.random, self.kind, self.now = random.Random(seed), kind, 0
+        self.rates = [self.random.uniform(0.92, 1.08) for _ in range(count)]
+        self.boots = [0] * count
+        self.all = [self.make(i) for i in range(count)]
+        self.dead, self.still = set(), set()
+        self.way = []  # datagrams: to whom, from whom, word
+        self.worst = 0
+        self.holds = [[] for _ in range(count)]  # what each has begun to use: until when (true time), units
+
+    def make(self, i):
+        return self.kind("loads", WHOLE, len(self.rates), i, FACTS, self.clock(i))
+
+    def clock(self, i):
+        return 10_000 * i + int(self.now * self.rates[i])
+
+    def life(self, i):
+        return (f"e{i}", self.boots[i], 0)
+
+    def send(self, target, source, word):
+        sent = (target, self.life(target), source, self.life(source), word)
+        self.way += [sent] * self.random.choice((0, 1, 1, 2))
+
+    def step(self):
+        chance, count = self.random, len(self.all)
+        self.now += chance.choice((0, 5, 20, 100, 700))
+        i = chance.randrange(count)
+        act = chance.choice((*("ask", "use", "take") * 8, "back", "back", "fate"))
+        if act == "fate":
+            fate = chance.choice(("kill", "start", "start", "restart", "restart", "still", "wake", "wake"))
+            if fate in ("kill", "restart"):
+                self.dead.add(i)
+                self.holds[i].clear()
+            if fate in ("start", "restart") and i in self.dead:
+                self.boots[i] += 1
+                self.dead.discard(i)
+                self.all[i] = self.make(i)
+            elif fate in ("still", "wake"):
+                (self.still.add if fate == "still" else self.still.discard)(i)
+        if i not in self.dead | self.still:
+            self.act(act, i)
+        return self.total()
+
+    def run(self, steps):
+        """The most that all together had, at any step."""
+        for _ in range(steps):
+            self.step()
+        return self.worst
+
+    def act(self, act, i):
+        one, now, chance = self.all[i], self.clock(i), self.random
+        self.holds[i] = [(until, units) for until, units in self.holds[i] if until > self.now]
+        in_use = sum(units for _, units in self.holds[i])
+        one.note(in_use, now)
+        if act == "ask":
+            one.wanted = chance.choice((0, 10, 60))
+            other = chance.randrange(len(self.all))
+            word = one.ask(self.life(other), chance.randint(1, 60), now) if other != i else None
+            if word:
+                self.send(other, i, word)
+        elif act == "use" and (room := one.part(now) - in_use) > 0:
+            units = chance.randint(1, room)
+            self.holds[i].append((self.now + FACTS["settle"] / 1.1, units))
+            one.note(in_use + units, now)
+        elif act == "back":
+            one.wanted = 0
+            for lender, word in one.give_back(now):
+                self.send(int(lender[0][1:]), i, word)
+        elif act == "take" and self.way:
+            target, life, source, sender, word = self.way.pop(chance.randrange(len(self.way)))
+            if target in self.dead | self.still or self.life(target) != life:
+                return
+            there, clock = self.all[target], self.clock(target)
+            if isinstance(word, Lend):
+                answer = there.asked(sender, word, clock)
+                if answer:
+                    self.send(source, target, answer)
+            elif hasattr(word, "lasts"):
+                there.lent(sender, word, clock)
+            else:
+                there.returned(sender, word, clock)
+
+    def total(self):
+        """What may be used or is used by all together, at this true moment."""
+        parts = 0
+        for i, one in enumerate(self.all):
+            used = sum(units for until, units in self.holds[i] if until > self.now)
+            parts += max(used, 0 if i in self.dead else one.part(self.clock(i)))
+        self.worst = max(self.worst, parts)
+        return parts
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(0, 2**32), st.integers(2, 6))
+def test_the_sum_never_passes_the_whole(seed, count):
+    assert Schedule(seed, count).run(400) <= WHOLE
+
+
+class OutBeforeBack(Allowance):
+    """Planted: what is given back is handed out again though the borrower may still use it."""
+
+    def longest(self):
+        return int(self.facts["lasts"] * 0.7)
+
+
+class CountsFromAnswer(Allowance):
+    """Planted: the borrower counts from when the answer came, not from when it asked."""
+
+    def lent(self, lender, word, now):
+        if self.open.get(word.number) == (lender, word.asked):
+            self.open[word.number] = (lender, now)
+            super().lent(lender, Lent(word.allowance, word.number, now, word.units, word.lasts), now)
+
+
+class LendsWhatIsInUse(Allowance):
+    """Planted: what was in use a moment ago counts as spare."""
+
+    def used(self, now):
+        return 0
+
+
+class TakesTwice(Allowance):
+    """Planted: a doubled answer counts twice."""
+
+    def lent(self, lender, word, now):
+        self.had[lender, word.number * 1_000 + len(self.had)] = Loan(word.units, now + word.lasts // 2)
+
+
+class MixesUpItsLives(Allowance):
+    """Planted: an answer to the process before, under the same number, is taken for one's own."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.numbers = 0
+
+    def lent(self, lender, word, now):
+        if word.number in self.open:
+            asked = self.open[word.number][1]
+            super().lent(lender, Lent(word.allowance, word.number, asked, word.units, word.lasts), now)
+
+
+class ForgetsAtStart(Allowance):
+    """Planted: a process that starts takes its whole cut at once, whatever the one before it had lent."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.whole_from = 0
+
+
+PLANTED = OutBeforeBack, CountsFromAnswer, LendsWhatIsInUse, TakesTwice, ForgetsAtStart, MixesUpItsLives
+
+
+@pytest.mark.parametrize("planted", PLANTED)
+def test_a_planted_fault_passes_the_whole(planted):
+    assert any(Schedule(seed, 4, planted).run(400) > WHOLE for seed in range(400))
+
+
+def test_need_moves_units_and_they_come_back():
+    a, b = (Allowance("loads", 100, 2, i, FACTS, 0) for i in (0, 1))
+    now = 10_000
+    assert (a.part(now), b.part(now)) == (50, 50)
+    b.wanted = 60
+    word = b.ask(("a", 0, 0), 10, now)
+    b.lent(("a", 0, 0), a.asked(("b", 0, 0), word, now), now)
+    assert (a.part(now), b.part(now)) == (40, 60)
+    b.wanted = 0
+    [(lender, back)] = b.give_back(now + 1_000)
+    assert b.part(now + 1_000) == 50 and lender == ("a", 0, 0)
+    a.returned(("b", 0, 0), back, now + 1_100)
+    assert a.part(now + 1_100) == 50
+
+
+def test_what_is_kept_is_never_lent_and_a_start_has_it_at_once():
+    a = Allowance("loads", 100, 2, 0, FACTS, 0)
+    assert a.part(0) == 25 and a.asked(("b", 0, 0), Lend("loads", 1, 0, 50), 0) is None
+    now = a.whole_from
+    given = [a.asked(("b", 0, 0), Lend("loads", n, 0, 50), now) for n in range(2, 12)]
+    assert sum(g.units for g in given if g) == 25 and a.part(now) == 25
+
+
+def test_a_loan_that_nobody_returns_comes_back_by_the_clock():
+    a = Allowance("loads", 100, 2, 0, FACTS, 0)
+    now = a.whole_from
+    lent = a.asked(("b", 0, 0), Lend("loads", 1, 0, 10), now)
+    assert lent and a.part(now) == 40
+    assert a.part(now + a.longest() - 1) == 40 and a.part(now + a.longest()) == 50
+
+
+def test_the_cuts_add_up_exactly_and_a_strange_number_has_none():
+    for of in (1, 3, 7, 200, 333):
+        assert sum(Allowance("x", WHOLE, of, i, FACTS, 0).cut for i in range(of)) == WHOLE
+    assert Allowance("x", WHOLE, 3, 5, FACTS, 0).part(10**9) == 0
