--- a/lapistrestle/fleet/allowance.py
+++ b/lapistrestle/fleet/allowance.py
@@ -1,10 +1,10 @@
 """Parts of one whole whose sum never passes it, at any moment, free of I/O (docs/fleet.md).
 
 The whole is cut by number: each dispatcher owns its cut, and no other ever reckons with it. A cut follows
-need by loans. The lender uses less before it says that it lends, and more again only when the loan is over by its
-own clock, counted from when it was asked; the borrower counts the loan from when *it* asked, and both leave
-room for clocks that run wrong. So nothing that is lost, late or doubled, no death and no standstill makes two
-use the same unit. What dies with a dispatcher is the use of its cut, until it is back.
+need by loans. The lender uses less before it says that it lends, and more again only when the loan is over by
+its own clock, counted from when it was asked; the borrower counts the loan from when *it* asked, and both
+leave room for clocks that run wrong. So nothing that is lost, late or doubled, no death and no standstill
+makes two use the same unit. What dies with a dispatcher is the use of its cut, until it is back.
 
 A process that starts does not know what the one before it has lent. It keeps part of its cut that is never
 lent, and has the rest when the longest loan is over.
--- /dev/null
+++ b/lapistrestle/model/overload.py
@@ -0,0 +1,211 @@
+"""The level of admission against a fleet that is one queue, in steps of a tenth of a second: a fluid model.
+
+It is coarser than `model.world`: no placing, no copies, one kind of work. What it shows is the loop alone,
+with any number of dispatchers whose figures are of different ages, and clients that repeat. Other ways to
+shed stand beside it on the same days (docs/overload.md).
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+
+from lapistrestle.overload.ladder import Level, level_for
+from lapistrestle.overload.shedding import SECOND, Seen, Shedding
+
+STEP = 0.1  # seconds
+WINDOW = 20  # steps over which rates are taken, as in `fleet.digests`
+EVERY = 5  # steps between two looks at the level
+TRIES = 3
+
+
+@dataclass(frozen=True)
+class Day:
+    """`load(t)` is the demand over the capacity, `worths` of the methods' gains with their parts of it."""
+
+    dispatchers: int = 12
+    seconds: float = 90.0
+    capacity: float = 1_000.0  # RPCs a second
+    load: Callable[[float], float] = lambda t: 1.0
+    up: Callable[[float], float] = lambda t: 1.0  # part of the capacity that is there
+    worths: tuple[tuple[float, float], ...] = ((4.0, 0.2), (2.0, 0.3), (1.0, 0.5))
+    soft: float = 1.0  # seconds after which it earns nothing
+    patience: float = 3.0  # seconds after which the client is gone
+    age: float = 2.0  # seconds: the oldest figures of any dispatcher
+    uneven: float = 1.0  # traffic of the first dispatcher over that of another
+    wait: tuple[float, float] = (0.2, 1.0)  # seconds before a client repeats
+    seed: int = 1
+
+
+@dataclass
+class Story:
+    """What came of a day, by step."""
+
+    asked: list[float] = field(default_factory=list)  # worth of first tries
+    served: list[float] = field(default_factory=list)  # worth done in time
+    could: list[float] = field(default_factory=list)  # worth that the one who sees all would have done
+    let: list[float] = field(default_factory=list)  # RPCs
+    spread: list[float] = field(default_factory=list)  # of the levels, highest less lowest
+
+    def part(self, since: float, until: float) -> float:
+        """Of what the one who sees all would have served."""
+        window = slice(int(since / STEP), int(until / STEP))
+        return sum(self.served[window]) / max(1e-9, sum(self.could[window]))
+
+
+Policy = Callable[[Day, int], Any]  # per dispatcher: an object with look(fleet, own, now)
+
+
+class ByLevel:
+    """The program's own decision."""
+
+    def __init__(self, day: Day, rungs: int) -> None:
+        self.logs: list[str] = []
+        self.shedding = Shedding(rungs, self.logs.append, 0)
+
+    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
+        return self.shedding.see(fleet, now)
+
+
+class Open:
+    """Nothing is denied at the door."""
+
+    def __init__(self, day: Day, rungs: int) -> None:
+        self.level = Level(rungs)
+
+    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
+        return self.level
+
+
+class FixedLimit:
+    """Each dispatcher lets in an equal part of the capacity as it was when the limit was set, by worth."""
+
+    def __init__(self, day: Day, rungs: int) -> None:
+        self.room = day.capacity / day.dispatchers
+
+    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
+        return level_for(own.asked, self.room)
+
+
+class AloneByLevel(ByLevel):
+    """The same decision from one's own figures alone."""
+
+    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
+        return self.shedding.see(own, now)
+
+
+class RetryBudget(Open):
+    """Each dispatcher denies repeats beyond a fifth of what it has let in lately, and nothing else."""
+
+    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
+        repeats = sum(own.asked[1::2])
+        part = min(1.0, 0.2 * own.let / repeats) if repeats else 1.0
+        return RepeatsOnly(len(own.asked), part)
+
+
+@dataclass(frozen=True)
+class RepeatsOnly(Level):
+    """All first tries, and a part of the repeats: not in order of worth."""
+
+
+def play(day: Day, policy: Policy) -> Story:
+    """Rungs are worth by worth, first tries before repeats."""
+    rng, rungs, count = np.random.default_rng(day.seed), 2 * len(day.worths), day.dispatchers
+    worth = np.repeat([w for w, _ in day.worths], 2)
+    mix = np.array([part for _, part in day.worths])
+    shares = np.ones(count)
+    shares[0] = day.uneven
+    shares /= shares.sum()
+    lags = rng.uniform(0.2, 1.0, count) * day.age / STEP
+    phases = rng.integers(0, EVERY, count)
+    made, levels = [policy(day, rungs) for _ in range(count)], [Level(rungs) for _ in range(count)]
+    steps = int(day.seconds / STEP)
+    back = np.zeros((steps + 200, count, len(mix), TRIES))  # those that come (again), by step, worth and try
+    asked = np.zeros((steps, count, rungs))
+    let, good, bad = (np.zeros((steps, count)) for _ in range(3))
+    queue: deque[list[Any]] = deque()  # began at this step: what waits, by dispatcher, worth and try
+    story = Story()
+
+    def again(step: int, lost: Any) -> None:
+        """Those who got nothing come back after a while, if they have a try left."""
+        for n in range(TRIES - 1):
+            if lost[:, :, n].any():
+                after = rng.uniform(*day.wait, 4) / STEP
+                for wait in after:
+                    back[step + 1 + int(wait), :, :, n + 1] += lost[:, :, n] / 4
+
+    for step in range(steps):
+        t = step * STEP
+        first = rng.poisson(day.load(t) * day.capacity * STEP * np.outer(shares, mix))
+        came = back[step]
+        came[:, :, 0] = first
+        now = int(t * SECOND)
+        asked[step, :, 0::2], asked[step, :, 1::2] = came[:, :, 0], came[:, :, 1:].sum(2)
+        for i in range(count):
+            if (step + phases[i]) % EVERY == 0 and step > WINDOW:
+                end = max(1, step - int(lags[i]))
+                begin = max(0, end - WINDOW)
+                lasts = (end - begin) * STEP
+                fleet = Seen(
+                    tuple(asked[begin:end].sum((0, 1)) / lasts), let[begin:end].sum() / lasts,
+                    good[begin:end].sum() / lasts, bad[begin:end].sum() / lasts, int(lags[i] * STEP * SECOND),
+                )  # fmt: skip
+                since = max(0, step - WINDOW)
+                lasts = (step - since) * STEP
+                own = Seen(
+                    tuple(asked[since:step, i].sum(0) / lasts), let[since:step, i].sum() / lasts,
+                    good[since:step, i].sum() / lasts, bad[since:step, i].sum() / lasts, 0,
+                )  # fmt: skip
+                levels[i] = made[i].look(fleet, own, now)
+        gates = np.array([gate(level, rungs) for level in levels])
+        admitted = came * np.stack([gates[:, 0::2], *[gates[:, 1::2]] * (TRIES - 1)], 2)
+        let[step] = admitted.sum((1, 2))
+        again(step, came - admitted)
+        queue.append([step, admitted])
+        room, done = day.capacity * day.up(t) * STEP, 0.0
+        while queue and room > 1e-6:
+            began, waiting = queue[0]
+            total = waiting.sum()
+            age = (step - began) * STEP
+            if age > day.patience or total <= 1e-9:
+                if total > 1e-9:
+                    bad[step] += waiting.sum((1, 2))
+                    again(step, waiting)
+                queue.popleft()
+                continue
+            part = min(1.0, room / total)
+            ran = waiting * part
+            room -= ran.sum()
+            if age <= day.soft:
+                good[step] += ran.sum((1, 2))
+                done += float((ran.sum((0, 2)) * worth[0::2]).sum())
+            else:
+                bad[step] += ran.sum((1, 2))
+            queue[0][1] = waiting - ran
+            if part >= 1:
+                queue.popleft()
+        story.served.append(done)
+        story.asked.append(float((first.sum(0) * worth[0::2]).sum()))
+        story.could.append(best(first.sum(0), worth[0::2], day.capacity * day.up(t) * STEP))
+        story.let.append(float(let[step].sum()))
+        heights = [level.height for level in levels]
+        story.spread.append(max(heights) - min(heights))
+    return story
+
+
+def gate(level: Level, rungs: int) -> list[float]:
+    """The part of each rung that is let in."""
+    if isinstance(level, RepeatsOnly):
+        return [level.part if rung % 2 else 1.0 for rung in range(rungs)]
+    return [1.0 if rung < level.rung else level.part if rung == level.rung else 0.0 for rung in range(rungs)]
+
+
+def best(first: Any, worth: Any, room: float) -> float:
+    """What fits, the most worth first."""
+    total = 0.0
+    for amount, each in zip(first, worth, strict=True):
+        fits = min(float(amount), room)
+        total, room = total + fits * float(each), room - fits
+    return total
--- /dev/null
+++ b/lapistrestle/overload/shedding.py
@@ -0,0 +1,110 @@
+"""The fleet's level of admission, worked out alike at every dispatcher from figures that are seconds old.
+
+There is no state that could drift apart: how much is let in now is a figure of the fleet like any other, and
+each step is taken from that figure. So the loop's memory is the fleet's own traffic, seen by all, and a step
+made on old figures is not made again until they show it: growth is bounded by `EASE` for each age of figures.
+Cutting goes straight to what was done in time, which is known however much is asked (docs/overload.md).
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from lapistrestle.overload.ladder import Level, level_for
+
+SECOND = 10_000  # in tenths of a millisecond
+STRAINED = 0.12  # of what was let in came late or not at all: too much
+FINE = 0.04  # under it there is room for more
+CUT = 0.95  # of what is done in time is let in under strain
+EASE = 0.25  # more is let in for each age of figures that all went well
+FEW = 20.0  # of what ended in a window, under which no share is read off
+FLOOR = 0.6  # of the best that was done within PEAK: a jam that wastes all must not pass for no capacity
+PEAK = 15 * SECOND
+LAG = 2 * SECOND  # figures are rates over a window: at least so old whatever their age says
+
+Mode = Enum("Mode", "CALM SHEDDING EASING")
+Sign = Enum("Sign", "STRAINED BETWEEN FINE FITS")  # what the figures say
+
+
+@dataclass(frozen=True)
+class Seen:
+    """The fleet's traffic a second: `asked` by rung, `let` in, of that `good` and `bad` ended. `age` of the
+    oldest figure, in tenths of a millisecond."""
+
+    asked: tuple[float, ...]
+    let: float
+    good: float
+    bad: float
+    age: int
+
+
+class Shedding:
+    """One dispatcher's reading of the level."""
+
+    def __init__(self, rungs: int, log: Callable[[str], None], now: int) -> None:
+        self.rungs, self.log = rungs, log
+        self.mode, self.level, self.room = Mode.CALM, Level(rungs), float("inf")
+        self.stepped = now  # when room was last raised
+        self.best: deque[tuple[int, float]] = deque()  # done in time: when, how much; falling
+
+    def see(self, seen: Seen, now: int) -> Level:
+        """New figures: the level from now on."""
+        self.remember(seen.good, now)
+        sign = self.sign(seen)
+        mode, effect = MODES[self.mode, sign]
+        if effect is not None:
+            effect(self, seen, now)
+        if mode is not self.mode:
+            self.mode = mode
+            bad = f"{seen.bad:.0f} of {seen.good + seen.bad:.0f} a second bad, {sum(seen.asked):.0f} asked"
+            self.log(f"shedding {mode.name.lower()}: {bad}, room {self.room:.0f}, figures {seen.age} old")
+        self.level = Level(self.rungs) if mode is Mode.CALM else level_for(seen.asked, self.room)
+        return self.level
+
+    def sign(self, seen: Seen) -> Sign:
+        ended = seen.good + seen.bad
+        share = seen.bad / ended if ended * LAG / SECOND >= FEW else 0.0
+        if share > STRAINED:
+            return Sign.STRAINED
+        if sum(seen.asked) <= self.room and share <= (STRAINED + FINE) / 2:
+            return Sign.FITS
+        return Sign.FINE if share <= FINE else Sign.BETWEEN
+
+    def remember(self, good: float, now: int) -> None:
+        while self.best and self.best[-1][1] <= good:
+            self.best.pop()
+        self.best.append((now, good))
+        while self.best[0][0] <= now - PEAK:
+            self.best.popleft()
+
+    def cut(self, seen: Seen, now: int) -> None:
+        self.room = max(CUT * seen.good, FLOOR * self.best[0][1], 1.0)
+        self.stepped = now
+
+    def ease(self, seen: Seen, now: int) -> None:
+        """From what is let in by the figures, in proportion to the time since they last could show a step."""
+        lag = LAG + seen.age
+        steps = min(1.0, (now - self.stepped) / lag)
+        if steps >= 0.25:  # in quarters, so that rounding does not eat small steps
+            self.room = max(self.room, min(self.room, max(seen.let, 1.0)) * (1 + EASE * steps))
+            self.stepped = now
+
+    def open(self, seen: Seen, now: int) -> None:
+        self.room = float("inf")
+
+
+MODES: dict[tuple[Mode, Sign], tuple[Mode, Callable[[Shedding, Seen, int], None] | None]] = {
+    (Mode.CALM, Sign.STRAINED): (Mode.SHEDDING, Shedding.cut),
+    (Mode.CALM, Sign.BETWEEN): (Mode.CALM, None),
+    (Mode.CALM, Sign.FINE): (Mode.CALM, None),
+    (Mode.CALM, Sign.FITS): (Mode.CALM, None),
+    (Mode.SHEDDING, Sign.STRAINED): (Mode.SHEDDING, Shedding.cut),
+    (Mode.SHEDDING, Sign.BETWEEN): (Mode.SHEDDING, None),
+    (Mode.SHEDDING, Sign.FINE): (Mode.EASING, Shedding.ease),
+    (Mode.SHEDDING, Sign.FITS): (Mode.EASING, Shedding.ease),
+    (Mode.EASING, Sign.STRAINED): (Mode.SHEDDING, Shedding.cut),
+    (Mode.EASING, Sign.BETWEEN): (Mode.EASING, None),
+    (Mode.EASING, Sign.FINE): (Mode.EASING, Shedding.ease),
+    (Mode.EASING, Sign.FITS): (Mode.CALM, Shedding.open),
+}
