Overload: what piles up is seen by Little's law, so that admission at three times the capacity does not swing

Steps taken from lagged figures also made the climb slower than stated. Change: RPCs let in and not ended tell how long one stays; past a third of the soft deadline, or twice the least of late, or where a tenth less ends than is let in, the room goes under what ends. After strain it goes straight to nine tenths of the best of late, less with every relapse.

--- a/lapistrestle/model/overload.py
+++ b/lapistrestle/model/overload.py
@@ -63,7 +63,7 @@
 
     def __init__(self, day: Day, rungs: int) -> None:
         self.logs: list[str] = []
-        self.shedding = Shedding(rungs, self.logs.append, 0)
+        self.shedding = Shedding(rungs, int(day.soft * SECOND), self.logs.append, 0)
 
     def look(self, fleet: Seen, own: Seen, now: int) -> Level:
         return self.shedding.see(fleet, now)
@@ -150,13 +150,15 @@
                 lasts = (end - begin) * STEP
                 fleet = Seen(
                     tuple(asked[begin:end].sum((0, 1)) / lasts), let[begin:end].sum() / lasts,
-                    good[begin:end].sum() / lasts, bad[begin:end].sum() / lasts, int(lags[i] * STEP * SECOND),
+                    good[begin:end].sum() / lasts, bad[begin:end].sum() / lasts,
+                    float((let - good - bad)[:end].sum()), int(lags[i] * STEP * SECOND),
                 )  # fmt: skip
                 since = max(0, step - WINDOW)
                 lasts = (step - since) * STEP
                 own = Seen(
                     tuple(asked[since:step, i].sum(0) / lasts), let[since:step, i].sum() / lasts,
-                    good[since:step, i].sum() / lasts, bad[since:step, i].sum() / lasts, 0,
+                    good[since:step, i].sum() / lasts, bad[since:step, i].sum() / lasts,
+                    float((let - good - bad)[:step, i].sum()), 0,
                 )  # fmt: skip
                 levels[i] = made[i].look(fleet, own, now)
         gates = np.array([gate(level, rungs) for level in levels])
--- a/lapistrestle/overload/comeback.py
+++ b/lapistrestle/overload/comeback.py
@@ -15,7 +15,7 @@
         self.slots = longest // SLOT  # of the horizon
         self.first = now // SLOT
         self.booked: deque[float] = deque()
-        self.count = 0
+        self.last = -(10**9)  # the last slot promised, where less than one fits each
 
     def promise(self, now: int, least: int, room: float, chance: float) -> int:
         """How long to stay away, in tenths of a millisecond; 0: nothing can be promised. `room`: RPCs a
@@ -33,13 +33,10 @@
             if each >= 1 and self.booked[slot] + 1 <= each:
                 self.booked[slot] += 1
                 return self.at(now, slot, chance)
-            if each < 1 and all(not self.booked[s] for s in self.around(slot, ceil(1 / each))):
-                self.booked[slot] += 1  # less than one fits a slot: one in so many
+            if each < 1 and self.first + slot >= self.last + ceil(1 / each):
+                self.booked[slot], self.last = self.booked[slot] + 1, self.first + slot
                 return self.at(now, slot, chance)
         return 0
 
-    def around(self, slot: int, span: int) -> range:
-        return range(max(0, slot - span + 1), min(len(self.booked), slot + span))
-
     def at(self, now: int, slot: int, chance: float) -> int:
         return max(1, (self.first + slot) * SLOT + int(chance * SLOT) - now)
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,249 @@
+"""Who sheds what: decisions over the fleet's figures, and the loop they make in a fluid model."""
+
+import pytest
+from helpers import SETTINGS
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lapistrestle.deployment import words
+from lapistrestle.model.overload import AloneByLevel, ByLevel, Day, Open, RetryBudget, play
+from lapistrestle.overload import shedding
+from lapistrestle.overload.alone import Reliance, Step
+from lapistrestle.overload.budget import BURST, RATIO, Budget
+from lapistrestle.overload.comeback import HEADROOM, SLOT, Calendar
+from lapistrestle.overload.ladder import Ladder, Level, level_for, point
+from lapistrestle.overload.probers import PROBERS, STALE, Verdicts, probers
+from lapistrestle.overload.shedding import MODES, Mode, Seen, Shedding, Sign
+from lapistrestle.wire.fleet import Verdict
+
+SECOND = 10_000
+
+
+def seen(asked=(100.0, 100.0), let=100.0, good=100.0, bad=0.0, age=0, out=0.0):
+    return Seen(tuple(asked), let, good, bad, out, age)
+
+
+@pytest.fixture
+def one():
+    return Shedding(2, SECOND, lambda text: None, 0)
+
+
+# the ladder
+
+
+def ladder(gains, over=0.5):
+    facts = {**words.facts(SETTINGS), "over_share_gain": over}
+    return Ladder({**facts, "methods": [{**facts["methods"][0], "gain": gain} for gain in gains]})
+
+
+def test_what_earns_more_is_denied_later_and_a_repeat_before_a_first_try_of_its_worth():
+    made = ladder([1.0, 4.0])
+    order = [made.rung(m, beyond, repeat) for m, beyond, repeat in
+             [(1, False, False), (1, False, True), (1, True, False), (0, False, False), (0, False, True),
+              (0, True, False), (0, True, True)]]  # fmt: skip
+    assert order == sorted(set(order)) and order[0] == 0
+
+
+def test_many_worths_share_the_last_rung():
+    made = ladder([float(i) for i in range(1, 40)])
+    assert made.count == 16 and made.rung(0, True, True) == 15
+
+
+@given(st.lists(st.floats(0, 1e4), min_size=1, max_size=8), st.floats(0, 1e5))
+def test_the_level_fits_the_room(asked, room):
+    level = level_for(asked, room)
+    let = sum(asked[: level.rung]) + (level.part * asked[level.rung] if level.rung < len(asked) else 0)
+    assert let <= room + 1e-6 and (let >= min(room, sum(asked)) - 1e-6)
+
+
+def test_a_key_lies_alike_everywhere_and_keys_are_spread():
+    level = Level(1, 0.3)
+    assert level.admits(0, "x") and not level.admits(2, "x")
+    assert 250 < sum(level.admits(1, f"rpc-{i}") for i in range(1_000)) < 350
+    assert point("x") == point("x")
+
+
+# shedding
+
+
+def test_every_mode_answers_every_sign():
+    assert set(MODES) == {(mode, sign) for mode in Mode for sign in Sign}
+
+
+def test_strain_cuts_under_what_is_done_and_the_best_of_late_is_its_floor(one):
+    one.see(seen(good=1_000, let=1_000), 0)
+    one.see(seen(asked=(2_000, 1_000), good=500, bad=500), SECOND)
+    assert one.mode is Mode.SHEDDING and one.room == shedding.CUT * 500
+    one.see(seen(asked=(2_000, 1_000), good=10, bad=990), 2 * SECOND)
+    assert one.room == shedding.FLOOR * 1_000
+    one.see(seen(asked=(2_000, 1_000), good=10, bad=990), 20 * SECOND)
+    assert one.room == shedding.CUT * 10  # what was done long ago says nothing
+
+
+def test_few_ends_are_no_strain(one):
+    one.see(seen(good=4, bad=4), SECOND)
+    assert one.mode is Mode.CALM
+
+
+def test_the_room_goes_back_to_the_best_of_late_once_but_not_after_a_relapse(one):
+    one.see(seen(good=1_000), 0)
+    strained, fine = seen(asked=(3_000, 0), good=300, bad=700, let=1_000), seen((3_000, 0), 300, 300, 0)
+    one.see(strained, SECOND)
+    one.see(fine, 2 * SECOND)
+    assert one.room == shedding.BACK * 1_000
+    one.see(strained, 3 * SECOND)
+    assert one.room == pytest.approx(shedding.CUT * 300)
+    one.see(fine, 4 * SECOND)
+    assert one.room == pytest.approx(shedding.BACK * shedding.BACK * 1_000)  # less with every relapse
+
+
+def test_a_step_is_not_made_again_until_the_figures_can_show_it(one):
+    one.see(seen(asked=(3_000, 0), good=500, bad=500), 0)
+    fine = seen((3_000, 0), 600, 600, 0, age=2 * SECOND)
+    one.see(fine, 10)
+    before = one.room
+    for now in range(20, 4 * SECOND, 1_000):  # one lag: the window of two seconds and the age of two
+        one.see(fine, now)
+    assert before < one.room <= before * (1 + shedding.EASE) * 1.05
+    hasty, slow = Shedding(2, SECOND, lambda text: None, 0), Shedding(2, SECOND, lambda text: None, 0)
+    for made, age in ((hasty, 0), (slow, 8 * SECOND)):
+        made.see(seen(asked=(3_000, 0), good=500, bad=500), 0)
+        for now in range(10, 6 * SECOND, 1_000):
+            made.see(seen((3_000, 0), made.room, made.room, 0, age=age), now)
+    assert slow.room < hasty.room
+
+
+def test_what_piles_up_is_seen_before_anything_is_late(one):
+    one.see(seen(asked=(3_000, 0), good=500, bad=500), 0)
+    one.see(seen((3_000, 0), 1_000, 1_000, 0), SECOND)
+    one.see(seen((3_000, 0), 1_000, 900, 0, out=0.35 * 900), 2 * SECOND)
+    assert one.mode is Mode.EASING and one.room == pytest.approx(shedding.DRAINS * 900)
+
+
+def over(t):
+    return 0.7 if t < 15 else 3.0 if t < 75 else 0.5
+
+
+def day(count, **more):
+    return Day(**{"dispatchers": count, "seconds": 95, "load": over, **more})
+
+
+@pytest.mark.parametrize(("count", "age"), [(3, 1.0), (12, 2.0), (40, 3.0)])
+def test_three_times_the_capacity_is_shed_without_swinging_and_left_behind(count, age):
+    story = play(day(count, age=age), ByLevel)
+    assert story.part(5, 15) > 0.995  # nothing lost on calm days
+    assert story.part(35, 75) > 0.9
+    windows = [story.part(t, t + 5) for t in range(35, 75, 5)]
+    assert min(windows) > 0.75
+    assert story.part(80, 90) > 0.95  # five seconds after
+
+
+def test_doing_nothing_at_the_door_or_budgets_of_repeats_alone_serve_next_to_nothing():
+    for policy in (Open, RetryBudget):
+        assert play(day(12), policy).part(35, 75) < 0.1
+
+
+def test_a_level_that_ignores_the_age_of_its_figures_swings(monkeypatch):
+    """Planted: steps as if each look at the figures were news."""
+
+    def hasty(self, now_seen, now):
+        self.room = max(self.room, now_seen.let) * (1 + shedding.EASE)
+
+    good = play(day(12, age=3.0), ByLevel).part(35, 75)
+    table = {key: (mode, hasty if do is Shedding.ease else do) for key, (mode, do) in MODES.items()}
+    monkeypatch.setattr(shedding, "MODES", table)
+    assert play(day(12, age=3.0), ByLevel).part(35, 75) < good - 0.15
+
+
+def test_half_of_the_capacity_lost_and_an_uneven_fleet():
+    story = play(day(12, up=lambda t: 0.5 if 30 < t < 60 else 1.0, uneven=50.0), ByLevel)
+    assert story.part(42, 60) > 0.8 and story.part(70, 75) > 0.85
+    alone = play(day(12, uneven=50.0), AloneByLevel)
+    assert alone.part(35, 75) > 0.8  # what one falls back to
+
+
+# steps down
+
+
+def test_figures_that_age_lead_down_at_once_and_up_in_steps():
+    made = Reliance(lambda text: None, 0)
+    assert made.look(12, 12, 50.0, SECOND) is Step.ALONE
+    assert made.look(12, 12, 50.0, 4 * SECOND) is Step.PART
+    assert made.look(12, 12, 50.0, 8 * SECOND) is Step.TOGETHER
+    assert made.look(5, 12, 50.0, 8 * SECOND + 1) is Step.PART
+    assert made.look(12, 12, 50.0, 9 * SECOND) is Step.PART
+    assert made.look(1, 1, 0.5, 9 * SECOND + 1) is Step.ALONE
+
+
+# come-backs, budgets, probers
+
+
+@given(st.lists(st.tuples(st.integers(0, 400), st.floats(0, 0.999)), max_size=200), st.floats(0.1, 200))
+def test_no_moment_is_promised_to_more_than_fit_in_it(denials, room):
+    calendar, now, promised = Calendar(5 * SECOND, 0), 0, {}
+    for gap, chance in denials:
+        now += gap
+        stay = calendar.promise(now, 500, room, chance)
+        assert stay == 0 or 500 <= stay + SLOT <= 6 * SECOND
+        if stay:
+            slot = (now + stay) // SLOT
+            promised[slot] = promised.get(slot, 0) + 1
+    span = max(1, round(1 / (HEADROOM * room * SLOT / SECOND)))
+    for slot in promised:
+        together = sum(promised.get(s, 0) for s in range(slot, slot + span))
+        assert together <= max(1, HEADROOM * room * SLOT / SECOND * span + 1e-9)
+
+
+def test_nothing_is_promised_without_room():
+    assert Calendar(5 * SECOND, 0).promise(0, 0, 0.0, 0.5) == 0
+
+
+def test_budgets_of_all_stay_within_the_whole_and_follow_need():
+    fleet = {"good": 1_000.0, "wanted": 400.0}
+    parts = []
+    for wanted in (300.0, 80.0, 20.0):
+        made = Budget(0)
+        made.set(fleet, wanted, 333.0, 0)
+        parts.append(made.rate)
+    assert sum(parts) == pytest.approx(RATIO * 1_000) and parts == sorted(parts, reverse=True)
+
+
+def test_a_budget_runs_dry_and_fills_and_without_figures_there_is_none():
+    made = Budget(0)
+    assert all(made.take(0) for _ in range(1_000))
+    made.set({"good": 100.0, "wanted": 100.0}, 50.0, 50.0, 0)
+    made.fill(100 * SECOND)
+    assert sum(made.take(100 * SECOND) for _ in range(100)) == int(BURST * 10)
+    assert sum(made.take(101 * SECOND) for _ in range(100)) == 10
+
+
+def test_few_probe_each_worker_and_little_changes_hands():
+    members = [f"e-{i}" for i in range(50)]
+    workers = [f"w-{i}" for i in range(200)]
+    before = {w: probers(w, members) for w in workers}
+    after = {w: probers(w, [m for m in members if m != "e-7"]) for w in workers}
+    assert all(len(names) == PROBERS for names in before.values())
+    moved = [w for w in workers if before[w] != after[w]]
+    assert moved and all("e-7" in before[w] for w in moved)
+
+
+def test_a_worker_gets_a_bounded_count_of_probes_and_twice_that_in_a_split():
+    members = [f"e-{i}" for i in range(30)]
+    held = {m: Verdicts(m) for m in members}
+    for views, most in (([members], PROBERS), ([members[:15], members[15:]], 2 * PROBERS)):
+        for second in range(10, 20):
+            asks = [(m, view, second * SECOND + k) for view in views for m in view for k in (0, 9)]
+            count = sum(held[m].mine("w", view, now) for m, view, now in asks)
+            assert 0 < count <= most
+
+
+def test_the_newest_verdict_holds_and_an_old_one_says_nothing():
+    made = Verdicts("a")
+    made.seen("w", True, 0)
+    made.heard([Verdict("w", False, 1_000, "b")], SECOND)
+    assert made.unfit("w", SECOND)
+    made.heard([Verdict("w", True, 9_900, "c")], SECOND)  # older than b's
+    assert made.unfit("w", SECOND) and not made.unfit("w", 1_000 + 9_000 + STALE)
+    made.heard([Verdict("w", False, STALE, "d")], 10 * SECOND)
+    assert not made.unfit("w", 10 * SECOND)
+    assert [v.worker for v in made.to_tell(SECOND, 5)] == ["w"]
