--- a/lapistrestle/command/programs.py
+++ b/lapistrestle/command/programs.py
@@ -1,6 +1,7 @@
 """The programs: edge, and the stand-ins runner and roster; and `call`, which sends calls to an edge."""
 
 import random
+import secrets
 import signal
 import sys
 import time
@@ -82,7 +83,8 @@
         raise Wrong(f"{deployment}: roster.port: is missing; an edge needs one (or --roster-port)")
     reactor = reactor_of_now()
     try:
-        program = Edge(reactor, made, make_log(json_))
+        boot, nonce = time.time_ns() // 1_000_000, secrets.randbits(32)
+        program = Edge(reactor, made, make_log(json_), boot=boot, nonce=nonce)
     except CannotListenError as trouble:
         raise click.ClickException(f"can't listen for peers: {trouble}") from None
     serve(reactor, program.start, tell_port, lambda: program.stop(reactor.stop))
--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -160,6 +160,10 @@
         raise wrong("is missing; a ramp needs it", "workers", "fall_time")
     if workers.absent == "miss" and not orders.allowed:
         raise wrong('is false; where workers answer "miss" only orders load', "orders", "allowed")
+    if made.fleet.name and not made.fleet.port:
+        raise wrong("is missing; an edge of a fleet needs one", "fleet", "port")
+    if made.fleet.name and min(made.fleet.period, made.fleet.tell) < 1_000:
+        raise wrong("is under 100 ms; a member would do nothing else", "fleet", "period")
     if orders.window and not orders.free and not orders.share:
         raise wrong("allows no order at all; expected free or share above 0", "orders", "window")
 
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -121,6 +121,18 @@
     keep: str = ""  # file for the last plan, from which an edge goes on when it starts without a planner
 
 
+class Fleet(Shape):
+    """What this edge tells other edges, and hears of them; name "": nothing."""
+
+    name: str = ""
+    port: Port = 0
+    told_port: Port = 0  # where others reach it, if that is another
+    seeds: list[Port] = field(default_factory=list)  # of edges through which it joins
+    period: Span = Span(10_000)  # between two looks at whether another is there
+    tell: Span = Span(5_000)  # between two tellings of what was counted
+    shed: bool = True  # deny at the door by what all tell
+
+
 class Counting(Shape):
     """How the operators count service; the module may read it, no rule depends on it."""
 
@@ -142,4 +154,5 @@
     roster: Roster = field(default_factory=Roster)
     planner: Planner = field(default_factory=Planner)
     counting: Counting = field(default_factory=Counting)
+    fleet: Fleet = field(default_factory=Fleet)
     peers: list[Port] = field(default_factory=list)  # ports of the other front ends, by number
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -6,6 +6,7 @@
 from twisted.internet.protocol import ServerFactory
 
 from lapistrestle.hosting.host import ABORTED, DENIED, Ticket
+from lapistrestle.rollout.versions import key_of
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire.lines import Speaker, union
 
@@ -44,9 +45,17 @@
                 ticket = self.open.pop(message.id, None)
                 if ticket is not None:
                     self.edge.host.client_left(ticket)
+            case wire.Look():
+                self.show()
             case _:
                 self.say(wire.Fault("a greeting or a call was expected"))
 
+    def show(self) -> None:
+        together = self.edge.together
+        if together is None:
+            return self.say(wire.Fault("this edge is in no fleet (fleet.name is not set)"))
+        self.say(wire.Shown(msgspec.Raw(msgspec.json.encode(together.show()))))
+
     def call(self, call: wire.Call) -> None:
         edge = self.edge
         if call.id in self.open:
@@ -68,6 +77,13 @@
         if not route.name:
             edge.counts["turned away"] += 1
             return self.say(wire.Answer(call.id, ABORTED))
+        stay = None
+        if edge.together is not None:
+            key = key_of(call.key, call.token, f"{self.name}/{call.id}")
+            stay = edge.together.gate(method, customer, call.repeat, key)
+        if stay is not None:  # nothing of it has left this edge
+            edge.counts["turned away"] += 1
+            return self.say(wire.Answer(call.id, DENIED, stay / 10))
         edge.take(self, call, method, customer, left, route)
 
     def answer(self, ticket: Ticket, verdict: Any, come_back: int, body: Any) -> None:
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -14,6 +14,7 @@
 from lapistrestle.edge.planning import PlannerSource
 from lapistrestle.edge.rosters import RosterSource
 from lapistrestle.edge.runners import Runner, bounds_of
+from lapistrestle.edge.together import Together
 from lapistrestle.hosting.host import ABORTED, DENIED, Errand, Flight, Ticket
 from lapistrestle.interface import Outcome
 from lapistrestle.rollout.routing import Route, Routing
@@ -26,8 +27,9 @@
 
     def __init__(
         self, reactor: Any, deployment: Deployment, log: Log, seed: int | None = None,
-        make: Callable[..., Any] = Dispatcher,
+        make: Callable[..., Any] = Dispatcher, boot: int | None = None, nonce: int = 0,
     ) -> None:  # fmt: skip
+        """`boot` and `nonce` tell this start of this process from others under its name, in a fleet."""
         place = deployment.dispatcher
         self.deployment, self.bounds = deployment, bounds_of(deployment.listen)
         self.methods = {name: i for i, name in enumerate(deployment.methods)}
@@ -52,6 +54,20 @@
             self.sources.append(self.planner)
         self.peers = Peers(self) if self.facts["may_tell_peers"] else None
         self.keeping = Keeping(self, place.keep) if place.keep else None
+        fleet = deployment.fleet
+        boot = round(reactor.seconds() * 1000) if boot is None else boot
+        self.together = Together(self, fleet, boot, nonce) if fleet.name else None
+
+    def start(self) -> int:
+        port = super().start()
+        if self.together is not None:
+            self.together.start()
+        return port
+
+    def stop(self, stopped: Callable[[], None]) -> None:
+        if self.together is not None:
+            self.together.talk.leave()
+        super().stop(stopped)
 
     # the list and the runners
 
@@ -116,19 +132,23 @@
         asked, tries = ticket.asked, ticket.tries()
         route = self.routing.moved(ticket.fn.name, key_of(asked.key, asked.token, ticket.tag))
         left = ticket.deadline - self.clock()
+        if self.together is not None:
+            self.together.door.again()
         self.take(ticket.seat, asked, ticket.method, ticket.customer, left, route, True, tries)
 
     def closed(self, ticket: Ticket, how: str) -> None:
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
-        now, as what ends badly then is no fault of the version."""
+        now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
+        now = self.clock()
+        method = self.facts["methods"][ticket.method]
+        stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
+        late = now - ticket.began > min(method["deadline"], stretched)
+        if self.together is not None:
+            self.together.door.ended(how, late, bool(ticket.call_outs))
         if ticket.route is not None and ticket.route.candidate and how != "moved":
             if how != "ok" and self.barred(ticket.fn.name):
                 return
-            now = self.clock()
-            method = self.facts["methods"][ticket.method]
-            stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
-            bad = how != "ok" or now - ticket.began > min(method["deadline"], stretched)
-            self.routing.note(ticket.route, bad, now)
+            self.routing.note(ticket.route, how != "ok" or late, now)
 
     # what the host asks (hosting.Outside)
 
--- a/lapistrestle/fleet/digests.py
+++ b/lapistrestle/fleet/digests.py
@@ -56,10 +56,11 @@
 
 @dataclass(frozen=True)
 class Figures:
-    """What the fleet does, a second. `told` of `size` are counted, the others are too old or unheard of;
-    `age` is that of the oldest counted, in tenths of a millisecond."""
+    """What the fleet does, a second, and the counters themselves added up. `told` of `size` are counted, the
+    others are too old or unheard of; `age` is that of the oldest counted, in tenths of a millisecond."""
 
     rates: Mapping[str, float]
+    totals: Mapping[str, int]
     told: int
     size: int
     age: int
@@ -170,13 +171,14 @@
         """Of oneself and all that are `present`, each within its bounds; one's own figures as they are."""
         parts = list[tuple[float, tuple[float, ...]]]()
         own: tuple[float, ...] = (0.0,) * len(self.columns)
-        age = 0
+        counts, age = list(self.counts), 0
         for name, teller in self.tellers.items():
             rates = teller.rates(self.facts["window"])
             if name == self.life[0]:
                 own = rates or own
             elif present(name) and rates is not None and (weight := self.weight(teller, now)) > 0:
                 parts.append((weight, rates))
+                counts = [a + b for a, b in zip(counts, teller.row.counts, strict=True)]
                 age = max(age, now - teller.true_at)
         made = dict[str, float]()
         for name, i in self.columns.items():
@@ -185,4 +187,4 @@
             if len(said) + 1 >= FEW:
                 cap = min(cap, PART * max(1.0, median([*said, own[i]])))
             made[name] = own[i] + sum(w * min(cap, rates[i]) for w, rates in parts)
-        return Figures(made, 1 + len(parts), size, age)
+        return Figures(made, dict(zip(self.columns, counts, strict=True)), 1 + len(parts), size, age)
--- a/lapistrestle/fleet/talk.py
+++ b/lapistrestle/fleet/talk.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 from typing import Any, Protocol
+from zlib import crc32
 
 from twisted.internet.protocol import DatagramProtocol
 
-from lapistrestle.fleet.members import Facts, Member, Members
+from lapistrestle.fleet.digests import Digests
+from lapistrestle.fleet.members import Facts, Member, Members, Standing
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Claim, Datagram, Rank
 
@@ -34,10 +36,13 @@
     def __init__(
         self, ground: Ground, facts: Facts, name: str, zone: str, boot: int, nonce: int, seed: int
     ) -> None:  # fmt: skip
-        self.ground, self.facts, self.fleet = ground, facts, facts["fleet"]
+        self.ground, self.facts, self.fleet, self.seed = ground, facts, facts["fleet"], seed
         port = facts.get("told_port") or facts["port"]
         me = Claim(name, boot, nonce, 0, Rank.ALIVE, facts.get("host", "127.0.0.1"), port, zone)
         self.members = Members(self, facts, me, seed, ground.clock())
+        self.digests: Digests | None = None  # what is told beside who is there
+        self.told_at = ground.clock()
+        self.draws = 0
         self.timer: Any = None
         self.timer_at = -1
         self.sent = self.sent_bytes = self.came = self.refused = 0
@@ -58,12 +63,17 @@
         except wire.Unreadable as trouble:
             self.refused += 1
             return self.ground.passed_over(f"fleet datagram from port {addr[1]}", str(trouble))
-        self.members.heard(datagram.sender, datagram.word, datagram.claims, self.ground.clock())
+        now = self.ground.clock()
+        self.members.heard(datagram.sender, datagram.word, datagram.claims, now)
+        if isinstance(datagram.word, wire.Rows) and self.digests is not None:
+            self.digests.heard(datagram.word.layout, datagram.word.rows, now)
         self.wake()
 
     def wake(self) -> None:
         """Have `turn` called when something is due next; one timer at a time."""
         due = self.members.due
+        if self.digests is not None:
+            due = min(due, self.told_at + self.digests.facts["tell"])
         if self.timer is not None and self.timer_at <= due:
             return
         if self.timer is not None:
@@ -73,9 +83,24 @@
 
     def turn(self, _: object = None) -> None:
         self.timer = None
-        self.members.tick(self.ground.clock())
+        now = self.ground.clock()
+        if now >= self.members.due:
+            self.members.tick(now)
+        if self.digests is not None and now >= self.told_at + self.digests.facts["tell"]:
+            self.told_at = now
+            self.tell(self.digests, now)
         self.wake()
 
+    def tell(self, digests: Digests, now: int) -> None:
+        """Counters to a few, drawn anew each time."""
+        here = list(self.members.here()) if self.members.standing is Standing.MEMBER else []
+        own = wire.size(digests.tellers[digests.life[0]].row)
+        for _ in range(min(len(here), digests.datagrams(len(here) + 1, own))):
+            self.draws += 1
+            member = here.pop(crc32(f"{self.seed}:tell:{self.draws}".encode()) % len(here))
+            word = wire.Rows(digests.layout, tuple(digests.to_tell(now, wire.MOST - wire.HEAD)))
+            self.send(member.claim.host, member.claim.port, word, ())
+
     # what membership asks (members.Outside)
 
     def send(self, host: str, port: int, word: wire.AnyWord, claims: tuple[Claim, ...]) -> None:
@@ -85,7 +110,14 @@
             self.sent_bytes += len(data)
             self.transport.write(data, (host, port))
 
-    def changed(self, member: Member) -> None: ...
+    def changed(self, member: Member) -> None:
+        if self.digests is not None and not member.known:
+            self.digests.forget(member.name)
+
+    def present(self, name: str) -> bool:
+        """Whether that one counts as there."""
+        member = self.members.members.get(name)
+        return member is not None and member.here
 
     def log(self, text: str) -> None:
         self.ground.log("fleet", figures=text)
--- a/lapistrestle/overload/shedding.py
+++ b/lapistrestle/overload/shedding.py
@@ -18,27 +18,26 @@
 
 SECOND = 10_000  # in tenths of a millisecond
 STRAINED = 0.12  # of what was let in came late or not at all: too much
-FINE = 0.04  # under it there is room for more
 CUT = 0.95  # of what is done in time is let in under strain
 EASE = 0.25  # more is let in for each age of figures that all went well
 FEW = 20.0  # of what ended in a window, under which no share is read off
 FLOOR = 0.3  # of the best that was done within PEAK: a jam that wastes all must not pass for no capacity
 PEAK = 15 * SECOND
 BACK = 0.9  # of that best is let in once the strain is over
-LONG = 0.3  # of a soft deadline that an RPC stays, or
+LONG = 0.4  # of a soft deadline that an RPC stays, or
 TWICE = 2.0  # so many times the least of late: something has piled up
 PILING = 0.9  # or if less than this part of what is let in ends
 DRAINS = 0.85  # of what ends is let in then
 LAG = 2 * SECOND  # figures are rates over a window: at least so old whatever their age says
 
 Mode = Enum("Mode", "CALM SHEDDING EASING")
-Sign = Enum("Sign", "STRAINED BETWEEN PILES FINE FITS")  # what the figures say
+Sign = Enum("Sign", "STRAINED PILES FINE FITS")  # what the figures say
 
 
 @dataclass(frozen=True)
 class Seen:
     """The fleet's traffic a second: `asked` by rung, `let` in, of that `good` and `bad` ended; `out`: RPCs
-    let in and not ended. `age` of the oldest figure, in tenths of a millisecond."""
+    let in and not ended. What the module denied by itself is in none of them. `age` of the oldest figure, in tenths of a millisecond."""
 
     asked: tuple[float, ...]
     let: float
@@ -74,16 +73,16 @@
         return self.level
 
     def sign(self, seen: Seen) -> Sign:
+        """Bad ends without long stays are no overload, but workers or loads that fail: letting fewer in would
+        mend nothing, and the share of bad ends would only grow as fewer are let in."""
         ended = seen.good + seen.bad
-        share = seen.bad / ended if ended * LAG / SECOND >= FEW else 0.0
-        if share > STRAINED:
+        known = ended * LAG / SECOND >= FEW
+        long = known and self.stay(seen) > max(LONG * self.soft, TWICE * self.least[0][1])
+        if long and seen.bad > STRAINED * ended:
             return Sign.STRAINED
-        if sum(seen.asked) <= self.room and share <= (STRAINED + FINE) / 2:
+        if sum(seen.asked) <= self.room:
             return Sign.FITS
-        long = self.stay(seen) > max(LONG * self.soft, TWICE * self.least[0][1])
-        if long or ended < PILING * seen.let:
-            return Sign.PILES
-        return Sign.FINE if share <= FINE else Sign.BETWEEN
+        return Sign.PILES if long or ended < PILING * seen.let else Sign.FINE
 
     def stay(self, seen: Seen) -> float:
         """In tenths of a millisecond."""
@@ -128,17 +127,14 @@
 
 MODES: dict[tuple[Mode, Sign], tuple[Mode, Callable[[Shedding, Seen, int], None] | None]] = {
     (Mode.CALM, Sign.STRAINED): (Mode.SHEDDING, Shedding.cut),
-    (Mode.CALM, Sign.BETWEEN): (Mode.CALM, None),
     (Mode.CALM, Sign.FINE): (Mode.CALM, None),
     (Mode.CALM, Sign.FITS): (Mode.CALM, None),
     (Mode.SHEDDING, Sign.STRAINED): (Mode.SHEDDING, Shedding.cut),
     (Mode.CALM, Sign.PILES): (Mode.CALM, None),
-    (Mode.SHEDDING, Sign.BETWEEN): (Mode.SHEDDING, None),
     (Mode.SHEDDING, Sign.PILES): (Mode.SHEDDING, None),
     (Mode.SHEDDING, Sign.FINE): (Mode.EASING, Shedding.ease),
     (Mode.SHEDDING, Sign.FITS): (Mode.EASING, Shedding.ease),
     (Mode.EASING, Sign.STRAINED): (Mode.SHEDDING, Shedding.cut),
-    (Mode.EASING, Sign.BETWEEN): (Mode.EASING, None),
     (Mode.EASING, Sign.PILES): (Mode.EASING, Shedding.drain),
     (Mode.EASING, Sign.FINE): (Mode.EASING, Shedding.ease),
     (Mode.EASING, Sign.FITS): (Mode.CALM, Shedding.open),
--- a/lapistrestle/standins/fleet.py
+++ b/lapistrestle/standins/fleet.py
@@ -1,9 +1,12 @@
 """Many dispatchers' talk in virtual time, and what breaks between them: the rig of the fleet's tests."""
 
 import random
+import socket
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.protocol import DatagramProtocol
+
 from lapistrestle.fleet.talk import Talk
 from lapistrestle.hosting.timers import Timer
 from lapistrestle.standins.virtual import LATENCY, Process, VirtualReactor
@@ -39,6 +42,36 @@
         self.cut.clear()
 
 
+def free_ports(count: int) -> list[int]:
+    """Ports at which no datagrams are heard now, each another."""
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports: list[int] = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Relay(DatagramProtocol):
+    """Stands before one edge's port on real sockets, and does to each datagram what its link does."""
+
+    transport: Any
+
+    def __init__(self, reactor: Any, links: Links, target: int) -> None:
+        self.reactor, self.links, self.target = reactor, links, target
+
+    def datagramReceived(self, data: bytes, addr: Any) -> None:
+        for delay in self.links.fates(addr[1], self.target):
+            self.reactor.callLater(delay / 1e6, self.transport.write, data, ("127.0.0.1", self.target))
+
+
+def relay(reactor: Any, links: Links, ports: list[int]) -> list[int]:
+    """The ports of relays before these ports."""
+    made = [reactor.listenUDP(0, Relay(reactor, links, port), interface="127.0.0.1") for port in ports]
+    return [port.getHost().port for port in made]
+
+
 class Ground:
     """What a `Talk` needs of its program, on a process of the virtual reactor whose clock may run wrong."""
 
--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -71,6 +71,7 @@
     with tempfile.TemporaryDirectory() as folder:
         make_planner = virtual_planners(reactor, Path(folder) / "journal", log)
         world = World(outside, day, deployment, sink, make_edge, make_planner, Path(folder))
+        reactor.links = world.links.fates
         run_virtual(reactor, world, begun)
     return world
 
@@ -167,7 +168,7 @@
             return planners[-1]
 
         def begin() -> None:
-            world = World(reactor, day, deployment, sink, make_edge, make_planner, Path(folder))
+            world = World(reactor, day, deployment, sink, make_edge, make_planner, Path(folder), relayed=True)
             worlds.append(world)
             world.start()
             wait_for_edges(world, reactor.seconds() + 20)
--- a/lapistrestle/standins/script.py
+++ b/lapistrestle/standins/script.py
@@ -15,6 +15,7 @@
     "refused", "broken", "silent", "delayed", "split", "garbled",
     "edge_kill", "store_slow", "roster_back", "roster_gap", "roster_restart", "unread",
     "planner_stall", "planner_kill",
+    "edges_apart", "edges_deaf", "edges_lossy",
 ]  # fmt: skip
 
 
--- a/lapistrestle/standins/troubles.py
+++ b/lapistrestle/standins/troubles.py
@@ -85,6 +85,43 @@
     return all_of(partial(world.restart_edge, n) for n in chosen)
 
 
+def edges_apart(world: World, trouble: Trouble) -> End:
+    """Nothing passes between a share of the edges and the others."""
+    return sever(world, trouble, both=True)
+
+
+def edges_deaf(world: World, trouble: Trouble) -> End:
+    """What the others say does not reach a share of the edges; what these say gets through."""
+    return sever(world, trouble, both=False)
+
+
+def sever(world: World, trouble: Trouble, both: bool) -> End:
+    chosen = edges_of(world, trouble.share)
+    ports = world.fleet_ports
+    others = [port for n, port in enumerate(ports) if n not in chosen]
+    before = set(world.links.cut)
+    world.links.sever(others, [ports[n] for n in chosen], both)
+    cut = world.links.cut - before
+
+    def end() -> None:
+        world.links.cut -= cut
+
+    return end
+
+
+def edges_lossy(world: World, trouble: Trouble) -> End:
+    """Between edges a share of the datagrams is lost, as many are doubled, and all are up to `by` late."""
+    links = world.links
+    links.lost, links.doubled = links.lost + trouble.share, links.doubled + trouble.share
+    links.delays = (links.delays[0], links.delays[1] + int(trouble.by) * 100)
+
+    def end() -> None:
+        links.lost, links.doubled = links.lost - trouble.share, links.doubled - trouble.share
+        links.delays = (links.delays[0], links.delays[1] - int(trouble.by) * 100)
+
+    return end
+
+
 def planner_stall(world: World, trouble: Trouble) -> End:
     planner = world.planner
     if planner is None:
@@ -370,6 +407,9 @@
 TROUBLES: dict[str, Begin] = {
     "balancer_stall": balancer_stall,
     "edge_kill": edge_kill,
+    "edges_apart": edges_apart,
+    "edges_deaf": edges_deaf,
+    "edges_lossy": edges_lossy,
     "burst": burst,
     "hot_key": hot_key,
     "scan": scan,
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -12,6 +12,7 @@
 from lapistrestle.deployment.shape import Deployment, Place, Planner
 from lapistrestle.standins.client import Crowd, Habits, Line, Wish
 from lapistrestle.standins.engine import RunnerFacts
+from lapistrestle.standins.fleet import Links, free_ports, relay
 from lapistrestle.standins.operator import Operator
 from lapistrestle.standins.roster import RosterStandIn
 from lapistrestle.standins.runner import Fault, RunnerStandIn, Tokens
@@ -22,6 +23,7 @@
 from lapistrestle.wire.plans import Order
 
 SECOND = 10_000
+FLEET = 46_000  # ports of edges among themselves, in virtual time
 
 
 class EdgeHandle(Protocol):
@@ -69,11 +71,12 @@
 
 
 class World:
-    """Builds and plays one day. `make_edge` decides whether edges are objects or processes."""
+    """Builds and plays one day. `make_edge` decides whether edges are objects or processes; `relayed` has
+    what they say among themselves pass through the rig, which breaks it there."""
 
     def __init__(
         self, reactor: Any, day: Day, deployment: Deployment, sink: BinaryIO, make_edge: MakeEdge,
-        make_planner: MakePlanner | None = None, folder: Path | None = None,
+        make_planner: MakePlanner | None = None, folder: Path | None = None, relayed: bool = False,
     ) -> None:  # fmt: skip
         self.reactor, self.day, self.deployment = reactor, day, deployment
         self.random = random.Random(day.seed)
@@ -97,6 +100,11 @@
         habits = Habits(traffic.retries, wait, traffic.patience, traffic.marks, traffic.heeds)
         self.crowd = Crowd(reactor, habits, day.seed + 1, self.tape)
         self.make_planner, self.folder = make_planner, folder
+        self.links = Links(day.seed + 2)  # between edges of a fleet
+        self.fleet_ports = self.told_ports = [FLEET + i for i in range(day.edges)]
+        if relayed and deployment.fleet.name:
+            self.fleet_ports = free_ports(day.edges)
+            self.told_ports = relay(reactor, self.links, self.fleet_ports)
         self.planner: EdgeHandle | None = None
         if day.rollouts and make_planner is not None:
             self.begin_planner()
@@ -145,6 +153,9 @@
         )  # fmt: skip
         made.roster = msgspec.structs.replace(made.roster, port=self.roster.port)
         made.listen = msgspec.structs.replace(made.listen, port=0)
+        if made.fleet.name:
+            port, told, seeds = self.fleet_ports[number], self.told_ports[number], self.told_ports[:2]
+            made.fleet = msgspec.structs.replace(made.fleet, port=port, told_port=told, seeds=seeds)
         if self.folder is not None:
             keep = str(self.folder / f"edge-{number}.plan")
             made.planner = msgspec.structs.replace(made.planner, keep=keep)
--- a/lapistrestle/wire/messages.py
+++ b/lapistrestle/wire/messages.py
@@ -92,6 +92,18 @@
     body: Raw = NO_BODY
 
 
+class Look(Message, tag="look"):
+    """An operator asks what the edge knows of something."""
+
+    what: Literal["fleet"]
+
+
+class Shown(Message, tag="shown"):
+    """The answer to a look, as JSON for people and tools; its names may grow."""
+
+    body: Raw
+
+
 # edge to runner; `call`, `order` and `probe` are numbers of the edge's, counted up on each connection
 
 
@@ -217,8 +229,8 @@
     text: Annotated[str, Meta(max_length=256)]
 
 
-FromClient = Hello | Call | Leave | Bye
-ToClient = Hello | Begun | Answer | Fault | Bye
+FromClient = Hello | Call | Leave | Look | Bye
+ToClient = Hello | Begun | Answer | Shown | Fault | Bye
 ToRunner = Hello | Run | Cancel | Hold | Unload | Probe | Bye
 FromRunner = Hello | RunBegun | Ended | Held | Probed | Draining | Fault | Bye
 ToRoster = Hello | Follow | Ask | Bye
