While the fleet sheds no copy is added beside one; strain is bad ends with long stays

Seen in the store's and runners' figures: loads under way rose from 18 to 75 and copies that stand fell from 98 to 62, as the door had taken away the pressure by which the module had denied before it came to load; latencies stayed bad and each brought a further copy. Ruled out: the level itself (room 120 to 230 while 0.05 s of work was out), denials of the module counted as bad (no longer are). Change: the module reads one more fact, shedding, whose absence is today's behaviour; while it holds, place orders no copy beside a warm one and hold keeps what stands. Strain needs long stays beside bad ends, and a jam that lasts never passes for usual.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -202,7 +202,7 @@
         zones = [self.zone(s) for s in warm]
         open_ = [s for s, zone in zip(warm, zones, strict=True) if zone is not Zone.UNSAFE]
         calm = min(zones, default=Zone.UNSAFE) < Zone.WARNING
-        room = self.loading < (1 if warm else 4) * self.load_limit
+        room = self.loading < (1 if warm else 4) * self.load_limit and not (warm and self.shed())
         if not loads and not calm and room:
             cold = self.first_cold(rpc, order, bool(warm or rpc.call_outs))
             if cold and warm:
@@ -222,6 +222,12 @@
             return Input.WAITS
         return self.send(rpc, spot)
 
+    def shed(self) -> bool:
+        """The fleet denies at its doors (a fact that comes and goes): no copy is added beside one. Guards
+        against loads that push out what is used, as the denials by own pressure did that the door forestalls;
+        harms where a copy more would have served what is denied."""
+        return bool(self.facts.get("shedding"))
+
     def first_cold(
         self, rpc: Rpc, order: Iterable[Srv], to_load: bool = True, missed: bool = False
     ) -> Spot | None:
@@ -607,6 +613,8 @@
             if not wanted or self.zone(spot := fn.spot(srv)) is Zone.UNSAFE:
                 continue
             count, spare = used.get(spot, 0) + spare, 0
+            if self.shed() and count > self.believed(spot):
+                continue
             if self.loading < self.load_limit if count > self.believed(spot) else count > used.get(spot, 0):
                 self.order(spot, count, HOLD_PART)
 
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -59,7 +59,7 @@
     ) -> None:  # fmt: skip
         """`prompt`: tenths of a millisecond that an order may wait for its connection."""
         self.reactor, self.name, self.log = reactor, name, log
-        self.facts: Facts = {**facts, "order_lag": prompt}
+        self.facts: dict[str, Any] = {**facts, "order_lag": prompt}
         self.runners: dict[str, Any] = {}
         self.counts = dict.fromkeys(("turned away", "unreadable", "passed over"), 0)
         self.stopping = False
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -35,6 +35,7 @@
     def look(self, _: object = None) -> None:
         if self.fleet.shed and not self.edge.stopping:
             self.door.look(self.talk.present, self.talk.members.size, self.edge.clock())
+            self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
             self.edge.after(LOOK, self.look, None)
 
     def gate(self, method: int, customer: int, repeat: bool, key: str) -> int | None:
--- a/lapistrestle/overload/door.py
+++ b/lapistrestle/overload/door.py
@@ -70,8 +70,8 @@
 
     def ended(self, how: str, late: bool, cost: bool) -> None:
         """One that was let in has ended: `ok`, `denied`, `aborted`, or its client `left`, or it `moved`. What
-        cost no worker anything is no sign of strain, however it ended: the module sheds by itself, and a level
-        that took that for strain would shut the door ever further."""
+        cost no worker anything is no sign of strain, however it ended: the module sheds by itself, and a
+        level that took that for strain would shut the door ever further."""
         good = how == "ok" and not late
         gone = not cost or (how in ("left", "moved") and not late)
         self.digests.add("good" if good else "gone" if gone else "bad")
@@ -105,6 +105,11 @@
                 if 0 < quota < rate:
                     self.shares[i] = quota / rate
 
+    @property
+    def sheds(self) -> bool:
+        """Whether the level in force denies anything."""
+        return self.level.rung < self.ladder.count
+
     def seen(self, figures: Figures) -> Seen:
         rates, totals = figures.rates, figures.totals
         out = totals["let"] - totals["good"] - totals["bad"] - totals["gone"]
--- a/lapistrestle/overload/shedding.py
+++ b/lapistrestle/overload/shedding.py
@@ -37,7 +37,8 @@
 @dataclass(frozen=True)
 class Seen:
     """The fleet's traffic a second: `asked` by rung, `let` in, of that `good` and `bad` ended; `out`: RPCs
-    let in and not ended. What the module denied by itself is in none of them. `age` of the oldest figure, in tenths of a millisecond."""
+    let in and not ended. What the module denied by itself is in none of them. `age` of the oldest figure, in
+    tenths of a millisecond."""
 
     asked: tuple[float, ...]
     let: float
@@ -77,7 +78,8 @@
         mend nothing, and the share of bad ends would only grow as fewer are let in."""
         ended = seen.good + seen.bad
         known = ended * LAG / SECOND >= FEW
-        long = known and self.stay(seen) > max(LONG * self.soft, TWICE * self.least[0][1])
+        usual = max(LONG * self.soft, TWICE * self.least[0][1])
+        long = known and self.stay(seen) > min(self.soft, usual)  # a jam that lasts must not pass for usual
         if long and seen.bad > STRAINED * ended:
             return Sign.STRAINED
         if sum(seen.asked) <= self.room:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -697,3 +697,16 @@
         srv.timed(made.now, 900_000.0, 1_000.0)
     made.arrived(one)
     assert one.call_outs[0].srv is made.walk(one.fn)[0]
+
+
+@pytest.mark.parametrize("shedding", [False, True])
+def test_while_the_fleet_sheds_no_copy_is_added_beside_one(shedding):
+    made = dispatcher(3, **{"when-absent": "load", "load-share": 1.0, "free-loads": 50})
+    made.facts = {**made.facts, "shedding": shedding}
+    call = rpc(made)
+    call.began = made.now
+    warm = call.fn.spot(made.walk(call.fn)[0])
+    warm.copies, warm.seen, warm.zone, warm.until = 1, made.now, Zone.WARNING, made.now + 50_000
+    warm.out = 1  # all that a worker in Warning takes
+    assert made.place(call, None) is Input.SENT
+    assert len(made.host.of("order")) == (not shedding)
