--- /dev/null
+++ b/tests/test_fleet_process.py
@@ -0,0 +1,206 @@
+"""Edges of one fleet as processes: killed, stopped, started anew, cut apart; and days that do so."""
+
+import json
+import socket
+import time
+
+import json5
+import pytest
+from click.testing import CliRunner
+from days import EXAMPLES, Played, day
+from test_real import command
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import judge
+from lapistrestle.standins.children import Child
+from lapistrestle.standins.fleet import free_ports
+from lapistrestle.standins.tape import read
+from lapistrestle.wire.messages import CLIENT, VERSION
+
+
+def deployment(**fleet):
+    made = json5.loads((EXAMPLES / "slots.json5").read_text())
+    return made | {"fleet": {"name": "harbour", "port": 1, **fleet}}
+
+
+def fleet_day(troubles, **more):
+    script = day("slots", troubles, **more)
+    script["deployment"] = deployment()
+    return script
+
+
+def look(port):
+    """What `lapistrestle fleet show --json` prints, without a process for each look."""
+    hello = {"is": "hello", "protocol": CLIENT, "version": VERSION}
+    said = "".join(json.dumps(message) + "\n" for message in (hello, {"is": "look", "what": "fleet"}))
+    with socket.create_connection(("127.0.0.1", port), 10) as client:
+        client.sendall(said.encode())
+        for line in client.makefile():
+            if (message := json.loads(line))["is"] == "shown":
+                return message["body"]
+    return {"members": []}
+
+
+class Edges:
+    """Some edges as processes, each with its own port for the others."""
+
+    def __init__(self, folder, count):
+        self.folder, self.ports = folder, free_ports(count)
+        self.children = {}
+        (folder / "w.json5").write_text("[]")
+        self.roster = Child(folder, "roster", "roster", str(folder / "w.json5"))
+        self.roster.start()
+        self.roster.wait_port()
+        for number in range(count):
+            self.start(number)
+
+    def start(self, number):
+        made = deployment(port=self.ports[number], seeds=self.ports[:2], period="300 ms", tell="200 ms")
+        place = {"name": f"edge-{number}", "number": number, "of": len(self.ports), "zone": "north"}
+        made["dispatcher"] = place
+        made["listen"] = {"port": 0}
+        file = self.folder / f"edge-{number}.json5"
+        file.write_text(json.dumps(made))
+        port = str(self.roster.known)
+        child = Child(self.folder, f"edge-{number}", "edge", str(file), "--roster-port", port)
+        child.start()
+        self.children[number] = child
+
+    def show(self, number):
+        return look(self.children[number].wait_port())
+
+    def view(self, number):
+        return {m["name"]: m["is"] for m in self.show(number)["members"]}
+
+    def until(self, holds, seconds=40.0):
+        """Wait for it, within a bound."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if holds():
+                return
+            time.sleep(0.1)
+        raise AssertionError([self.view(n) for n in self.children])
+
+    def end(self):
+        for child in [*self.children.values(), self.roster]:
+            child.resume()
+            child.kill()
+
+
+@pytest.fixture
+def edges(tmp_path):
+    made = Edges(tmp_path, 4)
+    yield made
+    made.end()
+
+
+def there(view, name):
+    return view.get(name) in ("alive", "suspect")
+
+
+def test_edges_that_are_killed_stopped_and_started_anew(edges):
+    names = {n: f"edge-{n}" for n in range(4)}
+    edges.until(lambda: all(sum(there(edges.view(n), name) for name in names.values()) == 3 for n in names))
+    edges.children[3].kill()  # SIGKILL
+    edges.children[2].stall()  # SIGSTOP
+    dead = {"edge-2": "dead", "edge-3": "dead"}
+    edges.until(lambda: all(edges.view(n).items() >= dead.items() for n in (0, 1)))
+    said = command("fleet", "explain", "edge-3", "--port", edges.children[0].wait_port())
+    assert said.returncode == 0 and "edge-3 is dead: it was silent" in said.stdout
+    told = command("fleet", "show", "--port", edges.children[0].wait_port())
+    assert told.returncode == 0 and "edge-0 is member of harbour" in told.stdout
+    edges.children[2].resume()  # it finds itself dead, and says that it is not
+    edges.until(lambda: all(edges.view(n).get("edge-2") == "alive" for n in (0, 1)))
+    edges.start(3)  # the same name, another process
+    edges.until(lambda: all(edges.view(n).get("edge-3") == "alive" for n in (0, 1, 2)))
+    assert edges.show(3)["standing"] == "member" and edges.show(3)["size"] == 4
+    assert edges.children[1].stop() == 0  # SIGTERM: it says that it leaves
+    edges.until(lambda: all(edges.view(n).get("edge-1") == "left" for n in (0, 2, 3)))
+    lines = [line for child in edges.children.values() for line in child.lines()]
+    assert not any("Traceback" in line for line in lines)
+
+
+def test_two_processes_under_one_name_leave_one_member(edges):
+    edges.until(lambda: len(edges.view(0)) == 3)
+    old, edges.ports = edges.children[3], [*edges.ports[:3], *free_ports(1)]
+    edges.start(3)
+    try:
+        edges.until(lambda: edges.show(3)["standing"] == "member" and there(edges.view(0), "edge-3"))
+        port = old.wait_port()
+
+        def displaced():
+            shown = look(port)
+            return shown["standing"] == "displaced" and shown["size"] == 0
+
+        edges.until(displaced)
+    finally:
+        old.kill()
+
+
+def test_the_look_of_an_edge_without_a_fleet_says_so(tmp_path):
+    made = json5.loads((EXAMPLES / "slots.json5").read_text())
+    made["listen"] = {"port": 0}
+    (tmp_path / "d.json5").write_text(json.dumps(made))
+    (tmp_path / "w.json5").write_text("[]")
+    roster, edge = Child(tmp_path, "r", "roster", str(tmp_path / "w.json5")), None
+    try:
+        roster.start()
+        port = str(roster.wait_port())
+        edge = Child(tmp_path, "e", "edge", str(tmp_path / "d.json5"), "--roster-port", port)
+        edge.start()
+        said = command("fleet", "show", "--port", edge.wait_port())
+        assert said.returncode == 1 and "is in no fleet" in said.stderr
+    finally:
+        for child in (roster, edge):
+            if child is not None:
+                child.kill()
+
+
+def test_a_wrong_fleet_is_named(tmp_path):
+    from lapistrestle.command.main import main
+
+    file = tmp_path / "d.json5"
+    file.write_text(json.dumps(deployment(port=0)))
+    said = CliRunner().invoke(main, ["deployment", "check", str(file)])
+    assert said.exit_code == 1 and "fleet.port: is missing" in said.output
+    file.write_text(json.dumps(deployment(period="1 ms")))
+    assert "under 100 ms" in CliRunner().invoke(main, ["deployment", "check", str(file)]).output
+
+
+TROUBLES = [
+    {"kind": "edges_lossy", "at": "500 ms", "lasts": "5 s", "share": 0.2, "by": "50 ms"},
+    {"kind": "edges_apart", "at": "1 s", "lasts": "2 s", "share": 0.5},
+    {"kind": "edges_deaf", "at": "2 s", "lasts": "2 s", "share": 0.3},
+    {"kind": "balancer_stall", "at": "2 s", "lasts": "800 ms", "share": 0.3},
+    {"kind": "edge_kill", "at": "3 s", "lasts": "1 s", "share": 0.4},
+    {"kind": "burst", "at": "1 s", "lasts": "3 s", "factor": 4},
+]
+
+
+def test_a_day_of_processes_with_what_they_say_broken_keeps_the_rules(tmp_path):
+    script = fleet_day(TROUBLES, length="6 s", edges=4, traffic={"rate": 30, "functions": 8})
+    script["deployment"]["listen"] = {"port": 7100, "margin": "300 ms"}  # this machine may be busy
+    path, tape = tmp_path / "day.json5", tmp_path / "day.tape"
+    path.write_text(json.dumps(script))
+    result = command("day", "run", path, "--tape", tape)
+    story = Story(read(tape))
+    breaches = [b for rule in judge(story) for b in rule.breaches]
+    assert result.returncode == 0 and breaches == [], result.stdout + result.stderr
+    assert sum(bool(c.answers) for c in story.calls) > 100
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_same_in_virtual_time_twice_byte_for_byte(seed):
+    script = fleet_day(TROUBLES, length="12 s", edges=8, seed=seed)
+    first, second = Played(script), Played(script)
+    assert first.breaches() == [] and first.tape == second.tape
+    assert [m for m in first.logs if m[0] == "fleet"] == [m for m in second.logs if m[0] == "fleet"]
+
+
+def test_after_a_burst_far_over_capacity_the_fleet_is_back_and_keeps_the_rules():
+    burst = [{"kind": "burst", "at": "8 s", "lasts": "10 s", "factor": 16}]
+    played = Played(fleet_day(burst, length="36 s", edges=3, seed=3, traffic={"rate": 60, "functions": 20}))
+    calls = [c for c in played.story.calls if c.at > 28_000 and not c.message.repeat]
+    ok = sum(bool(c.answers) and c.answers[0][2].verdict == "ok" for c in calls)
+    assert played.breaches() == [] and ok > 0.95 * len(calls)
+    assert any("figures together" in str(m["figures"]) for m in played.logged("fleet"))
