--- a/benchmarks/hunt.py
+++ b/benchmarks/hunt.py
@@ -1,9 +1,10 @@
 """Plays random days of overlapping troubles in virtual time and reports each that breaks a rule.
 
-    python benchmarks/hunt.py [--days 300] [--first 0] [--rollouts] [--processes 8]
+    python benchmarks/hunt.py [--days 300] [--first 0] [--rollouts] [--fleet] [--processes 8]
 
 With --rollouts each day also has a rollout that an operator takes back, and the planner may be killed or
-stand still at any moment. A day is drawn from its number alone, so one that is found is played again by
+stand still at any moment. With --fleet two to twelve edges are one, and what they say is broken too. A day
+is drawn from its number alone, so one that is found is played again by
 --first N --days 1.
 """
 
@@ -21,6 +22,7 @@
 from lapistrestle.checks.reading import Story
 from lapistrestle.checks.rules import judge
 from lapistrestle.checks.service import serve
+from lapistrestle.deployment.load import read_json5
 from lapistrestle.standins.play import play_virtual
 from lapistrestle.standins.script import Kind, make_day
 
@@ -29,7 +31,22 @@
 SOCKETS = ("silent", "delayed", "split", "garbled", "broken")
 
 
-def drawn(number: int, rollouts: bool) -> dict[str, Any]:
+def fleet_of(script: dict[str, Any], chance: random.Random) -> None:
+    """Make the day's edges one fleet, with a trouble between them, and far too much traffic at times."""
+    deployment, _ = read_json5(EXAMPLES / script["deployment"])
+    deployment["allowed"]["peers"] = False
+    script["deployment"] = deployment | {"fleet": {"name": "hunted", "port": 1}}
+    script["edges"] = chance.choice((2, 3, 5, 8, 12))
+    script["traffic"]["rate"] = chance.choice((20, 60, 120, 200))
+    for trouble in script["troubles"]:
+        trouble |= {"factor": chance.choice((2.0, 6.0, 20.0))} if trouble["kind"] == "burst" else {}
+    kind = chance.choice(("edges_apart", "edges_deaf", "edges_lossy", "edge_kill", "balancer_stall"))
+    at, lasts = (f"{chance.uniform(0.5, most):.2f} s" for most in (9, 6))
+    share = chance.choice((0.2, 0.5, 0.7))
+    script["troubles"].append({"kind": kind, "at": at, "lasts": lasts, "share": share})
+
+
+def drawn(number: int, rollouts: bool, fleet: bool = False) -> dict[str, Any]:
     """The script of one day."""
     chance = random.Random(number)
     troubles = []
@@ -54,6 +71,8 @@
         "traffic": {"rate": chance.choice((40, 60, 90)), "functions": 20},
         "troubles": troubles,
     }
+    if fleet:
+        fleet_of(script, chance)
     if rollouts:
         back = chance.uniform(6, 11)
         wrong = chance.choice(({}, {"errors": 0.1}, {"slower": 5}))
@@ -74,9 +93,9 @@
     return script
 
 
-def played(task: tuple[int, bool]) -> tuple[int, list[str], float]:
+def played(task: tuple[int, bool, bool]) -> tuple[int, list[str], float]:
     """Number, what was broken, service."""
-    number, rollouts = task
+    number, rollouts, fleet = task
     logs: list[str] = []
 
     def log(what: str, **figures: Any) -> None:
@@ -84,7 +103,7 @@
             logs.append(f"{what}: {figures}"[:300])
 
     try:
-        day, deployment = make_day(drawn(number, rollouts), path=EXAMPLES / "day.json5")
+        day, deployment = make_day(drawn(number, rollouts, fleet), path=EXAMPLES / "day.json5")
         sink = io.BytesIO()
         world = play_virtual(day, deployment, sink, log)
         decode = msgspec.json.Decoder(dict[str, Any]).decode
@@ -101,10 +120,11 @@
 @click.option("--days", default=300, show_default=True)
 @click.option("--first", default=0, show_default=True)
 @click.option("--rollouts", is_flag=True)
+@click.option("--fleet", is_flag=True)
 @click.option("--processes", default=8, show_default=True)
-def main(days: int, first: int, rollouts: bool, processes: int) -> None:
+def main(days: int, first: int, rollouts: bool, fleet: bool, processes: int) -> None:
     """Hunt."""
-    tasks = [(number, rollouts) for number in range(first, first + days)]
+    tasks = [(number, rollouts, fleet) for number in range(first, first + days)]
     found, service = 0, 0.0
     with multiprocessing.Pool(processes) as pool:
         for number, broken, total in pool.imap_unordered(played, tasks):
