A suspect worker is tried by two edges of the fleet, and the others take their dated word

Need: each dispatcher alone sends one call-out at a time to a worker it suspects; many together are a crowd. Change: together.py draws two triers for each suspect worker by rendezvous hashing over the members and passes verdicts on with the counters; the module reads trial of a worker and hears vouched, which counts only if it is newer than its own judgement; where nobody tells it tries again after ten seconds. Elsewhere nothing changes: trial stays true and nobody vouches.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -223,9 +223,8 @@
         return self.send(rpc, spot)
 
     def shed(self) -> bool:
-        """The fleet denies at its doors (a fact that comes and goes): no copy is added beside one. Guards
-        against loads that push out what is used, as the denials by own pressure did that the door forestalls;
-        harms where a copy more would have served what is denied."""
+        """The fleet denies at its doors: no copy is added beside one. Guards against loads that push out what
+        is used, as the door takes away the pressure that did; harms where a copy more would serve."""
         return bool(self.facts.get("shedding"))
 
     def first_cold(
@@ -488,15 +487,23 @@
             srv.pause = min(2 * srv.pause, 8 * SECOND)
             srv.due = self.now + srv.pause
         elif sent >= srv.due:
-            srv.suspect, srv.pause, srv.bad, self.suspects = False, SECOND, Sum(MEMORY), self.suspects - 1
-            self.host.log(f"{srv.name} fit again")
+            self.clear(srv)
 
     def fit(self, srv: Srv) -> bool:
         """Neither suspect nor silent; such a one gets one call-out at a time once its pause is over."""
         silence = 0 if srv.unheard is None else self.now - srv.unheard
         if silence and silence > 4 * max(self.weight(m) for m in range(len(self.light))):
             return silence > LONG and not srv.out  # with nothing out it could not break its silence
-        return not srv.suspect or (self.now >= srv.due and not srv.out)
+        return not srv.suspect or (self.now >= srv.due + (0 if srv.trial else LONG) and not srv.out)
+
+    def vouched(self, srv: Srv, at: int) -> None:
+        """Others found it fit. Guards against crowds of trials; harms where it fails us alone."""
+        if srv.suspect and at > srv.due - srv.pause:  # since we judged it
+            self.clear(srv)
+
+    def clear(self, srv: Srv) -> None:
+        srv.suspect, srv.pause, srv.bad, self.suspects = False, SECOND, Sum(MEMORY), self.suspects - 1
+        self.host.log(f"{srv.name} fit again")
 
     def warmth_of(self, srv: Srv) -> float:
         """The part of its capacity that a worker has at the least."""
@@ -613,9 +620,8 @@
             if not wanted or self.zone(spot := fn.spot(srv)) is Zone.UNSAFE:
                 continue
             count, spare = used.get(spot, 0) + spare, 0
-            if self.shed() and count > self.believed(spot):
-                continue
-            if self.loading < self.load_limit if count > self.believed(spot) else count > used.get(spot, 0):
+            room = self.loading < self.load_limit and not self.shed()
+            if room if count > self.believed(spot) else count > used.get(spot, 0):
                 self.order(spot, count, HOLD_PART)
 
     def learnt(self) -> list[tuple[float, float]]:
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -5,6 +5,8 @@
 from lapistrestle.deployment.shape import Fleet
 from lapistrestle.fleet.talk import Talk
 from lapistrestle.overload.door import LOOK, Door
+from lapistrestle.overload.probers import Verdicts, probers
+from lapistrestle.state import Srv
 
 
 class Together:
@@ -25,8 +27,12 @@
         told = {"tell": int(fleet.tell), "refresh": 2 * int(fleet.tell)}
         life = self.talk.members.me.life
         self.door = Door(edge.facts, life, told, place.seed, self.talk.log, edge.clock())
+        self.verdicts = Verdicts(place.name)
+        self.triers: dict[str, list[str]] = {}  # by worker: who tries it while it is suspect
+        self.those: list[str] = []  # of whom they were drawn
+        self.doubted: set[Srv] = set()  # of whom we told that they are suspect
         if fleet.shed:
-            self.talk.digests = self.door.digests
+            self.talk.digests, self.talk.verdicts = self.door.digests, self.verdicts
 
     def start(self) -> None:
         self.talk.start()
@@ -36,8 +42,35 @@
         if self.fleet.shed and not self.edge.stopping:
             self.door.look(self.talk.present, self.talk.members.size, self.edge.clock())
             self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
+            self.share_trials()
             self.edge.after(LOOK, self.look, None)
 
+    def share_trials(self) -> None:
+        """Tell others what the module found of workers, and the module what others found."""
+        now, me, found = self.edge.clock(), self.verdicts.me, self.verdicts.found
+        members = self.talk.members
+        those = [me, *(m.name for m in members.here())] if members.size else [me]
+        if those != self.those:
+            self.those, self.triers = those, {}
+        srvs = self.edge.host.module.serving
+        self.verdicts.keep(srv.name for srv in srvs)
+        for srv in srvs:
+            told = found.get(srv.name)
+            if srv.suspect and told is not None and told.fit and told.by != me:
+                self.edge.host.vouched(srv, told.at)
+            if srv.suspect and srv not in self.doubted:
+                self.verdicts.seen(srv.name, False, now)
+                self.doubted.add(srv)
+            elif not srv.suspect and srv in self.doubted:
+                self.doubted.discard(srv)
+                if told is not None and told.by == me:  # else it was others that found it fit
+                    self.verdicts.seen(srv.name, True, now)
+            if srv.suspect:
+                names = self.triers.get(srv.name) or probers(srv.name, those)
+                self.triers[srv.name] = names
+                srv.trial = me in names
+        self.doubted &= set(srvs)
+
     def gate(self, method: int, customer: int, repeat: bool, key: str) -> int | None:
         """As `Door.gate`."""
         if not self.fleet.shed:
--- a/lapistrestle/fleet/talk.py
+++ b/lapistrestle/fleet/talk.py
@@ -1,6 +1,6 @@
 """The socket between dispatchers: datagrams in and out, and the timer of what is decided in this package."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 from zlib import crc32
 
@@ -11,6 +11,15 @@
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Claim, Datagram, Rank
 
+VERDICTS = 4  # in one datagram
+
+
+class Verdicts(Protocol):
+    """What passes on what was found of workers (`overload.probers`)."""
+
+    def heard(self, verdicts: Iterable[wire.Verdict], now: int) -> None: ...
+    def to_tell(self, now: int, most: int) -> tuple[wire.Verdict, ...]: ...
+
 
 class Ground(Protocol):
     """What the program gives: an edge, or a test's stand-in for one. Times in tenths of a millisecond."""
@@ -41,6 +50,7 @@
         me = Claim(name, boot, nonce, 0, Rank.ALIVE, facts.get("host", "127.0.0.1"), port, zone)
         self.members = Members(self, facts, me, seed, ground.clock())
         self.digests: Digests | None = None  # what is told beside who is there
+        self.verdicts: Verdicts | None = None
         self.told_at = ground.clock()
         self.draws = 0
         self.timer: Any = None
@@ -67,6 +77,8 @@
         self.members.heard(datagram.sender, datagram.word, datagram.claims, now)
         if isinstance(datagram.word, wire.Rows) and self.digests is not None:
             self.digests.heard(datagram.word.layout, datagram.word.rows, now)
+            if self.verdicts is not None:
+                self.verdicts.heard(datagram.word.verdicts, now)
         self.wake()
 
     def wake(self) -> None:
@@ -98,7 +110,9 @@
         for _ in range(min(len(here), digests.datagrams(len(here) + 1, own))):
             self.draws += 1
             member = here.pop(crc32(f"{self.seed}:tell:{self.draws}".encode()) % len(here))
-            word = wire.Rows(digests.layout, tuple(digests.to_tell(now, wire.MOST - wire.HEAD)))
+            verdicts = self.verdicts.to_tell(now, VERDICTS) if self.verdicts is not None else ()
+            room = wire.MOST - wire.HEAD - sum(map(wire.size, verdicts))
+            word = wire.Rows(digests.layout, tuple(digests.to_tell(now, room)), verdicts)
             self.send(member.claim.host, member.claim.port, word, ())
 
     # what membership asks (members.Outside)
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -255,6 +255,9 @@
     def told(self, peer: int, text: str) -> None:
         self.post(None, "told", peer, text)
 
+    def vouched(self, srv: Srv, at: int) -> None:
+        self.post(None, "vouched", srv, at)
+
     def retract(self, ticket: Ticket) -> None:
         """The host takes an RPC back that has not run, to have it placed anew under another function."""
         if not ticket.final:
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -58,6 +58,7 @@
     suspect: bool = False
     pause: int = 0  # before a suspect worker is tried again
     due: int = 0  # when that is
+    trial: bool = True  # by this dispatcher; false where others of its fleet try it and tell
     out: int = 0  # own call-outs there
     warm: dict[CallOut, bool] = field(default_factory=dict)  # those with no load before them, oldest first
     warm_iso: int = 0  # sum of what they would take alone
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -710,3 +710,16 @@
     warm.out = 1  # all that a worker in Warning takes
     assert made.place(call, None) is Input.SENT
     assert len(made.host.of("order")) == (not shedding)
+
+
+def test_a_suspect_that_others_try_waits_for_their_word_or_ten_seconds():
+    made = dispatcher(3)
+    srv = made.srvs[0]
+    srv.suspect, srv.due, srv.trial, made.suspects = True, made.now, False, 1
+    assert not made.fit(srv)
+    made.vouched(srv, made.now - srv.pause)  # from before we judged it
+    assert srv.suspect
+    made.now += 10 * SECOND
+    assert made.fit(srv)  # nobody told: we try it ourselves
+    made.vouched(srv, made.now)
+    assert not srv.suspect and made.suspects == 0
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -197,6 +197,22 @@
     assert [m for m in first.logs if m[0] == "fleet"] == [m for m in second.logs if m[0] == "fleet"]
 
 
+def trials(fleet):
+    """Call-outs that eight edges send in six seconds to runners that answer with errors all the time."""
+    wrong = [{"kind": "fast_errors", "at": "3 s", "lasts": "9 s", "share": 0.3}]
+    script = fleet_day(wrong, length="12 s", edges=8, seed=4, traffic={"rate": 160, "functions": 12})
+    if not fleet:
+        del script["deployment"]["fleet"]
+    played = Played(script)
+    assert played.breaches() == []
+    late = [run for run in played.story.runs if run.at > 6_000]
+    return sum(any(outcome == "error" for _, _, outcome in run.ends) for run in late)
+
+
+def test_few_edges_try_what_fails_and_the_others_take_their_word():
+    assert 0 < trials(fleet=True) < 0.6 * trials(fleet=False)
+
+
 def test_after_a_burst_far_over_capacity_the_fleet_is_back_and_keeps_the_rules():
     burst = [{"kind": "burst", "at": "8 s", "lasts": "10 s", "factor": 16}]
     played = Played(fleet_day(burst, length="36 s", edges=3, seed=3, traffic={"rate": 60, "functions": 20}))
