--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -83,7 +83,10 @@
     for _ in range(20):
         if command(*call).returncode == 0:
             break
-    result = command(*call, "--count", 20, "--rate", 20, "--json")
+    for _ in range(10):  # where the machine stands still for a moment one may be denied, rightly
+        result = command(*call, "--count", 20, "--rate", 20, "--json")
+        if result.returncode == 0:
+            break
     assert result.returncode == 0, result.stdout + result.stderr
     assert {json.loads(line)["verdict"] for line in result.stdout.splitlines()} == {"ok"}
     assert "dance is not known" in command("call", "--port", port, "--fn", "f", "--method", "dance").stderr
