Figures of the fleet are summed once a row; edges that stand still twice at once go on when the last is over

Cause: the door cost an edge of a fleet of 200 133 us a call at 880 a second (+32%): rates of every member were worked out anew at each look, twice, column by column. Change: rates are reckoned when a row comes and summed by numpy, one's own figures without a walk over the others, two looks a second; an edge without a fleet imports none of it.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -2,6 +2,7 @@
 
     python benchmarks/relay.py                 both, with 12 and with 91 runners
     python benchmarks/relay.py --soak 1000000  memory of the edge over a million calls
+    python benchmarks/relay.py --door          the edge by itself and as one of a fleet of 200, in turn
 
 Each program has a process and a core of its own: the one measured, the runners (which answer at once), and
 the clients. The relay passes a call's line to a runner in turn and its answer back, and decides nothing.
@@ -11,6 +12,7 @@
 import os
 import random
 import signal
+import statistics
 import subprocess
 import sys
 import time
@@ -28,10 +30,13 @@
 
 from lapistrestle.command.programs import serve
 from lapistrestle.deployment.load import load
+from lapistrestle.deployment.shape import Fleet
 from lapistrestle.edge.program import Edge
 from lapistrestle.edge.running import reactor_of_now
+from lapistrestle.standins.fleet import free_ports
 from lapistrestle.standins.roster import RosterStandIn
 from lapistrestle.wire import messages as wire
+from lapistrestle.wire.fleet import Claim, Datagram, Rank, Row, Rows, pack
 from lapistrestle.wire.lines import LineBounds, Speaker, union
 
 HELLO = msgspec.json.encode(wire.Hello(wire.CLIENT, wire.VERSION)) + b"\n"
@@ -238,9 +243,10 @@
 
 @click.group(invoke_without_command=True)
 @click.option("--seconds", default=5.0, show_default=True)
+@click.option("--door", is_flag=True, help="Only this: what the door of a fleet costs.")
 @click.option("--soak", default=0, help="Only this: so many calls through the edge, with its memory.")
 @click.pass_context
-def main(ctx: click.Context, seconds: float, soak: int) -> None:
+def main(ctx: click.Context, seconds: float, door: bool, soak: int) -> None:
     """Measure."""
     if ctx.invoked_subcommand:
         return
@@ -252,6 +258,8 @@
         for done, rss in figures["marks"]:
             console.print(f"{done:>9} calls: {rss / 1e6:.1f} MB")
         return
+    if door:
+        return cost_of_door(folder, console, seconds)
     for runners in (12, 91):
         table = Table(title=f"{runners} runners")
         for head in HEADS:
@@ -274,6 +282,18 @@
         )
 
 
+def cost_of_door(folder: Path, console: Console, seconds: float) -> None:
+    """Both in turn, so that what else the machine does falls on both alike."""
+    found: dict[str, list[float]] = {"edge": [], "member": []}
+    for _ in range(5):
+        for what, costs in found.items():
+            costs.append(measure(folder, what, 12, 0, 880.0, seconds, 0)["cpu"])
+    alone, member = (statistics.median(costs) for costs in found.values())
+    for what, costs in found.items():
+        console.print(f"{what}: CPU µs a call at 880/s " + ", ".join(f"{cost:.0f}" for cost in sorted(costs)))
+    console.print(f"one of a fleet of 200: {member - alone:+.0f} µs a call, {member / alone - 1:+.1%}")
+
+
 def measure(
     folder: Path, what: str, runners: int, out: int, rate: float, seconds: float, most: int
 ) -> dict[str, Any]:
@@ -400,17 +420,47 @@
 @click.argument("ports")
 @click.argument("roster_port", type=int)
 def edge(port: Path, ports: str, roster_port: int) -> None:
+    run_edge(port, roster_port, ())
+
+
+@main.command()
+@click.argument("port", type=click.Path(path_type=Path))
+@click.argument("ports")
+@click.argument("roster_port", type=int)
+def member(port: Path, ports: str, roster_port: int) -> None:
+    """The edge with 199 others, each of whom tells its counters once a second."""
+    run_edge(port, roster_port, tuple(f"other-{i}" for i in range(199)))
+
+
+def run_edge(port: Path, roster_port: int, others: tuple[str, ...]) -> None:
     pin(0)
     reactor = reactor_of_now()
     path = port.with_suffix(".json5")
     path.write_text(DEPLOYMENT)
     deployment = load(path)
     deployment.roster.port = roster_port
+    if others:
+        deployment.fleet = Fleet(name="measured", port=free_ports(1)[0])
     made = Edge(reactor, deployment, lambda what, **figures: None)
     made.host.stopwatch = time.perf_counter
 
+    def told(second: int) -> None:
+        """A second's rows of all, in datagrams as they come."""
+        together = made.together
+        assert together is not None
+        digests = together.door.digests
+        for i, name in enumerate(others):
+            claim = Claim(name, 1, 1, 0, Rank.ALIVE, "127.0.0.1", 1)
+            counts = (10 * second,) * len(digests.counts)
+            row = Row(name, 1, 1, second + 1, 10_000 * (second + 1), 0, counts)
+            data = pack(Datagram("measured", 1, claim, Rows(digests.layout, (row,))))
+            reactor.callLater(i / len(others), together.talk.datagramReceived, data, ("127.0.0.1", 1))
+        reactor.callLater(1.0, told, second + 1)
+
     def begin() -> int:
         at = made.start()
+        if others:
+            told(0)
         tell(port, [at])
         return at
 
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -14,7 +14,6 @@
 from lapistrestle.edge.planning import PlannerSource
 from lapistrestle.edge.rosters import RosterSource
 from lapistrestle.edge.runners import Runner, bounds_of
-from lapistrestle.edge.together import Together
 from lapistrestle.hosting.host import ABORTED, DENIED, Errand, Flight, Ticket
 from lapistrestle.interface import Outcome
 from lapistrestle.rollout.routing import Route, Routing
@@ -56,7 +55,11 @@
         self.keeping = Keeping(self, place.keep) if place.keep else None
         fleet = deployment.fleet
         boot = round(reactor.seconds() * 1000) if boot is None else boot
-        self.together = Together(self, fleet, boot, nonce) if fleet.name else None
+        self.together: Any = None
+        if fleet.name:  # an edge by itself does not pay for what a fleet needs
+            from lapistrestle.edge.together import Together
+
+            self.together = Together(self, fleet, boot, nonce)
 
     def start(self) -> int:
         port = super().start()
--- a/lapistrestle/fleet/digests.py
+++ b/lapistrestle/fleet/digests.py
@@ -10,10 +10,12 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from heapq import nsmallest
-from statistics import median
+from operator import add
 from typing import Any
 from zlib import crc32
 
+import numpy as np
+
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Row
 
@@ -43,15 +45,15 @@
     told: int = 0
     samples: deque[tuple[int, tuple[int, ...]]] = field(default_factory=lambda: deque(maxlen=ROOM))
     wild: int = 0  # rows of it that can't be
+    rates: np.ndarray | None = None  # for each column, a second of its own clock; None while there is one row
 
-    def rates(self, window: int) -> tuple[float, ...] | None:
-        """For each column, a second of its own clock; None while there is one row only."""
+    def reckon(self, window: int) -> None:
+        """The rates anew, from the newest row and one a window before it."""
         newest_at, newest = self.samples[-1]
         then = next((s for s in reversed(self.samples) if newest_at - s[0] >= window), self.samples[0])
         lasts = newest_at - then[0]
-        if lasts <= 0:
-            return None
-        return tuple((b - a) * SECOND / lasts for a, b in zip(then[1], newest, strict=True))
+        if lasts > 0:
+            self.rates = (np.array(newest, float) - np.array(then[1], float)) * (SECOND / lasts)
 
 
 @dataclass(frozen=True)
@@ -156,6 +158,7 @@
         if len(samples) > 1 and samples[-1][0] - samples[-2][0] < self.facts["window"] // (ROOM - 3):
             samples.pop()  # so that the kept ones span the window however often it tells
         samples.append((row.at, row.counts))
+        teller.reckon(self.facts["window"])
 
     def forget(self, name: str) -> None:
         self.tellers.pop(name, None)
@@ -169,22 +172,33 @@
 
     def figures(self, now: int, present: Callable[[str], bool], size: int) -> Figures:
         """Of oneself and all that are `present`, each within its bounds; one's own figures as they are."""
-        parts = list[tuple[float, tuple[float, ...]]]()
-        own: tuple[float, ...] = (0.0,) * len(self.columns)
-        counts, age = list(self.counts), 0
+        own, age, totals = self.own(), 0, list(self.counts)
+        weights, parts = list[float](), [own]
         for name, teller in self.tellers.items():
-            rates = teller.rates(self.facts["window"])
-            if name == self.life[0]:
-                own = rates or own
-            elif present(name) and rates is not None and (weight := self.weight(teller, now)) > 0:
-                parts.append((weight, rates))
-                counts = [a + b for a, b in zip(counts, teller.row.counts, strict=True)]
+            if name == self.life[0] or teller.rates is None or not present(name):
+                continue
+            if (weight := self.weight(teller, now)) > 0:
+                weights.append(weight)
+                parts.append(teller.rates)
+                totals = list(map(add, totals, teller.row.counts))
                 age = max(age, now - teller.true_at)
-        made = dict[str, float]()
-        for name, i in self.columns.items():
-            said = [rates[i] for _, rates in parts]
-            cap = self.facts["most"]
-            if len(said) + 1 >= FEW:
-                cap = min(cap, PART * max(1.0, median([*said, own[i]])))
-            made[name] = own[i] + sum(w * min(cap, rates[i]) for w, rates in parts)
-        return Figures(made, dict(zip(self.columns, counts, strict=True)), 1 + len(parts), size, age)
+        rates = own
+        if weights:
+            said = np.array(parts)
+            cap = np.full(len(own), float(self.facts["most"]))
+            if len(parts) >= FEW:
+                cap = np.minimum(cap, PART * np.maximum(1.0, np.median(said, axis=0)))
+            rates = own + np.array(weights) @ np.minimum(said[1:], cap)
+        return self.shown(rates, totals, 1 + len(weights), size, age)
+
+    def alone(self) -> Figures:
+        """Of oneself only."""
+        return self.shown(self.own(), self.counts, 1, 1, 0)
+
+    def own(self) -> np.ndarray:
+        rates = self.tellers[self.life[0]].rates
+        return np.zeros(len(self.columns)) if rates is None else rates
+
+    def shown(self, rates: np.ndarray, totals: Sequence[int], told: int, size: int, age: int) -> Figures:
+        named = dict(zip(self.columns, rates.tolist(), strict=True))
+        return Figures(named, dict(zip(self.columns, totals, strict=True)), told, size, age)
--- a/lapistrestle/overload/door.py
+++ b/lapistrestle/overload/door.py
@@ -16,7 +16,7 @@
 from lapistrestle.overload.shedding import Seen, Shedding
 
 SECOND = 10_000  # in tenths of a millisecond
-LOOK = SECOND // 4  # between two looks at the figures
+LOOK = SECOND // 2  # between two looks at the figures, which are told no sooner
 LEAST = SECOND // 2  # nobody is asked back sooner: the figures could not show what came of it
 CUSTOMERS = 24  # counted by name; further ones are never beyond a share
 
@@ -81,7 +81,7 @@
     def look(self, present: Callable[[str], bool], size: int, now: int) -> None:
         """Work the level out anew. `size`: of the fleet, oneself included; 0: one is no member."""
         figures = self.figures = self.digests.figures(now, present, max(1, size))
-        own = self.digests.figures(now, lambda name: False, 1)
+        own = self.digests.alone()
         if size > 1:
             self.size = size
         fleet_seen, own_seen = self.seen(figures), self.seen(own)
--- a/lapistrestle/standins/troubles.py
+++ b/lapistrestle/standins/troubles.py
@@ -64,15 +64,20 @@
 
 
 def balancer_stall(world: World, trouble: Trouble) -> End:
+    """Two of these may meet on one edge: it goes on when the last is over."""
     chosen = [world.edges[n] for n in edges_of(world, trouble.share)]
     for edge in chosen:
-        world.tape.put(edge.name, "stalled")
-        edge.stall()
+        world.still[edge] += 1
+        if world.still[edge] == 1:
+            world.tape.put(edge.name, "stalled")
+            edge.stall()
 
     def end() -> None:
         for edge in chosen:
-            world.tape.put(edge.name, "resumed")
-            edge.resume()
+            world.still[edge] -= 1
+            if not world.still[edge]:
+                world.tape.put(edge.name, "resumed")
+                edge.resume()
 
     return end
 
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -1,6 +1,7 @@
 """A day: the fleet, the edges, the clients and the troubles, on one reactor, with everything on tape."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import accumulate
@@ -110,6 +111,7 @@
             self.begin_planner()
         self.edges = [make_edge(self.edge_deployment(i), 0) for i in range(day.edges)]
         self.make_edge = make_edge
+        self.still: Counter[EdgeHandle] = Counter()  # by how many troubles each edge stands still
         self.rate, self.hot, self.scan = 1.0, 0.0, 0.0  # troubles of the traffic
         self.hot_functions: list[Function] = []
         self.count = self.one_offs = 0
