The rig: an edge killed while it stands still leaves no standstill to the one that follows

Change: a kill ends the standstill on the tape; a test plays both overlaps. The benchmark of the door hands over rows as they come, ten to a datagram.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -444,17 +444,22 @@
     made = Edge(reactor, deployment, lambda what, **figures: None)
     made.host.stopwatch = time.perf_counter
 
+    claims = tuple(Claim(name, 1, 1, 0, Rank.ALIVE, "127.0.0.1", 1) for name in others)
+
     def told(second: int) -> None:
         """A second's rows of all, in datagrams as they come."""
         together = made.together
         assert together is not None
         digests = together.door.digests
-        for i, name in enumerate(others):
-            claim = Claim(name, 1, 1, 0, Rank.ALIVE, "127.0.0.1", 1)
-            counts = (10 * second,) * len(digests.counts)
-            row = Row(name, 1, 1, second + 1, 10_000 * (second + 1), 0, counts)
-            data = pack(Datagram("measured", 1, claim, Rows(digests.layout, (row,))))
-            reactor.callLater(i / len(others), together.talk.datagramReceived, data, ("127.0.0.1", 1))
+        counts = (10 * second,) * len(digests.counts)
+        rows = [Row(name, 1, 1, second + 1, 10_000 * (second + 1), 0, counts) for name in others]
+        for first in range(0, len(rows), 10):  # each passes on what it has heard of others
+            claim = claims[first]
+            word = Rows(digests.layout, tuple(rows[first : first + 10]))
+            news = () if second else claims[first : first + 10]
+            data = pack(Datagram("measured", 1, claim, word, news))
+            when = first / len(others)
+            reactor.callLater(when, together.talk.datagramReceived, data, ("127.0.0.1", 1))
         reactor.callLater(1.0, told, second + 1)
 
     def begin() -> int:
--- a/lapistrestle/standins/troubles.py
+++ b/lapistrestle/standins/troubles.py
@@ -74,6 +74,8 @@
 
     def end() -> None:
         for edge in chosen:
+            if edge not in world.still:
+                continue  # killed meanwhile
             world.still[edge] -= 1
             if not world.still[edge]:
                 world.tape.put(edge.name, "resumed")
@@ -85,8 +87,11 @@
 def edge_kill(world: World, trouble: Trouble) -> End:
     chosen = edges_of(world, trouble.share)
     for number in chosen:
-        world.tape.put(world.edges[number].name, "killed")
-        world.edges[number].kill()
+        edge = world.edges[number]
+        if world.still.pop(edge, 0):  # the one that follows under its name does not stand still
+            world.tape.put(edge.name, "resumed")
+        world.tape.put(edge.name, "killed")
+        edge.kill()
     return all_of(partial(world.restart_edge, n) for n in chosen)
 
 
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -220,3 +220,20 @@
     ok = sum(bool(c.answers) and c.answers[0][2].verdict == "ok" for c in calls)
     assert played.breaches() == [] and ok > 0.95 * len(calls)
     assert any("figures together" in str(m["figures"]) for m in played.logged("fleet"))
+
+
+STILL = {"kind": "balancer_stall", "at": "2 s", "lasts": "4 s"}
+KILLED = {"kind": "edge_kill", "at": "3 s", "lasts": "400 ms"}
+
+
+@pytest.mark.parametrize("second", [STILL, KILLED])
+def test_an_edge_that_stands_still_twice_or_is_killed_meanwhile_is_read_rightly(second):
+    """As it was: the tape held an edge for still that had gone on, and rule 5 for broken."""
+    first = {"kind": "balancer_stall", "at": "1.5 s", "lasts": "3 s", "share": 1.0}
+    script = fleet_day([first, second | {"share": 1.0}], length="12 s", edges=2, traffic={"rate": 200})
+    played = Played(script)
+    assert played.breaches() == []
+    marks = [json.loads(line) for line in played.tape.splitlines()]
+    of_one = [mark["is"] for mark in marks if mark.get("on") == "edge-0"]
+    said = [word for word in of_one if word in ("stalled", "resumed")]
+    assert said == ["stalled", "resumed"]
