--- a/lapistrestle/command/fleets.py
+++ b/lapistrestle/command/fleets.py
@@ -6,68 +6,17 @@
 import msgspec
 from rich.console import Console
 from rich.table import Table
-from twisted.internet.protocol import ClientFactory
 
+from lapistrestle.command.asking import asked
 from lapistrestle.command.programs import as_json
-from lapistrestle.edge.running import reactor_of_now
 from lapistrestle.wire import messages as wire
-from lapistrestle.wire.lines import LineBounds, Speaker, union
-
-PATIENCE = 5.0  # seconds
-
-
-class Asker(Speaker):
-    protocol = wire.CLIENT
-    decoder = union(wire.ToClient)
-
-    def __init__(self, asking: "Asking") -> None:
-        super().__init__(LineBounds(line=8_388_608))
-        self.asking = asking
-
-    def met(self, hello: wire.Hello) -> None:
-        self.say(wire.Look("fleet"))
-
-    def heard(self, message: Any) -> None:
-        if isinstance(message, wire.Shown):
-            self.asking.shown = msgspec.json.decode(message.body)
-        elif isinstance(message, wire.Fault | wire.Bye):
-            self.asking.trouble = message.why
-        self.asking.end()
-
-    def lost(self) -> None:
-        self.asking.end()
-
-
-class Asking(ClientFactory):
-    noisy = False
-
-    def __init__(self, reactor: Any) -> None:
-        self.reactor, self.shown, self.trouble = reactor, dict[str, Any](), "no answer"
-        self.ended = False
-
-    def buildProtocol(self, addr: Any) -> Asker:
-        return Asker(self)
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.trouble = reason.getErrorMessage()
-        self.end()
-
-    def end(self) -> None:
-        if not self.ended:
-            self.ended = True
-            self.reactor.stop()
 
 
 def ask(port: int) -> dict[str, Any]:
     """What the edge at that port says of its fleet."""
-    reactor = reactor_of_now()
-    asking = Asking(reactor)
-    reactor.connectTCP("127.0.0.1", port, asking, timeout=PATIENCE)
-    reactor.callLater(PATIENCE, asking.end)
-    reactor.run()
-    if not asking.shown:
-        raise click.ClickException(f"edge at port {port}: {asking.trouble}")
-    return asking.shown
+    none = f"no answer from an edge at port {port}"
+    shown = asked(port, wire.CLIENT, wire.ToClient, wire.Look("fleet"), none)
+    return msgspec.json.decode(shown.body, type=dict[str, Any])
 
 
 @click.group()
--- a/lapistrestle/command/rollouts.py
+++ b/lapistrestle/command/rollouts.py
@@ -11,8 +11,8 @@
 from msgspec import Meta
 from rich.console import Console
 from rich.table import Table
-from twisted.internet.protocol import ClientFactory
 
+from lapistrestle.command.asking import asked as ask
 from lapistrestle.command.programs import as_json, serve, tell_port
 from lapistrestle.deployment.load import Wrong, read_json5, shaped
 from lapistrestle.deployment.shape import Shape, Span
@@ -22,7 +22,6 @@
 from lapistrestle.store.journal import Journal, Unreadable
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire import plans
-from lapistrestle.wire.lines import LineBounds, Speaker, union
 
 
 @click.command()
@@ -49,58 +48,10 @@
     remembered: Span = Span(600_000)
 
 
-class Operator(Speaker):
-    protocol = plans.PLANNER
-    decoder = union(plans.FromPlanner)
-
-    def __init__(self, asking: "Asking") -> None:
-        super().__init__(LineBounds())
-        self.asking = asking
-
-    def met(self, hello: wire.Hello) -> None:
-        self.say(self.asking.message)
-
-    def heard(self, message: Any) -> None:
-        self.asking.answered(message)
-
-    def lost(self) -> None:
-        self.asking.answered(None)
-
-
-class Asking(ClientFactory):
-    """One question to the planner and its answer."""
-
-    noisy = False
-
-    def __init__(self, reactor: Any, message: wire.Message) -> None:
-        self.reactor, self.message = reactor, message
-        self.answer: Any = None
-        self.done = False
-
-    def buildProtocol(self, addr: Any) -> Operator:
-        return Operator(self)
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.answered(None)
-
-    def answered(self, answer: Any) -> None:
-        if not self.done:
-            self.done, self.answer = True, answer
-            self.reactor.stop()
-
-
 def asked(port: int, message: wire.Message) -> Any:
     """The planner's answer. Raises ClickException where none comes: the order may be given again, same id."""
-    reactor = reactor_of_now()
-    asking = Asking(reactor, message)
-    reactor.connectTCP("127.0.0.1", port, asking, timeout=3)
-    reactor.callLater(5, asking.answered, None)
-    reactor.run()
-    if asking.answer is None:
-        raise click.ClickException(f"no answer from a planner at port {port}; give the same order again")
-    if isinstance(asking.answer, wire.Fault | wire.Bye):
-        raise click.ClickException(asking.answer.why)
-    return asking.answer
+    none = f"no answer from a planner at port {port}; give the same order again"
+    return ask(port, plans.PLANNER, plans.FromPlanner, message, none)
 
 
 @click.group()
