The soft deadline is reckoned only where it is asked for; a dead count and a sum written twice go

Cause: read once more, an edge without a fleet worked out for every RPC that ended whether it was late, which only candidates of a rollout had needed before; Teller counted rows that can't be without anybody reading it; Allowance summed what it has lent in two places. Change: Edge.late is called where a rollout or the fleet wants it, Teller.wild is gone (refused counts them), Allowance.out_on_loan is one piece. Behaviour is as it was.

--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -142,16 +142,18 @@
     def closed(self, ticket: Ticket, how: str) -> None:
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
-        now = self.clock()
-        method = self.facts["methods"][ticket.method]
-        stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
-        late = now - ticket.began > min(method["deadline"], stretched)
         if self.together is not None:
-            self.together.door.ended(how, late, bool(ticket.call_outs))
+            self.together.door.ended(how, self.late(ticket), bool(ticket.call_outs))
         if ticket.route is not None and ticket.route.candidate and how != "moved":
             if how != "ok" and self.barred(ticket.fn.name):
                 return
-            self.routing.note(ticket.route, how != "ok" or late, now)
+            self.routing.note(ticket.route, how != "ok" or self.late(ticket), self.clock())
+
+    def late(self, ticket: Ticket) -> bool:
+        """Whether it is past its soft deadline now."""
+        method = self.facts["methods"][ticket.method]
+        stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
+        return bool(self.clock() - ticket.began > min(method["deadline"], stretched))
 
     # what the host asks (hosting.Outside)
 
--- a/lapistrestle/fleet/allowance.py
+++ b/lapistrestle/fleet/allowance.py
@@ -64,8 +64,10 @@
         own = self.cut if now >= self.whole_from else self.kept
         self.given = {key: loan for key, loan in self.given.items() if now < loan.until}
         self.had = {key: loan for key, loan in self.had.items() if now < loan.until}
-        lent = sum(loan.units for loan in self.given.values())
-        return own - lent + sum(loan.units for loan in self.had.values())
+        return own - self.out_on_loan() + sum(loan.units for loan in self.had.values())
+
+    def out_on_loan(self) -> int:
+        return sum(loan.units for loan in self.given.values())
 
     def note(self, used: int, now: int) -> None:
         """So many units are in use now."""
@@ -126,8 +128,7 @@
         if word.allowance != self.name or now < self.whole_from or len(self.given) >= LOANS or self.out:
             return None
         part = self.part(now)
-        lent = sum(loan.units for loan in self.given.values())
-        own = min(self.cut - self.kept - lent, part - max(self.used(now), self.wanted))
+        own = min(self.cut - self.kept - self.out_on_loan(), part - max(self.used(now), self.wanted))
         units = min(word.units, (own + 1) // 2)
         if units <= 0:
             return None
--- a/lapistrestle/fleet/digests.py
+++ b/lapistrestle/fleet/digests.py
@@ -44,7 +44,6 @@
     true_at: int  # on our clock: when the newest row was true, at the latest
     told: int = 0
     samples: deque[tuple[int, tuple[int, ...]]] = field(default_factory=lambda: deque(maxlen=ROOM))
-    wild: int = 0  # rows of it that can't be
     rates: np.ndarray | None = None  # for each column, a second of its own clock; None while there is one row
 
     def reckon(self, window: int) -> None:
@@ -147,7 +146,6 @@
             return  # late
         shrunk = any(b < a for a, b in zip(teller.row.counts, row.counts, strict=True))
         if shrunk or row.at <= teller.row.at:  # guards against one that tells nonsense; it counts nothing
-            teller.wild += 1
             self.refused += 1
             return
         self.newer(teller, row, now)
