Time-outs wait for the soft deadline where workers are met seldom; a miss goes home once

Checked: time_out gave two thirds of the soft deadline, or four usual latencies, to workers met once in ten seconds, whose jam nobody can see; runners go on with what runs. missed() took the first worker not tried yet for the home whenever the home itself was out of use, so each miss went on to the next one, presumed warm as well (logged: outs 4fd5 dc2b 7e56 6300 5f84 ac02, all MISS, home 13b1 suspect). Change: to the soft deadline, or eight usual latencies, where `stretch` is above 1; the home is the first of the order that may be used, also one that missed already, and is tried once.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -55,9 +55,8 @@
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
         self.orders, self.taken = list[int](), deque[int]()  # answered orders: when each may have crossed
         self.pending, self.load_took = 0, Mean(LONG)  # orders without answer, and how long loads take
-        self.died = {Outcome.UNREACHABLE}  # what shows that nothing stands there any more
-        if not facts["absent_misses"]:  # else one reset is no death: a miss would tell
-            self.died.add(Outcome.RESET)
+        # what shows that nothing stands there any more; where a miss would tell, one reset is no death
+        self.died = {Outcome.UNREACHABLE, *(() if facts["absent_misses"] else (Outcome.RESET,))}
         if facts["list_asked"]:
             self.follow()
 
@@ -278,12 +277,14 @@
         return Input.SENT
 
     def time_out(self, rpc: Rpc, spot: Spot, cold: bool) -> int:
-        """Most of what is left to the soft deadline; longer in a jam, where a time-out only adds work."""
+        """Most of what is left to the soft deadline; longer in a jam, where a time-out only adds work. Who
+        meets workers seldom sees no jam and waits for all of it; harms where many are silent."""
         left, method = max(1, rpc.deadline - self.now), self.facts["methods"][rpc.method]
         if method["kind"] == "side-effecting" or cold or len(rpc.call_outs) >= self.facts["try_limit"]:
             return left
         usual = max(self.ok_took.read(0), self.iso(spot.fn) * rpc.scale)
-        return int(min(left, max((rpc.began + self.soft(rpc) - self.now) * 2 / 3, 4 * usual)))
+        part, usuals = (2 / 3, 4) if self.stretch <= 1 else (1, 8)
+        return int(min(left, max((rpc.began + self.soft(rpc) - self.now) * part, usuals * usual)))
 
     def soft(self, rpc: Rpc) -> int:
         method = self.facts["methods"][rpc.method]
@@ -304,9 +305,8 @@
         if spot is None or not self.facts["absent_misses"] or len(rpc.call_outs) >= self.facts["try_limit"]:
             return self.again(rpc, spot)
         order = self.walk(rpc.fn)
-        away = not any(c.srv in order[:1] for c in rpc.call_outs)
-        home = next(self.candidates(rpc, order), None) if away else None
-        if home and self.presumed(rpc.fn.spot(home)):
+        home = next(self.candidates(rpc, order, missed=True), None)  # as far as that may be used now
+        if home and self.presumed(rpc.fn.spot(home)) and not any(c.srv is home for c in rpc.call_outs):
             if not self.facts["tells_company"]:  # else copies are added where it is told that RPCs wait
                 self.order(spot, 1)
             return self.send(rpc, rpc.fn.spot(home))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -387,6 +387,25 @@
     assert acts(made, "order") and one.fn.spot(home).waiters == [one]
 
 
+def test_a_miss_at_the_first_that_may_be_used_does_not_go_on_along_the_order():
+    made = front_end_of_many()
+    one = rpc(made)
+    first, second = made.walk(one.fn)[:2]
+    first.suspect, first.due, made.suspects = True, made.now + 9 * SECOND, 1  # the home is out of use
+    one.call_outs = [CallOut(one, second, made.now, outcome=Outcome.MISS)]
+    assert made.missed(one, one.fn.spot(second)) is Input.WAITS and not acts(made, "call_out")
+    assert [o[1] for o in acts(made, "order")] == [second]
+
+
+@pytest.mark.parametrize(("stretch", "within"), [(1.0, 6_667), (3.0, 10_000)])
+def test_who_meets_workers_seldom_waits_to_the_soft_deadline(stretch, within):
+    made = dispatcher()
+    one, made.stretch = rpc(made), stretch
+    one.began, spot = made.now, one.fn.spot(made.srvs[0])
+    one.fn.iso = 500.0
+    assert abs(made.time_out(one, spot, False) - within) <= 1
+
+
 def test_a_miss_that_comes_when_no_worker_is_left_is_denied_at_once():
     made = dispatcher(1)
     one = rpc(made)
