Where front ends outnumber workers the order goes on at the function's next marks

Change: walk() sorts the workers by the function's marks where front ends outnumber them, which is the shared order entered anew at each next mark, the same at all front ends and stable as workers come and go. Elsewhere the ring goes on as before. The line in again() that reads the fact `further` belongs to the budget of the fleet that follows; absent, nothing changes.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -87,8 +87,7 @@
         self.forget()
 
     def forget(self) -> None:
-        """Workers that left, once nothing is out there: guards a long life against growth with every one that
-        ever served; harms where one returns under its name, which is then learnt anew."""
+        """Workers that left, once nothing is out there: a long life would grow; one back is learnt anew."""
         gone = {srv for srv in self.srvs if srv.listing is Listing.GONE and not srv.out}
         if not gone:
             return
@@ -103,15 +102,19 @@
         self.host.wake_me(max(SECOND, self.facts["ask_within"] // 2), None)
 
     def walk(self, fn: Fn) -> list[Srv]:
-        """The shared order, from the worker that the function's hash marks; a new one rehomes its own."""
+        """The shared order, from the worker that the function's hash marks; a new one rehomes its own. Where
+        front ends outnumber workers it is entered anew at the next mark for each further worker: guards
+        against neighbours that a crowded home fills unseen; harms where a longer run would share copies."""
         if fn.version != self.version:
             for srv in self.ring:
                 if srv not in fn.marks:
                     mark = blake2b(f"{fn.name} {srv.name}".encode(), digest_size=4).digest()
                     draw = -log((int.from_bytes(mark) + 1) / (2**32 + 1))
                     fn.marks[srv] = draw if self.facts["size_is_live"] else draw / max(srv.size, 1e-9)
-            first = min(range(len(self.ring)), key=lambda i: fn.marks[self.ring[i]], default=0)
-            fn.order, fn.version = self.ring[first:] + self.ring[:first], self.version
+            marked = sorted(self.ring, key=fn.marks.__getitem__)
+            first = self.ring.index(marked[0]) if marked else 0
+            many = self.facts["dispatchers"] > len(marked)
+            fn.order, fn.version = marked if many else self.ring[first:] + self.ring[:first], self.version
         return fn.order
 
     def entered(self, fn: Fn) -> list[Srv]:
@@ -296,6 +299,7 @@
         out_of = len(rpc.call_outs) >= self.facts["try_limit"] or self.hopeless(rpc)
         made = self.further.count.read(self.now)
         most = 2 + FURTHER * self.ok_count.read(self.now) * self.further.read(1.0)
+        most = min(most, 1 + self.facts.get("further", inf) * MEMORY / SECOND)  # the fleet's budget, if told
         missed = all(c.outcome is Outcome.MISS for c in rpc.call_outs)
         return Input.NOWHERE if out_of or (made >= most and not missed) else self.place(rpc, spot)
 
@@ -476,7 +480,7 @@
             (outcomes.bad if harm else outcomes.good).add(self.now, 1)
         if not srv.suspect:
             sums = (srv.bad, srv.good, self.bad, self.good)
-            bad, good, all_bad, all_good = (total.read(self.now) for total in sums)
+            bad, good, all_bad, all_good = (x.read(self.now) for x in sums)
             share = max(BAD_SHARE, 2 * all_bad / max(all_bad + all_good, 1))
             srv.suspect = bad > 1.5 and bad > share * (bad + good)
             self.suspects += srv.suspect
@@ -527,8 +531,7 @@
 
     def cold_room(self, srv: Srv, rpc: Rpc) -> bool:
         """Rule 4: what all get answered for each unit of size and warmth is within capacity, so each keeps to
-        its own part of that, as of the answers: a fleet may shrink at once. Parts under one call-out go by
-        turns, spread over all by number and moving on each window: only one whose turn is within it sends."""
+        its part as of the answers: a fleet may shrink at once. Parts under one call-out go by turns."""
         share, window = self.warmth_of(srv), self.facts["fall_time"]
         if share >= 1:
             return True
@@ -625,8 +628,7 @@
                 self.order(spot, count, HOLD_PART)
 
     def learnt(self) -> list[tuple[float, float]]:
-        """What still means the same after a restart or on another fleet: for each method the latency of a
-        usual RPC alone and the usual hint. Of workers, copies, customers and load nothing does."""
+        """For each method the latency of a usual RPC alone and the usual hint: what outlives a restart."""
         return [(a.read(0.0), b.read(0.0)) for a, b in zip(self.light, self.hints, strict=True)]
 
     def recall(self, learnt: Sequence[tuple[float, float]]) -> None:
@@ -637,9 +639,7 @@
                     mean.add(self.now, figure)
 
     def list_failed(self) -> None: ...  # asked anew when the next renewal is due
-
     def probed(self, srv: Srv, outcome: Outcome, took: int, report: Mapping[str, float]) -> None: ...
-
     def told(self, peer: int, text: str) -> None: ...
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,7 @@
 """The decision module, without any bench."""
 
 from collections import Counter
+from itertools import pairwise
 from zlib import crc32
 
 import pytest
@@ -27,6 +28,18 @@
     assert 0 < len(changed) < 50 and {new for _, new in changed} == {"new"}
 
 
+@pytest.mark.parametrize(("front_ends", "runs"), [(2, True), (9, False)])
+def test_where_front_ends_outnumber_workers_neighbours_do_not_follow_each_other(front_ends, runs):
+    made = dispatcher(8)
+    made.facts = {**made.facts, "dispatchers": front_ends}
+    pairs = set(pairwise(made.ring + made.ring[:1]))
+    orders = [made.walk(Fn(f"f{i}")) for i in range(100)]
+    assert all(set(order) == set(made.ring) for order in orders)
+    along = sum((order[0], order[1]) in pairs for order in orders)
+    assert along == 100 if runs else along < 40
+    assert [made.walk(Fn(f"f{i}"))[0] for i in range(100)] == [order[0] for order in orders]
+
+
 @pytest.mark.parametrize(
     ("method", "outcome", "word"),
     [(2, Outcome.ERROR, "abort"), (2, Outcome.FULL, "call_out"), (0, Outcome.ERROR, "call_out")],
@@ -406,6 +419,21 @@
     assert abs(made.time_out(one, spot, False) - within) <= 1
 
 
+@pytest.mark.parametrize(
+    ("told", "made_lately", "word"), [(None, 20, "call_out"), (2.0, 20, "deny"), (2.0, 5, "call_out")]
+)
+def test_the_budget_of_the_fleet_bounds_further_call_outs_where_it_is_told(told, made_lately, word):
+    made = dispatcher()
+    made.facts = {**made.facts, **({} if told is None else {"further": told})}
+    one = rpc(made)
+    made.arrived(one)
+    made.ok_count.add(made.now, 100)
+    for _ in range(made_lately):
+        made.further.add(made.now, 1)
+    made.ended(one.call_outs[0], Outcome.ERROR, Answer(5))
+    assert made.host.acts[-1][0] == word
+
+
 def test_a_miss_that_comes_when_no_worker_is_left_is_denied_at_once():
     made = dispatcher(1)
     one = rpc(made)
