The door fills room that its level leaves unused; further call-outs keep to the fleet's budget

Checked: the figures of each look of one edge (room 294 a second, asked 1,165, let in 13): the room was right, the level under it not. Demand had fallen within the age of the figures, and repeats come with the key whose hash the level had denied, so of a rung's part nothing is let in. With errors the room itself fell: a cut to 0.95 of what is done, of which half fails, again and again, and drain() had no floor. Ruled out: the budget (the same without it), the module (it admits what the door lets in). Pacing drain() by the age of the figures was tried and swings in the fluid model (six tests). Change: overload/filling.py lets in what the level denies while one's own part of the room is unused, the part taken by the demand of when the figures were true; soon ends by a worker's fault count as done for the level; drain() keeps cut()'s floor. budget.py is a function of rates, the fact `further` bounds again(), counted at the edge, shown by `fleet show`.

--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -21,6 +21,16 @@
 from lapistrestle.wire import messages as wire
 
 
+def cost_before(ticket: Ticket) -> bool:
+    """Whether a call-out of it that has ended cost a worker something: what missed did not."""
+    return any(c.outcome not in (None, Outcome.MISS, Outcome.MOOT) for c in ticket.call_outs)
+
+
+def faulty(ticket: Ticket) -> bool:
+    """Whether a worker failed it, and did not only have no room or time for it."""
+    return any(c.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNREACHABLE) for c in ticket.call_outs)
+
+
 class Edge(Core):
     """The core with the line protocol's parts, and the versions that a planner tells."""
 
@@ -143,7 +153,9 @@
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
         if self.together is not None:
-            self.together.door.ended(how, self.late(ticket), bool(ticket.call_outs))
+            if how in (DENIED, ABORTED) and cost_before(ticket) and not self.late(ticket):
+                self.together.door.wished()
+            self.together.door.ended(how, self.late(ticket), bool(ticket.call_outs), faulty(ticket))
         if ticket.route is not None and ticket.route.candidate and how != "moved":
             if how != "ok" and self.barred(ticket.fn.name):
                 return
@@ -175,6 +187,8 @@
     def run(self, flight: Flight) -> None:
         if self.barred(flight.ticket.fn.name):
             return self.host.ended(flight.number, Outcome.MOOT)
+        if self.together is not None and cost_before(flight.ticket):
+            self.together.door.wished()
         super().run(flight)
 
     def hold(self, errand: Errand) -> None:
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -42,6 +42,7 @@
         if self.fleet.shed and not self.edge.stopping:
             self.door.look(self.talk.present, self.talk.members.size, self.edge.clock())
             self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
+            self.edge.facts["further"] = self.door.further
             self.share_trials()
             self.edge.after(LOOK, self.look, None)
 
--- a/lapistrestle/overload/budget.py
+++ b/lapistrestle/overload/budget.py
@@ -1,8 +1,8 @@
 """One budget of further call-outs for the fleet, divided by need: what all together may try again.
 
 A further call-out is worth its cost while what is tried again is little beside what is done; past that it
-is the load that makes further ones needed. The budget is a part of what the fleet gets done, and each takes
-of it as its wishes stand to all wishes.
+is the load that makes further ones needed. The budget is a part of what the fleet gets done, less what its
+clients repeat by themselves, which costs workers the same. Each takes of it as its wishes stand to all.
 """
 
 from collections.abc import Mapping
@@ -10,40 +10,16 @@
 
 RATIO = 0.2  # of what is done in time may be tried again
 FEW = 1.0  # a second for each dispatcher at the least: without any nothing would show that it works again
-BURST = 2.0  # seconds' worth that may be saved up
-SECOND = 10_000
 
 
-class Budget:
-    """A bucket that fills at one's own part of the budget; `rate` is inf where no figures are known."""
-
-    def __init__(self, now: int) -> None:
-        self.rate, self.saved, self.at = inf, 0.0, now
-
-    def set(self, fleet: Mapping[str, float], own_wanted: float, own_good: float, now: int) -> None:
-        """From the fleet's rates `good` and `wanted` (further call-outs asked for), one's own among them."""
-        self.fill(now)
-        whole = RATIO * fleet["good"]
-        need = own_wanted / fleet["wanted"] if fleet["wanted"] > 0 else 0.0
-        part = max(whole * need, min(RATIO * own_good, whole))
-        self.rate = max(FEW, part if fleet["wanted"] <= whole else whole * need)
-        self.saved = min(self.saved, BURST * self.rate)
-
-    def open(self) -> None:
-        """No figures: the module's own limit is the only one."""
-        self.rate = inf
-
-    def fill(self, now: int) -> None:
-        if self.rate < inf:
-            self.saved = min(BURST * self.rate, self.saved + self.rate * (now - self.at) / SECOND)
-        self.at = now
-
-    def take(self, now: int) -> bool:
-        """Whether one further call-out may be made now."""
-        if self.rate == inf:
-            return True
-        self.fill(now)
-        if self.saved < 1:
-            return False
-        self.saved -= 1
-        return True
+def further_rate(fleet: Mapping[str, float], own: Mapping[str, float], told: bool) -> float:
+    """Further call-outs a second that one may make; inf where no figures are told: the module's own limit is
+    the only one then. Rates a second of `good`, `again` (further call-outs wished for, made or not) and
+    `repeat` (clients' repeats let in), the fleet's with one's own among them."""
+    if not told:
+        return inf
+    whole = max(0.0, RATIO * fleet["good"] - fleet["repeat"])
+    need = own["again"] / fleet["again"] if fleet["again"] > 0 else 0.0
+    if fleet["again"] > whole:
+        return max(FEW, whole * need)
+    return max(FEW, whole * need, min(RATIO * own["good"], whole))
--- a/lapistrestle/overload/door.py
+++ b/lapistrestle/overload/door.py
@@ -11,7 +11,9 @@
 
 from lapistrestle.fleet.digests import Digests, Figures
 from lapistrestle.overload.alone import Reliance, Step
+from lapistrestle.overload.budget import further_rate
 from lapistrestle.overload.comeback import Calendar
+from lapistrestle.overload.filling import Filling
 from lapistrestle.overload.ladder import Ladder, Level, point
 from lapistrestle.overload.shedding import Seen, Shedding
 
@@ -33,7 +35,7 @@
         rungs = range(self.ladder.count)
         self.asked = [f"asked {rung}" for rung in rungs]
         self.customers = [f"customer {i}" for i in range(min(CUSTOMERS, len(facts["customers"])))]
-        columns = [*self.asked, "let", "good", "bad", "gone", *self.customers]
+        columns = [*self.asked, "let", "good", "bad", "gone", "fault", "again", "repeat", *self.customers]
         self.digests = Digests(columns, life, told, now)
         softs = [method["soft_deadline"] for method in facts["methods"]]
         soft = sum(softs) // max(1, len(softs))
@@ -45,6 +47,8 @@
         self.shares = dict[int, float]()  # of a customer's RPCs, the part within its share
         self.size = 1  # of the fleet as last known
         self.denied = 0
+        self.filling = Filling(now)
+        self.further = float("inf")  # call-outs a second, of the fleet's budget
         self.figures: Figures | None = None
 
     # an RPC
@@ -56,8 +60,12 @@
         self.digests.add(self.asked[rung])
         if customer < len(self.customers):
             self.digests.add(self.customers[customer])
-        if self.level.admits(rung, key):
+        admitted = self.level.admits(rung, key)
+        if admitted:
+            self.filling.took(now)
+        if admitted or self.filling.takes(now):
             self.digests.add("let")
+            self.digests.add("repeat", int(repeat))
             return None
         self.denied += 1
         self.draws += 1
@@ -68,13 +76,18 @@
         """One that was let in begins once more, under another version."""
         self.digests.add("let")
 
-    def ended(self, how: str, late: bool, cost: bool) -> None:
+    def wished(self) -> None:
+        """A further call-out goes out, or would have where the module had been let."""
+        self.digests.add("again")
+
+    def ended(self, how: str, late: bool, cost: bool, fault: bool = False) -> None:
         """One that was let in has ended: `ok`, `denied`, `aborted`, or its client `left`, or it `moved`. What
         cost no worker anything is no sign of strain, however it ended: the module sheds by itself, and a
-        level that took that for strain would shut the door ever further."""
+        level that took that for strain would shut the door ever further. Nor is a soon end by a `fault` of a
+        worker: it took its place there like one done, and fewer let in would only make fewer done."""
         good = how == "ok" and not late
         gone = not cost or (how in ("left", "moved") and not late)
-        self.digests.add("good" if good else "gone" if gone else "bad")
+        self.digests.add("good" if good else "gone" if gone else "fault" if fault and not late else "bad")
 
     # the figures
 
@@ -93,15 +106,18 @@
         }
         self.level = levels[step]
         seen, shedding = (fleet_seen, self.fleet) if step is Step.TOGETHER else (own_seen, self.own)
-        part = sum(own_seen.asked) / max(1e-9, sum(seen.asked))
+        part = self.filling.part(sum(own_seen.asked), sum(seen.asked), seen.age, now)
+        self.filling.set(shedding.room * part if self.sheds else float("inf"), now)
+        rates = figures.rates if step is Step.TOGETHER else own.rates
+        self.further = further_rate(rates, own.rates, step is not Step.ALONE)
         rungs = zip(own_seen.asked, self.ladder.rungs, strict=False)
         firsts = sum(rate for rate, rung in rungs if not rung.repeat)
-        self.room = max(0.0, shedding.room * min(1.0, part) - firsts) if shedding.room < float("inf") else 0.0
+        self.room = max(0.0, shedding.room * part - firsts) if shedding.room < float("inf") else 0.0
         self.shares.clear()
         if step is not Step.ALONE:
             for i, name in enumerate(self.customers):
                 quota = self.facts["customers"][i]["quota"] / (1 if step is Step.TOGETHER else self.size)
-                rate = (figures if step is Step.TOGETHER else own).rates[name]
+                rate = rates[name]
                 if 0 < quota < rate:
                     self.shares[i] = quota / rate
 
@@ -112,10 +128,10 @@
 
     def seen(self, figures: Figures) -> Seen:
         rates, totals = figures.rates, figures.totals
-        out = totals["let"] - totals["good"] - totals["bad"] - totals["gone"]
+        out = totals["let"] - totals["good"] - totals["bad"] - totals["gone"] - totals["fault"]
         asked = tuple(rates[name] for name in self.asked)
         let = max(0.0, rates["let"] - rates["gone"])
-        return Seen(asked, let, rates["good"], rates["bad"], max(0.0, out), figures.age)
+        return Seen(asked, let, rates["good"] + rates["fault"], rates["bad"], max(0.0, out), figures.age)
 
     def show(self) -> dict[str, Any]:
         """For operators."""
@@ -123,6 +139,7 @@
         return {
             "step": self.reliance.step.name.lower(), "shedding": self.fleet.mode.name.lower(),
             "level": round(self.level.height, 3), "rungs": self.ladder.count, "denied": self.denied,
+            "further": None if self.further == float("inf") else round(self.further, 1),
             "told": figures.told if figures else 1, "age ms": figures.age / 10 if figures else 0.0,
             "rates": {k: round(v, 1) for k, v in figures.rates.items()} if figures else {},
             "beyond": {str(i): round(1 - part, 3) for i, part in self.shares.items()},
--- a/lapistrestle/overload/shedding.py
+++ b/lapistrestle/overload/shedding.py
@@ -109,7 +109,10 @@
         self.stepped = now
 
     def drain(self, seen: Seen, now: int) -> None:
-        self.room = max(1.0, min(self.room, DRAINS * (seen.good + seen.bad)))
+        """To no less than a cut: guards against a level that shuts itself, as what ends falls with what is
+        let in, and what is seen of it falls later."""
+        least = max(1.0, FLOOR * self.best[0][1])
+        self.room = max(least, min(self.room, DRAINS * (seen.good + seen.bad)))
         self.stepped = now
 
     def ease(self, seen: Seen, now: int) -> None:
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -222,6 +222,21 @@
     assert any("figures together" in str(m["figures"]) for m in played.logged("fleet"))
 
 
+ERRORS = {"kind": "fast_errors", "at": "4 s", "lasts": "6 s", "share": 0.5}
+
+
+@pytest.mark.parametrize(("factor", "also"), [(12, []), (6, [ERRORS])])
+def test_the_door_opens_again_at_once_when_a_burst_is_over(factor, also):
+    """As it was: a level from figures of the burst let in 7 a second of the 160 that came after it, what was
+    done fell, and errors of half the runners passed for a capacity that shrank with each step."""
+    burst = {"kind": "burst", "at": "4 s", "lasts": "6 s", "factor": factor}
+    script = fleet_day([burst, *also], length="14 s", edges=8, seed=5, traffic={"rate": 160, "functions": 12})
+    played = Played(script)
+    calls = [c for c in played.story.calls if 10_000 < c.at < 14_000]
+    ok = sum(bool(c.answers) and c.answers[0][2].verdict == "ok" for c in calls)
+    assert played.breaches() == [] and ok > 0.9 * sum(not c.message.repeat for c in calls)
+
+
 STILL = {"kind": "balancer_stall", "at": "2 s", "lasts": "4 s"}
 KILLED = {"kind": "edge_kill", "at": "3 s", "lasts": "400 ms"}
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,8 +9,9 @@
 from lapistrestle.model.overload import AloneByLevel, ByLevel, Day, Open, RetryBudget, play
 from lapistrestle.overload import shedding
 from lapistrestle.overload.alone import Reliance, Step
-from lapistrestle.overload.budget import BURST, RATIO, Budget
+from lapistrestle.overload.budget import FEW, RATIO, further_rate
 from lapistrestle.overload.comeback import HEADROOM, SLOT, Calendar
+from lapistrestle.overload.filling import Filling
 from lapistrestle.overload.ladder import Ladder, Level, level_for, point
 from lapistrestle.overload.probers import PROBERS, STALE, Verdicts, probers
 from lapistrestle.overload.shedding import MODES, Mode, Seen, Shedding, Sign
@@ -187,6 +188,51 @@
     assert made.look(1, 1, 0.5, 9 * SECOND + 1) is Step.ALONE
 
 
+def test_what_ends_falls_with_what_is_let_in_and_that_shuts_nothing(one):
+    one.see(seen(good=1_000, let=1_000), 0)
+    one.see(strained(500, 500), SECOND)
+    one.see(seen((2_000.0, 1_000.0), let=400, good=400), 2 * SECOND)
+    assert one.mode is Mode.EASING
+    for step in range(1, 20):  # ten seconds in which half of what is let in ends, and stays long
+        let = one.room
+        one.see(seen((2_000.0, 1_000.0), let=let, good=let / 2, out=let), 2 * SECOND + step * SECOND // 2)
+        assert one.room >= shedding.FLOOR * 1_000  # the best of the last 15 s
+
+
+# room that the level leaves unused
+
+
+@given(st.lists(st.tuples(st.integers(0, 300), st.booleans()), max_size=300), st.floats(1, 500))
+def test_no_more_is_filled_in_than_there_is_room_for(asks, rate):
+    """However the level and what it denies take turns."""
+    made, now, taken = Filling(0), 0, 0
+    made.set(rate, 0)
+    for gap, admitted in asks:
+        now += gap
+        if admitted:
+            made.took(now)
+        taken += not admitted and made.takes(now)
+        assert taken <= max(1.0, rate / 2) + rate * now / SECOND + 1e-6
+
+
+def test_room_that_the_level_leaves_unused_is_filled_and_what_it_uses_is_not():
+    made = Filling(0)
+    made.set(10.0, 0)
+    assert sum(made.takes(now) for now in range(0, 10 * SECOND, 100)) in (99, 100)
+    for now in range(10 * SECOND, 20 * SECOND, SECOND // 10):  # all of the room by the level
+        made.took(now)
+    assert sum(made.takes(now) for now in range(20 * SECOND, 21 * SECOND, 100)) in (9, 10, 14)
+    made.set(float("inf"), 21 * SECOND)
+    assert not made.takes(30 * SECOND)
+
+
+def test_ones_part_is_taken_of_figures_of_one_moment():
+    made = Filling(0)
+    for second in range(10):  # a burst that ended three seconds ago, which the fleet's figures don't show yet
+        part = made.part(120.0 if second < 7 else 10.0, 960.0, 4 * SECOND, second * SECOND)
+    assert part == 120 / 960
+
+
 # come-backs, budgets, probers
 
 
@@ -210,23 +256,35 @@
     assert Calendar(5 * SECOND, 0).promise(0, 0, 0.0, 0.5) == 0
 
 
-def test_budgets_of_all_stay_within_the_whole_and_follow_need():
-    fleet = {"good": 1_000.0, "wanted": 400.0}
-    parts = []
-    for wanted in (300.0, 80.0, 20.0):
-        made = Budget(0)
-        made.set(fleet, wanted, 333.0, 0)
-        parts.append(made.rate)
+rates = st.floats(0, 1e4)
+
+
+@given(st.lists(st.tuples(rates, rates, rates), min_size=1, max_size=60))
+def test_budgets_of_all_stay_within_the_whole_whoever_wishes_more(members):
+    """Beyond what each may make at the least; and where all wishes fit, each may make what it wishes."""
+    rows = [dict(zip(("good", "again", "repeat"), row, strict=True)) for row in members]
+    fleet = {name: sum(row[name] for row in rows) for name in rows[0]}
+    whole = max(0.0, RATIO * fleet["good"] - fleet["repeat"])
+    parts = [further_rate(fleet, row, True) for row in rows]
+    assert all(part >= FEW for part in parts)
+    if fleet["again"] > whole:
+        assert sum(part for part in parts if part > FEW) <= whole * (1 + 1e-9)
+    else:
+        assert all(part >= row["again"] * (1 - 1e-9) for part, row in zip(parts, rows, strict=True))
+
+
+def test_a_budget_follows_need_and_without_figures_there_is_none():
+    fleet = {"good": 1_000.0, "again": 400.0, "repeat": 0.0}
+    parts = [further_rate(fleet, {"good": 333.0, "again": x}, True) for x in (300.0, 80.0, 20.0)]
     assert sum(parts) == pytest.approx(RATIO * 1_000) and parts == sorted(parts, reverse=True)
+    assert further_rate(fleet, {"good": 333.0, "again": 300.0}, False) == float("inf")
 
 
-def test_a_budget_runs_dry_and_fills_and_without_figures_there_is_none():
-    made = Budget(0)
-    assert all(made.take(0) for _ in range(1_000))
-    made.set({"good": 100.0, "wanted": 100.0}, 50.0, 50.0, 0)
-    made.fill(100 * SECOND)
-    assert sum(made.take(100 * SECOND) for _ in range(100)) == int(BURST * 10)
-    assert sum(made.take(101 * SECOND) for _ in range(100)) == 10
+def test_what_clients_repeat_by_themselves_leaves_less_to_try_again():
+    own = {"good": 500.0, "again": 100.0}
+    fleet = {"good": 1_000.0, "again": 200.0}
+    assert further_rate({**fleet, "repeat": 150.0}, own, True) == pytest.approx(25.0)
+    assert further_rate({**fleet, "repeat": 900.0}, own, True) == FEW
 
 
 def test_few_probe_each_worker_and_little_changes_hands():
