--- a/lapistrestle/overload/filling.py
+++ b/lapistrestle/overload/filling.py
@@ -1,8 +1,8 @@
 """Room that the level leaves unused is filled: each dispatcher lets in up to its own part of the room.
 
-The level is worked out from figures that are seconds old. Where demand has fallen since, or what comes is not
-what it was (those that were denied come back), it lets in less than there is room for, what is done falls, and
-the room after it. What it denies is let in while one's own part of the room is not used up.
+The level is worked out from figures that are seconds old. Where demand has fallen since, or what comes is
+not what it was (those that were denied come back), it lets in less than there is room for, what is done
+falls, and the room after it. What it denies is let in while one's own part of the room is not used up.
 """
 
 from collections import deque
