Loads under way of all edges of a fleet keep to one whole, lent by need (`fleet.loads`)

Need: allowances were decided and tested, but nothing went by them: each edge limited its loads for itself, and together they could crowd the store. Change: fleet/lending.py decides who asks whom for units; Talk carries the words; the edge tells the module by the fact `loads`, asked at each use; the module begins no load without it (may_load, in which the shedding fact is folded). What counts is functions loading on workers (Srv.loads), not the calls behind one load. Loans last three times as long as a load may be under way, so that what begins on a loan ends within it. `fleet show` has the part, what is lent and borrowed.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -204,7 +204,7 @@
         zones = [self.zone(s) for s in warm]
         open_ = [s for s, zone in zip(warm, zones, strict=True) if zone is not Zone.UNSAFE]
         calm = min(zones, default=Zone.UNSAFE) < Zone.WARNING
-        room = self.loading < (1 if warm else 4) * self.load_limit and not (warm and self.shed())
+        room = self.loading < (1 if warm else 4) * self.load_limit and self.may_load(bool(warm))
         if not loads and not calm and room:
             cold = self.first_cold(rpc, order, bool(warm or rpc.call_outs))
             if cold and warm:
@@ -224,10 +224,11 @@
             return Input.WAITS
         return self.send(rpc, spot)
 
-    def shed(self) -> bool:
-        """The fleet denies at its doors: no copy is added beside one. Guards against loads that push out what
-        is used, as the door takes away the pressure that did; harms where a copy more would serve."""
-        return bool(self.facts.get("shedding"))
+    def may_load(self, beside: bool = False) -> bool:
+        """Within what all front ends share, if told; while the fleet sheds, none `beside` a copy: guards
+        against loads that push out what is used, as the door took the pressure; harms where one serves."""
+        within = "loads" not in self.facts or self.facts["loads"](self.now)
+        return within and not (beside and self.facts.get("shedding"))
 
     def first_cold(
         self, rpc: Rpc, order: Iterable[Srv], to_load: bool = True, missed: bool = False
@@ -336,8 +337,7 @@
 
     def woken(self, token: object) -> None:
         if isinstance(token, Rpc):
-            if token.state is State.PARKED:
-                self.drive(token, Input.LATE)
+            self.drive(token, Input.LATE if token.state is State.PARKED else None)
         elif isinstance(token, Fn):
             self.hold(token)
         else:
@@ -480,11 +480,10 @@
             (outcomes.bad if harm else outcomes.good).add(self.now, 1)
         if not srv.suspect:
             sums = (srv.bad, srv.good, self.bad, self.good)
-            bad, good, all_bad, all_good = (x.read(self.now) for x in sums)
+            bad, good, all_bad, all_good = (total.read(self.now) for total in sums)
             share = max(BAD_SHARE, 2 * all_bad / max(all_bad + all_good, 1))
             srv.suspect = bad > 1.5 and bad > share * (bad + good)
-            self.suspects += srv.suspect
-            srv.due = self.now + srv.pause
+            self.suspects, srv.due = self.suspects + srv.suspect, self.now + srv.pause
             if srv.suspect:
                 self.host.log(f"{srv.name} suspect: {bad:.1f} bad, {good:.1f} good, fleet {all_bad:.0f}")
         elif sent >= srv.due and harm:
@@ -553,7 +552,8 @@
         most = part * (self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken))
         room = self.facts["may_order"] and (not window or len(self.orders) + self.pending + 1 <= most)
         load = count > self.believed(spot)
-        if not room or spot.srv.listing is not Listing.SERVING or (load and self.now < spot.srv.line_until):
+        shut = load and (self.now < spot.srv.line_until or not self.may_load())
+        if not room or spot.srv.listing is not Listing.SERVING or shut:
             return False
         self.pending += 1
         spot.ordered.append(Order(self.now, load))
@@ -623,7 +623,7 @@
             if not wanted or self.zone(spot := fn.spot(srv)) is Zone.UNSAFE:
                 continue
             count, spare = used.get(spot, 0) + spare, 0
-            room = self.loading < self.load_limit and not self.shed()
+            room = self.loading < self.load_limit and self.may_load(True)
             if room if count > self.believed(spot) else count > used.get(spot, 0):
                 self.order(spot, count, HOLD_PART)
 
--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -162,6 +162,8 @@
         raise wrong('is false; where workers answer "miss" only orders load', "orders", "allowed")
     if made.fleet.name and not made.fleet.port:
         raise wrong("is missing; an edge of a fleet needs one", "fleet", "port")
+    if made.fleet.loads < 0 or 0 < made.fleet.loads < made.dispatcher.of:
+        raise wrong("is under one for each dispatcher; some could never load", "fleet", "loads")
     if made.fleet.name and min(made.fleet.period, made.fleet.tell) < 1_000:
         raise wrong("is under 100 ms; a member would do nothing else", "fleet", "period")
     if orders.window and not orders.free and not orders.share:
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -131,6 +131,7 @@
     period: Span = Span(10_000)  # between two looks at whether another is there
     tell: Span = Span(5_000)  # between two tellings of what was counted
     shed: bool = True  # deny at the door by what all tell
+    loads: int = 0  # under way at once, of all edges together; 0: no bound but each edge's own
 
 
 class Counting(Shape):
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -3,6 +3,9 @@
 from typing import Any
 
 from lapistrestle.deployment.shape import Fleet
+from lapistrestle.fleet.allowance import Allowance
+from lapistrestle.fleet.lending import Lending
+from lapistrestle.fleet.members import Standing
 from lapistrestle.fleet.talk import Talk
 from lapistrestle.overload.door import LOOK, Door
 from lapistrestle.overload.probers import Verdicts, probers
@@ -34,17 +37,44 @@
         if fleet.shed:
             self.talk.digests, self.talk.verdicts = self.door.digests, self.verdicts
 
+        if fleet.loads:
+            longest = max(m["deadline"] for m in edge.facts["methods"])  # that one counts as under way
+            settle = max(longest, edge.facts["order_time_out"])
+            lends = {"settle": settle, "lasts": 3 * settle}  # so that what began on a loan ends within it
+            loads = Allowance("loads", fleet.loads, place.of, place.number, lends, edge.clock())
+            self.talk.lending = Lending(loads, self.loading, self.talk.lend, place.seed)
+            edge.facts["loads"] = self.loads
+
+    def loads(self, now: int) -> bool:
+        """Whether one more load of this edge may begin at this moment."""
+        lending = self.talk.lending
+        assert lending is not None
+        if self.loading() < lending.part(now):
+            return True
+        lending.wish()
+        return False
+
+    def loading(self) -> int:
+        """Loads of this edge under way: functions on workers, however many wait for each."""
+        return sum(srv.loads for srv in self.edge.host.module.srvs)
+
     def start(self) -> None:
         self.talk.start()
         self.look()
 
     def look(self, _: object = None) -> None:
-        if self.fleet.shed and not self.edge.stopping:
+        if self.edge.stopping:
+            return
+        if self.talk.lending is not None:
+            here = [member.claim for member in self.talk.members.here()]
+            member = self.talk.members.standing in (Standing.JOINING, Standing.MEMBER)
+            self.talk.lending.look(here, member, self.edge.clock())
+        if self.fleet.shed:
             self.door.look(self.talk.present, self.talk.members.size, self.edge.clock())
             self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
             self.edge.facts["further"] = self.door.further
             self.share_trials()
-            self.edge.after(LOOK, self.look, None)
+        self.edge.after(LOOK, self.look, None)
 
     def share_trials(self) -> None:
         """Tell others what the module found of workers, and the module what others found."""
@@ -78,11 +108,20 @@
             return None
         return self.door.gate(method, customer, repeat, key, self.edge.clock())
 
+    def loads_shown(self, now: int) -> dict[str, int] | None:
+        if self.talk.lending is None:
+            return None
+        of = self.talk.lending.allowance
+        lent, had = of.out_on_loan(), sum(loan.units for loan in of.had.values())
+        return {"may": of.part(now), "cut": of.cut, "lent": lent, "borrowed": had,
+                "under way": self.loading()}  # fmt: skip
+
     def show(self) -> dict[str, Any]:
         members, now = self.talk.members, self.edge.clock()
         return {
             "name": members.me.name, "fleet": self.fleet.name, "standing": members.standing.name.lower(),
             "doubt": members.doubt, "size": members.size, "door": self.door.show(),
+            "loads": self.loads_shown(now),
             "datagrams": {"sent": self.talk.sent, "bytes": self.talk.sent_bytes, "came": self.talk.came,
                           "refused": self.talk.refused + self.door.digests.refused},
             "members": [
--- a/lapistrestle/fleet/talk.py
+++ b/lapistrestle/fleet/talk.py
@@ -7,11 +7,13 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from lapistrestle.fleet.digests import Digests
+from lapistrestle.fleet.lending import Lending
 from lapistrestle.fleet.members import Facts, Member, Members, Standing
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Claim, Datagram, Rank
 
 VERDICTS = 4  # in one datagram
+LOANS = (wire.Lend, wire.Lent, wire.Returned)
 
 
 class Verdicts(Protocol):
@@ -51,6 +53,7 @@
         self.members = Members(self, facts, me, seed, ground.clock())
         self.digests: Digests | None = None  # what is told beside who is there
         self.verdicts: Verdicts | None = None
+        self.lending: Lending | None = None
         self.told_at = ground.clock()
         self.draws = 0
         self.timer: Any = None
@@ -79,6 +82,8 @@
             self.digests.heard(datagram.word.layout, datagram.word.rows, now)
             if self.verdicts is not None:
                 self.verdicts.heard(datagram.word.verdicts, now)
+        if isinstance(datagram.word, LOANS) and self.lending is not None:
+            self.lending.heard(datagram.sender, datagram.word, now)
         self.wake()
 
     def wake(self) -> None:
@@ -124,6 +129,9 @@
             self.sent_bytes += len(data)
             self.transport.write(data, (host, port))
 
+    def lend(self, to: Claim, word: wire.AnyWord) -> None:
+        self.send(to.host, to.port, word, ())
+
     def changed(self, member: Member) -> None:
         if self.digests is not None and not member.known:
             self.digests.forget(member.name)
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -60,6 +60,7 @@
     due: int = 0  # when that is
     trial: bool = True  # by this dispatcher; false where others of its fleet try it and tell
     out: int = 0  # own call-outs there
+    loads: int = 0  # functions that own call-outs or orders have loading there
     warm: dict[CallOut, bool] = field(default_factory=dict)  # those with no load before them, oldest first
     warm_iso: int = 0  # sum of what they would take alone
     unheard: int | None = None  # since when a warm call-out of ours waits without any word from it
@@ -100,10 +101,19 @@
     missing: int = -(10**15)  # when none was found there last
     out: int = 0  # own call-outs of the function there
     peak: int = 0  # most of them at once since the last hold
-    loading: int = 0  # own loads under way there
+    behind: int = 0  # own call-outs and orders that wait for a load there
     ordered: deque[Order] = field(default_factory=deque)  # those without answer
     waiters: list["Rpc"] = field(default_factory=list)
 
+    @property
+    def loading(self) -> int:
+        return self.behind
+
+    @loading.setter
+    def loading(self, count: int) -> None:
+        self.srv.loads += bool(count) - bool(self.behind)
+        self.behind = count
+
     def begin(self, call_out: CallOut) -> None:
         srv = self.srv
         if not call_out.cold:
