--- a/lapistrestle/command/fleets.py
+++ b/lapistrestle/command/fleets.py
@@ -41,6 +41,11 @@
     click.echo(f"figures {door['step']}, {door['told']} heard, {door['age ms']:.0f} ms old")
     level = f"level {door['level']} of {door['rungs']}"
     click.echo(f"{door['shedding']}, {level}, {door['denied']} denied at the door")
+    if door["further"] is not None:
+        click.echo(f"further call-outs: {door['further']} a second")
+    if loads := shown["loads"]:
+        part = f"cut {loads['cut']}, lent {loads['lent']}, borrowed {loads['borrowed']}"
+        click.echo(f"loads: {loads['under way']} under way, {loads['may']} may be ({part})")
     table = Table("member", "zone", "port", "is", "for s", "heard s ago", "accused by")
     for m in shown["members"]:
         heard = "" if m["heard ms ago"] is None else f"{m['heard ms ago'] / 1000:.1f}"
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -55,7 +55,8 @@
             self.start(number)
 
     def start(self, number):
-        made = deployment(port=self.ports[number], seeds=self.ports[:2], period="300 ms", tell="200 ms")
+        times = {"period": "300 ms", "tell": "200 ms"}
+        made = deployment(port=self.ports[number], seeds=self.ports[:2], loads=10, **times)
         place = {"name": f"edge-{number}", "number": number, "of": len(self.ports), "zone": "north"}
         made["dispatcher"] = place
         made["listen"] = {"port": 0}
@@ -109,11 +110,13 @@
     assert said.returncode == 0 and "edge-3 is dead: it was silent" in said.stdout
     told = command("fleet", "show", "--port", edges.children[0].wait_port())
     assert told.returncode == 0 and "edge-0 is member of harbour" in told.stdout
+    assert "loads: 0 under way, 1 may be (cut 2, lent 0, borrowed 0)" in told.stdout
     edges.children[2].resume()  # it finds itself dead, and says that it is not
     edges.until(lambda: all(edges.view(n).get("edge-2") == "alive" for n in (0, 1)))
     edges.start(3)  # the same name, another process
     edges.until(lambda: all(edges.view(n).get("edge-3") == "alive" for n in (0, 1, 2)))
     assert edges.show(3)["standing"] == "member" and edges.show(3)["size"] == 4
+    assert edges.show(3)["loads"]["may"] == 1 and edges.show(3)["loads"]["cut"] == 3  # ten by four
     assert edges.children[1].stop() == 0  # SIGTERM: it says that it leaves
     edges.until(lambda: all(edges.view(n).get("edge-1") == "left" for n in (0, 2, 3)))
     lines = [line for child in edges.children.values() for line in child.lines()]
@@ -130,7 +133,7 @@
 
         def displaced():
             shown = look(port)
-            return shown["standing"] == "displaced" and shown["size"] == 0
+            return shown["standing"] == "displaced" and shown["size"] == 0 == shown["loads"]["may"]
 
         edges.until(displaced)
     finally:
@@ -180,6 +183,7 @@
 def test_a_day_of_processes_with_what_they_say_broken_keeps_the_rules(tmp_path):
     script = fleet_day(TROUBLES, length="6 s", edges=4, traffic={"rate": 30, "functions": 8})
     script["deployment"]["listen"] = {"port": 7100, "margin": "300 ms"}  # this machine may be busy
+    script["deployment"]["fleet"]["loads"] = 40
     path, tape = tmp_path / "day.json5", tmp_path / "day.tape"
     path.write_text(json.dumps(script))
     result = command("day", "run", path, "--tape", tape)
