Agreement read again: what follows from other state is no longer kept; an ended RPC is timed once

Cause: read once more, a member kept a beat beside its due time, a count of what was told beside what is agreed, and worked out what a majority has reached in two places; the council kept proposals that nobody read and an index that is the length of what is agreed; an edge of a fleet reckoned twice whether an ended RPC is late. Change: these go; Member.borne is the one piece for what a majority has reached; fail_reads, called once, stands where it is called. Behaviour and assertions are as they were; no decision of the module is touched.

--- a/lapistrestle/agreement/raft.py
+++ b/lapistrestle/agreement/raft.py
@@ -23,7 +23,7 @@
     Save,
     Send,
     Vote,
-)  # fmt: skip
+)
 
 SECOND = 10_000  # in tenths of a millisecond
 DEFAULTS: Mapping[str, int] = {
@@ -47,13 +47,13 @@
         self.facts, self.seed, self.draws, self.log = {**DEFAULTS, **facts}, seed, 0, log
         self.term, self.voted, self.entries = disk.term, disk.voted, list(disk.entries)
         self.role, self.leader = Role.FOLLOWER, ""
-        self.commit = self.told = 0
+        self.commit = 0
         self.votes = set[str]()
         self.next = dict[str, int]()
         self.match = dict[str, int]()
         self.heard_at = dict[str, int]()  # as a leader: when each other last answered
         self.answered = dict[str, int]()  # the latest round that each has answered
-        self.round, self.beat_at = 0, now
+        self.round = 0
         self.reads: list[tuple[int, Any]] = []  # the round that must be answered, and the tag
         self.word_at = now - 2 * self.facts["patience"]  # when a leader was last heard
         self.out: list[Effect] = []
@@ -64,14 +64,14 @@
 
     def tick(self, now: int) -> list[Effect]:
         """Time has passed; ask again at `due`."""
-        if self.role is Role.LEADER:
-            if now >= self.beat_at:
-                if self.alone(now):
-                    self.follow(self.term, "", now, "no majority answers")
-                else:
-                    self.beat(now)
-        elif now >= self.due:
+        if now < self.due:
+            return self.done()
+        if self.role is not Role.LEADER:
             self.ask(now, pre=True)
+        elif self.alone(now):
+            self.follow(self.term, "", now, "no majority answers")
+        else:
+            self.beat(now)
         return self.done()
 
     def heard(self, sender: str, message: Message, now: int) -> list[Effect]:
@@ -89,7 +89,7 @@
             return None, []
         self.append([Entry(self.term, command)])
         self.beat(now)
-        return len(self.entries), self.done()
+        return self.last, self.done()
 
     def read(self, tag: Any, now: int) -> list[Effect]:
         """Ask to answer from what is agreed now; a `Read` follows, at once or later."""
@@ -119,10 +119,9 @@
 
     def agree(self, index: int) -> None:
         """Up to there all is agreed. Told in order; after a restart from the start again."""
-        self.commit = max(self.commit, min(index, self.last))
-        while self.told < self.commit:
-            self.told += 1
-            self.out.append(Commit(self.told, self.entries[self.told - 1]))
+        while self.commit < min(index, self.last):
+            self.commit += 1
+            self.out.append(Commit(self.commit, self.entries[self.commit - 1]))
 
     # roles
 
@@ -139,12 +138,9 @@
             self.term, self.voted = term, ""
             self.save()
         self.role, self.leader = Role.FOLLOWER, leader
-        self.fail_reads()
-        self.be_patient(now)
-
-    def fail_reads(self) -> None:
         self.out.extend(Read(tag, None) for _, tag in self.reads)
         self.reads = []
+        self.be_patient(now)
 
     def ask(self, now: int, pre: bool) -> None:
         """Ask all for their votes; a pre-vote first, so that one that was cut off raises no term."""
@@ -185,7 +181,7 @@
     def beat(self, now: int) -> None:
         """A word to all. Each gets what it lacks, in batches."""
         self.round += 1
-        self.beat_at = self.due = now + self.facts["beat"]
+        self.due = now + self.facts["beat"]
         for name in self.others:
             self.tell(name)
         self.settle()
@@ -262,15 +258,18 @@
 
     def settle(self) -> None:
         """What a majority has on disk is agreed, if of this term; reads that a majority bears out."""
-        matches = sorted([*self.match.values(), self.last], reverse=True)
-        index = matches[len(matches) // 2]
+        index = self.borne(self.match, self.last)
         if self.term_at(index) == self.term:
             self.agree(index)
-        rounds = sorted([*self.answered.values(), self.round], reverse=True)
-        borne = rounds[len(rounds) // 2]
-        while self.reads and self.reads[0][0] <= borne and self.term_at(self.commit) == self.term:
+        answered = self.borne(self.answered, self.round)
+        while self.reads and self.reads[0][0] <= answered and self.term_at(self.commit) == self.term:
             self.out.append(Read(self.reads.pop(0)[1], self.commit))
 
+    def borne(self, others: Mapping[str, int], own: int) -> int:
+        """The most that a majority has reached."""
+        reached = sorted([*others.values(), own], reverse=True)
+        return reached[len(reached) // 2]
+
     def done(self) -> list[Effect]:
         out, self.out = self.out, []
         return out
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -153,9 +153,10 @@
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
         if self.together is not None:
-            if how in (DENIED, ABORTED) and cost_before(ticket) and not self.late(ticket):
+            late = self.late(ticket)
+            if how in (DENIED, ABORTED) and cost_before(ticket) and not late:
                 self.together.door.wished()
-            self.together.door.ended(how, self.late(ticket), bool(ticket.call_outs), faulty(ticket))
+            self.together.door.ended(how, late, bool(ticket.call_outs), faulty(ticket))
         if ticket.route is not None and ticket.route.candidate and how != "moved":
             if how != "ok" and self.barred(ticket.fn.name):
                 return
--- a/lapistrestle/standins/council.py
+++ b/lapistrestle/standins/council.py
@@ -24,7 +24,7 @@
     Save,
     Send,
     Vote,
-)  # fmt: skip
+)
 
 TENTHS = 10_000
 
@@ -51,9 +51,13 @@
 
     agreed: dict[int, Entry] = field(default_factory=dict)
     leaders: dict[int, str] = field(default_factory=dict)  # by term
-    acknowledged: int = 0  # index up to which some command was answered as taken
     breaches: list[str] = field(default_factory=list)
 
+    @property
+    def acknowledged(self) -> int:
+        """Up to this index something was answered as taken: members agree in order, so none is left out."""
+        return len(self.agreed)
+
     def leads(self, name: str, term: int) -> None:
         if self.leaders.setdefault(term, name) != name:
             self.breaches.append(f"term {term} is led by {self.leaders[term]} and {name}")
@@ -108,7 +112,6 @@
         self.cut = set[tuple[str, str]]()
         self.book = Book()
         self.asked: dict[Any, int] = {}  # reads: up to where it was agreed when they were asked
-        self.proposed: dict[int, tuple[str, int]] = {}  # command: leader and term of its proposal
         self.done_reads = self.commands = self.kills = 0
         self.dying: dict[str, int] = {}  # killed after so many more effects
         for name in self.names:
@@ -170,7 +173,6 @@
                 self.post(name, effect.to, effect.message)
             case Commit():
                 self.book.commits(name, effect.index, effect.entry)
-                self.book.acknowledged = max(self.book.acknowledged, effect.index)
             case Read():
                 asked_at = self.asked.pop(effect.tag)
                 if effect.index is not None:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -33,7 +33,6 @@
     def cut(number, count):
         return Allowance("loads", WHOLE, count, number, {}, 0)
 
-
     def say(self, sender, to, word):
         if not self.lost:
             self.words.append((sender, int(to.name[2:]), word))
