A request on the platform counts towards its own tenant's share, not the first one's

Change: the front knows the settings' tenants by name; who names nobody has no share of anybody's, a name that the settings don't have gets 400.

--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -180,6 +180,7 @@
         self.leaving = False
         self.ids: OrderedDict[str, int] = OrderedDict()  # those taken in the last window of orders, and when
         self.lingering: dict[str, Ticket] = {}  # by id, until the last call-out has ended
+        self.customers = {t.name.encode(): number for number, t in enumerate(place.told.tenants or [])}
         self.methods = {}
         for number, profile in enumerate(place.told.profiles):
             name = profile.name.encode()
@@ -289,6 +290,11 @@
         key = fields.get(b"HTTP_X_DEDUPE_KEY", b"")
         if (key or tokened) and not KEY.fullmatch(key):
             raise Unfit(400, "X-Dedupe-Key can't be used")
+        said = fields.get(b"HTTP_X_CUSTOMER", b"")
+        # whom the settings don't share out to has no share: one that names nobody takes nobody's
+        customer = self.customers.get(said, len(self.customers)) if self.customers else 0
+        if said and self.customers and customer == len(self.customers):
+            raise Unfit(400, "X-Customer is none of the settings' tenants")
         size = fields.get(b"CONTENT_LENGTH", b"")
         if size and (not size.isdigit() or int(size[:9]) != len(request.body)):
             raise Unfit(400, "CONTENT_LENGTH is not the body's")
@@ -306,11 +312,11 @@
             self.core.counts["turned away"] += 1
             return seat.reply(request.number, 503)
         head = b'"queue":"%s","path":"%s"' % (quoted, fn)
-        said = b',"uniq":"%s"' % key if key else b""
-        asked = Asked(request.number, request.keep, id, head, said, request.body)
+        uniq = b',"uniq":"%s"' % key if key else b""
+        asked = Asked(request.number, request.keep, id, head, uniq, request.body)
         self.idle.pop(seat, None)
         ticket = self.core.host.arrived(
-            seat=seat, asked=asked, tag=tag, fn=fn.decode(), method=number, customer=0, left=left,
+            seat=seat, asked=asked, tag=tag, fn=fn.decode(), method=number, customer=customer, left=left,
             memory=memory, lanes=int(lanes or 1), work=None if work is None else max(1, int(work * 10)),
             repeat=repeat == b"1", load=None if load is None else int(load * 10),
             moved=self.taken_before(tag), came=self.core.came(),
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/place.py
@@ -58,6 +58,10 @@
     deadline: Annotated[int, Meta(gt=0)]
 
 
+class Tenant(Struct):
+    name: Annotated[str, Meta(min_length=1)]
+
+
 class Own(Struct, rename="kebab"):
     """As much of the settings' limits as the transport needs."""
 
@@ -71,6 +75,7 @@
     """As much of the settings as is checked; the module gets all of them."""
 
     profiles: Annotated[list[Profile], Meta(min_length=1)]
+    tenants: list[Tenant] | None = None
     zones: list[str] = field(default_factory=list)
     models: list[str] = field(default_factory=list)
     limits: Own = field(default_factory=Own)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -156,6 +156,19 @@
     assert client.status(good) == 200
 
 
+def test_a_request_counts_towards_the_share_of_its_own_tenant(stages):
+    """All had counted as the first tenant's, whose share then cut off the others (ledger-hall)."""
+    tenants = [{"name": "orchard", "quota-rps": 5.0}, {"name": "mill & sons", "quota-rps": 50.0}]
+    stage = stages(tenants=tenants)
+    client, met = stage.client(), []
+    arrived = stage.module.arrived
+    stage.module.arrived = lambda rpc: (met.append(rpc.customer), arrived(rpc))
+    numbers = [client.ask(HTTP_X_CUSTOMER=name) for name in ("mill & sons", "orchard", "", "nobody")]
+    stage.hand.until(lambda: all(client.status(n) for n in numbers))
+    assert [client.status(n) for n in numbers] == [200, 200, 200, 400]
+    assert met == [1, 0, 2]  # who names nobody has no share of anybody's
+
+
 def test_the_id_of_an_open_request_is_refused_and_the_first_goes_on(stage):
     kept = []
     for runner in stage.runners:
