Nothing of an RPC begins once it has ended: what waits for a connection is taken back

Cause, each shown by a test on real connections that makes the order happen every time: - A client's abort or close (Hosting.client_left) left its call-outs in Linking.waiting; they went out when a late connection came up, up to a dial's time later. - A line that met a full socket lay in Stream.unsent, where no withdrawal reached it: an abort, a time-out and a drain counted it as out, and it left when the runner read again. - Linking.send and flush noted a number as out after the write. A connection that broke under the write had ended all others by then, so this one's call waited for its whole time-out, and then counted as may have run. - A keyed repeat decided within its repeat window waited for its connection and was written after the window (rule 2 binds at the socket). - Lines held back for a drain, and orders too late for their window, ended as unreachable, which the module takes as the runner's death (emptied, bad health): nobody had been met. Ruled out: the module's own state; it is told 'left' at once and places nothing after. Change: Hosting.close takes back what has not left; Stream.offer keeps nothing of which no byte left, so it stays in Linking.waiting; put() counts a line as out before it is written; lines carry the moment after which they may not begin; what is held back here ends as not sent (MOOT), still proof that it did not run. Tried without the fix: the eight tests here and the one on the window fail.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -34,7 +34,7 @@
 
     def named(self) -> None: ...  # it is on the list now
     def dropped(self) -> None: ...  # it is gone: what is out may still end
-    def give_back(self) -> None: ...  # it drains: what waits to be written is not sent
+    def hold_back(self) -> None: ...  # it drains: what waits to be written is not sent
     def run(self, flight: Flight) -> None: ...
     def hold(self, errand: Errand) -> None: ...
     def unload(self, fn: str) -> None: ...
@@ -136,7 +136,7 @@
         """Lines that wait for a runner that drains are not sent later: rule 3 binds at the socket."""
         for facts_ in told:
             if facts_.listing is not Listing.SERVING and facts_.name in self.runners:
-                self.runners[facts_.name].give_back()
+                self.runners[facts_.name].hold_back()
 
     def passed_over(self, name: str, why: str) -> None:
         self.counts["passed over"] += 1
@@ -161,6 +161,9 @@
     def withdraw(self, task: Flight | Errand, tell: bool) -> bool:
         return task.via is not None and task.via.withdraw(task.number, tell)
 
+    def take_back(self, flight: Flight) -> bool:
+        return flight.via is not None and flight.via.take_back(flight.number)
+
     def hold(self, errand: Errand) -> None:
         runner = self.runners.get(errand.srv.name)
         if runner is None:
--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -23,10 +23,14 @@
     """What the transport does: dial, write a line, close; `ask` is a request to be told DUE after a delay."""
 
     def dial(self) -> None: ...
-    def write(self, line: bytes, number: int = 0) -> None: ...
+    def write(self, line: bytes, number: int = 0) -> bool:
+        """False: none of it has left, nor does; SLOWED was told, and EASED follows."""
+        return True
+
     def close(self) -> None: ...
     def ask(self, delay: int) -> None: ...
-    def never_left(self, numbers: list[int]) -> None: ...
+    def never_left(self, numbers: list[int]) -> None: ...  # nobody was met
+    def not_sent(self, numbers: list[int]) -> None: ...  # held back here, which says nothing of the runner
     def broke(self, numbers: list[int]) -> None: ...
 
 
@@ -57,28 +61,46 @@
 
     # what is sent
 
-    def send(self, number: int, line: bytes, owed: bool = True, prompt: bool = False) -> bool:
+    def send(
+        self, number: int, line: bytes, owed: bool = True, prompt: bool = False, until: int | None = None
+    ) -> bool:
         """Write or keep a line; False if it was turned away. `owed`: an end of `number` will follow;
-        `prompt`: it must go now or not at all."""
+        `prompt`: it must go now, or as soon as the connection is made; `until`: it may not begin later."""
         if self.state in (Link.ENDING, Link.ENDED) or len(self.waiting) >= MOST_WAITING:
             return False
         if prompt and self.state is Link.SLOW:
             return False
-        if self.state is Link.OPEN:
-            self.rim.write(line, number if owed else 0)
-            if owed:
-                self.out[number] = None
+        number = number if owed else 0
+        if self.state is Link.OPEN and self.put(number, line):
             return True
-        self.waiting.append((number if owed else 0, line, self.clock() + self.prompt if prompt else None))
+        if prompt and self.state is Link.SLOW:
+            return False
+        self.waiting.append((number, line, self.clock() + self.prompt if prompt else until))
         self.step(Input.WANTED)
         return True
 
-    def withdraw(self, number: int) -> bool:
-        """Take back a line that has not left. False if it has; its end is no longer waited for."""
+    def put(self, number: int, line: bytes) -> bool:
+        """Write a line; False if none of it left. It counts as out before it is written: a connection that
+        breaks under the write ends it with the others."""
+        if number:
+            self.out[number] = None
+        if self.rim.write(line, number):
+            return True
+        self.out.pop(number, None)
+        return False
+
+    def take_back(self, number: int) -> bool:
+        """Take back a line that has not left; False if it has."""
         for item in self.waiting:
             if item[0] == number:
                 self.waiting.remove(item)
                 return True
+        return False
+
+    def withdraw(self, number: int) -> bool:
+        """As `take_back`; the end of one that has left is no longer waited for."""
+        if self.take_back(number):
+            return True
         self.ended(number)
         return False
 
@@ -98,23 +120,31 @@
         """Nothing of one turn is lost if the connection slows down half way: the rest goes on waiting."""
         self.rests, now, stale = 0, self.clock(), list[int]()
         while self.waiting and self.state is Link.OPEN:
-            number, line, until = self.waiting.popleft()
+            number, line, until = item = self.waiting.popleft()
             if until is not None and now > until:
                 stale.append(number)
-                continue
-            self.rim.write(line, number)
-            if number:
-                self.out[number] = None
+            elif not self.put(number, line):
+                self.waiting.appendleft(item)
+                break
         if stale:
-            self.rim.never_left(stale)
+            self.rim.not_sent(stale)
 
-    def give_back(self) -> None:
-        """What waits has never left, and is not sat on."""
+    def kept(self) -> list[int]:
+        """The numbers of what waits, which waits no longer."""
         numbers = [number for number, _, _ in self.waiting if number]
         self.waiting.clear()
-        if numbers:
+        return numbers
+
+    def give_back(self) -> None:
+        """What waits has never left, and is not sat on."""
+        if numbers := self.kept():
             self.rim.never_left(numbers)
 
+    def hold_back(self) -> None:
+        """The runner drains: what waits is not sent, though it could be."""
+        if numbers := self.kept():
+            self.rim.not_sent(numbers)
+
     def break_off(self) -> None:
         numbers, self.out = list(self.out), {}
         if numbers:
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -134,8 +134,8 @@
     def dropped(self) -> None:
         self.linking.step(Input.DROPPED)
 
-    def give_back(self) -> None:
-        self.linking.give_back()
+    def hold_back(self) -> None:
+        self.linking.hold_back()
 
     def end(self) -> None:
         self.drop_speaker()
@@ -144,9 +144,12 @@
 
     def run(self, flight: Flight) -> None:
         flight.via = self
-        if not self.linking.send(flight.number, wire.encode(run_of(flight)) + b"\n"):
+        if not self.linking.send(flight.number, wire.encode(run_of(flight)) + b"\n", until=flight.until):
             self.host.ended(flight.number, Outcome.FULL)
 
+    def take_back(self, number: int) -> bool:
+        return self.linking.take_back(number)
+
     def withdraw(self, number: int, tell: bool) -> bool:
         """Wait no longer for this number; True if its line never left. `tell` the runner otherwise."""
         if self.linking.withdraw(number):
@@ -251,9 +254,10 @@
         elif dial is not None and self.connector is not None:
             self.connector.disconnect()
 
-    def write(self, line: bytes, number: int = 0) -> None:
+    def write(self, line: bytes, number: int = 0) -> bool:
         if self.speaker is not None:
             self.speaker.say_line(line)
+        return True
 
     def close(self) -> None:
         self.drop_speaker()
@@ -265,6 +269,10 @@
         for number in numbers:
             self.host.lost(number, Outcome.UNREACHABLE)
 
+    def not_sent(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.host.lost(number, Outcome.MOOT)
+
     def broke(self, numbers: list[int]) -> None:
         for number in numbers:
             self.host.lost(number, Outcome.RESET)
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -61,6 +61,7 @@
     srv: Srv
     sent: int
     within: int
+    until: int | None = None  # it may not begin later
     timer: Timer | None = None
     via: Any = None  # the transport's own: by which connection
 
@@ -85,7 +86,8 @@
     def closed(self, ticket: Ticket, how: str) -> None: ...
     def stream(self, ticket: Ticket) -> None: ...
     def run(self, flight: Flight) -> None: ...
-    def withdraw(self, task: Flight | Errand, tell: bool) -> bool: ...  # True if it never left
+    def take_back(self, flight: Flight) -> bool: ...  # True if it never left, and now never does
+    def withdraw(self, task: Flight | Errand, tell: bool) -> bool: ...  # and wait for it no more
     def hold(self, errand: Errand) -> None: ...
     def unload(self, srv: SrvFacts, fn: FnFacts) -> None: ...
     def probe(self, errand: Errand) -> None: ...
@@ -182,7 +184,7 @@
         return ticket
 
     def client_left(self, ticket: Ticket) -> None:
-        """The client has gone; call-outs under way go on to their own ends."""
+        """The client has gone; what a worker has of it goes on to its own end."""
         if not ticket.final:
             self.close(ticket, "left")
             self.post(ticket, "left", ticket)
@@ -289,6 +291,16 @@
         self.outside.closed(ticket, how)
         if ticket.guard is not None:
             ticket.guard.stop()
+        if ticket.flights:
+            self.ground(ticket)
+
+    def ground(self, ticket: Ticket) -> None:
+        """What waits for a connection when its RPC ends is never sent: guards a worker against work that
+        nobody waits for, begun as long after as a dial lasts."""
+        for call_out in list(ticket.call_outs):
+            flight = self.numbers.get(call_out)
+            if flight is not None and self.outside.take_back(flight):
+                self.ended(flight.number, Outcome.MOOT)
 
     def overdue(self, ticket: Ticket) -> None:
         """Guards rule 1 where the module let a deadline pass, by error or in a state nobody thought of."""
@@ -336,7 +348,9 @@
         within = min(time_out, ticket.deadline - now) if time_out else ticket.deadline - now
         parallel = self.facts["may_parallel"] or not ticket.flights
         tries = ticket.tries() <= self.facts["try_limit"]
-        flight = Flight(self.next_number(), call_out, ticket, call_out.srv, now, within)
+        flight = Flight(
+            self.next_number(), call_out, ticket, call_out.srv, now, within, self.begins_by(ticket)
+        )
         self.flights[flight.number] = self.numbers[call_out] = flight
         ticket.flights += 1
         if ticket.final or ticket.stream or not parallel or not tries:
@@ -347,6 +361,13 @@
         flight.timer = self.timers.at(now + within, self.timed_out, flight)
         self.outside.run(flight)
 
+    def begins_by(self, ticket: Ticket) -> int | None:
+        """Rule 2 binds at the socket: a repeat is dropped only within its window, which may end while it
+        waits for a connection."""
+        method = self.facts["methods"][ticket.method]
+        repeat = ticket.ran_on is not None and method["kind"] == "tokened"
+        return ticket.ran_at + method["repeat_window"] if repeat else None
+
     def deny(self, rpc: RpcFacts, come_back: int) -> None:
         assert isinstance(rpc, Ticket)
         self.finish(rpc, DENIED, come_back)
--- a/lapistrestle/model/links.py
+++ b/lapistrestle/model/links.py
@@ -74,7 +74,7 @@
         if given is Input.DROPPED:
             self.break_off()
 
-    def give_back(self) -> None:
+    def hold_back(self) -> None:
         """Nothing waits here for a connection."""
 
     def meet(self) -> None:
@@ -123,6 +123,9 @@
             assert self.runner is not None
             self.later(self.way, self.runner.engine.unload, fn)
 
+    def take_back(self, number: int) -> bool:
+        return False  # a message is on its way as soon as it is sent
+
     def withdraw(self, number: int, tell: bool) -> bool:
         if tell and self.reached():
             assert self.runner is not None
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -99,10 +99,12 @@
     def load(self) -> int:
         return len(self.linking.out) + len(self.linking.waiting)
 
-    def send(self, number: int, rid: str, line: bytes, prompt: bool = False) -> bool:
+    def send(
+        self, number: int, rid: str, line: bytes, prompt: bool = False, until: int | None = None
+    ) -> bool:
         self.since = self.core.clock()
         self.by_rid[rid], self.rids[number] = number, rid
-        if self.linking.send(number, line, prompt=prompt):
+        if self.linking.send(number, line, prompt=prompt, until=until):
             return True
         self.forget(number)
         return False
@@ -112,6 +114,12 @@
         if rid is not None and self.by_rid.get(rid) == number:
             del self.by_rid[rid]
 
+    def take_back(self, number: int) -> bool:
+        if self.linking.take_back(number):
+            self.forget(number)
+            return True
+        return False
+
     def withdraw(self, number: int, tell: bool) -> bool:
         """Wait no longer for this number; True if its line never left. `tell` the runner otherwise."""
         rid = self.rids.get(number)
@@ -225,11 +233,13 @@
         self.linking.step(Input.FAILED)
         self.let_go()
 
-    def write(self, line: bytes, number: int = 0) -> None:
-        if self.stream is not None:
-            self.stream.send(line, number)
-            if self.stream is not None and self.stream.unsent:
-                self.linking.step(Input.SLOWED)
+    def write(self, line: bytes, number: int = 0) -> bool:
+        if self.stream is None:
+            return False
+        left = self.stream.offer(line, number)
+        if not left or (self.stream is not None and self.stream.unsent):
+            self.linking.step(Input.SLOWED)
+        return left
 
     def close(self) -> None:
         stream, self.stream = self.stream, None
@@ -244,6 +254,10 @@
         for number in numbers:
             self.lose(number, Outcome.UNREACHABLE)
 
+    def not_sent(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.lose(number, Outcome.MOOT)
+
     def broke(self, numbers: list[int]) -> None:
         """What was not written whole never ran, what was may have."""
         for number in numbers:
@@ -269,9 +283,9 @@
         for wire in list(self.wires):
             wire.linking.step(Input.DROPPED)
 
-    def give_back(self) -> None:
+    def hold_back(self) -> None:
         for wire in list(self.wires):
-            wire.linking.give_back()
+            wire.linking.hold_back()
 
     def end(self) -> None:
         for wire in list(self.wires):
@@ -328,7 +342,7 @@
             asked.id, asked.head, max(1, flight.within // 10), asked.key, b64encode(asked.body),
         )  # fmt: skip
         flight.via = wire
-        if wire is None or not wire.send(flight.number, ticket.tag, line):
+        if wire is None or not wire.send(flight.number, ticket.tag, line, until=flight.until):
             return self.core.host.ended(flight.number, Outcome.FULL)
         asked.used.append(wire)
 
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -75,10 +75,13 @@
             self.watch_writes(False)
             self.watch_reads(True)
             self.made()
-        if self.unsent:
+            if self.unsent:
+                self.flush()
+        elif self.unsent:
             self.flush()
-        elif not self.dead:
+        else:
             self.watch_writes(False)
+            self.drained()
 
     def connectionLost(self, reason: Any) -> None:
         self.drop("lost")
@@ -94,6 +97,19 @@
         if len(self.unsent) == 1 and not self.dialling:
             self.flush()
 
+    def offer(self, data: bytes, mark: int = 0) -> bool:
+        """As `send`, but where the socket takes nothing of it now nothing is kept either, and `drained` is
+        called once it takes more. False then: what has not begun to leave stays the owner's to take back."""
+        if self.dead or self.dialling:
+            return False
+        if not self.unsent:
+            self.send(data, mark)
+            if self.dead or not self.unsent or self.at:
+                return True
+            self.unsent.clear()
+            self.waiting = 0
+        return False
+
     def flush(self) -> None:
         while self.unsent and not self.dead:
             data = self.unsent[0][0]
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,143 @@
+"""Events that cross, on real connections: each test forces the bad order by what is sent and awaited."""
+
+import contextlib
+import socket
+
+import pytest
+from test_node import Stage
+
+from lapistrestle.edge.linking import Link
+from lapistrestle.interface import Listing
+
+
+@pytest.fixture
+def stages():
+    made = []
+
+    def make(*args, **more):
+        made.append(Stage(*args, **more))
+        return made[-1]
+
+    yield make
+    for stage in made:
+        stage.close()
+
+
+@pytest.fixture
+def stage(stages):
+    """One runner: whatever is asked goes there."""
+    return stages(runners=1)
+
+
+class Closed:
+    """The runner's machine takes no connection: dials stay without answer until it is opened again."""
+
+    def __init__(self, stage, at=0):
+        self.hand, self.runner = stage.hand, stage.runners[at]
+        self.listener, self.fill = self.runner.listener, []
+        self.hand.removeReader(self.listener)
+        self.listener.sock.listen(0)
+        for _ in range(2):  # what the machine takes by itself is used up
+            end = socket.socket()
+            end.setblocking(False)
+            end.connect_ex(("127.0.0.1", self.runner.port))
+            self.fill.append(end)
+        stage.ends += [self]
+
+    def open(self):
+        self.listener.sock.listen(1024)
+        self.hand.addReader(self.listener)
+
+    def drop(self, why):
+        for end in self.fill:
+            end.close()
+
+
+def wires(stage):
+    return [wire for runner in stage.node.core.runners.values() for wire in runner.wires]
+
+
+def held(stage):
+    """Lines that wait for a connection."""
+    return [line for wire in wires(stage) for line in wire.linking.waiting]
+
+
+def slow(stage):
+    """The runner reads nothing until its connection is full."""
+    client = stage.client()
+    first = client.ask()
+    stage.hand.until(lambda: client.status(first))
+    (line,) = stage.runners[0].lines
+    stage.hand.removeReader(line)
+    wire = wires(stage)[0]
+    wire.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            wire.stream.sock.send(b" " * 65_536)
+    return client, line, wire
+
+
+# the client has gone, the line has not
+
+
+@pytest.mark.parametrize("how", ["aborts", "closes"])
+def test_what_waits_for_a_connection_is_not_sent_once_its_client_has_gone(stage, how):
+    """It had gone out when the connection came up, up to a dial's time later."""
+    closed, client = Closed(stage), stage.client()
+    number = client.ask(method="bill")
+    stage.hand.until(lambda: held(stage))
+    if how == "aborts":
+        client.give_up(number)
+    else:
+        client.drop("gone")
+    stage.hand.until(lambda: stage.host.counts["left"])
+    assert not held(stage) and not stage.host.flights
+    closed.open()
+    stage.hand.until(lambda: all(wire.linking.state is Link.OPEN for wire in wires(stage)))
+    stage.hand.quiet()
+    assert stage.runs() == [] and not any(srv.out for srv in stage.module.srvs)
+
+
+@pytest.mark.parametrize("how", ["aborts", "times out", "drains"])
+def test_what_a_full_socket_has_not_begun_to_take_is_not_sent_later(stage, how):
+    """The connection had kept the line, where only its own end could reach it."""
+    client, line, wire = slow(stage)
+    before = len(stage.runs())
+    number = client.ask(method="bill", patience="300")
+    stage.hand.until(lambda: wire.linking.state is Link.SLOW)
+    if how == "aborts":
+        client.give_up(number)
+        stage.hand.until(lambda: stage.host.counts["left"])
+    elif how == "times out":
+        stage.hand.run(0.31)
+        stage.hand.until(lambda: client.status(number))
+        assert client.status(number) == 503  # it never left, so to repeat it is harmless
+    else:
+        stage.board.tell(2, 2, stage.row(0, state=1))
+        stage.hand.until(lambda: stage.srvs()["s-00000001"].listing is Listing.DRAINING)
+        stage.hand.until(lambda: client.status(number))
+    assert not wire.linking.waiting and not stage.host.flights
+    stage.hand.addReader(line)
+    stage.hand.until(lambda: wire.linking.state is not Link.SLOW)
+    stage.hand.quiet()
+    assert len(stage.runs()) == before
+
+
+# repeats
+
+
+def test_a_repeat_is_not_sent_after_its_window_though_it_was_decided_within(stages):
+    """It had waited for its connection and gone out when that came up, whatever the time."""
+    profiles = [{"name": "publish", "aim": 2500000, "deadline": 5000000, "idempotency": "deduplicated",
+                 "dedup-scope": "cell", "repeat-window": 150000}]  # fmt: skip
+    stage = stages(runners=2, profiles=profiles)
+    stage.module.walk = lambda fn: sorted(stage.module.ring, key=lambda srv: srv.name)
+    closed, client = Closed(stage, at=1), stage.client()
+    stage.runners[0].on_run = lambda line, said: line.reset()
+    number = client.ask(method="publish", HTTP_X_DEDUPE_KEY="5c0f6e1a")
+    stage.hand.until(lambda: len(stage.runs()) == 1 and held(stage))
+    stage.hand.run(0.16)
+    assert held(stage) and client.status(number) is None
+    closed.open()
+    stage.hand.until(lambda: client.status(number))
+    assert client.status(number) == 500 and len(stage.runs()) == 1
--- a/tests/test_linking.py
+++ b/tests/test_linking.py
@@ -14,6 +14,7 @@
 
     def write(self, line, number=0):
         self.acts.append(line)
+        return True
 
     def close(self):
         self.acts.append("close")
@@ -24,6 +25,9 @@
     def never_left(self, numbers):
         self.acts.append(("never left", numbers))
 
+    def not_sent(self, numbers):
+        self.acts.append(("not sent", numbers))
+
     def broke(self, numbers):
         self.acts.append(("broke", numbers))
 
@@ -117,7 +121,7 @@
     link_clock[0] += PROMPT + 1
     link.rim.acts.clear()
     link.step(Input.GREETED)
-    assert link.rim.acts == [b"call", ("never left", [4])] and list(link.out) == [3]
+    assert link.rim.acts == [b"call", ("not sent", [4])] and list(link.out) == [3]
     link.step(Input.SLOWED)
     assert not link.send(5, b"order", prompt=True) and link.send(6, b"call")
 
@@ -126,3 +130,33 @@
     states = {state for state, _ in LIFE}
     assert states == set(Link) - {Link.ENDED}
     assert {after for after, _ in LIFE.values()} == set(Link) - {Link.IDLE}
+
+
+def test_a_connection_that_breaks_under_the_write_ends_that_line_with_the_others(open_link):
+    """It had been counted as out only after the write, when nobody would tell its end any more."""
+    open_link.rim.write = lambda line, number=0: open_link.step(Input.BROKE) is None
+    open_link.send(1, b"a")
+    assert ("broke", [1]) in open_link.rim.acts and not open_link.out
+
+
+def test_a_line_of_which_nothing_left_waits_and_can_be_taken_back(open_link):
+    """A socket without room had kept it, where neither a drain nor a time-out reached it."""
+
+    def full(line, number=0):
+        open_link.step(Input.SLOWED)
+        return False
+
+    open_link.rim.write, wrote = full, open_link.rim.write
+    assert open_link.send(1, b"a") and open_link.send(2, b"b")
+    assert not open_link.out and open_link.take_back(1) and not open_link.take_back(1)
+    open_link.rim.write = wrote
+    open_link.step(Input.EASED)
+    assert open_link.rim.acts == [b"b"] and list(open_link.out) == [2]
+
+
+def test_a_line_that_may_not_begin_after_a_moment_is_not_sent_then(link):
+    link.send(1, b"repeat", until=link_clock[0] + 500)
+    link.send(2, b"first")
+    link_clock[0] += 501
+    link.step(Input.GREETED)
+    assert link.rim.acts == ["dial", b"first", ("not sent", [1])]
