All that one look at the sockets brings is heard before any of it is acted on

Cause, each shown by a test on real connections after a standstill of 0.3 s: - A request and its client's abort or close lay in the socket together; Seat.received began the request at the first event, and the close stood behind a second recv in a later turn. - A runner's refusal and the client's close came in one look; the refusal was acted on first, and a further call-out began 0.3 s after the client had gone. - A runner's answer and the end of its connection lay together; the end was read a turn later, and the next call was written to that connection: a side effect then counted as may have run and was failed. Ruled out: timers, which already wait for a quiet turn (hosting/turns.py). Change: the reactor's look at its sockets is gathered (Hosting.gathering): events are heard in order and handed to the module after it; a request whose client has left by then is never told. After a standstill of over 20 ms a connection is read to its end within bounds, and what is accepted is read in the same look. Call-outs of ended RPCs are let go once all events are told. The one test that set the time of the last look by hand now lets the program stand still for real; its assertion is the same. Tried without the fix: the six cases fail.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -15,6 +15,8 @@
 
 Log = Callable[..., None]
 TENTHS = 10_000  # of a millisecond in a second
+LATE = 200  # tenths of a millisecond since the look before: a close may lie behind what is read
+PIECES = 16
 
 
 class Front(Protocol):
@@ -70,6 +72,8 @@
         self.speech: Callable[[str, Any, str], Way]
         self.sources: list[ListSource] = []
         self.host = Hosting(self, self.facts, seed, self.clock, slack, make)
+        if hasattr(reactor, "around"):
+            reactor.around = self.host.gathering
 
     def clock(self) -> int:
         return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
@@ -80,6 +84,11 @@
         looked = getattr(self.reactor, "looked", None)
         return self.clock() if looked is None else int(looked[0] * TENTHS)
 
+    def pieces(self) -> int:
+        """How many pieces of one connection are read at once: all that there are, within bounds, after a
+        standstill. One that ends, and what it brought before, are then met in the same look."""
+        return PIECES if self.clock() - self.came() > LATE else 1
+
     def start(self) -> int:
         """Listen, and follow the list. Returns the port."""
         port = self.front.listen()
--- a/lapistrestle/edge/running.py
+++ b/lapistrestle/edge/running.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections.abc import Callable, Mapping
+from contextlib import nullcontext
 from typing import Any
 
 SETTLE = 0.02  # seconds between the reactor's first turn and the program's beginning
@@ -11,16 +12,18 @@
 
 def reactor_of_now() -> Any:
     """Twisted's reactor on the monotonic clock: the machine's time may be set while we run. `looked`: when it
-    last turned to its sockets before this time, and this time; what is read now came after the former."""
+    last turned to its sockets before this time, and this time; what is read now came after the former.
+    `around` is entered for each such look, by whoever sets it."""
     from twisted.internet import reactor
 
     made: Any = reactor
     made.seconds = time.monotonic
-    iterate, made.looked = made.doIteration, (time.monotonic(),) * 2
+    iterate, made.looked, made.around = made.doIteration, (time.monotonic(),) * 2, nullcontext
 
     def look(delay: float) -> None:
         made.looked = made.looked[1], time.monotonic()
-        iterate(delay)
+        with made.around():
+            iterate(delay)
 
     made.doIteration = look
     return made
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -6,7 +6,8 @@
 
 import traceback
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
@@ -118,6 +119,7 @@
         self.door, self.timers = Door(most_fns), Timers()
         self.events: deque[tuple[Ticket | None, str, tuple[Any, ...]]] = deque()
         self.busy = False
+        self.ended_ones: list[Ticket] = []  # over, and none of their call-outs under way
         self.flights: dict[int, Flight] = {}
         self.numbers: dict[CallOut, Flight] = {}
         self.errands: dict[int, Errand] = {}
@@ -133,13 +135,32 @@
     def post(self, ticket: Ticket | None, word: str, *args: Any) -> None:
         """Tell the module, after what it is being told; what it asks for may lead to more."""
         self.events.append((ticket, word, args))
-        if self.busy:
+        if not self.busy:
+            self.busy = True
+            self.act()
+
+    @contextmanager
+    def gathering(self) -> Iterator[None]:
+        """All that one look at the sockets brings is heard before any of it is acted on: after a standstill a
+        client's close may lie beside, or behind, what would have a call-out begin for it. Harms by the time
+        that it takes to read the other sockets, once a look."""
+        outer, self.busy = self.busy, True
+        try:
+            yield
+        finally:
+            if not outer:
+                self.act()
+
+    def act(self) -> None:
+        if not self.events:
+            self.busy = False
             return
-        self.busy = True
         began = self.stopwatch() if self.stopwatch else 0.0
         try:
             while self.events:
                 ticket, word, args = self.events.popleft()
+                if word == "arrived" and ticket is not None and ticket.final:
+                    continue  # its client left before anything was begun for it
                 self.module.now = self.clock()
                 try:
                     getattr(self.module, word)(*args)
@@ -147,6 +168,10 @@
                     self.fault(ticket, word, args)
         finally:
             self.busy = False
+        for ticket in self.ended_ones:
+            if not ticket.flights:
+                ticket.call_outs.clear()  # they point to each other, and would wait for the collector
+        self.ended_ones.clear()
         if self.stopwatch:
             self.spent += self.stopwatch() - began
         self.outside.wake()
@@ -222,9 +247,9 @@
         elif ticket.stream is flight and not ticket.final:
             self.finish(ticket, ABORTED)  # a break in a begun stream ends it
         answer = Answer(max(0, now - flight.sent), ticket.final, warmth, company, report)
+        if ticket.final and not ticket.flights:
+            self.ended_ones.append(ticket)
         self.post(ticket, "ended", flight.call_out, outcome, answer)
-        if ticket.final and not ticket.flights and not self.busy:
-            ticket.call_outs.clear()  # they point to each other, and would wait for the collector
 
     def ordered(self, number: int, outcome: Outcome, count: int) -> None:
         errand = self.errands.pop(number, None)
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -89,6 +89,9 @@
         self.held = 0  # bytes of what has not come whole
         self.half, self.half_since = 0, 0  # the first request that has not come whole, and since when
 
+    def pieces(self) -> int:
+        return self.front.core.pieces()
+
     def received(self, data: bytes) -> None:
         self.front.core.input()
         for event in self.reader.feed(data):
@@ -141,6 +144,8 @@
         asked = ticket.asked
         asked.body = b""
         self.tickets.pop(asked.number, None)
+        if not ticket.flights:
+            self.front.lingering.pop(ticket.tag, None)
         status = {OK: 200, DENIED: 503, ABORTED: 500}[verdict]
         self.reply(asked.number, status, body if verdict == OK else b"", come_back)
         if not asked.keep:
@@ -217,6 +222,7 @@
         seat = Seat(self, sock)
         self.seats[seat] = self.idle[seat] = None
         seat.begin()
+        seat.doRead()  # in this look: it may have come, with all it brings and its end, during a standstill
 
     def shed(self) -> bool:
         """Close one connection that carries nothing: one that never asked, else the longest idle, and one
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -72,6 +72,9 @@
     def made(self) -> None:
         self.wire.linking.step(Input.GREETED)
 
+    def pieces(self) -> int:
+        return self.wire.core.pieces()
+
     def received(self, data: bytes) -> None:
         self.wire.received(data)
 
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -52,17 +52,18 @@
         return type(self).__name__
 
     def doRead(self) -> None:
-        if self.dead:
-            return
-        try:
-            data = self.sock.recv(READ)
-        except OSError as trouble:
-            if trouble.errno not in AGAIN:
-                self.drop(trouble.strerror or "lost")
-            return
-        if not data:
-            return self.drop("closed by the peer")
-        self.received(data)
+        for _ in range(self.pieces()):
+            if self.dead or not self.reading:
+                return
+            try:
+                data = self.sock.recv(READ)
+            except OSError as trouble:
+                if trouble.errno not in AGAIN:
+                    self.drop(trouble.strerror or "lost")
+                return
+            if not data:
+                return self.drop("closed by the peer")
+            self.received(data)
 
     def doWrite(self) -> None:
         if self.dead:
@@ -156,6 +157,10 @@
 
     # for subclasses
 
+    def pieces(self) -> int:
+        """How many to read in this turn."""
+        return 1
+
     def made(self) -> None: ...
 
     def received(self, data: bytes) -> None: ...
@@ -181,9 +186,9 @@
 
 
 class Listener:
-    """Accepts connections, a few a turn."""
+    """Accepts connections, some a turn."""
 
-    EACH = 16
+    EACH = 64
 
     def __init__(self, reactor: Any, host: str, port: int, taken: Callable[[socket.socket], None]) -> None:
         self.reactor, self.taken = reactor, taken
--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -15,6 +15,7 @@
 import time
 from base64 import b64decode, b64encode
 from collections.abc import Callable
+from contextlib import nullcontext
 from typing import Any
 
 import msgspec
@@ -31,6 +32,8 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.around: Callable[[], Any] = nullcontext  # entered for each look at the sockets
+        self.looked = (self.rightNow,) * 2  # at the look before, and at this one
         self.readers: dict[Any, None] = {}
         self.writers: dict[Any, None] = {}
 
@@ -48,13 +51,15 @@
 
     def serve(self, wait: float = 0.0) -> bool:
         """What is ready now; False if nothing was."""
+        self.looked = self.looked[1], self.rightNow
         ready, room, _ = select.select(list(self.readers), list(self.writers), [], wait)
-        for end in ready:
-            if end in self.readers:
-                end.doRead()
-        for end in room:
-            if end in self.writers:
-                end.doWrite()
+        with self.around():
+            for end in ready:
+                if end in self.readers:
+                    end.doRead()
+            for end in room:
+                if end in self.writers:
+                    end.doWrite()
         return bool(ready or room)
 
     def quiet(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 
 from lapistrestle.edge.linking import Link
 from lapistrestle.interface import Listing
+from lapistrestle.standins.platform import WebServer
 
 
 @pytest.fixture
@@ -123,6 +124,80 @@
     assert len(stage.runs()) == before
 
 
+def connected(stage):
+    """Every runner has a connection that waits for use."""
+    for runner in stage.node.core.runners.values():
+        runner.open_one()
+    stage.hand.until(lambda: all(wire.linking.state is Link.OPEN for wire in wires(stage)))
+
+
+def still(stage, seconds):
+    """The program stands still while what is under way arrives."""
+    stage.hand.rightNow += seconds
+
+
+@pytest.mark.parametrize("how", ["aborts", "closes"])
+@pytest.mark.parametrize("known", [True, False], ids=["an old connection", "a new one"])
+def test_a_request_whose_client_left_during_a_standstill_is_never_begun(stage, how, known):
+    """Request and close lay in the socket together; the request was acted on before the close was read."""
+    connected(stage)
+    listener = stage.node.front.listener
+    stage.hand.removeReader(listener)
+    client = WebServer(stage.hand, stage.port)
+    stage.ends.append(client)
+    stage.hand.until(lambda: not client.dialling)
+    if known:
+        stage.hand.addReader(listener)
+        stage.hand.until(lambda: stage.node.front.seats)
+    stage.hand.addReader(listener)
+    client.ask(method="bill")
+    if how == "aborts":
+        client.give_up(1)
+    else:
+        client.drop("gone")
+    still(stage, 0.3)
+    stage.hand.quiet()
+    assert stage.runs() == [] and stage.host.counts["left"] == 1 and stage.host.open == 0
+
+
+def test_no_further_attempt_begins_for_a_client_that_left_during_a_standstill(stages):
+    """The runner's refusal was read, and answered by another attempt, before the client's close."""
+    stage, got = stages(runners=2), []
+    connected(stage)
+    client, other = stage.client(), stage.client()
+    for runner in stage.runners:
+        runner.on_run = lambda line, said: got.append((line, said))
+    client.ask(method="search")
+    stage.hand.until(lambda: got)
+    line, said = got[0]
+    line.say("503", said["rid"])
+    client.drop("gone")
+    seat = next(seat for seat in stage.node.front.seats if seat.tickets)
+    stage.hand.readers.pop(seat)
+    stage.hand.readers[seat] = None  # its close is met last in the look that brings both
+    assert other.closed == "" and len(stage.runs()) == 1
+    still(stage, 0.3)
+    stage.hand.quiet()
+    assert len(stage.runs()) == 1 and stage.host.counts["left"] == 1
+
+
+def test_a_connection_that_ended_during_a_standstill_is_not_used_again(stages):
+    """Its answer was read, its end was not: the next call went there and counted as may have run."""
+    stage, got = stages(runners=1), []
+    stage.runners[0].on_run = lambda line, said: got.append((line, said))
+    client = stage.client()
+    first, second = client.ask(), 0
+    stage.hand.until(lambda: got)
+    line, said = got[0]
+    stage.runners[0].on_run = None
+    stage.runners[0].answer(line, said)
+    line.drop("idle")
+    second = client.ask(method="bill")
+    still(stage, 0.3)
+    stage.hand.until(lambda: client.status(second) is not None)
+    assert client.status(first) == 200 and client.status(second) == 200
+
+
 # repeats
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -210,9 +210,9 @@
 
 
 def test_what_was_read_after_a_standstill_may_have_come_during_it(stage):
-    stage.hand.looked = (stage.hand.rightNow - 0.8, stage.hand.rightNow)
     client = stage.client()
     number = client.ask()
+    stage.hand.rightNow += 0.8
     stage.hand.until(lambda: client.status(number))
     assert stage.module.now - 8_001 <= stage.module.taken[0] <= stage.module.now - 7_999
 
