A setting out of range is refused by its key, and one left out has its meaning

Cause: of the settings only the classes' names, deadlines and four limits were checked (node/place.py). Tried one by one: a negative rule, a share over 1, 0 tries or text for a figure either met the module or ended in an error that named no key; a missing dial-timeout read as 0 in the module's facts, so that every dial was given up in the turn that began it, and a missing answer-within did the same to every order. Change: the settings that the module and the transport read are checked for kind and range, with the path in the error, before anything is listened at; null and missing read alike; without a time to connect the platform's usual one holds, without one for orders the longest deadline. No fault, test kept: SIGTERM, SIGINT and SIGHUP together, with and without a list, end with 0.

--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -188,7 +188,7 @@
         self.leaving = False
         self.ids: OrderedDict[str, int] = OrderedDict()  # those taken in the last window of orders, and when
         self.lingering: dict[str, Ticket] = {}  # by id, until the last call-out has ended
-        self.customers = {t.name.encode(): number for number, t in enumerate(place.told.tenants or [])}
+        self.customers = {t.name.encode(): number for number, t in enumerate(place.told.tenants)}
         self.methods = {}
         for number, profile in enumerate(place.told.profiles):
             name = profile.name.encode()
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/place.py
@@ -53,32 +53,82 @@
     notices: list[Notice] = field(default_factory=list)
 
 
-class Profile(Struct):
+# Of the settings, which are the platform's, what a mistake could hide in: bounds only where a figure beyond
+# them has no meaning. Unknown words pass over, as the module reads them.
+
+Whole = Annotated[float, Meta(ge=0)]  # microseconds, counts and rates
+Part = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Profile(Struct, rename="kebab"):
     name: Annotated[str, Meta(min_length=1)]
-    deadline: Annotated[int, Meta(gt=0)]
+    deadline: Annotated[float, Meta(gt=0)]
+    aim: Whole = 0
+    repeat_window: Whole = 0
+    idempotency: str = ""
+    dedup_scope: str = ""
 
 
-class Tenant(Struct):
+class Tenant(Struct, rename="kebab"):
     name: Annotated[str, Meta(min_length=1)]
+    quota_rps: Whole = 0
+    share: Whole = 0
 
 
 class Own(Struct, rename="kebab"):
-    """As much of the settings' limits as the transport needs."""
+    """The settings' limits; one that is 0 has no other meaning than none."""
 
     streams_per_conn: Annotated[int, Meta(ge=1)] = 32
-    conn_idle: Annotated[int, Meta(ge=0)] = 15_000_000  # microseconds
+    conn_idle: Annotated[int, Meta(ge=0)] = 15_000_000  # microseconds; 0: closed as soon as it is idle
     dial_timeout: Annotated[int, Meta(gt=0)] = 250_000
     max_open: Annotated[int, Meta(ge=1)] = 20_000
+    try_limit: Annotated[float, Meta(ge=1)] = 1
+    max_retry_after: Whole = 0
+    cancel: bool = False
+    may_probe: bool = False
+    parallel_tries: bool = False
+    retry_after: bool = False
+
+
+class Rules(Struct, rename="kebab"):
+    cold_from: Part = 1
+    ramp_time: Whole = 0
+    fall: Whole = 0
+    fall_multiple: Whole = 1
+    drain_grace: Whole = 0
+    answer_slack: Whole = 0
+    ask_within: Whole = 0
+
 
+class Info(Struct, rename="kebab"):
+    placement_calls: bool = False
+    load_period: Whole = 0
+    free_loads: Whole = 0
+    load_share: Whole = 0
+    idle_life: Whole = 0
+    answer_within: Whole = 0
+    when_absent: str = ""
+    tells_warm: bool = False
+    says_company: bool = False
 
-class Told(Struct):
+
+class Reporting(Struct):
+    names: list[str] = field(default_factory=list)
+
+
+class Told(Struct, rename="kebab"):
     """As much of the settings as is checked; the module gets all of them."""
 
     profiles: Annotated[list[Profile], Meta(min_length=1)]
-    tenants: list[Tenant] | None = None
+    tenants: list[Tenant] = field(default_factory=list)
     zones: list[str] = field(default_factory=list)
     models: list[str] = field(default_factory=list)
     limits: Own = field(default_factory=Own)
+    rules: Rules = field(default_factory=Rules)
+    family_info: Info = field(default_factory=Info)
+    reporting: Reporting = field(default_factory=Reporting)
+    balancers: Whole = 1
+    me: Whole = 0
 
 
 class File(Struct):
@@ -129,11 +179,22 @@
     return [bare(value) for value in settings] if isinstance(settings, list) else settings
 
 
+def facts(file: File, told: Told) -> Facts:
+    """The settings in the module's words. Without a time to connect, or to wait for an order's answer, none
+    would ever come: there the time is the platform's usual one, or the longest that a client waits."""
+    longest = max(profile.deadline for profile in told.profiles)
+    waits = {
+        "dial_time_out": words.span(told.limits.dial_timeout),
+        "order_time_out": words.span(int(told.family_info.answer_within or longest)),
+    }
+    return {**words.facts(file.settings), **waits}
+
+
 def parse(raw: bytes, path: str) -> Place:
     try:
         file = msgspec.json.decode(raw, type=File)
         told = msgspec.convert(bare(file.settings), Told)
-        return Place(file, told, words.facts(file.settings))
+        return Place(file, told, facts(file, told))
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
         raise Wrong(f"{path}: {trouble}") from None
     except (TypeError, ValueError, AttributeError, KeyError) as trouble:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """The platform's dispatcher on loopback, with web servers, runners and a board that the test plays."""
 
 import gc
+import re
 
 import msgspec
 import pytest
@@ -8,7 +9,7 @@
 from lapistrestle.edge.linking import Linking
 from lapistrestle.interface import CallOut, Listing
 from lapistrestle.node import records
-from lapistrestle.node.place import parse
+from lapistrestle.node.place import Wrong, parse
 from lapistrestle.node.program import Node
 from lapistrestle.node.runners import Runner, Wire
 from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, begin, frame, row
@@ -118,6 +119,54 @@
     assert told.limits.dial_timeout == 100_000
 
 
+@pytest.mark.parametrize(
+    "group, key, value",
+    [
+        ("limits", "try-limit", 0),
+        ("limits", "conn-idle", -1),
+        ("limits", "dial-timeout", 0),
+        ("limits", "streams-per-conn", "many"),
+        ("limits", "cancel", "yes"),
+        ("rules", "cold-from", 1.5),
+        ("rules", "fall", -1),
+        ("rules", "fall-multiple", "2"),
+        ("family-info", "load-share", -0.1),
+        ("family-info", "load-period", [5]),
+        ("reporting", "names", "util"),
+        ("profiles", "deadline", 0),
+        ("profiles", "repeat-window", -5),
+        ("tenants", "quota-rps", "fast"),
+        ("", "balancers", "three"),
+        ("", "me", -1),
+    ],
+)
+def test_a_setting_out_of_range_is_refused_by_its_name_before_listening(group, key, value):
+    """Some had passed and met the module, others had ended in an error that named nothing."""
+    changed = {key: value}
+    if group in ("profiles", "tenants"):
+        changed = {group: [{"name": "search", "deadline": 1_000_000} | changed]}
+    elif group:
+        changed = {group: SETTINGS.get(group, {}) | changed}
+    file = {"name": "n", "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS | changed}
+    with pytest.raises(Wrong, match=re.escape(key)):
+        parse(msgspec.json.encode(file), "config.json")
+
+
+@pytest.mark.parametrize("group", ["limits", "rules", "family-info", "reporting", "tenants", "zones"])
+@pytest.mark.parametrize("how", ["missing", "null", "all null"])
+def test_what_the_settings_leave_out_or_null_has_its_meaning(group, how):
+    settings = {**SETTINGS, group: None}
+    if how == "all null" and isinstance(SETTINGS.get(group), dict):
+        settings[group] = dict.fromkeys(SETTINGS[group])
+    if how == "missing":
+        del settings[group]
+    file = {"name": "n", "listen": "127.0.0.1:0", "seed": "1", "settings": settings}
+    place = parse(msgspec.json.encode(file), "config.json")
+    assert place.told.limits.try_limit >= 1 and place.facts["fall_multiple"] >= 1
+    assert place.facts["dial_time_out"] > 0 and place.facts["order_time_out"] > 0  # else none would be met
+    Node(Hand(), place, lambda what, **figures: None)
+
+
 def test_health_is_told_only_once_the_list_stands(stages):
     stage = stages(runners=0)
     client = stage.client()
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -172,6 +172,20 @@
     assert set(statuses) <= {200, 503} and statuses.count(200) > 20
 
 
+@pytest.mark.parametrize("list_stands", [True, False])
+@pytest.mark.parametrize("signals", ["TERM", "INT", "TERM TERM", "TERM INT", "HUP TERM", "TERM HUP"])
+def test_it_ends_with_zero_whatever_signals_come_together(world, list_stands, signals):
+    """Also before it is ready, while the board that should make it so is dialled in vain."""
+    if not list_stands:
+        world.board.listener.close()
+    node = world.start()
+    world.until(lambda: "listening" in node.stderr.readline())
+    for name in signals.split():
+        node.send_signal(signal.Signals[f"SIG{name}"])
+    world.until(lambda: node.poll() is not None)
+    assert node.returncode == 0
+
+
 def test_it_listens_only_after_the_reactors_first_turn(monkeypatch):
     """Killed dispatchers that came back held what came meanwhile for most of a second (herd+mass)."""
 
