--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -215,7 +215,7 @@
     def look(self, _: object = None) -> None:
         """Whether all is over: what came until now has its answer, and that has left."""
         late = self.patience is not None and self.clock() >= self.patience
-        if late or not (self.front.owes() or self.host.open):
+        if late or not (self.host.open or self.front.owes()):
             return self.finish()
         self.after(100, self.look, None)
 
