Crossings that proved to be no fault keep their tests: old lists, moves, late dials, late answers

Need: suspicions that the order could matter, shown false by tests on real connections. Checked: a whole list that names nobody under an old number; the list's address moved during a dial; a silent watch over a replacement at the same address; an answer with a reset or a second answer behind it and its time-out due, after a standstill; a connection that comes up after its dial was given up.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,7 @@
 
 from lapistrestle.edge.linking import Link
 from lapistrestle.interface import Listing
-from lapistrestle.standins.platform import WebServer, begin, frame, row
+from lapistrestle.standins.platform import BoardEnd, WebServer, begin, frame, row
 
 
 @pytest.fixture
@@ -237,6 +237,37 @@
     assert client.status(number) == 500 and len(stage.runs()) == 1
 
 
+@pytest.mark.parametrize("last", ["reset", "more"])
+def test_an_answer_that_came_before_its_time_out_counts_whatever_else_came_by_then(stage, last):
+    """After a standstill all lie together: the answer, what follows it, and the time-out that is due."""
+    got, client = [], stage.client()
+    stage.runners[0].on_run = lambda line, said: got.append((line, said))
+    number = client.ask(method="bill", patience="2000")
+    stage.hand.until(lambda: got)
+    line, said = got[0]
+    stage.runners[0].answer(line, said)
+    if last == "reset":
+        line.reset()
+    else:
+        stage.runners[0].answer(line, said)
+    still(stage, 2.0)
+    stage.hand.until(lambda: client.status(number) is not None)
+    stage.hand.run(1.0)
+    assert client.status(number) == 200 and client.ends == [number] and len(stage.runs()) == 1
+
+
+def test_a_connection_that_comes_up_after_its_dial_was_given_up_carries_nothing(stage):
+    closed, client = Closed(stage), stage.client()
+    number = client.ask(method="bill")
+    stage.hand.until(lambda: held(stage))
+    stage.hand.run(2.1)  # one dial after the other
+    stage.hand.until(lambda: client.status(number) is not None)
+    assert client.status(number) == 503 and not held(stage)
+    closed.open()
+    stage.hand.run(2.0)
+    assert stage.runs() == [] and client.ends == [number]
+
+
 # the end of the program
 
 
@@ -399,6 +430,44 @@
     assert stage.board.asked == [0, 1]
 
 
+def test_an_old_list_that_names_nobody_takes_nobody_away(stage):
+    """A board that was asked anew and answers from before: what it says was known."""
+    stage.board.raw(frame(1, 1))
+    stage.hand.quiet()
+    assert list(stage.srvs()) == ["s-00000001"] and stage.node.core.runners
+    client = stage.client()
+    number = client.ask()
+    stage.hand.until(lambda: client.status(number))
+    assert client.status(number) == 200
+
+
+def test_a_list_that_moves_while_it_is_dialled_is_met_at_its_new_address_alone(stage):
+    first, second = BoardEnd(stage.hand), BoardEnd(stage.hand)
+    stage.hand.removeReader(first.listener)
+    for board in (first, second):
+        stage.place.file.board = f"127.0.0.1:{board.port}"
+        stage.node.renewed(stage.place)
+    stage.hand.run(0.2)
+    stage.hand.until(lambda: second.asked)
+    stage.hand.addReader(first.listener)
+    stage.hand.run(1.0)
+    assert second.asked == [1] and first.asked == []
+    second.tell(2, 2, stage.row(0, state=1))
+    stage.hand.until(lambda: stage.srvs()["s-00000001"].listing is Listing.DRAINING)
+    for board in (first, second):
+        board.listener.close()
+        board.cut()
+
+
+def test_a_watch_that_falls_silent_over_a_replacement_at_the_same_address_catches_up(stage):
+    stage.board.beats, old = False, stage.node.core.runners["s-00000001"]
+    stage.board.events[2] = frame(2, 2, stage.row(0, state=2), row(9, stage.runners[0].port))  # never sent
+    stage.hand.run(2.6)
+    stage.hand.until(lambda: "s-00000009" in stage.node.core.runners)
+    assert list(stage.node.core.runners) == ["s-00000009"] and stage.board.asked == [0, 1]
+    assert not old.wires
+
+
 # descriptors
 
 
