After a standstill four pieces of a connection are read at once, not sixteen

Cause: read again. A look that comes after 20 ms without one is taken for a standstill, also where nothing was under way; with clients that flood, 16 pieces each (256 KiB) make the next look late too, and so on. Change: 64 KiB hold a request with the longest body and what follows it. Measured: the tests of the standstill pass as before.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -16,7 +16,7 @@
 Log = Callable[..., None]
 TENTHS = 10_000  # of a millisecond in a second
 LATE = 200  # tenths of a millisecond since the look before: a close may lie behind what is read
-PIECES = 16
+PIECES = 4  # a whole request with the longest body, and what follows it
 LAST = 300  # tenths of a millisecond: for answers to leave once all is cut short
 
 
