Term: the connection to the board is a watch

Need: the field's word for a connection on which a list tells what changes from a number on; our word hid it. Change: class Link and board.link in node/board.py are Watch and board.watch; nothing else.

--- a/lapistrestle/node/board.py
+++ b/lapistrestle/node/board.py
@@ -119,8 +119,8 @@
     return News.REPEAT if number <= last else News.NEXT if number == last + 1 else News.GAP
 
 
-class Link(Stream):
-    """One connection to the board."""
+class Watch(Stream):
+    """One connection to the board, which tells what changes from a number on."""
 
     def __init__(self, board: "Board", sock: Any) -> None:
         super().__init__(board.core.reactor, sock, dialled=True)
@@ -157,7 +157,7 @@
         self.core, self.place = core, place
         self.address = place.file.board
         self.last = 0
-        self.link: Link | None = None
+        self.watch: Watch | None = None
         self.stopped = False
         self.fast = True  # the next dial need not wait
         self.offset = int(time.time() * TENTHS) - core.clock()  # of the Unix clock to ours
@@ -184,8 +184,8 @@
 
     def stop(self) -> None:
         self.stopped = True
-        if self.link is not None:
-            self.link.drop("the dispatcher ends")
+        if self.watch is not None:
+            self.watch.drop("the dispatcher ends")
 
     def move(self, address: str | None) -> None:
         """The board is at another address from now on."""
@@ -193,40 +193,40 @@
             return
         self.core.log("board moves", to=address, last=self.last)
         self.address = address
-        if self.link is not None:
-            self.link.drop("the board is elsewhere")
+        if self.watch is not None:
+            self.watch.drop("the board is elsewhere")
         else:
             self.dial()
 
     # the connection
 
     def dial(self, _: object = None) -> None:
-        if self.stopped or self.link is not None or self.address is None:
+        if self.stopped or self.watch is not None or self.address is None:
             return
         try:
-            self.link = Link(self, dial(*split(self.address)))
+            self.watch = Watch(self, dial(*split(self.address)))
         except OSError:
             self.core.after(PAUSE, self.dial, None)
             return
-        self.core.after(DIAL, self.link.unmade, None)
-        self.link.begin()
+        self.core.after(DIAL, self.watch.unmade, None)
+        self.watch.begin()
 
-    def lost(self, link: Link, why: str) -> None:
+    def lost(self, watch: Watch, why: str) -> None:
         """Asked again at once after one that told something, else after a pause."""
-        if self.link is not link:
+        if self.watch is not watch:
             return
-        self.link = None
+        self.watch = None
         if not self.stopped:
-            if not link.dialling:  # one that stays away is told once
+            if not watch.dialling:  # one that stays away is told once
                 self.core.log("board lost", why=why, last=self.last)
             self.core.after(1 if self.fast else PAUSE, self.dial, None)
             self.fast = False
 
     def listen(self, _: object) -> None:
         """Silence beyond the empty frames means that the board no longer tells."""
-        link = self.link
-        if link is not None and not link.dialling and self.core.clock() - link.heard >= SILENCE:
-            link.drop("silence")
+        watch = self.watch
+        if watch is not None and not watch.dialling and self.core.clock() - watch.heard >= SILENCE:
+            watch.drop("silence")
         if not self.stopped:
             self.core.after(SILENCE // 8, self.listen, None)
 
