Term: a connection to a runner is called that

Need: the field's word; wire was ours, and the package wire means the protocols. Change: class Wire and its variables in node/runners.py and the tests are RunnerConnection and connection; nothing else.

--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -63,29 +63,29 @@
 
 
 class Socket(Stream):
-    """The descriptor beneath a wire."""
+    """The descriptor beneath a connection to a runner."""
 
-    def __init__(self, wire: "Wire", sock: socket.socket) -> None:
-        super().__init__(wire.core.reactor, sock, dialled=True)
-        self.wire = wire
+    def __init__(self, connection: "RunnerConnection", sock: socket.socket) -> None:
+        super().__init__(connection.core.reactor, sock, dialled=True)
+        self.connection = connection
 
     def made(self) -> None:
-        self.wire.linking.step(Input.GREETED)
+        self.connection.linking.step(Input.GREETED)
 
     def pieces(self) -> int:
-        return self.wire.core.pieces()
+        return self.connection.core.pieces()
 
     def received(self, data: bytes) -> None:
-        self.wire.received(data)
+        self.connection.received(data)
 
     def drained(self) -> None:
-        self.wire.linking.step(Input.EASED)
+        self.connection.linking.step(Input.EASED)
 
     def lost(self, why: str) -> None:
-        self.wire.lost()
+        self.connection.lost()
 
 
-class Wire(Rim):
+class RunnerConnection(Rim):
     """One connection to a runner."""
 
     def __init__(self, runner: "Runner") -> None:
@@ -228,7 +228,7 @@
         self.let_go()
 
     def let_go(self) -> None:
-        """Wire and linking point to each other, and the collector hardly ever runs: guards a long life
+        """It and its linking point to each other, and the collector hardly ever runs: guards a long life
         against growth with every connection."""
         self.linking.rim = NO_RIM
 
@@ -288,64 +288,64 @@
 
     def __init__(self, speech: "Speech", name: str, address: tuple[str, int]) -> None:
         self.speech, self.core, self.name, self.address = speech, speech.core, name, address
-        self.wires: list[Wire] = []
+        self.connections: list[RunnerConnection] = []
 
     # what the core tells
 
     def named(self) -> None: ...  # dialled when first needed: most runners are never met by most dispatchers
 
     def dropped(self) -> None:
-        for wire in list(self.wires):
-            wire.end_errands()
-            wire.linking.step(Input.DROPPED)
+        for connection in list(self.connections):
+            connection.end_errands()
+            connection.linking.step(Input.DROPPED)
 
     def hold_back(self) -> None:
-        for wire in list(self.wires):
-            wire.linking.hold_back()
+        for connection in list(self.connections):
+            connection.linking.hold_back()
 
     def end(self) -> None:
-        for wire in list(self.wires):
-            wire.close()
+        for connection in list(self.connections):
+            connection.close()
 
     # the pool
 
-    def left(self, wire: Wire) -> None:
-        if wire in self.wires:
-            self.wires.remove(wire)
-            self.speech.wires -= 1
+    def left(self, connection: RunnerConnection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+            self.speech.connections -= 1
 
-    def open_one(self) -> Wire | None:
-        if len(self.wires) >= EACH_MOST or not self.speech.room():
+    def open_one(self) -> RunnerConnection | None:
+        if len(self.connections) >= EACH_MOST or not self.speech.room():
             return None
-        wire = Wire(self)
-        self.wires.append(wire)
-        self.speech.wires += 1
-        wire.linking.step(Input.WANTED)
-        return wire
+        connection = RunnerConnection(self)
+        self.connections.append(connection)
+        self.speech.connections += 1
+        connection.linking.step(Input.WANTED)
+        return connection
 
-    def pick(self, used: list[Any]) -> Wire | None:
+    def pick(self, used: list[Any]) -> RunnerConnection | None:
         """The connection with the least on it, made or about to be; where that one is busy a further one is
         opened beside it, so that a bad answer ends little else."""
-        best: Wire | None = None
+        best: RunnerConnection | None = None
         least, dialling = self.speech.streams, False
-        for wire in list(self.wires):
-            linking = wire.linking
-            if wire.stale():  # its runner may be closing it: a call that crosses that may have run
-                wire.close()
+        for connection in list(self.connections):
+            linking = connection.linking
+            if connection.stale():  # its runner may be closing it: a call that crosses that may have run
+                connection.close()
                 continue
             state, held = linking.state, len(linking.out)
             if state is Link.OPEN:
-                if not held and wire not in used:
-                    return wire
+                if not held and connection not in used:
+                    return connection
             elif state in USABLE:
                 dialling = dialling or state is Link.DIALING
                 held += len(linking.waiting) + 16  # what waits there waits longer
             else:
                 continue
-            if wire in used:
+            if connection in used:
                 continue
             if held < least:
-                best, least = wire, held
+                best, least = connection, held
         if best is None:
             return self.open_one()
         if least and not dialling:
@@ -356,14 +356,14 @@
 
     def run(self, flight: Flight) -> None:
         ticket, asked = flight.ticket, flight.ticket.asked
-        wire = self.pick(asked.used)
+        connection = self.pick(asked.used)
         line = b'{"verb":"RUN","rid":"%s","attrs":{%s,"budget":%d%s},"content":"%s"}\n' % (
             asked.id, asked.head, max(1, flight.within // 10), asked.key, b64encode(asked.body),
         )  # fmt: skip
-        flight.via = wire
-        if wire is None or not wire.send(flight.number, ticket.tag, line, until=flight.until):
+        flight.via = connection
+        if connection is None or not connection.send(flight.number, ticket.tag, line, until=flight.until):
             return self.core.host.ended(flight.number, Outcome.FULL)
-        asked.used.append(wire)
+        asked.used.append(connection)
 
     def hold(self, errand: Errand) -> None:
         assert errand.fn is not None
@@ -374,15 +374,15 @@
         self.errand(errand, b"INFO", b"", False)
 
     def errand(self, errand: Errand, verb: bytes, attrs: bytes, prompt: bool) -> None:
-        wire, tag = self.pick([]), f"t{errand.number}"
-        errand.via = wire
+        connection, tag = self.pick([]), f"t{errand.number}"
+        errand.via = connection
         line = b'{"verb":"%s","rid":"%s"%s}\n' % (verb, tag.encode(), attrs)
-        if wire is None or not wire.send(errand.number, tag, line, prompt):
+        if connection is None or not connection.send(errand.number, tag, line, prompt):
             self.core.host.errand_ended(errand.number, Outcome.FULL)
 
     def unload(self, fn: str) -> None:
-        if wire := self.pick([]):
-            wire.linking.send(0, b'{"verb":"FREE","rid":"%s"}\n' % fn.encode(), owed=False)
+        if connection := self.pick([]):
+            connection.linking.send(0, b'{"verb":"FREE","rid":"%s"}\n' % fn.encode(), owed=False)
 
 
 class Speech:
@@ -396,7 +396,7 @@
         idle = limits.conn_idle // 100
         self.idle = max(idle * 6 // 10, idle - 2 * SECOND)  # before the runner would
         self.most = place.file.limits.sockets * 2 // 5
-        self.wires = 0
+        self.connections = 0
 
     def __call__(self, name: str, address: Any, start: str = "") -> Runner:
         return Runner(self, name, address)
@@ -406,18 +406,18 @@
 
     def sweep(self, _: object) -> None:
         for runner in self.core.runners.values():
-            for wire in list(runner.wires):
-                if wire.stale():
-                    wire.close()
+            for connection in list(runner.connections):
+                if connection.stale():
+                    connection.close()
         self.core.after(SECOND, self.sweep, None)
 
     def room(self) -> bool:
         """Whether one more may be opened; where none may, one that idles elsewhere makes room."""
-        if self.wires < self.most:
+        if self.connections < self.most:
             return True
         idle = [
-            w for r in self.core.runners.values() if len(r.wires) > 1
-            for w in r.wires if w.linking.state is Link.OPEN and not w.load()
+            w for r in self.core.runners.values() if len(r.connections) > 1
+            for w in r.connections if w.linking.state is Link.OPEN and not w.load()
         ]  # fmt: skip
         if not idle:
             return False
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -55,13 +55,13 @@
             end.close()
 
 
-def wires(stage):
-    return [wire for runner in stage.node.core.runners.values() for wire in runner.wires]
+def connections(stage):
+    return [connection for runner in stage.node.core.runners.values() for connection in runner.connections]
 
 
 def held(stage):
     """Lines that wait for a connection."""
-    return [line for wire in wires(stage) for line in wire.linking.waiting]
+    return [line for connection in connections(stage) for line in connection.linking.waiting]
 
 
 def slow(stage):
@@ -71,12 +71,12 @@
     stage.hand.until(lambda: client.status(first))
     (line,) = stage.runners[0].lines
     stage.hand.removeReader(line)
-    wire = wires(stage)[0]
-    wire.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    connection = connections(stage)[0]
+    connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     with contextlib.suppress(BlockingIOError):
         while True:
-            wire.stream.sock.send(b" " * 65_536)
-    return client, line, wire
+            connection.stream.sock.send(b" " * 65_536)
+    return client, line, connection
 
 
 # the client has gone, the line has not
@@ -95,7 +95,7 @@
     stage.hand.until(lambda: stage.host.counts["left"])
     assert not held(stage) and not stage.host.flights
     closed.open()
-    stage.hand.until(lambda: all(wire.linking.state is Link.OPEN for wire in wires(stage)))
+    stage.hand.until(lambda: all(connection.linking.state is Link.OPEN for connection in connections(stage)))
     stage.hand.quiet()
     assert stage.runs() == [] and not any(srv.out for srv in stage.module.srvs)
 
@@ -103,10 +103,10 @@
 @pytest.mark.parametrize("how", ["aborts", "times out", "drains"])
 def test_what_a_full_socket_has_not_begun_to_take_is_not_sent_later(stage, how):
     """The connection had kept the line, where only its own end could reach it."""
-    client, line, wire = slow(stage)
+    client, line, connection = slow(stage)
     before = len(stage.runs())
     number = client.ask(method="bill", patience="300")
-    stage.hand.until(lambda: wire.linking.state is Link.SLOW)
+    stage.hand.until(lambda: connection.linking.state is Link.SLOW)
     if how == "aborts":
         client.give_up(number)
         stage.hand.until(lambda: stage.host.counts["left"])
@@ -118,9 +118,9 @@
         stage.board.tell(2, 2, stage.row(0, state=1))
         stage.hand.until(lambda: stage.srvs()["s-00000001"].listing is Listing.DRAINING)
         stage.hand.until(lambda: client.status(number))
-    assert not wire.linking.waiting and not stage.host.flights
+    assert not connection.linking.waiting and not stage.host.flights
     stage.hand.addReader(line)
-    stage.hand.until(lambda: wire.linking.state is not Link.SLOW)
+    stage.hand.until(lambda: connection.linking.state is not Link.SLOW)
     stage.hand.quiet()
     assert len(stage.runs()) == before
 
@@ -129,7 +129,7 @@
     """Every runner has a connection that waits for use."""
     for runner in stage.node.core.runners.values():
         runner.open_one()
-    stage.hand.until(lambda: all(wire.linking.state is Link.OPEN for wire in wires(stage)))
+    stage.hand.until(lambda: all(connection.linking.state is Link.OPEN for connection in connections(stage)))
 
 
 def still(stage, seconds):
@@ -465,7 +465,7 @@
     stage.hand.run(2.6)
     stage.hand.until(lambda: "s-00000009" in stage.node.core.runners)
     assert list(stage.node.core.runners) == ["s-00000009"] and stage.board.asked == [0, 1]
-    assert not old.wires
+    assert not old.connections
 
 
 # descriptors
@@ -529,9 +529,9 @@
 
 def test_a_runner_that_drains_and_serves_again_was_never_dead(stage):
     """Lines held back for the drain had ended as unreachable: all that stood there counted as gone."""
-    client, line, wire = slow(stage)
+    client, line, connection = slow(stage)
     numbers = [client.ask(method="bill") for _ in range(3)]
-    stage.hand.until(lambda: wire.linking.waiting)
+    stage.hand.until(lambda: connection.linking.waiting)
     stage.board.tell(2, 2, stage.row(0, state=1))
     stage.hand.until(lambda: all(client.status(n) is not None for n in numbers))
     (srv,) = stage.srvs().values()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 from lapistrestle.node import records
 from lapistrestle.node.place import Wrong, parse
 from lapistrestle.node.program import Node
-from lapistrestle.node.runners import Runner, Wire
+from lapistrestle.node.runners import Runner, RunnerConnection
 from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, begin, frame, row
 from lapistrestle.state import Srv
 
@@ -422,7 +422,7 @@
     number = client.ask(method="bill")
     stage.hand.until(lambda: client.status(number))
     assert client.status(number) == 500
-    assert all(len(w.rest) < 200_000 for r in stage.node.core.runners.values() for w in r.wires)
+    assert all(len(w.rest) < 200_000 for r in stage.node.core.runners.values() for w in r.connections)
 
 
 def test_a_reset_after_the_whole_line_is_no_proof_and_a_side_effect_is_not_sent_again(stage):
@@ -480,8 +480,8 @@
 def test_what_waits_for_a_connection_is_taken_back_when_the_runner_drains(stage):
     """Rule 3 at the socket: the line had not left, so the RPC goes elsewhere in the same turn."""
     runner = stage.node.core.runners["s-00000001"]
-    for wire in list(runner.wires):
-        wire.close()
+    for connection in list(runner.connections):
+        connection.close()
     listener = stage.runners[0].listener
     client = stage.client()
     stage.module.walk = lambda fn: sorted(stage.module.ring, key=lambda s: s.name)
@@ -506,13 +506,13 @@
     runner, client = stage.node.core.runners["s-00000001"], stage.client()
     numbers = [client.ask(fn=f"{i:016x}", id=f"{i + 1:016x}") for i in range(8)]
     stage.hand.until(lambda: all(client.status(n) for n in numbers))
-    wires, lines = list(runner.wires), list(stage.runners[0].lines)
+    connections, lines = list(runner.connections), list(stage.runners[0].lines)
     stage.board.tell(2, 2, stage.row(0, state=1))
     stage.hand.until(lambda: stage.srvs()["s-00000001"].listing is Listing.DRAINING)
     assert stage.node.core.runners["s-00000001"] is runner
-    assert wires and runner.wires == wires and stage.runners[0].lines == lines
+    assert connections and runner.connections == connections and stage.runners[0].lines == lines
     stage.board.tell(3, 2, stage.row(0, started=1_700_000_000_000))  # its machine went and came back
-    stage.hand.until(lambda: not any(wire.stream for wire in wires))
+    stage.hand.until(lambda: not any(connection.stream for connection in connections))
     assert stage.node.core.runners["s-00000001"] is not runner
 
 
@@ -649,8 +649,9 @@
 
     def held():
         core, module = stage.node.core, stage.module
-        kinds = sum(isinstance(o, Srv | Wire | Runner | Linking) for o in gc.get_objects())
-        return len(core.runners), len(module.srvs), len(stage.host.door.srvs), stage.node.speech.wires, kinds
+        kinds = sum(isinstance(o, Srv | RunnerConnection | Runner | Linking) for o in gc.get_objects())
+        connections = stage.node.speech.connections
+        return len(core.runners), len(module.srvs), len(stage.host.door.srvs), connections, kinds
 
     client, port, before = stage.client(), stage.runners[0].port, None
     gc.collect()
