One check of a slow connection goes; the checked limits say what they hold

Cause: read again, Linking.send asked twice whether an order meets a slow connection: the second question, needed since a write may find it slow, answers the first too. The words over the checked limits named no rule. Change: the first question and the words; behaviour is the same.

--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -68,8 +68,6 @@
         `prompt`: it must go now, or as soon as the connection is made; `until`: it may not begin later."""
         if self.state in (Link.ENDING, Link.ENDED) or len(self.waiting) >= MOST_WAITING:
             return False
-        if prompt and self.state is Link.SLOW:
-            return False
         number = number if owed else 0
         if self.state is Link.OPEN and self.put(number, line):
             return True
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/place.py
@@ -76,7 +76,7 @@
 
 
 class Own(Struct, rename="kebab"):
-    """The settings' limits; one that is 0 has no other meaning than none."""
+    """The settings' limits; the transport's own have the platform's usual figures where they are missing."""
 
     streams_per_conn: Annotated[int, Meta(ge=1)] = 32
     conn_idle: Annotated[int, Meta(ge=0)] = 15_000_000  # microseconds; 0: closed as soon as it is idle
