--- a/lapistrestle/fleet/members.py
+++ b/lapistrestle/fleet/members.py
@@ -241,6 +241,8 @@
             if claim.life != member.claim.life or claim.incarnation != member.claim.incarnation:
                 member.accusers.clear()
             member.claim, member.told = claim, 0
+        elif claim.rank is Rank.ALIVE:  # who says that it is there accuses nobody
+            return
         elif claim.order == member.claim.order and claim.by and claim.by not in member.accusers:
             member.accusers.add(claim.by)
             if len(member.accusers) <= CONFIRM + 1:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,6 +56,14 @@
 )  # fmt: skip
 
 
+def test_who_says_that_a_member_is_there_accuses_it_of_nothing():
+    """Said twice, with a name beside it, it had counted as an accuser of the suspicion that followed."""
+    members = Members(Written(), {}, claim("a"), 1, 0)
+    for rank, by in ((Rank.ALIVE, "x"), (Rank.ALIVE, "x"), (Rank.SUSPECT, "y")):
+        members.believe(Claim("b", 1, 1, 1, rank, "127.0.0.1", 9, "", by))
+    assert members.members["b"].rank is Rank.SUSPECT and members.members["b"].accusers == {"y"}
+
+
 @given(st.lists(claims, max_size=12), st.randoms())
 def test_claims_lead_to_one_belief_in_any_order_and_doubled(told, random):
     other = [*told, *random.sample(told, len(told) // 2)]
