--- a/benchmarks/councils.py
+++ b/benchmarks/councils.py
@@ -1,6 +1,6 @@
 """Many random days of members of an agreement, outside CI: what breaks is named with its seed.
 
-    python benchmarks/councils.py --days 10000
+python benchmarks/councils.py --days 10000
 """
 
 import time
--- a/lapistrestle/checks/reading.py
+++ b/lapistrestle/checks/reading.py
@@ -177,9 +177,7 @@
             case "close":
                 self.connections[on].closed = at
             case "boot":
-                self.boots[on] = Boot(
-                    on, event["runner"], at, event["cores"], event["speed"], event["share"]
-                )
+                self.boots[on] = Boot(on, event["runner"], at, event["cores"], event["speed"], event["share"])
             case "place":
                 self.boots[on].zone, self.boots[on].cell = event["zone"], event["cell"]
             case "fell":
--- a/lapistrestle/command/demo.py
+++ b/lapistrestle/command/demo.py
@@ -106,9 +106,7 @@
             (folder / "workers.json5").write_text(json.dumps(workers))
             roster = start("roster", "roster", str(folder / "workers.json5"))
             (folder / "edge.json5").write_text(json.dumps(DEPLOYMENT))
-            edge = start(
-                "edge", "edge", str(folder / "edge.json5"), "--roster-port", str(roster.wait_port())
-            )
+            edge = start("edge", "edge", str(folder / "edge.json5"), "--roster-port", str(roster.wait_port()))
             edge.wait_port()
             crowd = play(console, edge, workers, seconds, rate)
             ended = {child.name: child.stop() for child in reversed(children)}
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -114,9 +114,7 @@
 
     def route(self, call: wire.Call, seat: ClientSpeaker, method: int) -> Route:
         key = key_of(call.key, call.token, f"{seat.name}/{call.id}")
-        return self.routing.route(
-            call.fn, key, self.kind(method), call.repeat, self.clock(), self.span(call)
-        )
+        return self.routing.route(call.fn, key, self.kind(method), call.repeat, self.clock(), self.span(call))
 
     def kind(self, method: int) -> str:
         kind: str = self.facts["methods"][method]["kind"]
--- a/lapistrestle/fleet/allowance.py
+++ b/lapistrestle/fleet/allowance.py
@@ -39,9 +39,7 @@
 class Allowance:
     """One dispatcher's part of `whole` units, cut over `of` dispatchers of which it is number `me`."""
 
-    def __init__(
-        self, name: str, whole: int, of: int, me: int, facts: Mapping[str, Any], now: int
-    ) -> None:
+    def __init__(self, name: str, whole: int, of: int, me: int, facts: Mapping[str, Any], now: int) -> None:
         self.name, self.facts = name, {**DEFAULTS, **facts}
         self.cut = whole * (me + 1) // of - whole * me // of if 0 <= me < of else 0
         self.kept = int(self.cut * self.facts["kept"])
--- a/lapistrestle/node/board.py
+++ b/lapistrestle/node/board.py
@@ -272,5 +272,3 @@
         zone, kind = self.zones.get(row.zone, 0), self.kinds.get(row.kind, 0)
         weight, started = round(row.weight * 1000), int(row.started_ms)
         return Entry(int(row.id[2:], 16), number, port, state, zone, kind, row.cell, weight, started)
-
-
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -22,9 +22,7 @@
 class Node:
     """Puts the parts together, and knows when to begin and when to end."""
 
-    def __init__(
-        self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher
-    ) -> None:
+    def __init__(self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher) -> None:
         seed = int(place.file.seed, 16)
         self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make, PROMPT)
         self.speech, self.board = Speech(self.core, place), Board(self.core, place)
--- a/lapistrestle/planner/program.py
+++ b/lapistrestle/planner/program.py
@@ -82,9 +82,7 @@
         """Those that every connected edge has copies for the next share of."""
         edges, now = {speaker.name for speaker in self.edges}, self.now()
         kept = self.keeper.rollouts.items()
-        return tuple(
-            fn for fn, r in kept if self.readiness.ready(fn, r.candidate, r.next, edges, now)
-        )
+        return tuple(fn for fn, r in kept if self.readiness.ready(fn, r.candidate, r.next, edges, now))
 
     def current(self) -> bool:
         """Whether no newer planner writes the journal. One that did not ask would go on renewing leases on
--- a/lapistrestle/rollout/routing.py
+++ b/lapistrestle/rollout/routing.py
@@ -43,8 +43,7 @@
     met_before: dict[tuple[str, str], str] = field(default_factory=dict)
 
     def told(self, epoch: int, number: int, whole: bool, splits: list[Split]) -> list[str] | None:
-        """A plan came; names that it bars anew, or None if an older planner sent it or it is out of order.
-        """
+        """A plan came; names that it bars anew, or None if an older planner sent it or it is out of order."""
         if epoch < self.epoch or (epoch == self.epoch and number < self.number):
             return None
         if epoch > self.epoch and not whole:
@@ -72,9 +71,7 @@
         before all rollouts. After that it serves: better than nothing, if the planner stays away."""
         return self.number < 0 and age < PATIENCE
 
-    def route(
-        self, fn: str, key: str, kind: str, repeat: bool, now: int, tokens_span: bool = False
-    ) -> Route:
+    def route(self, fn: str, key: str, kind: str, repeat: bool, now: int, tokens_span: bool = False) -> Route:
         split = self.splits.get(fn)
         if split is None:
             return Route(fn)
--- a/lapistrestle/standins/script.py
+++ b/lapistrestle/standins/script.py
@@ -87,8 +87,7 @@
 
 
 class Version(Shape):
-    """A rollout: started at `at`, pushed on by the operator at each `advance`, taken back at `back` (0: not).
-    """
+    """A rollout: started at `at`, advanced by the operator at each `advance`, reverted at `back` (0: not)."""
 
     fn: str = "fn-0"
     candidate: str = "v2"
--- a/lapistrestle/store/journal.py
+++ b/lapistrestle/store/journal.py
@@ -23,8 +23,7 @@
 
 
 class Journal:
-    """Opened for writing. What `append` returned for is on disk (synchronous=FULL over a write-ahead log).
-    """
+    """Opened for writing. What `append` returned for is on disk (synchronous=FULL over a write-ahead log)."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
--- a/lapistrestle/wire/lines.py
+++ b/lapistrestle/wire/lines.py
@@ -152,5 +152,3 @@
 def union(types: Any) -> msgspec.json.Decoder[Any]:
     """A decoder of the messages of one direction."""
     return msgspec.json.Decoder(types)
-
-
