--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -442,7 +442,7 @@
     if others:
         deployment.fleet = Fleet(name="measured", port=free_ports(1)[0])
     made = Edge(reactor, deployment, lambda what, **figures: None)
-    made.host.stopwatch = time.perf_counter
+    made.host.events.stopwatch = time.perf_counter
 
     claims = tuple(Claim(name, 1, 1, 0, Rank.ALIVE, "127.0.0.1", 1) for name in others)
 
@@ -470,7 +470,7 @@
         return at
 
     serve(reactor, begin, None, reactor.stop)
-    (port.parent / f"spent-{os.getpid()}").write_text(str(made.host.spent))
+    (port.parent / f"spent-{os.getpid()}").write_text(str(made.host.events.module_seconds))
 
 
 if __name__ == "__main__":
--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -8,7 +8,7 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment import words
-from lapistrestle.hosting.door import Door
+from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.interface import Answer, CallOut, FnFacts, Listing, RpcFacts, SrvFacts
 from lapistrestle.state import Rpc
 
@@ -28,7 +28,7 @@
         self.report_names = (settings.get("reporting") or {}).get("names") or []
         self.says_company = bool((settings.get("family-info") or {}).get("says-company"))
         self.rpcs: dict[str, Rpc] = {}
-        self.door = Door()
+        self.registry = ObjectRegistry()
         self.module = Dispatcher(self, words.facts(settings), int(init.get("rng-seed") or 0), now)
 
     # what the module asks for (interface.Host)
@@ -63,7 +63,7 @@
         self.act("MemoTo", dst="*" if peer is None else peer, raw=text)
 
     def wake_me(self, delay: int, token: object) -> None:
-        self.act("NotifyMe", **{"span": words.micros(delay), "key-back": self.door.keep_token(token)})
+        self.act("NotifyMe", **{"span": words.micros(delay), "key-back": self.registry.keep_token(token)})
 
     def follow_list(self) -> None:
         self.act("Listen", enable=True)
@@ -86,7 +86,7 @@
         kind = fields.get("kind")
         if kind == "failed":
             return self.module.list_failed()
-        rows = [(self.door.srv(r["runner"]), entry(r)) for r in fields.get("records") or []]
+        rows = [(self.registry.srv(r["runner"]), entry(r)) for r in fields.get("records") or []]
         self.module.listed(rows, whole=kind != "delta")
 
     def demand(self, fields: Fields) -> None:
@@ -95,7 +95,7 @@
         load = None if fields.get("bringup-ms") is None else words.span(int(1000 * fields["bringup-ms"]))
         rpc = Rpc(
             tag=fields["msg-id"],
-            fn=self.door.fn(name, method, memory, lanes, load),
+            fn=self.registry.fn(name, method, memory, lanes, load),
             method=method,
             customer=fields.get("user-group") or 0,
             deadline=words.span(fields["not-after"]),
@@ -137,18 +137,18 @@
             self.rpcs.pop(rpc.tag, None)
 
     def fired(self, fields: Fields) -> None:
-        token = self.door.take_token(fields.get("key-back") or 0)
+        token = self.registry.take_token(fields.get("key-back") or 0)
         if token is not None:
             self.module.woken(token)
 
     def loaded(self, fields: Fields) -> None:
-        srv, fn = self.door.srvs.get(fields["runner"]), self.door.fns.get(fields["image"])
+        srv, fn = self.registry.srvs.get(fields["runner"]), self.registry.fns.get(fields["image"])
         if srv is not None and fn is not None:
             outcome, took = words.OUTCOMES[fields["reason"]], words.span(fields.get("took") or 0)
             self.module.ordered(srv, fn, outcome, fields.get("number") or 0, took)
 
     def probe_result(self, fields: Fields) -> None:
-        srv = self.door.srvs.get(fields["runner"])
+        srv = self.registry.srvs.get(fields["runner"])
         if srv is not None:
             outcome, took = words.OUTCOMES[fields["reason"]], words.span(fields.get("took") or 0)
             self.module.probed(srv, outcome, took, self.report(fields.get("telemetry")))
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -5,7 +5,7 @@
 import msgspec
 from twisted.internet.protocol import ServerFactory
 
-from lapistrestle.hosting.host import ABORTED, DENIED, Ticket
+from lapistrestle.hosting.requests import ABORTED, DENIED, PendingRequest
 from lapistrestle.rollout.versions import key_of
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire.lines import Speaker, union
@@ -28,7 +28,7 @@
     def __init__(self, edge: Any, number: int) -> None:
         super().__init__(edge.bounds)
         self.edge, self.name = edge, f"c{number}"
-        self.open: dict[str, Ticket] = {}
+        self.open: dict[str, PendingRequest] = {}
 
     def greeting(self) -> wire.Hello:
         return wire.Hello(self.protocol, wire.VERSION, self.edge.name, self.name)
@@ -42,9 +42,9 @@
             case wire.Call():
                 self.call(message)
             case wire.Leave():
-                ticket = self.open.pop(message.id, None)
-                if ticket is not None:
-                    self.edge.host.client_left(ticket)
+                pending = self.open.pop(message.id, None)
+                if pending is not None:
+                    self.edge.host.client_left(pending)
             case wire.Look():
                 self.show()
             case _:
@@ -86,8 +86,8 @@
             return self.say(wire.Answer(call.id, DENIED, stay / 10))
         edge.take(self, call, method, customer, left, route)
 
-    def answer(self, ticket: Ticket, verdict: Any, come_back: int, body: Any) -> None:
-        call = ticket.asked
+    def answer(self, pending: PendingRequest, verdict: Any, come_back: int, body: Any) -> None:
+        call = pending.message
         self.open.pop(call.id, None)
         self.say(wire.Answer(call.id, verdict, come_back / 10, body or wire.NO_BODY))
 
@@ -102,9 +102,9 @@
     def lost(self) -> None:
         self.edge.input()
         self.edge.seats.pop(self, None)
-        tickets, self.open = list(self.open.values()), {}
-        for ticket in tickets:
-            self.edge.host.client_left(ticket)
+        requests, self.open = list(self.open.values()), {}
+        for pending in requests:
+            self.edge.host.client_left(pending)
 
 
 class Clients(ServerFactory):
@@ -131,7 +131,7 @@
         if self.listening is not None:
             self.listening.stopListening()
 
-    def open(self) -> list[Ticket]:
+    def open(self) -> list[PendingRequest]:
         return [t for seat in self.seats for t in seat.open.values()]
 
     def owes(self) -> bool:
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -8,7 +8,8 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.linking import PROMPT
-from lapistrestle.hosting.host import Errand, Flight, Hosting, Ticket
+from lapistrestle.hosting.host import ModuleHost
+from lapistrestle.hosting.requests import Attempt, PendingRequest, WorkerTask
 from lapistrestle.hosting.timers import Timer
 from lapistrestle.hosting.turns import Turns
 from lapistrestle.interface import Facts, FnFacts, Listing, Outcome, SrvFacts
@@ -25,24 +26,24 @@
 
     def listen(self) -> int: ...  # the port
     def close(self) -> None: ...  # take no new connections
-    def open(self) -> list[Ticket]: ...
+    def open(self) -> list[PendingRequest]: ...
     def owes(self) -> bool: ...  # once stopping: answers that have not left, or what has come and is not read
     def end(self) -> None: ...  # leave every connection
 
 
 class Way(Protocol):
     """How one runner is spoken to. `address` tells it from another process under its name. What it is asked
-    to do takes as `via` whoever can withdraw it."""
+    to do takes as its `connection` whoever can withdraw it."""
 
     address: Any
 
     def named(self) -> None: ...  # it is on the list now
     def dropped(self) -> None: ...  # it is gone: what is out may still end
     def hold_back(self) -> None: ...  # it drains: what waits to be written is not sent
-    def run(self, flight: Flight) -> None: ...
-    def hold(self, errand: Errand) -> None: ...
+    def run(self, attempt: Attempt) -> None: ...
+    def hold(self, task: WorkerTask) -> None: ...
     def unload(self, fn: str) -> None: ...
-    def probe(self, errand: Errand) -> None: ...
+    def probe(self, task: WorkerTask) -> None: ...
     def end(self) -> None: ...  # leave it at once
 
 
@@ -74,9 +75,9 @@
         self.front: Front
         self.speech: Callable[[str, Any, str], Way]
         self.sources: list[ListSource] = []
-        self.host = Hosting(self, self.facts, seed, self.clock, slack, make)
+        self.host = ModuleHost(self, self.facts, seed, self.clock, slack, make)
         if hasattr(reactor, "around"):
-            reactor.around = self.host.gathering
+            reactor.around = self.host.batched
 
     def clock(self) -> int:
         return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
@@ -128,7 +129,7 @@
                 self.turn_at = due
                 self.next_turn = self.reactor.callLater(0, self.turn)
                 return
-            self.host.turn()
+            self.host.fire_timers()
         self.wake()
 
     # the list and the runners
@@ -155,42 +156,42 @@
         if self.counts["passed over"] <= 100:
             self.log("passed over", peer=name, why=why[:200])
 
-    # what the host asks (hosting.Outside)
+    # what the host asks (hosting.transport)
 
-    def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None:
-        ticket.seat.answer(ticket, verdict, come_back, body)
+    def answer(self, pending: PendingRequest, verdict: str, come_back: int, body: Any) -> None:
+        pending.client.answer(pending, verdict, come_back, body)
 
-    def closed(self, ticket: Ticket, how: str) -> None: ...
+    def closed(self, pending: PendingRequest, how: str) -> None: ...
 
-    def stream(self, ticket: Ticket) -> None: ...
+    def stream(self, pending: PendingRequest) -> None: ...
 
-    def run(self, flight: Flight) -> None:
-        runner = self.runners.get(flight.srv.name)
+    def run(self, attempt: Attempt) -> None:
+        runner = self.runners.get(attempt.srv.name)
         if runner is None:
-            return self.host.ended(flight.number, Outcome.UNREACHABLE)
-        runner.run(flight)
+            return self.host.ended(attempt.number, Outcome.UNREACHABLE)
+        runner.run(attempt)
 
-    def withdraw(self, task: Flight | Errand, tell: bool) -> bool:
-        return task.via is not None and task.via.withdraw(task.number, tell)
+    def withdraw(self, task: Attempt | WorkerTask, tell: bool) -> bool:
+        return task.connection is not None and task.connection.withdraw(task.number, tell)
 
-    def take_back(self, flight: Flight) -> bool:
-        return flight.via is not None and flight.via.take_back(flight.number)
+    def cancel_unsent(self, attempt: Attempt) -> bool:
+        return attempt.connection is not None and attempt.connection.cancel_unsent(attempt.number)
 
-    def hold(self, errand: Errand) -> None:
-        runner = self.runners.get(errand.srv.name)
+    def hold(self, task: WorkerTask) -> None:
+        runner = self.runners.get(task.srv.name)
         if runner is None:
-            return self.host.ordered(errand.number, Outcome.UNREACHABLE, 0)
-        runner.hold(errand)
+            return self.host.ordered(task.number, Outcome.UNREACHABLE, 0)
+        runner.hold(task)
 
     def unload(self, srv: SrvFacts, fn: FnFacts) -> None:
         if runner := self.runners.get(srv.name):
             runner.unload(fn.name)
 
-    def probe(self, errand: Errand) -> None:
-        runner = self.runners.get(errand.srv.name)
+    def probe(self, task: WorkerTask) -> None:
+        runner = self.runners.get(task.srv.name)
         if runner is None:
-            return self.host.probed(errand.number, Outcome.UNREACHABLE, {})
-        runner.probe(errand)
+            return self.host.probed(task.number, Outcome.UNREACHABLE, {})
+        runner.probe(task)
 
     def tell_peer(self, peer: int | None, text: str) -> None: ...
 
--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -87,7 +87,7 @@
         self.out.pop(number, None)
         return False
 
-    def take_back(self, number: int) -> bool:
+    def cancel_unsent(self, number: int) -> bool:
         """Take back a line that has not left; False if it has."""
         for item in self.waiting:
             if item[0] == number:
@@ -96,8 +96,8 @@
         return False
 
     def withdraw(self, number: int) -> bool:
-        """As `take_back`; the end of one that has left is no longer waited for."""
-        if self.take_back(number):
+        """As `cancel_unsent`; the end of one that has left is no longer waited for."""
+        if self.cancel_unsent(number):
             return True
         self.ended(number)
         return False
--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -115,12 +115,12 @@
 
     def withdraw(self, name: str) -> None:
         """Nothing new goes there from now on: RPCs that wait for its loads move, its copies may go."""
-        fn = self.edge.host.door.fns.get(name)
+        fn = self.edge.host.registry.fns.get(name)
         for seat in list(self.edge.seats):
-            for ticket in list(seat.open.values()):
-                if ticket.fn is fn and not ticket.flights and ticket.ran_on is None:
-                    self.edge.host.retract(ticket)
-                    self.edge.move(ticket)
+            for pending in list(seat.open.values()):
+                if pending.fn is fn and not pending.in_flight and pending.ran_on is None:
+                    self.edge.host.retract(pending)
+                    self.edge.move(pending)
         for spot in list(fn.spots.values()) if fn is not None else ():
             self.edge.unload(spot.srv, fn)
 
@@ -145,10 +145,12 @@
         Orders go through the module, so that rules 3 and 5 are kept by the one that counts. Where they are
         not allowed only calls load; an edge that has met no RPC of the function needs nothing.
         """
-        module, door = self.edge.host.module, self.edge.host.door
+        module, registry = self.edge.host.module, self.edge.host.registry
         module.now = self.edge.clock()
         versions = (split.candidate, split.settled)
-        known = [fn for name in (*versions, "") if (fn := door.fns.get(named(split.fn, name))) is not None]
+        known = [
+            fn for name in (*versions, "") if (fn := registry.fns.get(named(split.fn, name))) is not None
+        ]
         if not known or not self.edge.facts["may_order"]:
             return split.next, ""
         model = known[-1]
@@ -161,7 +163,7 @@
         ]
         lacking = next((stand for stand in stands if not stand.enough), None)
         if lacking is None:
-            alone = [fn.iso if (fn := door.fns.get(named(split.fn, name))) else None for name in versions]
+            alone = [fn.iso if (fn := registry.fns.get(named(split.fn, name))) else None for name in versions]
             slower = stock.slower(*alone)
             return (split.share, slower) if slower else (split.next, "")
         name = versions[stands.index(lacking)] or split.fn
@@ -172,7 +174,7 @@
         edge, module = self.edge, self.edge.host.module
         if self.edge.barred(name) or not share:
             return stock.Stand(0, 0, stock.Lack.NOTHING)
-        fn = edge.host.door.fn(name, model.method, model.memory, model.lanes)
+        fn = edge.host.registry.fn(name, model.method, model.memory, model.lanes)
         memory, idle_life = edge.facts["memory_by_kind"], edge.facts["idle_life"]
         shelves: dict[stock.Shelf, Srv] = {}
         for srv in module.walk(fn):
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -14,21 +14,21 @@
 from lapistrestle.edge.planning import PlannerSource
 from lapistrestle.edge.rosters import RosterSource
 from lapistrestle.edge.runners import Runner, bounds_of
-from lapistrestle.hosting.host import ABORTED, DENIED, Errand, Flight, Ticket
+from lapistrestle.hosting.requests import ABORTED, DENIED, Attempt, PendingRequest, WorkerTask
 from lapistrestle.interface import Outcome
 from lapistrestle.rollout.routing import Route, Routing
 from lapistrestle.rollout.versions import Course, after_denial, key_of
 from lapistrestle.wire import messages as wire
 
 
-def cost_before(ticket: Ticket) -> bool:
+def cost_before(pending: PendingRequest) -> bool:
     """Whether a call-out of it that has ended cost a worker something: what missed did not."""
-    return any(c.outcome not in (None, Outcome.MISS, Outcome.MOOT) for c in ticket.call_outs)
+    return any(c.outcome not in (None, Outcome.MISS, Outcome.MOOT) for c in pending.call_outs)
 
 
-def faulty(ticket: Ticket) -> bool:
+def faulty(pending: PendingRequest) -> bool:
     """Whether a worker failed it, and did not only have no room or time for it."""
-    return any(c.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNREACHABLE) for c in ticket.call_outs)
+    return any(c.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNREACHABLE) for c in pending.call_outs)
 
 
 class Edge(Core):
@@ -126,74 +126,75 @@
 
     def take(
         self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route,
-        moved: bool = False, before: int = 0,
+        moved: bool = False, prior_attempts: int = 0,
     ) -> None:  # fmt: skip
         """An RPC begins, or begins again under another version."""
-        ticket = self.host.arrived(
-            seat=seat, asked=call, tag=f"{seat.name}/{call.id}", fn=route.name, method=method,
+        pending = self.host.arrived(
+            client=seat, message=call, tag=f"{seat.name}/{call.id}", fn=route.name, method=method,
             customer=customer, left=left, memory=call.memory, lanes=call.lanes,
             work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat, route=route,
-            moved=moved, before=before, load=None if call.load is None else int(call.load * 10),
+            load=None if call.load is None else int(call.load * 10), moved=moved,
+            prior_attempts=prior_attempts,
         )  # fmt: skip
-        if not ticket.final:
-            seat.open[call.id] = ticket
+        if not pending.final:
+            seat.open[call.id] = pending
 
-    def move(self, ticket: Ticket) -> None:
+    def move(self, pending: PendingRequest) -> None:
         """An RPC that has not run on a version that is barred now goes to the settled one, in its time."""
-        asked, tries = ticket.asked, ticket.tries()
-        route = self.routing.moved(ticket.fn.name, key_of(asked.key, asked.token, ticket.tag))
-        left = ticket.deadline - self.clock()
+        call, attempts = pending.message, pending.attempt_count()
+        route = self.routing.moved(pending.fn.name, key_of(call.key, call.token, pending.tag))
+        left = pending.deadline - self.clock()
         if self.together is not None:
             self.together.door.again()
-        self.take(ticket.seat, asked, ticket.method, ticket.customer, left, route, True, tries)
+        self.take(pending.client, call, pending.method, pending.customer, left, route, True, attempts)
 
-    def closed(self, ticket: Ticket, how: str) -> None:
+    def closed(self, pending: PendingRequest, how: str) -> None:
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
         if self.together is not None:
-            late = self.late(ticket)
-            if how in (DENIED, ABORTED) and cost_before(ticket) and not late:
+            late = self.late(pending)
+            if how in (DENIED, ABORTED) and cost_before(pending) and not late:
                 self.together.door.wished()
-            self.together.door.ended(how, late, bool(ticket.call_outs), faulty(ticket))
-        if ticket.route is not None and ticket.route.candidate and how != "moved":
-            if how != "ok" and self.barred(ticket.fn.name):
+            self.together.door.ended(how, late, bool(pending.call_outs), faulty(pending))
+        if pending.route is not None and pending.route.candidate and how != "moved":
+            if how != "ok" and self.barred(pending.fn.name):
                 return
-            self.routing.note(ticket.route, how != "ok" or self.late(ticket), self.clock())
+            self.routing.note(pending.route, how != "ok" or self.late(pending), self.clock())
 
-    def late(self, ticket: Ticket) -> bool:
+    def late(self, pending: PendingRequest) -> bool:
         """Whether it is past its soft deadline now."""
-        method = self.facts["methods"][ticket.method]
-        stretched = method["soft_deadline"] + method["soft_stretch"] * (ticket.work or 0)
-        return bool(self.clock() - ticket.began > min(method["deadline"], stretched))
-
-    # what the host asks (hosting.Outside)
-
-    def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None:
-        late = ticket.deadline - self.clock() <= 0
-        if verdict == DENIED and not late and not self.stopping and self.barred(ticket.fn.name):
-            kind, span = self.kind(ticket.method), self.span(ticket.asked)
-            if after_denial(kind, ticket.ran_on is not None, span) is Course.SETTLED:
-                return self.move(ticket)
+        method = self.facts["methods"][pending.method]
+        stretched = method["soft_deadline"] + method["soft_stretch"] * (pending.work or 0)
+        return bool(self.clock() - pending.began > min(method["deadline"], stretched))
+
+    # what the host asks (hosting.transport)
+
+    def answer(self, pending: PendingRequest, verdict: str, come_back: int, body: Any) -> None:
+        late = pending.deadline - self.clock() <= 0
+        if verdict == DENIED and not late and not self.stopping and self.barred(pending.fn.name):
+            kind, span = self.kind(pending.method), self.span(pending.message)
+            if after_denial(kind, pending.ran_on is not None, span) is Course.SETTLED:
+                return self.move(pending)
             verdict, come_back = ABORTED, 0
-        ticket.seat.answer(ticket, verdict, come_back, body)
+        pending.client.answer(pending, verdict, come_back, body)
 
-    def stream(self, ticket: Ticket) -> None:
-        ticket.seat.say(wire.Begun(ticket.asked.id))
+    def stream(self, pending: PendingRequest) -> None:
+        pending.client.say(wire.Begun(pending.message.id))
 
     def barred(self, name: str) -> bool:
         return "@" in name and self.routing.barred(name, self.clock())
 
-    def run(self, flight: Flight) -> None:
-        if self.barred(flight.ticket.fn.name):
-            return self.host.ended(flight.number, Outcome.MOOT)
-        if self.together is not None and cost_before(flight.ticket):
+    def run(self, attempt: Attempt) -> None:
+        if self.barred(attempt.pending.fn.name):
+            return self.host.ended(attempt.number, Outcome.MOOT)
+        if self.together is not None and cost_before(attempt.pending):
             self.together.door.wished()
-        super().run(flight)
+        super().run(attempt)
 
-    def hold(self, errand: Errand) -> None:
-        if errand.fn is not None and errand.count and self.barred(errand.fn.name):
-            return self.host.ordered(errand.number, Outcome.FULL, 0)
-        super().hold(errand)
+    def hold(self, task: WorkerTask) -> None:
+        if task.fn is not None and task.count and self.barred(task.fn.name):
+            return self.host.ordered(task.number, Outcome.FULL, 0)
+        super().hold(task)
 
     def tell_peer(self, peer: int | None, text: str) -> None:
         if self.peers is not None:
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -6,7 +6,8 @@
 from twisted.python.failure import Failure
 
 from lapistrestle.edge.linking import Input, Link, Linking, Rim
-from lapistrestle.hosting.host import NO_REPORT, Errand, Flight, Hosting
+from lapistrestle.hosting.host import ModuleHost
+from lapistrestle.hosting.requests import NO_REPORT, Attempt, WorkerTask
 from lapistrestle.interface import Outcome, Warmth
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire.lines import LineBounds, Speaker, union
@@ -21,22 +22,22 @@
 }  # fmt: skip
 
 
-def run_of(flight: Flight) -> wire.Run:
+def run_of(attempt: Attempt) -> wire.Run:
     """A call-out as the runner is told of it."""
-    ticket, asked = flight.ticket, flight.ticket.asked
+    pending, asked = attempt.pending, attempt.pending.message
     return wire.Run(
-        flight.number, ticket.tag, ticket.fn.name, asked.method, flight.within / 10, asked.customer,
+        attempt.number, pending.tag, pending.fn.name, asked.method, attempt.time_out / 10, asked.customer,
         asked.memory, asked.lanes, asked.token, asked.key, asked.body,
     )  # fmt: skip
 
 
-def hold_of(errand: Errand) -> wire.Hold:
-    assert errand.fn is not None
-    fn = errand.fn
-    return wire.Hold(errand.number, fn.name, errand.count, fn.memory, fn.lanes)
+def hold_of(task: WorkerTask) -> wire.Hold:
+    assert task.fn is not None
+    fn = task.fn
+    return wire.Hold(task.number, fn.name, task.count, fn.memory, fn.lanes)
 
 
-def tell(host: Hosting, said: wire.Ended | wire.Held | wire.Probed) -> None:
+def tell(host: ModuleHost, said: wire.Ended | wire.Held | wire.Probed) -> None:
     """How what the host asked for ended, as the runner says."""
     match said:
         case wire.Ended():
@@ -142,13 +143,14 @@
 
     # what the host asks
 
-    def run(self, flight: Flight) -> None:
-        flight.via = self
-        if not self.linking.send(flight.number, wire.encode(run_of(flight)) + b"\n", until=flight.until):
-            self.host.ended(flight.number, Outcome.FULL)
+    def run(self, attempt: Attempt) -> None:
+        attempt.connection = self
+        line = wire.encode(run_of(attempt)) + b"\n"
+        if not self.linking.send(attempt.number, line, until=attempt.begin_by):
+            self.host.ended(attempt.number, Outcome.FULL)
 
-    def take_back(self, number: int) -> bool:
-        return self.linking.take_back(number)
+    def cancel_unsent(self, number: int) -> bool:
+        return self.linking.cancel_unsent(number)
 
     def withdraw(self, number: int, tell: bool) -> bool:
         """Wait no longer for this number; True if its line never left. `tell` the runner otherwise."""
@@ -158,25 +160,25 @@
             self.write(wire.encode(wire.Cancel(number)) + b"\n")
         return False
 
-    def hold(self, errand: Errand) -> None:
-        errand.via = self
-        line = wire.encode(hold_of(errand)) + b"\n"
-        if not self.linking.send(errand.number, line, prompt=errand.count > 0):
-            self.host.ordered(errand.number, Outcome.FULL, 0)
+    def hold(self, task: WorkerTask) -> None:
+        task.connection = self
+        line = wire.encode(hold_of(task)) + b"\n"
+        if not self.linking.send(task.number, line, prompt=task.count > 0):
+            self.host.ordered(task.number, Outcome.FULL, 0)
 
     def unload(self, fn: str) -> None:
         self.linking.send(0, wire.encode(wire.Unload(fn)) + b"\n", owed=False)
 
-    def probe(self, errand: Errand) -> None:
-        errand.via = self
-        if not self.linking.send(errand.number, wire.encode(wire.Probe(errand.number)) + b"\n"):
-            self.host.probed(errand.number, Outcome.FULL, NO_REPORT)
+    def probe(self, task: WorkerTask) -> None:
+        task.connection = self
+        if not self.linking.send(task.number, wire.encode(wire.Probe(task.number)) + b"\n"):
+            self.host.probed(task.number, Outcome.FULL, NO_REPORT)
 
     # what the runner says
 
     @property
-    def host(self) -> Hosting:
-        host: Hosting = self.edge.host
+    def host(self) -> ModuleHost:
+        host: ModuleHost = self.edge.host
         return host
 
     def met(self, hello: wire.Hello) -> None:
@@ -201,7 +203,7 @@
                 if message.call in self.linking.out:
                     self.host.begun(message.call)
                 else:
-                    self.host.stray()
+                    self.host.unmatched_reply()
             case wire.Held():
                 self.tell_if(self.linking.ended(message.order), message)
             case wire.Probed():
@@ -216,7 +218,7 @@
         if known:
             tell(self.host, said)
         else:
-            self.host.stray()
+            self.host.unmatched_reply()
 
     # what the linking asks (Rim)
 
@@ -267,15 +269,15 @@
 
     def never_left(self, numbers: list[int]) -> None:
         for number in numbers:
-            self.host.lost(number, Outcome.UNREACHABLE)
+            self.host.ended_without_reply(number, Outcome.UNREACHABLE)
 
     def not_sent(self, numbers: list[int]) -> None:
         for number in numbers:
-            self.host.lost(number, Outcome.MOOT)
+            self.host.ended_without_reply(number, Outcome.MOOT)
 
     def broke(self, numbers: list[int]) -> None:
         for number in numbers:
-            self.host.lost(number, Outcome.RESET)
+            self.host.ended_without_reply(number, Outcome.RESET)
 
 
 def bounds_of(listen: Any) -> LineBounds:
--- /dev/null
+++ b/lapistrestle/hosting/events.py
@@ -0,0 +1,93 @@
+"""Events for one instance of the module: delivered in order, never one within another."""
+
+import traceback
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from lapistrestle.hosting.requests import FAULTS, PendingRequest
+from lapistrestle.hosting.transport import Transport
+
+SHOWN = 80  # characters of an argument in the log line of a fault
+FRAMES = 4  # innermost frames of its traceback
+
+
+class EventQueue:
+    """A queue in front of the module. What the module asks for while it handles one event may post more.
+
+    `on_fault` is called with the request at hand when the module raises; `stopwatch`, where set, gives the
+    seconds by which `module_seconds` is measured.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Callable[[], int],
+        counts: dict[str, int],
+        on_fault: Callable[[PendingRequest], None],
+    ) -> None:
+        self.transport, self.clock, self.counts, self.on_fault = transport, clock, counts, on_fault
+        self.module: Any = None
+        self.queue: deque[tuple[PendingRequest | None, str, tuple[Any, ...]]] = deque()
+        self.busy = False
+        self.finished: list[PendingRequest] = []  # over, and none of their attempts under way
+        self.module_seconds = 0.0
+        self.stopwatch: Callable[[], float] | None = None
+
+    def post(self, pending: PendingRequest | None, event: str, *args: Any) -> None:
+        """Deliver an event (a method of `interface.Events`) after those that wait already."""
+        self.queue.append((pending, event, args))
+        if not self.busy:
+            self.busy = True
+            self.deliver()
+
+    @contextmanager
+    def batched(self) -> Iterator[None]:
+        """All that one poll of the sockets brings is queued before any of it is delivered: after a standstill
+        a client's close may lie beside, or behind, what would have an attempt begin for it. Costs the time
+        that it takes to read the other sockets, once a poll."""
+        outer, self.busy = self.busy, True
+        try:
+            yield
+        finally:
+            if not outer:
+                self.deliver()
+
+    def deliver(self) -> None:
+        """Deliver all that waits."""
+        if not self.queue:
+            self.busy = False
+            return
+        began = self.stopwatch() if self.stopwatch else 0.0
+        try:
+            while self.queue:
+                self.deliver_one(*self.queue.popleft())
+        finally:
+            self.busy = False
+        for pending in self.finished:
+            if not pending.in_flight:
+                pending.call_outs.clear()  # they point to each other, and would wait for the collector
+        self.finished.clear()
+        if self.stopwatch:
+            self.module_seconds += self.stopwatch() - began
+        self.transport.wake()
+
+    def deliver_one(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
+        if event == "arrived" and pending is not None and pending.final:
+            return  # its client left before anything was begun for it
+        self.module.now = self.clock()
+        try:
+            getattr(self.module, event)(*args)
+        except Exception:
+            self.fault(pending, event, args)
+
+    def fault(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
+        """The module raised: the request at hand is answered at once, and the program goes on."""
+        self.counts[FAULTS] += 1
+        told = " ".join(str(getattr(a, "tag", getattr(a, "name", a)))[:SHOWN] for a in args)
+        trace = traceback.format_exc(limit=-FRAMES)
+        self.transport.log("module raised", input=event, told=told, trace=trace)
+        if pending is not None and not pending.final:
+            pending.state, pending.over = type(pending.state).OVER, True
+            self.on_fault(pending)
--- a/lapistrestle/hosting/door.py
+++ b/lapistrestle/hosting/registry.py
@@ -1,19 +1,19 @@
-"""Ids to objects, where they come in: behind the door objects point to each other."""
+"""Names to objects, where they come in from outside; behind that, objects refer to each other directly."""
 
 from collections import OrderedDict
 
 from lapistrestle.state import Fn, Srv
 
 
-class Door:
+class ObjectRegistry:
     """The workers and functions that one instance of the module knows, by name, and its wake-up tokens.
 
     `most` bounds the functions kept: guards against clients that name a new one in every RPC. It could harm
-    where more than that many are in use at once: what was learnt of the longest unused is learnt anew. Past
-    `idle` of them the longest unused go as soon as the module holds nothing of them but a figure.
+    where more than that many are in use at once: what was learnt of the least recently used is learnt anew.
+    Past `idle` of them the least recently used go as soon as the module holds nothing of them but a figure.
     """
 
-    idle = 1_000
+    idle = 1_000  # functions
 
     def __init__(self, most: int | None = None) -> None:
         self.srvs: dict[str, Srv] = {}
@@ -23,12 +23,14 @@
         self.last_token = 0
 
     def srv(self, name: str) -> Srv:
+        """The worker of this name, made when it is first named."""
         if name not in self.srvs:
             self.srvs[name] = Srv(name)
         return self.srvs[name]
 
     def fn(self, name: str, method: int, memory: float, lanes: int, load: int | None = None) -> Fn:
-        """`load`: as this RPC tells it; the last that was told stands."""
+        """The function of this name, made when it is first named. `memory` is in MB; `load`, the usual time
+        of a load in tenths of a millisecond, is as this RPC tells it: the last that was told stands."""
         fn = self.fns.get(name)
         if fn is None:
             fn = self.fns[name] = Fn(name, method, memory, max(1, lanes))
@@ -40,7 +42,7 @@
         return fn
 
     def trim(self, most: int) -> None:
-        """Two for each new one, so that what had grown shrinks again."""
+        """Evict up to two for each new one, so that what had grown shrinks again."""
         for _ in range(2):
             oldest = next(iter(self.fns.values()))
             held = oldest.spots or oldest.marks
@@ -54,4 +56,5 @@
         return self.last_token
 
     def take_token(self, number: int) -> object | None:
+        """The token kept under this number, which is then forgotten."""
         return self.tokens.pop(number, None)
--- /dev/null
+++ b/lapistrestle/hosting/requests.py
@@ -0,0 +1,70 @@
+"""What a host keeps of the work under way: client requests, their attempts on workers, and worker tasks."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from lapistrestle.hosting.timers import Timer
+from lapistrestle.interface import CallOut
+from lapistrestle.state import Fn, Rpc, Srv
+
+OK: Final = "ok"
+DENIED: Final = "denied"
+ABORTED: Final = "aborted"
+LEFT: Final = "left"  # the client closed before its answer
+MOVED: Final = "moved"  # taken back, to be placed anew under another function
+
+TAKEN: Final = "taken"
+UNMATCHED: Final = "stray"  # replies to what is not under way; the name that log lines carry
+FAULTS: Final = "faults"
+GUARDED: Final = "guarded"
+COUNTERS = (TAKEN, OK, DENIED, ABORTED, LEFT, MOVED, UNMATCHED, FAULTS, GUARDED)
+
+NO_REPORT: Mapping[str, float] = {}
+
+
+@dataclass(eq=False)
+class PendingRequest(Rpc):
+    """A client's request, kept until its final answer is out and its last attempt has ended."""
+
+    message: Any = None  # the transport's own: what the client sent
+    client: Any = None  # the transport's own: the connection that the answer goes to
+    final: bool = False  # answered, or the client has left
+    stream: "Attempt | None" = None  # the attempt whose answer has begun to stream
+    guard: Timer | None = None  # due shortly after the deadline
+    in_flight: int = 0  # attempts under way
+    route: Any = None  # the transport's own: which version of the function it goes to
+    prior_attempts: int = 0  # made under another version; they count towards the limit
+    unsent: int = 0  # own attempts that the host did not send
+
+    def attempt_count(self) -> int:
+        """Attempts that count towards the limit, under whichever version."""
+        return self.prior_attempts + len(self.call_outs) - self.unsent
+
+
+@dataclass(eq=False)
+class Attempt:
+    """One attempt of a request on a worker. Times are tenths of a millisecond on the host's clock."""
+
+    number: int
+    call_out: CallOut
+    pending: PendingRequest
+    srv: Srv
+    sent: int
+    time_out: int  # a span
+    begin_by: int | None = None  # not to be written to the connection later than this
+    timer: Timer | None = None
+    connection: Any = None  # the transport's own: which connection carries it
+
+
+@dataclass(eq=False)
+class WorkerTask:
+    """An order to hold copies of a function, or a probe (`fn` is None), under way at a worker."""
+
+    number: int
+    srv: Srv
+    fn: Fn | None
+    count: int  # copies to hold
+    sent: int
+    timer: Timer | None = None
+    connection: Any = None  # the transport's own: which connection carries it
--- /dev/null
+++ b/lapistrestle/hosting/transport.py
@@ -0,0 +1,50 @@
+"""What a transport does for the host: the only way from decisions to sockets."""
+
+from typing import Any, Protocol
+
+from lapistrestle.hosting.requests import Attempt, PendingRequest, WorkerTask
+from lapistrestle.interface import FnFacts, SrvFacts
+
+
+class Transport(Protocol):
+    """Implemented by each protocol's front end. No method may raise, nor call the host back within the call
+    other than to end the attempt or task that it was given."""
+
+    def answer(self, pending: PendingRequest, verdict: str, come_back: int, body: Any) -> None:
+        """Write the final answer; `come_back` is how long the client is asked to wait before it retries."""
+
+    def closed(self, pending: PendingRequest, how: str) -> None:
+        """The request is over: answered, left or moved."""
+
+    def stream(self, pending: PendingRequest) -> None:
+        """The answer has begun to stream."""
+
+    def run(self, attempt: Attempt) -> None:
+        """Send an attempt to its worker."""
+
+    def cancel_unsent(self, attempt: Attempt) -> bool:
+        """Drop it if it was not written yet. True if it never left, and now never does."""
+
+    def withdraw(self, task: Attempt | WorkerTask, tell: bool) -> bool:
+        """Wait for it no more, and with `tell` have the worker cancel it. True if it never left."""
+
+    def hold(self, task: WorkerTask) -> None:
+        """Send an order to hold `task.count` copies of `task.fn`."""
+
+    def unload(self, srv: SrvFacts, fn: FnFacts) -> None:
+        """Have a worker drop a function; nothing is waited for."""
+
+    def probe(self, task: WorkerTask) -> None:
+        """Ask a worker for its report."""
+
+    def tell_peer(self, peer: int | None, text: str) -> None:
+        """Send text to a dispatcher by its index, or to all where it is None."""
+
+    def follow_list(self) -> None:
+        """Ask the sources of the worker list for updates."""
+
+    def wake(self) -> None:
+        """The next timer may have changed."""
+
+    def log(self, what: str, **figures: Any) -> None:
+        """One log line."""
--- a/lapistrestle/model/links.py
+++ b/lapistrestle/model/links.py
@@ -12,7 +12,7 @@
 from lapistrestle.edge.following import Do
 from lapistrestle.edge.linking import Input
 from lapistrestle.edge.runners import hold_of, run_of, tell
-from lapistrestle.hosting.host import Errand, Flight
+from lapistrestle.hosting.requests import Attempt, WorkerTask
 from lapistrestle.interface import Outcome
 from lapistrestle.standins.client import Crowd, Line, Wish
 from lapistrestle.standins.runner import RunnerStandIn
@@ -62,7 +62,7 @@
     ) -> None:
         self.edge, self.name, self.runner, self.way = edge, name, runner, way
         self.linking = self
-        self.out: dict[int, Flight | Errand] = {}
+        self.out: dict[int, Attempt | WorkerTask] = {}
         self.later = edge.reactor.callLater
         self.later(2 * way, self.meet)
         start = runner.start if runner is not None else ""
@@ -89,8 +89,8 @@
     def reached(self) -> bool:
         return self.runner is not None and not self.runner.engine.dead
 
-    def send(self, task: Flight | Errand, message: Any) -> None:
-        task.via = self
+    def send(self, task: Attempt | WorkerTask, message: Any) -> None:
+        task.connection = self
         self.out[task.number] = task
         self.later(self.way, self.arrive, task.number, message)
 
@@ -109,21 +109,21 @@
         self.put(">", said)
         self.later(self.way, self.back, said)
 
-    def run(self, flight: Flight) -> None:
-        self.send(flight, run_of(flight))
+    def run(self, attempt: Attempt) -> None:
+        self.send(attempt, run_of(attempt))
 
-    def hold(self, errand: Errand) -> None:
-        self.send(errand, hold_of(errand))
+    def hold(self, task: WorkerTask) -> None:
+        self.send(task, hold_of(task))
 
-    def probe(self, errand: Errand) -> None:
-        self.send(errand, wire.Probe(errand.number))
+    def probe(self, task: WorkerTask) -> None:
+        self.send(task, wire.Probe(task.number))
 
     def unload(self, fn: str) -> None:
         if self.reached():
             assert self.runner is not None
             self.later(self.way, self.runner.engine.unload, fn)
 
-    def take_back(self, number: int) -> bool:
+    def cancel_unsent(self, number: int) -> bool:
         return False  # a message is on its way as soon as it is sent
 
     def withdraw(self, number: int, tell: bool) -> bool:
@@ -155,11 +155,11 @@
         if self.out.pop(number, None) is not None:
             tell(host, said)
         else:
-            host.stray()
+            host.unmatched_reply()
 
     def end(self, number: int, outcome: Outcome) -> None:
         if self.out.pop(number, None) is not None:
-            self.edge.host.lost(number, outcome)
+            self.edge.host.ended_without_reply(number, outcome)
 
     def say(self, message: Any) -> None:
         self.put(">", message)
--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -164,7 +164,7 @@
         their way too, as slow as it is now."""
         slot = self.by_name[name]
         engine, copies = slot.runner.engine, slot.runner.engine.copies.get(fn)
-        coming = sum(h.edge.host.module.out.get(h.edge.host.door.srv(name), 0) for h in self.edges)  # type: ignore[attr-defined]
+        coming = sum(h.edge.host.module.out.get(h.edge.host.registry.srv(name), 0) for h in self.edges)  # type: ignore[attr-defined]
         crowd = coming * engine.slower / (max(1, engine.facts.cores - engine.taken) * engine.facts.speed)
         copy = 0.0 if copies is None else 1.0 if copies.standing else 0.5 if copies.loading else 0.0
         return copy, crowd + (1e9 if engine.dead or engine.failing else 0)
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from lapistrestle.edge.core import Core
-from lapistrestle.hosting.host import ABORTED, DENIED, OK, Ticket
+from lapistrestle.hosting.requests import ABORTED, DENIED, OK, PendingRequest
 from lapistrestle.node import records
 from lapistrestle.node.place import Place, split
 from lapistrestle.node.streams import Listener, Stream
@@ -83,7 +83,7 @@
     def __init__(self, front: "Front", sock: socket.socket) -> None:
         super().__init__(front.core.reactor, sock)
         self.front, self.reader = front, records.Reader()
-        self.tickets: dict[int, Ticket] = {}
+        self.requests: dict[int, PendingRequest] = {}
         self.asked = False  # it has brought a whole request
         self.last = False  # it ends with the last of its open requests
         self.since = front.core.clock()  # connected, or without an open request
@@ -125,11 +125,11 @@
             self.half, self.half_since = half, self.front.core.clock()
 
     def aborted(self, number: int) -> None:
-        ticket = self.tickets.pop(number, None)
+        pending = self.requests.pop(number, None)
         self.reader.ended(number)
         self.send(records.end_record(number))
-        if ticket is not None:
-            self.front.core.host.client_left(ticket)
+        if pending is not None:
+            self.front.core.host.client_left(pending)
             self.rested()
 
     def reply(self, number: int, status: int, body: bytes = b"", come_back: int = 0) -> None:
@@ -140,22 +140,22 @@
         self.reader.ended(number)
         self.rested()
 
-    def answer(self, ticket: Ticket, verdict: str, come_back: int, body: Any) -> None:
+    def answer(self, pending: PendingRequest, verdict: str, come_back: int, body: Any) -> None:
         """The final answer of an RPC."""
-        asked = ticket.asked
+        asked = pending.message
         asked.body = b""
-        self.tickets.pop(asked.number, None)
-        if not ticket.flights:
-            self.front.lingering.pop(ticket.tag, None)
+        self.requests.pop(asked.number, None)
+        if not pending.in_flight:
+            self.front.lingering.pop(pending.tag, None)
         status = {OK: 200, DENIED: 503, ABORTED: 500}[verdict]
         self.reply(asked.number, status, body if verdict == OK else b"", come_back)
         if not asked.keep:
             self.last = True
-        if self.last and not self.tickets:
+        if self.last and not self.requests:
             self.close()
 
     def rested(self) -> None:
-        if not self.tickets and not self.dead:
+        if not self.requests and not self.dead:
             self.since = self.front.core.clock()
             self.front.idle[self] = None
             self.front.idle.move_to_end(self)
@@ -165,9 +165,9 @@
         self.front.seats.pop(self, None)
         self.front.held, self.held = self.front.held - self.held, 0
         self.front.idle.pop(self, None)
-        tickets, self.tickets = list(self.tickets.values()), {}
-        for ticket in tickets:
-            self.front.core.host.client_left(ticket)
+        requests, self.requests = list(self.requests.values()), {}
+        for pending in requests:
+            self.front.core.host.client_left(pending)
 
 
 class Front:
@@ -187,7 +187,7 @@
         self.ready: Callable[[], bool] = lambda: False  # whether the list stands; the source knows
         self.leaving = False
         self.ids: OrderedDict[str, int] = OrderedDict()  # those taken in the last window of orders, and when
-        self.lingering: dict[str, Ticket] = {}  # by id, until the last call-out has ended
+        self.lingering: dict[str, PendingRequest] = {}  # by id, until the last call-out has ended
         self.customers = {t.name.encode(): number for number, t in enumerate(place.told.tenants)}
         self.methods = {}
         for number, profile in enumerate(place.told.profiles):
@@ -218,8 +218,8 @@
             seat.doRead()
         return any(seat.unsent for seat in self.seats)
 
-    def open(self) -> list[Ticket]:
-        return [t for seat in self.seats for t in seat.tickets.values()]
+    def open(self) -> list[PendingRequest]:
+        return [t for seat in self.seats for t in seat.requests.values()]
 
     def end(self) -> None:
         for seat in list(self.seats):
@@ -254,7 +254,7 @@
         together with the answers before it."""
         half, asked = seat.half, seat.asked
         seat.doRead()
-        return not seat.dead and not seat.tickets and (seat.half, seat.asked) == (half, asked)
+        return not seat.dead and not seat.requests and (seat.half, seat.asked) == (half, asked)
 
     def sweep(self, _: object) -> None:
         now = self.core.clock()
@@ -263,11 +263,13 @@
                 for number in seat.reader.begun:
                     seat.send(records.answer(number, HEADS[408], b""))
                 seat.drop("half a request and silence")
-            elif seat.tickets or seat.half:
+            elif seat.requests or seat.half:
                 continue
             elif now - seat.since > (IDLE if seat.asked else SILENT) and self.unused(seat):
                 seat.drop("idle" if seat.asked else "silence")
-        for tag in [tag for tag, ticket in self.lingering.items() if ticket.final and not ticket.flights]:
+        for tag in [
+            tag for tag, pending in self.lingering.items() if pending.final and not pending.in_flight
+        ]:
             self.lingering.pop(tag).call_outs.clear()  # they point to each other
         self.core.after(SWEEP, self.sweep, None)
 
@@ -340,13 +342,13 @@
         uniq = b',"uniq":"%s"' % key if key else b""
         asked = Asked(request.number, request.keep, id, head, uniq, request.body)
         self.idle.pop(seat, None)
-        ticket = self.core.host.arrived(
-            seat=seat, asked=asked, tag=tag, fn=fn.decode(), method=number, customer=customer, left=left,
+        pending = self.core.host.arrived(
+            client=seat, message=asked, tag=tag, fn=fn.decode(), method=number, customer=customer, left=left,
             memory=memory, lanes=int(lanes or 1), work=None if work is None else max(1, int(work * 10)),
             repeat=repeat == b"1", load=None if load is None else int(load * 10),
             moved=self.taken_before(tag), came=self.core.came(),
         )  # fmt: skip
-        if not ticket.final:
-            seat.tickets[request.number] = ticket
-        if not ticket.final or ticket.flights:
-            self.lingering[tag] = ticket
+        if not pending.final:
+            seat.requests[request.number] = pending
+        if not pending.final or pending.in_flight:
+            self.lingering[tag] = pending
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -10,7 +10,7 @@
 
 from lapistrestle.edge.core import Core
 from lapistrestle.edge.linking import Input, Link, Linking, Rim
-from lapistrestle.hosting.host import NO_REPORT, Errand, Flight
+from lapistrestle.hosting.requests import NO_REPORT, Attempt, WorkerTask
 from lapistrestle.interface import Outcome
 from lapistrestle.node.place import Place, split
 from lapistrestle.node.streams import Stream, dial
@@ -122,8 +122,8 @@
         if rid is not None and self.by_rid.get(rid) == number:
             del self.by_rid[rid]
 
-    def take_back(self, number: int) -> bool:
-        if self.linking.take_back(number):
+    def cancel_unsent(self, number: int) -> bool:
+        if self.linking.cancel_unsent(number):
             self.forget(number)
             return True
         return False
@@ -141,9 +141,9 @@
     def end_errands(self) -> None:
         """The runner is gone, or another process stands under its name: what this one may still say of its
         loads is nothing that the module should believe of what follows, and nobody waits for it."""
-        for number in [number for number in self.rids if number in self.core.host.errands]:
+        for number in [number for number in self.rids if number in self.core.host.tasks]:
             self.withdraw(number, False)
-            self.core.host.errand_ended(number, Outcome.MOOT)
+            self.core.host.task_ended(number, Outcome.MOOT)
 
     # what comes
 
@@ -175,13 +175,13 @@
             return False
         number = self.by_rid.get(said.rid)
         if number is None:
-            self.core.host.stray()
+            self.core.host.unmatched_reply()
             return True
         attrs = said.attrs or NO_ATTRS
         try:
-            if number in self.core.host.flights:
+            if number in self.core.host.attempts:
                 return self.ran(number, said, attrs)
-            return self.errand_ended(number, said, attrs)
+            return self.task_ended(number, said, attrs)
         except (ValueError, OverflowError, binascii.Error):
             return False
 
@@ -199,12 +199,12 @@
         company = int(attrs.company) if told else None
         report = report_of(attrs.use, self.speech.names) if attrs.use else NO_REPORT
         if outcome is Outcome.MOOT:  # the runner had it, so it counts as a try
-            self.core.host.flights[number].ticket.before += 1
+            self.core.host.attempts[number].pending.prior_attempts += 1
         self.end(number)
         self.core.host.ended(number, outcome, body, company=company, report=report)
         return True
 
-    def errand_ended(self, number: int, said: Said, attrs: Attrs) -> bool:
+    def task_ended(self, number: int, said: Said, attrs: Attrs) -> bool:
         if said.verb in PROBES:
             report = report_of(attrs.use, self.speech.names)
             self.end(number)
@@ -280,7 +280,7 @@
 
     def lose(self, number: int, outcome: Outcome) -> None:
         self.forget(number)
-        self.core.host.lost(number, outcome)
+        self.core.host.ended_without_reply(number, outcome)
 
 
 class Runner:
@@ -354,31 +354,32 @@
 
     # what the host asks
 
-    def run(self, flight: Flight) -> None:
-        ticket, asked = flight.ticket, flight.ticket.asked
+    def run(self, attempt: Attempt) -> None:
+        pending, asked = attempt.pending, attempt.pending.message
         connection = self.pick(asked.used)
         line = b'{"verb":"RUN","rid":"%s","attrs":{%s,"budget":%d%s},"content":"%s"}\n' % (
-            asked.id, asked.head, max(1, flight.within // 10), asked.key, b64encode(asked.body),
+            asked.id, asked.head, max(1, attempt.time_out // 10), asked.key, b64encode(asked.body),
         )  # fmt: skip
-        flight.via = connection
-        if connection is None or not connection.send(flight.number, ticket.tag, line, until=flight.until):
-            return self.core.host.ended(flight.number, Outcome.FULL)
+        attempt.connection = connection
+        number, until = attempt.number, attempt.begin_by
+        if connection is None or not connection.send(number, pending.tag, line, until=until):
+            return self.core.host.ended(attempt.number, Outcome.FULL)
         asked.used.append(connection)
 
-    def hold(self, errand: Errand) -> None:
-        assert errand.fn is not None
-        attrs = b'{"path":"%s","slots_up":%d}' % (errand.fn.name.encode(), errand.count)
-        self.errand(errand, b"HOLD", b',"attrs":' + attrs, errand.count > 0)
+    def hold(self, task: WorkerTask) -> None:
+        assert task.fn is not None
+        attrs = b'{"path":"%s","slots_up":%d}' % (task.fn.name.encode(), task.count)
+        self.send_task(task, b"HOLD", b',"attrs":' + attrs, task.count > 0)
 
-    def probe(self, errand: Errand) -> None:
-        self.errand(errand, b"INFO", b"", False)
+    def probe(self, task: WorkerTask) -> None:
+        self.send_task(task, b"INFO", b"", False)
 
-    def errand(self, errand: Errand, verb: bytes, attrs: bytes, prompt: bool) -> None:
-        connection, tag = self.pick([]), f"t{errand.number}"
-        errand.via = connection
+    def send_task(self, task: WorkerTask, verb: bytes, attrs: bytes, prompt: bool) -> None:
+        connection, tag = self.pick([]), f"t{task.number}"
+        task.connection = connection
         line = b'{"verb":"%s","rid":"%s"%s}\n' % (verb, tag.encode(), attrs)
-        if connection is None or not connection.send(errand.number, tag, line, prompt):
-            self.core.host.errand_ended(errand.number, Outcome.FULL)
+        if connection is None or not connection.send(task.number, tag, line, prompt):
+            self.core.host.task_ended(task.number, Outcome.FULL)
 
     def unload(self, fn: str) -> None:
         if connection := self.pick([]):
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -3,7 +3,7 @@
 from days import Played, day
 
 from lapistrestle.edge.program import Edge
-from lapistrestle.hosting.host import ABORTED, DENIED
+from lapistrestle.hosting.requests import ABORTED, DENIED
 from lapistrestle.interface import Listing
 from lapistrestle.wire import messages as wire
 
@@ -31,9 +31,9 @@
 
 def test_rule_1_two_answers():
     def change(edge):
-        def twice(answer, ticket, verdict, come_back, body):
-            answer(ticket, verdict, come_back, body)
-            answer(ticket, verdict, come_back, body)
+        def twice(answer, pending, verdict, come_back, body):
+            answer(pending, verdict, come_back, body)
+            answer(pending, verdict, come_back, body)
 
         wrap(edge, "answer", twice)
 
@@ -43,9 +43,9 @@
 
 def test_rule_1_no_answer():
     def change(edge):
-        def some(answer, ticket, *rest):
-            if not ticket.tag.endswith("7.1"):
-                answer(ticket, *rest)
+        def some(answer, pending, *rest):
+            if not pending.tag.endswith("7.1"):
+                answer(pending, *rest)
 
         wrap(edge, "answer", some)
 
@@ -55,9 +55,9 @@
 
 def test_rule_1_a_late_answer():
     def change(edge):
-        def later(answer, ticket, *rest):
-            delay = ticket.deadline + 500 - edge.clock() if ticket.tag.endswith("7.1") else 0
-            edge.after(max(0, delay), lambda _: answer(ticket, *rest), None)
+        def later(answer, pending, *rest):
+            delay = pending.deadline + 500 - edge.clock() if pending.tag.endswith("7.1") else 0
+            edge.after(max(0, delay), lambda _: answer(pending, *rest), None)
 
         wrap(edge, "answer", later)
 
@@ -67,11 +67,13 @@
 
 def test_rule_1_work_after_the_answer():
     def change(edge):
-        def again(answer, ticket, *rest):
-            answer(ticket, *rest)
-            call_out = ticket.call_outs[-1] if ticket.call_outs else None
+        def again(answer, pending, *rest):
+            answer(pending, *rest)
+            call_out = pending.call_outs[-1] if pending.call_outs else None
             if call_out is not None:
-                run = wire.Run(10**9 + edge.heard, ticket.tag, ticket.fn.name, ticket.asked.method, 1000.0)
+                run = wire.Run(
+                    10**9 + edge.heard, pending.tag, pending.fn.name, pending.message.method, 1000.0
+                )
                 line = wire.encode(run) + b"\n"
                 edge.after(500, lambda _: edge.runners[call_out.srv.name].write(line), None)
 
@@ -83,8 +85,8 @@
 
 def test_rule_2_a_denial_that_may_have_run():
     def change(edge):
-        def deny(answer, ticket, verdict, *rest):
-            answer(ticket, DENIED if verdict == ABORTED else verdict, *rest)
+        def deny(answer, pending, verdict, *rest):
+            answer(pending, DENIED if verdict == ABORTED else verdict, *rest)
 
         wrap(edge, "answer", deny)
 
@@ -102,10 +104,10 @@
 
 def test_rule_2_two_at_once():
     def change(edge):
-        def both(run, flight):
-            run(flight)
-            others = [r for name, r in edge.runners.items() if name != flight.srv.name and r.speaker]
-            message = wire.Run(10**9 + edge.heard, flight.ticket.tag, "fn-1", "check-slot", 900.0)
+        def both(run, attempt):
+            run(attempt)
+            others = [r for name, r in edge.runners.items() if name != attempt.srv.name and r.speaker]
+            message = wire.Run(10**9 + edge.heard, attempt.pending.tag, "fn-1", "check-slot", 900.0)
             for other in others[:1]:
                 other.write(wire.encode(message) + b"\n")
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -93,7 +93,7 @@
     else:
         client.drop("gone")
     stage.hand.until(lambda: stage.host.counts["left"])
-    assert not held(stage) and not stage.host.flights
+    assert not held(stage) and not stage.host.attempts
     closed.open()
     stage.hand.until(lambda: all(connection.linking.state is Link.OPEN for connection in connections(stage)))
     stage.hand.quiet()
@@ -118,7 +118,7 @@
         stage.board.tell(2, 2, stage.row(0, state=1))
         stage.hand.until(lambda: stage.srvs()["s-00000001"].listing is Listing.DRAINING)
         stage.hand.until(lambda: client.status(number))
-    assert not connection.linking.waiting and not stage.host.flights
+    assert not connection.linking.waiting and not stage.host.attempts
     stage.hand.addReader(line)
     stage.hand.until(lambda: connection.linking.state is not Link.SLOW)
     stage.hand.quiet()
@@ -173,7 +173,7 @@
     line, said = got[0]
     line.say("503", said["rid"])
     client.drop("gone")
-    seat = next(seat for seat in stage.node.front.seats if seat.tickets)
+    seat = next(seat for seat in stage.node.front.seats if seat.requests)
     stage.hand.readers.pop(seat)
     stage.hand.readers[seat] = None  # its close is met last in the look that brings both
     assert other.closed == "" and len(stage.runs()) == 1
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -113,7 +113,7 @@
         return [(peer, run) for peers in self.runners.values() for peer in peers for run in peer.heard("run")]
 
     def clean(self):
-        return (self.edge.host.open, self.edge.host.flights) == (0, {})
+        return (self.edge.host.open, self.edge.host.attempts) == (0, {})
 
 
 CALL = {"is": "call", "fn": "f", "method": "preview", "left": 2000, "customer": "news", "memory": 100}
@@ -503,13 +503,13 @@
     probed, host = [], stage.edge.host
     host.module.probed = lambda srv, outcome, took, report: probed.append((srv.name, outcome.name, report))
     peer = stage.runners["r0"][-1]
-    host.probe(host.door.srv("r0"))
-    host.unload(host.door.srv("r0"), host.door.fn("f", 0, 1.0, 1))
-    host.probe(host.door.srv("nobody"))
+    host.probe(host.registry.srv("r0"))
+    host.unload(host.registry.srv("r0"), host.registry.fn("f", 0, 1.0, 1))
+    host.probe(host.registry.srv("nobody"))
     stage.run()
     assert peer.heard("unload")[0]["fn"] == "f"
     peer.say(**{"is": "probed", "probe": peer.heard("probe")[0]["probe"], "report": {"backlog": 2}})
-    host.probe(host.door.srv("r1"))
+    host.probe(host.registry.srv("r1"))
     stage.run(1.0)
     assert probed == [("nobody", "UNREACHABLE", {}), ("r0", "OK", {"backlog": 2.0}), ("r1", "TIMED_OUT", {})]
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -5,12 +5,12 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment import words
-from lapistrestle.hosting.door import Door
-from lapistrestle.hosting.host import Hosting
+from lapistrestle.hosting.host import ModuleHost
+from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.interface import Outcome, SrvFacts
 
 
-class Outside:
+class Recorder:
     """A transport that only writes down; `unsent` is what it says of a line that is withdrawn."""
 
     def __init__(self):
@@ -43,33 +43,33 @@
 @pytest.fixture
 def hosting(clock):
     settings = {**SETTINGS, "limits": {"try-limit": 3, "cancel": True}}
-    made = Hosting(Outside(), words.facts(settings), 7, clock, slack=50)
+    made = ModuleHost(Recorder(), words.facts(settings), 7, clock, slack=50)
     made.listed([SrvFacts(f"w{i}") for i in range(3)], whole=True)
     return made
 
 
 def ask(hosting, method=0, left=30_000, fn="f"):
     return hosting.arrived(
-        seat=None, asked=None, tag="c1/r", fn=fn, method=method, customer=0, left=left, memory=100.0
+        client=None, message=None, tag="c1/r", fn=fn, method=method, customer=0, left=left, memory=100.0
     )
 
 
 def answers(hosting):
-    return [(ticket.tag, verdict) for ticket, verdict, *_ in hosting.outside.of("answer")]
+    return [(pending.tag, verdict) for pending, verdict, *_ in hosting.transport.of("answer")]
 
 
 def out(hosting):
-    return list(hosting.flights)
+    return list(hosting.attempts)
 
 
 def test_an_answer_is_final_once(hosting):
-    ticket = ask(hosting)
+    pending = ask(hosting)
     (number,) = out(hosting)
     hosting.ended(number, Outcome.OK, "body")
     hosting.ended(number, Outcome.ERROR)
-    hosting.client_left(ticket)
+    hosting.client_left(pending)
     assert answers(hosting) == [("c1/r", "ok")]
-    assert (hosting.open, hosting.counts["stray"], hosting.flights) == (0, 1, {})
+    assert (hosting.open, hosting.counts["stray"], hosting.attempts) == (0, 1, {})
 
 
 @pytest.mark.parametrize("method", [0, 1, 2])
@@ -83,27 +83,27 @@
 
 
 def test_nothing_follows_once_the_client_has_left(hosting):
-    ticket = ask(hosting)
+    pending = ask(hosting)
     (number,) = out(hosting)
-    hosting.client_left(ticket)
+    hosting.client_left(pending)
     hosting.ended(number, Outcome.ERROR)
     assert answers(hosting) == [] and out(hosting) == [] and hosting.counts["left"] == 1
 
 
 def test_a_time_out_of_what_never_left_proves_that_it_did_not_run(hosting, clock):
     ask(hosting, method=2)
-    hosting.outside.unsent = True
+    hosting.transport.unsent = True
     clock.now += 30_000
-    hosting.turn()
+    hosting.fire_timers()
     assert answers(hosting) == [("c1/r", "denied")]
 
 
 def test_a_time_out_of_what_may_have_run_aborts_a_side_effecting_rpc(hosting, clock):
     ask(hosting, method=2)
     clock.now += 30_000
-    hosting.turn()
+    hosting.fire_timers()
     assert answers(hosting) == [("c1/r", "aborted")]
-    assert hosting.outside.of("withdraw")
+    assert hosting.transport.of("withdraw")
 
 
 class Broken(Dispatcher):
@@ -124,14 +124,14 @@
 
 @pytest.mark.parametrize("at", ["arrived", "learn"])
 def test_a_module_that_raises_costs_its_rpc_alone(clock, at):
-    hosting = Hosting(Outside(), words.facts(SETTINGS), 7, clock, make=Broken)
+    hosting = ModuleHost(Recorder(), words.facts(SETTINGS), 7, clock, make=Broken)
     hosting.listed([SrvFacts("w")], whole=True)
     hosting.module.at = at
     ask(hosting)
     for number in out(hosting):
         hosting.ended(number, Outcome.ERROR)
     assert answers(hosting) == [("c1/r", "aborted")]
-    assert hosting.counts["faults"] == 1 and hosting.outside.of("log")
+    assert hosting.counts["faults"] == 1 and hosting.transport.of("log")
     hosting.module.at = ""
     ask(hosting)
     for number in out(hosting):
@@ -144,79 +144,79 @@
         def arrived(self, rpc):
             pass
 
-    hosting = Hosting(Outside(), words.facts(SETTINGS), 7, clock, slack=50, make=Asleep)
+    hosting = ModuleHost(Recorder(), words.facts(SETTINGS), 7, clock, slack=50, make=Asleep)
     ask(hosting)
     clock.now += 30_049
-    hosting.turn()
+    hosting.fire_timers()
     assert answers(hosting) == []
     clock.now += 1
-    hosting.turn()
+    hosting.fire_timers()
     assert answers(hosting) == [("c1/r", "aborted")] and hosting.counts["guarded"] == 1
 
 
 def test_never_two_call_outs_at_once_whatever_the_module_asks(hosting):
-    ticket = ask(hosting)
-    second = type(ticket.call_outs[0])(ticket, hosting.door.srv("w1"), hosting.clock())
-    ticket.call_outs.append(second)
-    ticket.fn.spot(second.srv).begin(second)
+    pending = ask(hosting)
+    second = type(pending.call_outs[0])(pending, hosting.registry.srv("w1"), hosting.clock())
+    pending.call_outs.append(second)
+    pending.fn.spot(second.srv).begin(second)
     hosting.call_out(second, 100)
-    assert len(hosting.outside.of("run")) == 1 and len(hosting.flights) == 1
+    assert len(hosting.transport.of("run")) == 1 and len(hosting.attempts) == 1
     assert second.outcome is Outcome.MOOT
 
 
 def test_tries_under_another_version_count_too(hosting):
     for before, sent in ((1, 2), (3, 0)):
-        hosting.outside.acts.clear()
+        hosting.transport.acts.clear()
         hosting.arrived(
-            seat=None,
-            asked=None,
+            client=None,
+            message=None,
             tag="c1/r",
             fn="f",
             method=0,
             customer=0,
             left=30_000,
             moved=True,
-            before=before,
+            prior_attempts=before,
         )
-        while hosting.flights:
+        while hosting.attempts:
             hosting.ended(out(hosting)[0], Outcome.ERROR)
-        assert len(hosting.outside.of("run")) == sent and answers(hosting)[-1][1] == "denied"
+        assert len(hosting.transport.of("run")) == sent and answers(hosting)[-1][1] == "denied"
 
 
 def test_a_streamed_answer_has_no_deadline_and_a_break_ends_it(clock):
     settings = {**SETTINGS, "profiles": [{**SETTINGS["profiles"][0], "streamed": True}]}
-    hosting = Hosting(Outside(), words.facts(settings), 7, clock)
+    hosting = ModuleHost(Recorder(), words.facts(settings), 7, clock)
     hosting.listed([SrvFacts("w")], whole=True)
     ask(hosting)
     (number,) = out(hosting)
     hosting.begun(number)
     clock.now += 100_000
-    hosting.turn()
-    assert answers(hosting) == [] and len(hosting.outside.of("stream")) == 1
+    hosting.fire_timers()
+    assert answers(hosting) == [] and len(hosting.transport.of("stream")) == 1
     hosting.ended(number, Outcome.RESET)
     assert answers(hosting) == [("c1/r", "aborted")]
 
 
 def test_an_order_without_word_ends_in_its_time(clock):
     info = {**SETTINGS["family-info"], "answer-within": 2_000_000}
-    hosting = Hosting(Outside(), words.facts({**SETTINGS, "family-info": info}), 7, clock)
+    hosting = ModuleHost(Recorder(), words.facts({**SETTINGS, "family-info": info}), 7, clock)
     hosting.listed([SrvFacts("w")], whole=True)
     ask(hosting)
     (number,) = out(hosting)
     hosting.ended(number, Outcome.MISS)
-    assert len(hosting.errands) == 1
+    assert len(hosting.tasks) == 1
     clock.now += 20_000
-    hosting.turn()
-    assert hosting.errands == {} and len(hosting.outside.of("withdraw")) == 1
+    hosting.fire_timers()
+    assert hosting.tasks == {} and len(hosting.transport.of("withdraw")) == 1
 
 
-def test_the_door_forgets_the_longest_unused_function():
-    door = Door(most=2)
-    first = door.fn("a", 0, 1.0, 1)
-    door.fn("b", 0, 1.0, 1)
-    assert door.fn("a", 0, 1.0, 1) is first
-    door.fn("c", 0, 1.0, 1)
-    assert list(door.fns) == ["a", "c"]
+def test_the_registry_forgets_the_longest_unused_function():
+    registry = ObjectRegistry(most=2)
+    first = registry.fn("a", 0, 1.0, 1)
+    registry.fn("b", 0, 1.0, 1)
+    assert registry.fn("a", 0, 1.0, 1) is first
+    registry.fn("c", 0, 1.0, 1)
+    assert list(registry.fns) == ["a", "c"]
 
 
 def test_timers_of_answered_rpcs_go_when_they_would_have_been_due(hosting):
@@ -226,18 +226,18 @@
             hosting.ended(number, Outcome.OK)
     hosting.timers.next()
     hosting.clock.now += 31_000
-    hosting.turn()
+    hosting.fire_timers()
     assert len(hosting.timers.heap) < 10
 
 
-def test_the_door_lets_go_of_functions_of_which_nothing_is_held():
-    door = Door(20_000)
-    kept = door.fn("kept", 0, 1.0, 1)
-    kept.marks[door.srv("w")] = 1.0
+def test_the_registry_lets_go_of_functions_of_which_nothing_is_held():
+    registry = ObjectRegistry(20_000)
+    kept = registry.fn("kept", 0, 1.0, 1)
+    kept.marks[registry.srv("w")] = 1.0
     for i in range(3_000):
-        door.fn(f"f{i}", 0, 1.0, 1)
-    assert len(door.fns) > 3_000  # the oldest is in use
+        registry.fn(f"f{i}", 0, 1.0, 1)
+    assert len(registry.fns) > 3_000  # the oldest is in use
     kept.marks.clear()
     for i in range(6_000):
-        door.fn(f"g{i}", 0, 1.0, 1)
-    assert "kept" not in door.fns and len(door.fns) < 1_100
+        registry.fn(f"g{i}", 0, 1.0, 1)
+    assert "kept" not in registry.fns and len(registry.fns) < 1_100
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -102,10 +102,10 @@
     for id_, more, kept in (("1", {}, None), ("2", {"load": 1200.0}, 12_000), ("3", {}, 12_000)):
         client.say(**CALL, id=id_, **more)
         stage.run()
-        assert stage.edge.host.door.fns["f"].load == kept
+        assert stage.edge.host.registry.fns["f"].load == kept
     client.say(**CALL, id="4", load=-1)
     stage.run()
-    assert client.heard("fault") and stage.edge.host.door.fns["f"].load == 12_000
+    assert client.heard("fault") and stage.edge.host.registry.fns["f"].load == 12_000
 
 
 def test_an_edge_that_stops_writes_what_it_has_learnt_and_the_next_one_starts_from_it(stage, path):
--- a/tests/test_linking.py
+++ b/tests/test_linking.py
@@ -148,7 +148,7 @@
 
     open_link.rim.write, wrote = full, open_link.rim.write
     assert open_link.send(1, b"a") and open_link.send(2, b"b")
-    assert not open_link.out and open_link.take_back(1) and not open_link.take_back(1)
+    assert not open_link.out and open_link.cancel_unsent(1) and not open_link.cancel_unsent(1)
     open_link.rim.write = wrote
     open_link.step(Input.EASED)
     assert open_link.rim.acts == [b"b"] and list(open_link.out) == [2]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -456,8 +456,8 @@
     client = stage.client()
     client.ask(patience="4000")
     stage.hand.until(lambda: got)
-    (flight,) = stage.host.flights.values()
-    rpc, srv = flight.ticket, flight.srv
+    (attempt,) = stage.host.attempts.values()
+    rpc, srv = attempt.pending, attempt.srv
     second = CallOut(rpc, srv, stage.module.now, company=2)
     rpc.call_outs.append(second)
     rpc.fn.spot(srv).begin(second)
@@ -651,7 +651,7 @@
         core, module = stage.node.core, stage.module
         kinds = sum(isinstance(o, Srv | RunnerConnection | Runner | Linking) for o in gc.get_objects())
         connections = stage.node.speech.connections
-        return len(core.runners), len(module.srvs), len(stage.host.door.srvs), connections, kinds
+        return len(core.runners), len(module.srvs), len(stage.host.registry.srvs), connections, kinds
 
     client, port, before = stage.client(), stage.runners[0].port, None
     gc.collect()
