Fleet: membership divided by job, settings typed, standard terms

Cause: fleet/members.py held beliefs, probes, suspicion, paging and the member's own state in 485 lines, with settings in a bare map. Change: settings.py (MembershipSettings, FleetSettings), table.py, probing.py (FailureDetector), suspicion.py (LocalHealth), dissemination.py (Outbox, TableSync), chance.py, members.py; talk.py becomes endpoint.py (FleetEndpoint), its Ground a Runtime, Standing a SelfState. Log lines, datagrams and settings of deployments stay.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -459,7 +459,7 @@
             news = () if second else claims[first : first + 10]
             data = pack(Datagram("measured", 1, claim, word, news))
             when = first / len(others)
-            reactor.callLater(when, together.talk.datagramReceived, data, ("127.0.0.1", 1))
+            reactor.callLater(when, together.endpoint.datagramReceived, data, ("127.0.0.1", 1))
         reactor.callLater(1.0, told, second + 1)
 
     def begin() -> int:
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -79,7 +79,7 @@
 
     def stop(self, stopped: Callable[[], None]) -> None:
         if self.together is not None:
-            self.together.talk.leave()
+            self.together.endpoint.leave()
         super().stop(stopped)
 
     # the list and the runners
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -1,12 +1,13 @@
-"""An edge's part in its fleet: the talk with other edges, and the door that goes by what they say."""
+"""An edge's part in its fleet: its endpoint towards other edges, and admission by what they say."""
 
 from typing import Any
 
 from lapistrestle.deployment.shape import Fleet
 from lapistrestle.fleet.allowance import Allowance
+from lapistrestle.fleet.endpoint import FleetEndpoint
 from lapistrestle.fleet.lending import Lending
-from lapistrestle.fleet.members import Standing
-from lapistrestle.fleet.talk import Talk
+from lapistrestle.fleet.settings import FleetSettings
+from lapistrestle.fleet.table import ACTIVE
 from lapistrestle.overload.door import LOOK, Door
 from lapistrestle.overload.probers import Verdicts, probers
 from lapistrestle.state import Srv
@@ -18,36 +19,36 @@
     def __init__(self, edge: Any, fleet: Fleet, boot: int, nonce: int) -> None:
         self.edge, self.fleet = edge, fleet
         place = edge.deployment.dispatcher
-        facts = {
-            "fleet": fleet.name,
-            "port": fleet.port,
-            "told_port": fleet.told_port,
-            "period": int(fleet.period),
-            "direct": int(fleet.period) * 3 // 10,
-            "seeds": tuple(("127.0.0.1", port) for port in fleet.seeds),
-        }
-        self.talk = Talk(edge, facts, place.name, place.zone, boot, nonce, place.seed)
+        settings = FleetSettings(
+            fleet=fleet.name,
+            port=fleet.port,
+            advertised_port=fleet.told_port,
+            period=int(fleet.period),
+            direct=int(fleet.period) * 3 // 10,
+            seeds=tuple(("127.0.0.1", port) for port in fleet.seeds),
+        )
+        self.endpoint = FleetEndpoint(edge, settings, place.name, place.zone, boot, nonce, place.seed)
         told = {"tell": int(fleet.tell), "refresh": 2 * int(fleet.tell)}
-        life = self.talk.members.me.life
-        self.door = Door(edge.facts, life, told, place.seed, self.talk.log, edge.clock())
+        life = self.endpoint.members.me.life
+        self.door = Door(edge.facts, life, told, place.seed, self.endpoint.log, edge.clock())
         self.verdicts = Verdicts(place.name)
         self.triers: dict[str, list[str]] = {}  # by worker: who tries it while it is suspect
         self.those: list[str] = []  # of whom they were drawn
         self.doubted: set[Srv] = set()  # of whom we told that they are suspect
         if fleet.shed:
-            self.talk.digests, self.talk.verdicts = self.door.digests, self.verdicts
+            self.endpoint.digests, self.endpoint.verdicts = self.door.digests, self.verdicts
 
         if fleet.loads:
             longest = max(m["deadline"] for m in edge.facts["methods"])  # that one counts as under way
             settle = max(longest, edge.facts["order_time_out"])
             lends = {"settle": settle, "lasts": 3 * settle}  # so that what began on a loan ends within it
             loads = Allowance("loads", fleet.loads, place.of, place.number, lends, edge.clock())
-            self.talk.lending = Lending(loads, self.loading, self.talk.lend, place.seed)
+            self.endpoint.lending = Lending(loads, self.loading, self.endpoint.lend, place.seed)
             edge.facts["loads"] = self.loads
 
     def loads(self, now: int) -> bool:
         """Whether one more load of this edge may begin at this moment."""
-        lending = self.talk.lending
+        lending = self.endpoint.lending
         assert lending is not None
         if self.loading() < lending.part(now):
             return True
@@ -59,18 +60,18 @@
         return sum(srv.loads for srv in self.edge.host.module.srvs)
 
     def start(self) -> None:
-        self.talk.start()
+        self.endpoint.start()
         self.look()
 
     def look(self, _: object = None) -> None:
         if self.edge.stopping:
             return
-        if self.talk.lending is not None:
-            here = [member.claim for member in self.talk.members.here()]
-            member = self.talk.members.standing in (Standing.JOINING, Standing.MEMBER)
-            self.talk.lending.look(here, member, self.edge.clock())
+        if self.endpoint.lending is not None:
+            here = [member.claim for member in self.endpoint.members.live()]
+            member = self.endpoint.members.state in ACTIVE
+            self.endpoint.lending.look(here, member, self.edge.clock())
         if self.fleet.shed:
-            self.door.look(self.talk.present, self.talk.members.size, self.edge.clock())
+            self.door.look(self.endpoint.present, self.endpoint.members.size, self.edge.clock())
             self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
             self.edge.facts["further"] = self.door.further
             self.share_trials()
@@ -79,8 +80,8 @@
     def share_trials(self) -> None:
         """Tell others what the module found of workers, and the module what others found."""
         now, me, found = self.edge.clock(), self.verdicts.me, self.verdicts.found
-        members = self.talk.members
-        those = [me, *(m.name for m in members.here())] if members.size else [me]
+        members = self.endpoint.members
+        those = [me, *(m.name for m in members.live())] if members.size else [me]
         if those != self.those:
             self.those, self.triers = those, {}
         srvs = self.edge.host.module.serving
@@ -109,21 +110,21 @@
         return self.door.gate(method, customer, repeat, key, self.edge.clock())
 
     def loads_shown(self, now: int) -> dict[str, int] | None:
-        if self.talk.lending is None:
+        if self.endpoint.lending is None:
             return None
-        of = self.talk.lending.allowance
+        of = self.endpoint.lending.allowance
         lent, had = of.out_on_loan(), sum(loan.units for loan in of.had.values())
         return {"may": of.part(now), "cut": of.cut, "lent": lent, "borrowed": had,
                 "under way": self.loading()}  # fmt: skip
 
     def show(self) -> dict[str, Any]:
-        members, now = self.talk.members, self.edge.clock()
+        endpoint, members, now = self.endpoint, self.endpoint.members, self.edge.clock()
         return {
-            "name": members.me.name, "fleet": self.fleet.name, "standing": members.standing.name.lower(),
-            "doubt": members.doubt, "size": members.size, "door": self.door.show(),
+            "name": members.me.name, "fleet": self.fleet.name, "standing": members.state.name.lower(),
+            "doubt": members.health.score, "size": members.size, "door": self.door.show(),
             "loads": self.loads_shown(now),
-            "datagrams": {"sent": self.talk.sent, "bytes": self.talk.sent_bytes, "came": self.talk.came,
-                          "refused": self.talk.refused + self.door.digests.refused},
+            "datagrams": {"sent": endpoint.sent, "bytes": endpoint.sent_bytes, "came": endpoint.came,
+                          "refused": endpoint.refused + self.door.digests.refused},
             "members": [
                 {"name": m.name, "zone": m.claim.zone, "port": m.claim.port, "is": m.rank.name.lower(),
                  "for ms": (now - m.since) / 10, "incarnation": m.claim.incarnation,
--- a/lapistrestle/fleet/talk.py
+++ b/lapistrestle/fleet/endpoint.py
@@ -1,4 +1,4 @@
-"""The socket between dispatchers: datagrams in and out, and the timer of what is decided in this package."""
+"""The UDP socket between dispatchers: datagrams in and out, and the timer of what this package decides."""
 
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -8,11 +8,14 @@
 
 from lapistrestle.fleet.digests import Digests
 from lapistrestle.fleet.lending import Lending
-from lapistrestle.fleet.members import Facts, Member, Members, Standing
+from lapistrestle.fleet.members import Members
+from lapistrestle.fleet.settings import FleetSettings
+from lapistrestle.fleet.table import Member, SelfState
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Claim, Datagram, Rank
 
 VERDICTS = 4  # in one datagram
+INTERFACE = "127.0.0.1"  # where datagrams are heard
 LOANS = (wire.Lend, wire.Lent, wire.Returned)
 
 
@@ -23,7 +26,7 @@
     def to_tell(self, now: int, most: int) -> tuple[wire.Verdict, ...]: ...
 
 
-class Ground(Protocol):
+class Runtime(Protocol):
     """What the program gives: an edge, or a test's stand-in for one. Times in tenths of a millisecond."""
 
     reactor: Any
@@ -35,48 +38,54 @@
     def log(self, what: str, **figures: Any) -> None: ...
 
 
-class Talk(DatagramProtocol):
-    """One dispatcher's part in its fleet.
-
-    `facts`: "fleet" is the fleet's name, "port" where this one listens, "told_port" where others reach it if
-    that is another, "seeds" a list of (host, port); the rest is in `members.DEFAULTS`.
-    """
+class FleetEndpoint(DatagramProtocol):
+    """One dispatcher's end of its fleet. `boot` grows with each start of a process, `nonce` differs at each;
+    `digests`, `verdicts` and `lending` are set by whoever has something to tell beside who is there."""
 
     transport: Any
 
     def __init__(
-        self, ground: Ground, facts: Facts, name: str, zone: str, boot: int, nonce: int, seed: int
-    ) -> None:  # fmt: skip
-        self.ground, self.facts, self.fleet, self.seed = ground, facts, facts["fleet"], seed
-        port = facts.get("told_port") or facts["port"]
-        me = Claim(name, boot, nonce, 0, Rank.ALIVE, facts.get("host", "127.0.0.1"), port, zone)
-        self.members = Members(self, facts, me, seed, ground.clock())
-        self.digests: Digests | None = None  # what is told beside who is there
+        self,
+        runtime: Runtime,
+        settings: FleetSettings,
+        name: str,
+        zone: str,
+        boot: int,
+        nonce: int,
+        seed: int,
+    ) -> None:
+        self.runtime, self.settings, self.seed = runtime, settings, seed
+        port = settings.advertised_port or settings.port
+        me = Claim(name, boot, nonce, 0, Rank.ALIVE, settings.host, port, zone)
+        self.members = Members(self, settings, me, seed, runtime.clock())
+        self.digests: Digests | None = None
         self.verdicts: Verdicts | None = None
         self.lending: Lending | None = None
-        self.told_at = ground.clock()
+        self.told_at = runtime.clock()
         self.draws = 0
         self.timer: Any = None
         self.timer_at = -1
         self.sent = self.sent_bytes = self.came = self.refused = 0
 
     def start(self) -> None:
-        self.ground.reactor.listenUDP(self.facts["port"], self, interface="127.0.0.1")
-        self.members.start(self.ground.clock())
+        """Listen, and join through the seeds."""
+        self.runtime.reactor.listenUDP(self.settings.port, self, interface=INTERFACE)
+        self.members.start(self.runtime.clock())
         self.wake()
 
     def leave(self) -> None:
-        self.members.leave(self.ground.clock())
+        """Say that this process ends."""
+        self.members.leave(self.runtime.clock())
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:
-        self.ground.input()
+        self.runtime.input()
         self.came += 1
         try:
-            datagram = wire.unpack(data, self.fleet)
+            datagram = wire.unpack(data, self.settings.fleet)
         except wire.Unreadable as trouble:
             self.refused += 1
-            return self.ground.passed_over(f"fleet datagram from port {addr[1]}", str(trouble))
-        now = self.ground.clock()
+            return self.runtime.passed_over(f"fleet datagram from port {addr[1]}", str(trouble))
+        now = self.runtime.clock()
         self.members.heard(datagram.sender, datagram.word, datagram.claims, now)
         if isinstance(datagram.word, wire.Rows) and self.digests is not None:
             self.digests.heard(datagram.word.layout, datagram.word.rows, now)
@@ -96,11 +105,11 @@
         if self.timer is not None:
             self.timer.stop()
         self.timer_at = due
-        self.timer = self.ground.after(max(1, due - self.ground.clock()), self.turn, None)
+        self.timer = self.runtime.after(max(1, due - self.runtime.clock()), self.turn, None)
 
     def turn(self, _: object = None) -> None:
         self.timer = None
-        now = self.ground.clock()
+        now = self.runtime.clock()
         if now >= self.members.due:
             self.members.tick(now)
         if self.digests is not None and now >= self.told_at + self.digests.facts["tell"]:
@@ -110,26 +119,27 @@
 
     def tell(self, digests: Digests, now: int) -> None:
         """Counters to a few, drawn anew each time."""
-        here = list(self.members.here()) if self.members.standing is Standing.MEMBER else []
+        live = list(self.members.live()) if self.members.state is SelfState.MEMBER else []
         own = wire.size(digests.tellers[digests.life[0]].row)
-        for _ in range(min(len(here), digests.datagrams(len(here) + 1, own))):
+        for _ in range(min(len(live), digests.datagrams(len(live) + 1, own))):
             self.draws += 1
-            member = here.pop(crc32(f"{self.seed}:tell:{self.draws}".encode()) % len(here))
+            member = live.pop(crc32(f"{self.seed}:tell:{self.draws}".encode()) % len(live))
             verdicts = self.verdicts.to_tell(now, VERDICTS) if self.verdicts is not None else ()
             room = wire.MOST - wire.HEAD - sum(map(wire.size, verdicts))
             word = wire.Rows(digests.layout, tuple(digests.to_tell(now, room)), verdicts)
             self.send(member.claim.host, member.claim.port, word, ())
 
-    # what membership asks (members.Outside)
+    # what membership asks (dissemination.MembershipTransport)
 
     def send(self, host: str, port: int, word: wire.AnyWord, claims: tuple[Claim, ...]) -> None:
-        data = wire.pack(Datagram(self.fleet, wire.VERSION, self.members.me, word, claims))
+        data = wire.pack(Datagram(self.settings.fleet, wire.VERSION, self.members.me, word, claims))
         if self.transport is not None:
             self.sent += 1
             self.sent_bytes += len(data)
             self.transport.write(data, (host, port))
 
     def lend(self, to: Claim, word: wire.AnyWord) -> None:
+        """Send a word of lending."""
         self.send(to.host, to.port, word, ())
 
     def changed(self, member: Member) -> None:
@@ -139,7 +149,7 @@
     def present(self, name: str) -> bool:
         """Whether that one counts as there."""
         member = self.members.members.get(name)
-        return member is not None and member.here
+        return member is not None and member.live
 
     def log(self, text: str) -> None:
-        self.ground.log("fleet", figures=text)
+        self.runtime.log("fleet", figures=text)
--- /dev/null
+++ b/lapistrestle/fleet/probing.py
@@ -0,0 +1,157 @@
+"""SWIM's failure detector: one member probed a period, directly, then through others. Free of I/O."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from lapistrestle.fleet.chance import Draws
+from lapistrestle.fleet.dissemination import Outbox
+from lapistrestle.fleet.settings import MembershipSettings
+from lapistrestle.fleet.suspicion import LocalHealth
+from lapistrestle.fleet.table import Member, MemberTable
+from lapistrestle.wire import fleet as wire
+from lapistrestle.wire.fleet import Claim, Rank
+
+MOST_RELAYED = 64  # pings for others that may be open: guards against one that asks without end
+
+Phase = Enum("Phase", "IDLE DIRECT INDIRECT ANSWERED")  # of the probe under way
+Event = Enum("Event", "PERIOD LATE ANSWER")
+
+
+@dataclass(frozen=True)
+class RelayedPing:
+    """A ping that another asked us for."""
+
+    asker: Claim
+    number: int  # the asker's
+    until: int
+
+
+class FailureDetector:
+    """Probes, and pings relayed for others. `suspect` takes up a claim; `nobody_left` is called where there
+    is nobody to probe."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: MemberTable,
+        outbox: Outbox,
+        health: LocalHealth,
+        draws: Draws,
+        suspect: Callable[[Claim], None],
+        nobody_left: Callable[[], None],
+        now: int,
+    ) -> None:
+        self.settings, self.table, self.outbox = settings, table, outbox
+        self.health, self.draws = health, draws
+        self.suspect, self.nobody_left = suspect, nobody_left
+        self.now = now
+        self.phase = Phase.IDLE
+        self.target: Member | None = None
+        self.ping = -1  # number of the one that was sent to the target
+        self.pinged_at, self.late_at = now, -1
+        self.round: list[Member] = []  # yet to be probed in this round
+        self.relayed: dict[int, RelayedPing] = {}
+
+    def handle(self, event: Event, now: int) -> None:
+        """Move the probe under way."""
+        self.now = now
+        self.phase, effect = TRANSITIONS[self.phase, event]
+        effect(self)
+
+    def interrupt(self) -> bool:
+        """After a standstill of our own what was not heard says nothing of others. Returns whether a probe
+        was open."""
+        waiting = self.phase in (Phase.DIRECT, Phase.INDIRECT)
+        if waiting:
+            self.phase = Phase.IDLE
+        return waiting
+
+    def deadlines(self) -> list[int]:
+        """When a probe or a relayed ping is late."""
+        probe = [self.late_at] if self.phase is Phase.DIRECT else []
+        return probe + [relayed.until for relayed in self.relayed.values()]
+
+    # effects of the transitions
+
+    def ping_next(self) -> None:
+        """Ping the next of the round: each once, in an order drawn anew each time."""
+        while self.round and not (self.round[-1].known and self.round[-1].live):
+            self.round.pop()
+        if not self.round:
+            live = self.table.live()
+            self.round = self.draws.some(live, len(live))
+        if not self.round:
+            self.phase = Phase.IDLE
+            return self.nobody_left()
+        self.target = self.round.pop()
+        self.pinged_at = self.now
+        self.late_at = self.now + self.health.stretch(self.settings.direct)
+        claim = self.target.claim
+        self.ping = self.outbox.ping(claim.host, claim.port, self.target)
+
+    def ping_indirectly(self) -> None:
+        """Have others ping the target, who has not answered us."""
+        target = self.target
+        assert target is not None
+        others = [m for m in self.table.live() if m is not target]
+        relays = self.draws.some(others, self.settings.relays)
+        for relay in relays:
+            self.outbox.send(relay, wire.Ask(self.ping, target.name, target.claim.host, target.claim.port))
+        if relays:
+            self.health.worsen()  # until one of them says that it hears us
+
+    def accuse(self) -> None:
+        """Nobody has had an answer from the target: suspect it, and probe the next."""
+        target = self.target
+        assert target is not None
+        if target.known and target.rank is Rank.ALIVE:
+            waited = self.now - self.pinged_at
+            self.outbox.transport.log(f"{target.name} suspect: no answer in {waited}")
+        if target.known and target.live:
+            self.suspect(wire.replace(target.claim, rank=Rank.SUSPECT, by=self.table.me.name))
+        self.ping_next()
+
+    def recover(self) -> None:
+        """The target has answered."""
+        self.health.improve()
+
+    # what comes in
+
+    def ack_received(self, member: Member, number: int, now: int) -> None:
+        """An answer to a ping: to our own, or to one relayed, which is passed on with the target's claim."""
+        if number == self.ping and self.phase in (Phase.DIRECT, Phase.INDIRECT) and member is self.target:
+            self.handle(Event.ANSWER, now)
+        relayed = self.relayed.pop(number, None)
+        if relayed is not None:
+            self.outbox.reply(relayed.asker, wire.Ack(relayed.number), (member.claim,))
+
+    def nack_received(self, number: int) -> None:
+        """A relay hears us, though not the target: silence is not ours."""
+        if number == self.ping and self.phase is Phase.INDIRECT:
+            self.health.improve()
+
+    def relay(self, asker: Claim, ask: wire.Ask, now: int) -> None:
+        """Ping a member for another."""
+        if len(self.relayed) < MOST_RELAYED:
+            number = self.outbox.ping(ask.host, ask.port)
+            self.relayed[number] = RelayedPing(asker, ask.seq, now + self.settings.direct)
+
+    def give_up_relayed(self, now: int) -> None:
+        """Tell those who asked that the target has not answered us either."""
+        for number in [n for n, relayed in self.relayed.items() if now >= relayed.until]:
+            relayed = self.relayed.pop(number)
+            self.outbox.reply(relayed.asker, wire.Nack(relayed.number))
+
+
+Effect = Callable[[FailureDetector], Any]
+TRANSITIONS: dict[tuple[Phase, Event], tuple[Phase, Effect]] = {
+    (Phase.IDLE, Event.PERIOD): (Phase.DIRECT, FailureDetector.ping_next),
+    (Phase.DIRECT, Event.ANSWER): (Phase.ANSWERED, FailureDetector.recover),
+    (Phase.DIRECT, Event.LATE): (Phase.INDIRECT, FailureDetector.ping_indirectly),
+    (Phase.DIRECT, Event.PERIOD): (Phase.DIRECT, FailureDetector.accuse),
+    (Phase.INDIRECT, Event.ANSWER): (Phase.ANSWERED, FailureDetector.recover),
+    (Phase.INDIRECT, Event.PERIOD): (Phase.DIRECT, FailureDetector.accuse),
+    (Phase.ANSWERED, Event.PERIOD): (Phase.DIRECT, FailureDetector.ping_next),
+}
--- a/lapistrestle/standins/fleet.py
+++ b/lapistrestle/standins/fleet.py
@@ -1,4 +1,4 @@
-"""Many dispatchers' talk in virtual time, and what breaks between them: the rig of the fleet's tests."""
+"""Many dispatchers' endpoints in virtual time, and faults between them: the rig of the fleet's tests."""
 
 import random
 import socket
@@ -7,7 +7,8 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from lapistrestle.fleet.talk import Talk
+from lapistrestle.fleet.endpoint import FleetEndpoint
+from lapistrestle.fleet.settings import FleetSettings
 from lapistrestle.hosting.timers import Timer
 from lapistrestle.standins.virtual import LATENCY, Process, VirtualReactor
 
@@ -72,8 +73,9 @@
     return [port.getHost().port for port in made]
 
 
-class Ground:
-    """What a `Talk` needs of its program, on a process of the virtual reactor whose clock may run wrong."""
+class VirtualRuntime:
+    """What a `FleetEndpoint` needs of its program (`fleet.endpoint.Runtime`), on a process of the virtual
+    reactor whose clock may run wrong."""
 
     def __init__(self, reactor: VirtualReactor, name: str, drift: float = 0.0) -> None:
         self.reactor: Any = Process(reactor, name)
@@ -99,13 +101,13 @@
 
 
 class Cluster:
-    """Dispatchers that only talk. `make` builds one, by default a plain `Talk`."""
+    """Dispatchers that only endpoint. `make` builds one, by default a plain `FleetEndpoint`."""
 
     def __init__(self, seed: int = 1, **facts: Any) -> None:
         self.reactor, self.links, self.seed = VirtualReactor(), Links(seed), seed
         self.reactor.links = self.links.fates
         self.facts: dict[str, Any] = {"fleet": "f", **facts}
-        self.talks: dict[str, Talk] = {}
+        self.endpoints: dict[str, FleetEndpoint] = {}
         self.starts = 0
 
     def port(self, name: str) -> int:
@@ -114,38 +116,40 @@
     def add(
         self, name: str, seeds: tuple[str, ...] = (), boot: int | None = None, zone: str = "", port: int = 0,
         drift: float = 0.0, **facts: Any,
-    ) -> Talk:  # fmt: skip
+    ) -> FleetEndpoint:  # fmt: skip
         self.starts += 1
-        ground = Ground(self.reactor, name, drift)
-        made = {**self.facts, "port": port or self.port(name), **facts,
-                "seeds": tuple(("127.0.0.1", self.port(s)) for s in seeds)}  # fmt: skip
+        runtime = VirtualRuntime(self.reactor, name, drift)
+        addresses = tuple(("127.0.0.1", self.port(s)) for s in seeds)
+        settings = FleetSettings(**{**self.facts, **facts}, port=port or self.port(name), seeds=addresses)
         boot = round(self.reactor.seconds() * 1000) if boot is None else boot
-        talk = Talk(ground, made, name, zone, boot, self.seed * 1_000 + self.starts, self.seed + self.starts)
-        self.talks[name] = talk
-        talk.start()
-        return talk
-
-    def many(self, count: int, zones: int = 1) -> list[Talk]:
+        endpoint = FleetEndpoint(
+            runtime, settings, name, zone, boot, self.seed * 1_000 + self.starts, self.seed + self.starts
+        )
+        self.endpoints[name] = endpoint
+        endpoint.start()
+        return endpoint
+
+    def many(self, count: int, zones: int = 1) -> list[FleetEndpoint]:
         return [self.add(f"e-{i}", ("e-0", "e-1")[: max(1, i)], zone=f"z{i % zones}") for i in range(count)]
 
     def process(self, name: str) -> Process:
-        made: Process = self.talks[name].ground.reactor
+        made: Process = self.endpoints[name].runtime.reactor
         return made
 
     def kill(self, name: str) -> None:
         self.process(name).kill()
-        self.reactor.datagrams.pop(self.talks.pop(name).facts["port"], None)
+        self.reactor.datagrams.pop(self.endpoints.pop(name).settings.port, None)
 
     def run(self, seconds: float) -> None:
         self.reactor.run(self.reactor.seconds() + seconds)
 
     def view(self, name: str) -> set[str]:
         """Who counts as there, in that one's eyes."""
-        return {m.name for m in self.talks[name].members.here()}
+        return {m.name for m in self.endpoints[name].members.live()}
 
     def agreed(self) -> bool:
         """Whether each sees all the others that run, and nobody else."""
-        names = set(self.talks)
+        names = set(self.endpoints)
         return all(self.view(name) == names - {name} for name in names)
 
     def until(self, done: Callable[[], bool], within: float, step: float = 0.5) -> float:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lapistrestle.fleet.members import DOUBT, Members, Standing
+from lapistrestle.fleet.members import Members
+from lapistrestle.fleet.settings import MembershipSettings
+from lapistrestle.fleet.suspicion import MAX_SCORE
+from lapistrestle.fleet.table import SelfState
 from lapistrestle.standins.fleet import Cluster
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Claim, Rank
@@ -15,7 +18,7 @@
 
 
 class Written:
-    """An outside that writes down."""
+    """A transport that writes down."""
 
     def __init__(self):
         self.sent, self.logs = [], []
@@ -39,10 +42,10 @@
 
 @pytest.fixture
 def made():
-    outside = Written()
-    members = Members(outside, {}, claim("a"), 1, 0)
+    transport = Written()
+    members = Members(transport, MembershipSettings(), claim("a"), 1, 0)
     members.start(0)
-    return members, outside
+    return members, transport
 
 
 def meet(members, *names):
@@ -58,9 +61,9 @@
 
 def test_who_says_that_a_member_is_there_accuses_it_of_nothing():
     """Said twice, with a name beside it, it had counted as an accuser of the suspicion that followed."""
-    members = Members(Written(), {}, claim("a"), 1, 0)
+    members = Members(Written(), MembershipSettings(), claim("a"), 1, 0)
     for rank, by in ((Rank.ALIVE, "x"), (Rank.ALIVE, "x"), (Rank.SUSPECT, "y")):
-        members.believe(Claim("b", 1, 1, 1, rank, "127.0.0.1", 9, "", by))
+        members.apply(Claim("b", 1, 1, 1, rank, "127.0.0.1", 9, "", by))
     assert members.members["b"].rank is Rank.SUSPECT and members.members["b"].accusers == {"y"}
 
 
@@ -70,21 +73,21 @@
     random.shuffle(other)
     beliefs = []
     for said in (told, other):
-        members = Members(Written(), {}, claim("a"), 1, 0)
+        members = Members(Written(), MembershipSettings(), claim("a"), 1, 0)
         for each in said:
-            members.believe(each)
+            members.apply(each)
         known = members.members.values()
         held = {m.name: (m.claim.order, m.rank is Rank.SUSPECT and m.accusers) for m in known}
-        beliefs.append((held, {m.name for m in members.suspected}, [m.name for m in members.here()]))
+        beliefs.append((held, {m.name for m in members.table.suspected}, [m.name for m in members.live()]))
     assert beliefs[0] == beliefs[1]
 
 
 @given(st.lists(claims, max_size=12))
 def test_leaving_is_not_taken_back_within_a_boot_and_nobody_else_raises_an_incarnation(told):
-    members = Members(Written(), {}, claim("a"), 1, 0)
+    members = Members(Written(), MembershipSettings(), claim("a"), 1, 0)
     left = set()
     for each in told:
-        members.believe(each)
+        members.apply(each)
         left |= {each.life} if each.rank is Rank.LEFT else set()
         held = members.members[each.name].claim
         assert held.life not in left or held.rank is Rank.LEFT
@@ -95,7 +98,7 @@
     members, _ = made
     meet(members, "b")
     members.heard(claim("b"), wire.Ping(1), (claim("a", 0, Rank.SUSPECT, by="b"),), 10)
-    assert members.me.incarnation == 1 and members.doubt == 1
+    assert members.me.incarnation == 1 and members.health.score == 1
     members.heard(claim("b"), wire.Ping(2), (claim("a", 0, Rank.DEAD),), 20)
     assert members.me.incarnation == 1  # refuted already
 
@@ -103,34 +106,34 @@
 def test_further_accusers_shorten_a_suspicion_and_doubt_lengthens_it(made):
     members, _ = made
     meet(members, "b", "c", "d", "e", "f")
-    members.believe(claim("b", 0, Rank.SUSPECT, by="c"))
+    members.apply(claim("b", 0, Rank.SUSPECT, by="c"))
     suspect = members.members["b"]
-    alone = members.verdict_at(suspect)
-    members.believe(claim("b", 0, Rank.SUSPECT, by="d"))
-    two = members.verdict_at(suspect)
+    alone = members.suspicion_ends(suspect)
+    members.apply(claim("b", 0, Rank.SUSPECT, by="d"))
+    two = members.suspicion_ends(suspect)
     for by in "ef":
-        members.believe(claim("b", 0, Rank.SUSPECT, by=by))
-    assert members.verdict_at(suspect) < two < alone
-    certain = members.verdict_at(suspect)
-    members.believe(claim("b", 0, Rank.SUSPECT, by="e"))
-    assert members.verdict_at(suspect) == certain  # said twice by one is said once
-    members.doubt = 1
-    assert members.verdict_at(suspect) - suspect.since == 2 * (certain - suspect.since)
+        members.apply(claim("b", 0, Rank.SUSPECT, by=by))
+    assert members.suspicion_ends(suspect) < two < alone
+    certain = members.suspicion_ends(suspect)
+    members.apply(claim("b", 0, Rank.SUSPECT, by="e"))
+    assert members.suspicion_ends(suspect) == certain  # said twice by one is said once
+    members.health.score = 1
+    assert members.suspicion_ends(suspect) - suspect.since == 2 * (certain - suspect.since)
 
 
 def probing(members):
     """The first ping of a period, answered by nobody, and the clock at its time-out."""
     members.tick(members.next_period)
-    assert members.target is not None
-    return members.target, members.late_at
+    assert members.detector.target is not None
+    return members.detector.target, members.detector.late_at
 
 
 def test_others_are_asked_before_one_is_accused(made):
-    members, outside = made
+    members, transport = made
     meet(members, "b", "c", "d")
     target, late = probing(members)
     members.tick(late)
-    asks = outside.words(wire.Ask)
+    asks = transport.words(wire.Ask)
     assert len(asks) == 2 and {word.name for _, word in asks} == {target.name}
     assert target.rank is Rank.ALIVE
     members.tick(members.next_period)
@@ -142,9 +145,9 @@
     meet(members, "b", "c", "d")
     target, late = probing(members)
     members.tick(late)
-    doubt = members.doubt
-    members.heard(claim(target.name), wire.Ack(members.ping), (), late + 100)
-    assert members.doubt == doubt - 1
+    doubt = members.health.score
+    members.heard(claim(target.name), wire.Ack(members.detector.ping), (), late + 100)
+    assert members.health.score == doubt - 1
     members.tick(members.next_period)
     assert target.rank is Rank.ALIVE
 
@@ -153,7 +156,7 @@
     members, _ = made
     meet(members, "b", "c")
     target, late = probing(members)
-    members.heard(claim(target.name), wire.Ack(members.ping - 1), (), late - 1)
+    members.heard(claim(target.name), wire.Ack(members.detector.ping - 1), (), late - 1)
     members.tick(late)
     members.tick(members.next_period)
     assert target.rank is Rank.SUSPECT
@@ -162,31 +165,31 @@
 def test_who_stood_still_accuses_nobody_and_gives_suspects_their_time(made):
     members, _ = made
     meet(members, "b", "c")
-    members.believe(claim("c", 0, Rank.SUSPECT, by="b"))
+    members.apply(claim("c", 0, Rank.SUSPECT, by="b"))
     probing(members)
     members.tick(members.next_period + 60 * SECOND)
     assert {m.rank for m in members.members.values()} == {Rank.ALIVE, Rank.SUSPECT}
-    assert members.doubt >= 1 and "a" not in members.members["c"].accusers
+    assert members.health.score >= 1 and "a" not in members.members["c"].accusers
 
 
 def test_doubt_is_bounded(made):
     members, _ = made
     for _ in range(20):
-        members.unsure()
-    assert members.doubt == DOUBT
+        members.health.worsen()
+    assert members.health.score == MAX_SCORE
 
 
 def test_a_relay_pings_for_another_and_says_so_when_nobody_answers(made):
-    members, outside = made
+    members, transport = made
     meet(members, "b", "c")
     members.heard(claim("b"), wire.Ask(77, "c", "127.0.0.1", 1_099), (), 10)
-    port, ping = outside.words(wire.Ping)[-1]
+    port, ping = transport.words(wire.Ping)[-1]
     assert port == 1_099
     members.heard(claim("c"), wire.Ack(ping.seq), (), 20)
-    assert (claim("b").port, wire.Ack(77)) in outside.words(wire.Ack)
+    assert (claim("b").port, wire.Ack(77)) in transport.words(wire.Ack)
     members.heard(claim("b"), wire.Ask(78, "c", "127.0.0.1", 1_099), (), 30)
-    members.tick(30 + members.facts["direct"])
-    assert (claim("b").port, wire.Nack(78)) in outside.words(wire.Nack)
+    members.tick(30 + members.settings.direct)
+    assert (claim("b").port, wire.Nack(78)) in transport.words(wire.Nack)
 
 
 def test_the_answer_through_a_relay_counts_as_the_target_s():
@@ -194,23 +197,23 @@
     cluster = Cluster(3)
     a, b, c = cluster.many(3)
     assert cluster.until(cluster.agreed, 10) < 10
-    cluster.links.sever([a.facts["port"]], [b.facts["port"]])
+    cluster.links.sever([a.settings.port], [b.settings.port])
     cluster.run(60)
-    assert cluster.agreed() and not any("dead" in line for t in (a, b, c) for line in t.ground.logs)
+    assert cluster.agreed() and not any("dead" in line for t in (a, b, c) for line in t.runtime.logs)
 
 
 def test_a_page_stays_within_a_datagram_and_goes_on():
-    outside = Written()
-    members = Members(outside, {}, claim("a"), 1, 0)
+    transport = Written()
+    members = Members(transport, MembershipSettings(), claim("a"), 1, 0)
     names = [f"{i:03d}" + "x" * 60 for i in range(60)]
     for name in names:
         long = ("127.127.127.127", 65_535, "z" * 32, "y" * 64)
-        members.believe(Claim(name, 2**61, 2**61, 0, Rank.ALIVE, *long))
+        members.apply(Claim(name, 2**61, 2**61, 0, Rank.ALIVE, *long))
     meet(members, "b")
     read, after, more = [], "", True
     while more:
         members.heard(claim("b"), wire.PageAsk(after), (), 10)
-        _, page, told = outside.sent[-1]
+        _, page, told = transport.sent[-1]
         data = wire.pack(wire.Datagram("f" * 64, 1, members.me, page, told))
         assert len(data) <= wire.MOST and told
         read += [c.name for c in told]
@@ -219,24 +222,24 @@
 
 
 def test_a_namesake_with_the_greater_start_keeps_the_name(made):
-    members, outside = made
+    members, transport = made
     meet(members, "b")
     members.heard(claim("a", boot=2, nonce=9), wire.Ping(1), (), 10)
-    assert members.standing is Standing.DISPLACED and members.size == 0
-    asked = len(outside.sent)
+    assert members.state is SelfState.DISPLACED and members.size == 0
+    asked = len(transport.sent)
     members.heard(claim("b"), wire.Ping(5), (), 20)
-    assert not outside.words(wire.Ack)[asked:]  # it speaks to nobody as a member
-    later, outside2 = Members(Written(), {}, claim("a", boot=3), 1, 0), Written()
-    later.outside = outside2
+    assert not transport.words(wire.Ack)[asked:]  # it speaks to nobody as a member
+    transport2 = Written()
+    later = Members(transport2, MembershipSettings(), claim("a", boot=3), 1, 0)
     later.heard(claim("a", boot=2, nonce=9), wire.Ping(4), (), 10)
-    assert later.standing is Standing.JOINING and outside2.words(wire.Ack)  # the other hears of us
+    assert later.state is SelfState.JOINING and transport2.words(wire.Ack)  # the other hears of us
 
 
 def test_a_name_whose_holder_is_dead_is_taken_up_though_the_clock_went_back(made):
     members, _ = made
     meet(members, "b")
     members.heard(claim("b"), wire.Ping(1), (claim("a", rank=Rank.DEAD, boot=50, nonce=7),), 10)
-    assert members.standing is Standing.MEMBER and members.me.boot == 51
+    assert members.state is SelfState.MEMBER and members.me.boot == 51
 
 
 # many of them, in virtual time
@@ -254,7 +257,7 @@
     cluster = twelve
     cluster.add("e-12", ("e-7",))
     assert cluster.until(cluster.agreed, 30) < 10
-    assert {m.claim.zone for m in cluster.talks["e-12"].members.here()} == {"z0", "z1", "z2"}
+    assert {m.claim.zone for m in cluster.endpoints["e-12"].members.live()} == {"z0", "z1", "z2"}
 
 
 def test_a_dead_one_is_missed_by_all_within_the_stated_time(twelve):
@@ -265,7 +268,7 @@
 
 def test_leaving_is_known_at_once(twelve):
     cluster = twelve
-    cluster.talks["e-4"].leave()
+    cluster.endpoints["e-4"].leave()
     cluster.run(0.1)
     cluster.kill("e-4")
     assert cluster.until(cluster.agreed, 30, 0.25) < 4
@@ -273,8 +276,8 @@
 
 def test_halves_of_a_partition_meet_again(twelve):
     cluster = twelve
-    names = list(cluster.talks)
-    ports = [cluster.talks[n].facts["port"] for n in names]
+    names = list(cluster.endpoints)
+    ports = [cluster.endpoints[n].settings.port for n in names]
     halves = set(names[:5]), set(names[5:])
     cluster.links.sever(ports[:5], ports[5:])
     apart = lambda: all(cluster.view(n) == half - {n} for half in halves for n in half)  # noqa: E731
@@ -288,8 +291,8 @@
     cluster.kill("e-5")
     cluster.add("e-5", ("e-0",))
     cluster.run(15)
-    boots = {t.members.members["e-5"].claim.boot for n, t in cluster.talks.items() if n != "e-5"}
-    assert cluster.agreed() and boots == {cluster.talks["e-5"].members.me.boot}
+    boots = {t.members.members["e-5"].claim.boot for n, t in cluster.endpoints.items() if n != "e-5"}
+    assert cluster.agreed() and boots == {cluster.endpoints["e-5"].members.me.boot}
 
 
 def test_so_does_one_whose_clock_was_set_back(twelve):
@@ -301,13 +304,13 @@
 
 def test_two_processes_under_one_name_leave_one_member(twelve):
     cluster = twelve
-    old = cluster.talks["e-8"]
+    old = cluster.endpoints["e-8"]
     new = cluster.add("e-8", ("e-0",), port=41_000)
     cluster.run(30)
-    assert old.members.standing is Standing.DISPLACED and new.members.standing is Standing.MEMBER
-    assert cluster.agreed() and not any("dead" in line for line in new.ground.logs)
-    new.ground.reactor.kill()
-    cluster.talks["e-8"] = old
+    assert old.members.state is SelfState.DISPLACED and new.members.state is SelfState.MEMBER
+    assert cluster.agreed() and not any("dead" in line for line in new.runtime.logs)
+    new.runtime.reactor.kill()
+    cluster.endpoints["e-8"] = old
     assert cluster.until(cluster.agreed, 120) < 90  # the name falls back to the one that still runs
 
 
@@ -317,7 +320,7 @@
     cluster.many(8)
     assert cluster.until(cluster.agreed, 60) < 30
     cluster.run(120)
-    assert not any(" dead" in line for t in cluster.talks.values() for line in t.ground.logs)
+    assert not any(" dead" in line for t in cluster.endpoints.values() for line in t.runtime.logs)
 
 
 def test_one_that_stands_still_two_seconds_in_four_kills_nobody_and_is_back_soon():
@@ -331,7 +334,7 @@
         process.resume()
         cluster.run(2)
         away += "e-3" not in cluster.view("e-0")
-    assert not any(" dead" in line for line in cluster.talks["e-3"].ground.logs)
+    assert not any(" dead" in line for line in cluster.endpoints["e-3"].runtime.logs)
     assert cluster.until(cluster.agreed, 30) < 10
     assert away <= 3
 
@@ -340,7 +343,7 @@
     cluster = Cluster(11)
     cluster.many(6)
     cluster.run(10)
-    ports = {n: t.facts["port"] for n, t in cluster.talks.items()}
+    ports = {n: t.settings.port for n, t in cluster.endpoints.items()}
     mute = ports.pop("e-2")
     cluster.links.sever([mute], list(ports.values()), both=False)
     rest = lambda: all(cluster.view(n) == set(ports) - {n} for n in ports)  # noqa: E731
@@ -354,22 +357,22 @@
     a = cluster.add("e-0")
     cluster.add("e-1", ("e-0",), fleet="other")
     cluster.run(5)
-    assert cluster.view("e-0") == set() and 'of the fleet "other"' in a.ground.over[0]
+    assert cluster.view("e-0") == set() and 'of the fleet "other"' in a.runtime.over[0]
     newer = wire.pack(wire.Datagram("f", 2, claim("b"), wire.Ping(1)))
     a.datagramReceived(newer, ("127.0.0.1", 9))
     a.datagramReceived(b"\xc1", ("127.0.0.1", 9))
-    assert "of version 2" in a.ground.over[-2] and "can't be read" in a.ground.over[-1]
+    assert "of version 2" in a.runtime.over[-2] and "can't be read" in a.runtime.over[-1]
 
 
 def cost(count: int) -> tuple[float, float]:
     cluster = Cluster(15)
-    talks = cluster.many(count)
+    endpoints = cluster.many(count)
     assert cluster.until(cluster.agreed, 60) < 30
     cluster.run(30)
-    before: list[Any] = [(t.sent, t.sent_bytes) for t in talks]
+    before: list[Any] = [(t.sent, t.sent_bytes) for t in endpoints]
     cluster.run(30)
-    sent = max(t.sent - b for t, (b, _) in zip(talks, before, strict=True)) / 30
-    return sent, max(t.sent_bytes - b for t, (_, b) in zip(talks, before, strict=True)) / 30
+    sent = max(t.sent - b for t, (b, _) in zip(endpoints, before, strict=True)) / 30
+    return sent, max(t.sent_bytes - b for t, (_, b) in zip(endpoints, before, strict=True)) / 30
 
 
 def test_what_a_member_spends_does_not_grow_with_the_fleet():
