--- /dev/null
+++ b/lapistrestle/directory/points.py
@@ -0,0 +1,127 @@
+"""A sorted table of positions on a ring of 64 bits, each with an owner.
+
+Positions are hashes, so they lie evenly: the ring is divided into equal stretches, a bucket each, and a
+bucket stays short. Looking one up costs the search of a bucket, adding one the shift of a bucket's few
+entries. The number of buckets follows the number of positions; dividing all of them costs one pass, once a
+doubling.
+"""
+
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator
+
+RING_BITS = 64
+RING = 1 << RING_BITS
+LEAST_BUCKET_BITS = 4
+FULLEST = 64  # positions a bucket on the average; beyond it each is divided
+EMPTIEST = 8  # below it neighbours are merged
+
+
+class Bucket:
+    """The positions of one stretch, rising, those alike by owner."""
+
+    __slots__ = ("owners", "positions")
+
+    def __init__(self, positions: "array[int] | None" = None, owners: list[str] | None = None) -> None:
+        self.positions: array[int] = array("Q") if positions is None else positions
+        self.owners: list[str] = [] if owners is None else owners
+
+    def place(self, position: int, owner: str) -> int:
+        """Where this pair is, or would be."""
+        i = bisect_left(self.positions, position)
+        while i < len(self.owners) and self.positions[i] == position and self.owners[i] < owner:
+            i += 1
+        return i
+
+    def divided(self, at: int) -> tuple["Bucket", "Bucket"]:
+        i = bisect_left(self.positions, at)
+        low = Bucket(self.positions[:i], self.owners[:i])
+        return low, Bucket(self.positions[i:], self.owners[i:])
+
+    def merged(self, other: "Bucket") -> "Bucket":
+        return Bucket(self.positions + other.positions, self.owners + other.owners)
+
+
+class PointTable:
+    """Positions and their owners, in the order of the ring. The same pair may be held once only."""
+
+    def __init__(self) -> None:
+        self.bits = LEAST_BUCKET_BITS
+        self.buckets = [Bucket() for _ in range(1 << self.bits)]
+        self.count = 0
+        self.steps = 0  # entries and empty buckets looked at since the start, for tests of the cost
+
+    def __len__(self) -> int:
+        return self.count
+
+    def bucket_of(self, position: int) -> Bucket:
+        return self.buckets[position >> (RING_BITS - self.bits)]
+
+    def add(self, position: int, owner: str) -> None:
+        """Hold a pair; one that is held already does no harm."""
+        bucket = self.bucket_of(position)
+        i = bucket.place(position, owner)
+        if i < len(bucket.owners) and bucket.positions[i] == position and bucket.owners[i] == owner:
+            return
+        bucket.positions.insert(i, position)
+        bucket.owners.insert(i, owner)
+        self.count += 1
+        if self.count > FULLEST * len(self.buckets):
+            self.divide()
+
+    def discard(self, position: int, owner: str) -> None:
+        """Hold a pair no more."""
+        bucket = self.bucket_of(position)
+        i = bucket.place(position, owner)
+        if i >= len(bucket.owners) or bucket.positions[i] != position or bucket.owners[i] != owner:
+            return
+        del bucket.positions[i], bucket.owners[i]
+        self.count -= 1
+        if self.bits > LEAST_BUCKET_BITS and self.count < EMPTIEST * len(self.buckets):
+            self.merge()
+
+    def divide(self) -> None:
+        self.bits += 1
+        width = 1 << (RING_BITS - self.bits)
+        old, self.buckets = self.buckets, []
+        for i, bucket in enumerate(old):
+            self.buckets.extend(bucket.divided((2 * i + 1) * width))
+
+    def merge(self) -> None:
+        self.bits -= 1
+        low, high = self.buckets[::2], self.buckets[1::2]
+        self.buckets = [one.merged(other) for one, other in zip(low, high, strict=True)]
+
+    def clockwise(self, position: int) -> Iterator[tuple[int, str]]:
+        """All pairs from this position on, once around the ring."""
+        first = position >> (RING_BITS - self.bits)
+        start = bisect_left(self.buckets[first].positions, position)
+        yield from self.part(first, start, None)
+        for i in range(first + 1, first + len(self.buckets)):
+            yield from self.part(i % len(self.buckets), 0, None)
+        yield from self.part(first, 0, start)
+
+    def part(self, number: int, start: int, end: int | None) -> Iterator[tuple[int, str]]:
+        bucket = self.buckets[number]
+        self.steps += 1
+        for i in range(start, len(bucket.owners) if end is None else end):
+            self.steps += 1
+            yield bucket.positions[i], bucket.owners[i]
+
+    def before(self, position: int, owner: str) -> int:
+        """The position of the pair ahead of this one, which is held; its own where there is no other."""
+        number = position >> (RING_BITS - self.bits)
+        i = self.buckets[number].place(position, owner)
+        while i == 0:
+            number = (number - 1) % len(self.buckets)
+            i = len(self.buckets[number].owners)
+            self.steps += 1
+        return self.buckets[number].positions[i - 1]
+
+    def owners_within(self, first: int, last: int) -> Iterator[str]:
+        """Owners of the positions from `first` to `last`, both included; over the ring's end if need be."""
+        length = (last - first) % RING
+        for position, owner in self.clockwise(first):
+            if (position - first) % RING > length:
+                return
+            yield owner
--- /dev/null
+++ b/lapistrestle/wire/directory.py
@@ -0,0 +1,171 @@
+"""Messages between a dispatcher that watches functions and a holder of the directory of instances.
+
+Protocol `lapistrestle.directory`, framed like the others (`wire/lines.py`). Unless stated otherwise times are
+whole tenths of a millisecond. An instance is named by the `Entry` that the roster uses; its `start` tells one
+incarnation from the next, and its `up_for` (milliseconds) is as of the sending of the message it is in.
+"""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Raw, Struct, field
+
+from lapistrestle.wire.messages import NO_BODY, Bye, Entry, Fault, Hello, Message, Name, Number
+
+DIRECTORY = "lapistrestle.directory"
+LONGEST_PREFIX = 512  # instances of one prefix, so that a snapshot fits the longest line
+MOST_IN_A_BATCH = 512  # entries of one update, for the same reason
+
+Count = Annotated[int, Meta(ge=1, le=LONGEST_PREFIX)]
+Duration = Annotated[int, Meta(ge=0, le=864_000_000)]
+
+
+class Revision(Struct, frozen=True, omit_defaults=True, gc=False):
+    """How new knowledge is: the roster's epoch (`source`) and the number of the last list or change applied.
+
+    Within one source the number orders. Between sources nothing does: a watcher remembers which it saw
+    superseded (`directory/revisions.py`).
+    """
+
+    source: str = ""
+    number: int = -1
+
+
+class RegionSums(Struct, frozen=True, omit_defaults=True, gc=False):
+    """Sums over all instances of the region, for what a dispatcher doesn't hold one by one."""
+
+    size: float = 0.0  # of the instances that serve
+    warm: float = 0.0  # the same, each times its warmth, by the holder's settings of the ramp
+    serving: int = 0  # instances
+    instances: int = 0  # those that drain among them
+    dispatchers: int = 0  # 0: unknown
+
+
+# watcher to holder
+
+
+class Watch(Message, tag="watch"):
+    """Watch the first instances of a function's order: as many as hold `count` that serve.
+
+    Starts a watch, or takes the place of the connection's earlier watch of the same function. `id` is the
+    watcher's and grows with each.
+    """
+
+    id: Number
+    shard: Number
+    epoch: Number
+    function: Name
+    count: Count
+    method: str = ""
+
+
+class Unwatch(Message, tag="unwatch"):
+    """This watch is not needed any more."""
+
+    id: Number
+
+
+class Renew(Message, tag="renew"):
+    """Renew the lease on all watches of this connection. `asked`: the watcher's clock, sent back as it is."""
+
+    asked: Number
+
+
+class Show(Message, tag="show"):
+    """An operator asks what the holder knows, of one function or in all."""
+
+    function: str = ""
+
+
+# holder to watcher; each snapshot and update counts the connection's `sequence` one up
+
+
+class Snapshot(Message, tag="snapshot"):
+    """A prefix as a whole, the answer to a watch. `complete`: it is the whole order, there are no more.
+
+    `lease` counts from when the watcher sent its question. `age`: since when the holder has not been sure to
+    hear its roster; 0 while it hears it.
+    """
+
+    id: Number
+    epoch: Number
+    revision: Revision
+    sequence: Number
+    entries: list[Entry]
+    complete: bool = False
+    lease: Duration = 0
+    age: Duration = 0
+
+
+class Placed(Struct, omit_defaults=True, gc=False):
+    """An instance that enters a prefix, at this position of the new prefix."""
+
+    position: Annotated[int, Meta(ge=0, lt=LONGEST_PREFIX * 4)]
+    name: Name
+
+
+class PrefixChange(Struct, omit_defaults=True, gc=False):
+    """How one watch's prefix changes: `removed` leave, then `inserted` enter, by rising position.
+
+    `length` is that of the new prefix. A result of another length means that a change was lost.
+    """
+
+    id: Number
+    length: Number
+    removed: list[Name] = field(default_factory=list)
+    inserted: list[Placed] = field(default_factory=list)
+    complete: bool = False
+
+
+class Update(Message, tag="update"):
+    """One batch of changes for all watches of the connection.
+
+    `entries`: instances that are new in a prefix or have changed; those gone are named in `gone`, and may
+    leave their prefixes in a later batch only.
+    """
+
+    sequence: Number
+    revision: Revision
+    entries: list[Entry] = field(default_factory=list)
+    gone: list[Name] = field(default_factory=list)
+    changes: list[PrefixChange] = field(default_factory=list)
+
+
+class Renewed(Message, tag="renewed"):
+    """The answer to a renewal. `sequence`: that of the last batch sent before it, so that a loss shows."""
+
+    asked: Number
+    lease: Duration
+    sequence: Number
+    revision: Revision
+    age: Duration = 0
+    sums: RegionSums | None = None  # about once a second
+
+
+class Busy(Message, tag="busy"):
+    """No snapshot now: more are asked for than the holder sends in a second. Ask again after a while."""
+
+    id: Number
+    retry_after: Duration
+
+
+class Refused(Message, tag="refused"):
+    """The holder doesn't serve this watch.
+
+    `old epoch`: the watcher's assignment is older than the holder's `epoch`; `new epoch`: the holder's is the
+    older; `shard`: the shard is not here; `stale`: it has not heard its roster yet, or not again; `full`: no
+    room for a further watch.
+    """
+
+    id: Number
+    why: Literal["old epoch", "new epoch", "shard", "stale", "full"]
+    epoch: Number
+
+
+class Shown(Message, tag="shown"):
+    """The answer to `show`, as JSON for people and tools; its names may grow."""
+
+    body: Raw = NO_BODY
+
+
+FromWatcher = Hello | Watch | Unwatch | Renew | Show | Bye
+FromHolder = Hello | Snapshot | Update | Renewed | Busy | Refused | Shown | Fault | Bye
