--- a/lapistrestle/directory/effects.py
+++ b/lapistrestle/directory/effects.py
@@ -148,6 +148,8 @@
     snapshot_burst: int = 500
     longest_retry: int = 2 * SECOND  # that a watcher is told to wait for a snapshot
     standstill: int = 300 * MILLISECOND  # without a call: the holder itself stood still
+    roster_silence: int = 5 * SECOND  # of the roster: it is asked for the whole list
+    roster_patience: int = 2 * SECOND  # for that list; then the roster counts as lost
     most_sessions: int = 8_192
     most_watches: int = 8_192  # of one session
     ramp_time: int = 0  # until a started instance has its whole capacity; 0: at once
--- a/lapistrestle/directory/holder.py
+++ b/lapistrestle/directory/holder.py
@@ -2,14 +2,42 @@
 
 Events in, effects out (`take`), the clock handed in. Every call returns nothing; what is to be done stands in
 `take()` afterwards. Times are whole tenths of a millisecond on the holder's own clock.
+
+What a change of an instance costs is in proportion to the watches that were told the instance, or are to be
+told it now (`watched.py`); what a look-up costs does not depend on the number of instances (`order.py`).
 """
 
 from collections.abc import Callable, Iterable
+from itertools import islice
 from typing import Any
 
-from lapistrestle.directory.effects import HolderEffect, HolderSettings
-from lapistrestle.wire.directory import Renew, Revision, Show, Unwatch, Watch
-from lapistrestle.wire.messages import Entry
+import msgspec
+
+from lapistrestle.directory.assignment import shard_of
+from lapistrestle.directory.effects import AskRoster, CloseSession, HolderEffect, HolderSettings, SendTo
+from lapistrestle.directory.instances import Changes, Instances
+from lapistrestle.directory.knowledge import Knowledge
+from lapistrestle.directory.pacing import SECOND, Admission, Jitter, TokenBucket
+from lapistrestle.directory.sessions import Batches, Session, Sessions, line_bytes
+from lapistrestle.directory.watched import Watch as Watched
+from lapistrestle.directory.watched import WatchedFunctions
+from lapistrestle.wire.directory import (
+    Busy,
+    Refused,
+    RegionSums,
+    Renew,
+    Renewed,
+    Revision,
+    Show,
+    Shown,
+    Snapshot,
+    Unwatch,
+    Watch,
+)
+from lapistrestle.wire.messages import Entry, Message
+
+BURST = 2.0  # seconds of the holder's bytes that may be saved up
+MOST_SHOWN = 64  # instances in an answer to an operator
 
 
 class ShardHolder:
@@ -19,11 +47,22 @@
         self, settings: HolderSettings, seed: int, now: int, log: Callable[[str], None] = lambda text: None
     ) -> None:
         """`seed` spreads the times at which busy watchers are told to come back."""
-        raise NotImplementedError
+        self.settings, self.log = settings, log
+        self.effects = list[HolderEffect]()
+        self.instances = Instances(settings.ramp_time, settings.cold_share)
+        self.watched = WatchedFunctions(self.instances)
+        self.sessions = Sessions()
+        self.batches = Batches(self.instances, self.watched)
+        self.knowledge = Knowledge(settings, now, lambda: self.effects.append(AskRoster()), log)
+        self.revision = Revision()
+        rate, burst, longest = settings.snapshot_rate, settings.snapshot_burst, settings.longest_retry
+        self.admission = Admission(rate, burst, longest, now, Jitter(seed))
+        self.bytes = TokenBucket.full(settings.total_bytes, settings.total_bytes * BURST, now)
 
     def take(self) -> list[HolderEffect]:
         """What is to be done since the last call, in order."""
-        raise NotImplementedError
+        effects, self.effects = self.effects, []
+        return effects
 
     # the roster
 
@@ -32,41 +71,230 @@
 
         Called for what `edge/following.py` says to take only, so in order and without gaps.
         """
-        raise NotImplementedError
+        told = list(entries)
+        self.knowledge.called(now, len(told))
+        if revision.source == self.revision.source and revision.number < self.revision.number:
+            self.start_over(revision)
+        self.revision = revision
+        changes = self.instances.apply(told, whole, now)
+        self.pass_on(changes, now)
+        self.knowledge.told(whole, len(told), len(changes.entered), now)
+
+    def start_over(self, revision: Revision) -> None:
+        """The roster's numbers went back under the same epoch: no session may see its revision go back."""
+        self.log(
+            f"roster back from {self.revision.number} to {revision.number}: {len(self.sessions.all)} closed"
+        )
+        for session in list(self.sessions.all.values()):
+            self.close(session, "the roster went back")
 
     def roster_lost(self, now: int) -> None:
         """The connection to the roster is gone, or the roster says that it can't answer.
 
         Until the next whole list the age of the holder's knowledge grows, and watchers are told so.
         """
-        raise NotImplementedError
+        self.knowledge.called(now)
+        self.knowledge.lost(now)
+
+    def pass_on(self, changes: Changes, now: int) -> None:
+        """Note for each session what it is to be told of these changes, and by when."""
+        for function, watch in self.watched.renew(self.watched.touched(changes)):
+            session = self.sessions.all[watch.session]
+            session.behind[function.name] = None
+            self.sessions.due_by(session, now + self.settings.batch_delay)
+        for name in changes.left:
+            self.tell_of(name, now + self.settings.urgent_delay, True)
+        for name in changes.urgent:
+            self.tell_of(name, self.urgent_due(name, now), True)
+        for name in (*changes.other, *changes.entered):
+            self.tell_of(name, now + self.settings.batch_delay, False)
+
+    def urgent_due(self, name: str, now: int) -> int:
+        """When word of a drain is sent: soon, but of one that flaps no more often than other words."""
+        instance = self.instances.known.get(name)
+        if instance is None:
+            return now + self.settings.urgent_delay
+        due = max(now + self.settings.urgent_delay, instance.urgent_at + self.settings.batch_delay)
+        instance.urgent_at = due
+        return due
+
+    def tell_of(self, name: str, due: int, urgent: bool) -> None:
+        for watch in self.watched.having_told(name):
+            session = self.sessions.all[watch.session]
+            session.names[name] = urgent or session.names.get(name, False)
+            self.sessions.due_by(session, due)
 
     # watchers
 
     def connected(self, session: int, now: int) -> None:
         """A watcher has connected and greeted; the program numbers its sessions and uses no number twice."""
-        raise NotImplementedError
+        self.knowledge.called(now)
+        if len(self.sessions.all) >= self.settings.most_sessions:
+            self.effects.append(
+                CloseSession(session, f"{self.settings.most_sessions} watchers are connected")
+            )
+            return
+        self.sessions.open(session, now + self.settings.lease, self.settings.session_bytes, now)
 
     def disconnected(self, session: int, now: int) -> None:
         """A session is over; one that is not known (any more) does no harm."""
-        raise NotImplementedError
+        self.knowledge.called(now)
+        known = self.sessions.all.get(session)
+        if known is not None:
+            self.forget(known)
+
+    def forget(self, session: Session) -> None:
+        del self.sessions.all[session.number]
+        for function in session.ids:
+            self.watched.unwatch(function, session.number)
+
+    def close(self, session: Session, why: str) -> None:
+        self.forget(session)
+        self.effects.append(CloseSession(session.number, why))
 
     def heard(self, session: int, message: Watch | Unwatch | Renew | Show, now: int) -> None:
         """A watcher says something."""
-        raise NotImplementedError
+        self.knowledge.called(now)
+        known = self.sessions.all.get(session)
+        if known is None:
+            return
+        if isinstance(message, Watch):
+            self.watch(known, message, now)
+        elif isinstance(message, Unwatch):
+            self.unwatch(known, message.id)
+        elif isinstance(message, Renew):
+            self.renew(known, message, now)
+        else:
+            self.send(known, Shown(msgspec.Raw(msgspec.json.encode(self.show(message.function)))))
+
+    def send(self, session: Session, message: Message) -> None:
+        self.effects.append(SendTo(session.number, message))
+
+    def watch(self, session: Session, asked: Watch, now: int) -> None:
+        refused = self.refusal(session, asked)
+        if refused is not None:
+            return self.send(session, refused)
+        wait = self.admission.retry_after(now)
+        if wait:
+            return self.send(session, Busy(asked.id, wait))
+        if session.watches.get(asked.id, asked.function) != asked.function:
+            self.unwatch(session, asked.id)  # the number was another function's
+        self.unwatch(session, session.ids.get(asked.function, -1), replaced=True)
+        session.ids[asked.function], session.watches[asked.id] = asked.id, asked.function
+        watch = Watched(session.number, asked.id, asked.shard, asked.epoch, asked.count)
+        prefix = self.watched.watch(asked.function, watch)
+        session.behind.pop(asked.function, None)
+        self.sessions.renewed(session, now + self.settings.lease)
+        entries = [self.instances.known[name].entry_at(now) for name in prefix.names]
+        snapshot = Snapshot(
+            asked.id, asked.epoch, self.revision, session.next_sequence(), entries, prefix.complete,
+            self.settings.lease, self.knowledge.age(now),
+        )  # fmt: skip
+        self.bytes.take(line_bytes(snapshot), now)
+        self.send(session, snapshot)
+
+    def refusal(self, session: Session, asked: Watch) -> Refused | None:
+        settings = self.settings
+        if asked.epoch > settings.epoch:
+            return Refused(asked.id, "new epoch", settings.epoch)
+        if asked.epoch < settings.oldest_epoch:
+            return Refused(asked.id, "old epoch", settings.epoch)
+        elsewhere = shard_of(asked.function, settings.shard_count) != asked.shard
+        if asked.shard not in settings.shards or (asked.epoch == settings.epoch and elsewhere):
+            return Refused(asked.id, "shard", settings.epoch)
+        if not self.knowledge.may_answer:
+            return Refused(asked.id, "stale", settings.epoch)
+        if len(session.ids) >= settings.most_watches and asked.function not in session.ids:
+            return Refused(asked.id, "full", settings.epoch)
+        return None
+
+    def unwatch(self, session: Session, watch: int, replaced: bool = False) -> None:
+        function = session.watches.pop(watch, None)
+        if function is None:
+            return
+        del session.ids[function]
+        if not replaced:
+            session.behind.pop(function, None)
+            self.watched.unwatch(function, session.number)
+
+    def renew(self, session: Session, asked: Renew, now: int) -> None:
+        """A holder that doesn't know how old its knowledge is keeps silent, so that the watcher leaves it."""
+        if not self.knowledge.may_answer:
+            return
+        self.sessions.renewed(session, now + self.settings.lease)
+        sums: RegionSums | None = None
+        if now - session.sums_at >= SECOND:
+            sums, session.sums_at = self.instances.sums(now), now
+        age = self.knowledge.age(now)
+        lease, sequence = self.settings.lease, session.sequence
+        self.send(session, Renewed(asked.asked, lease, sequence, self.revision, age, sums))
+
+    def configure(self, settings: HolderSettings, now: int) -> None:
+        """Settings of another epoch; of an older one they aren't taken."""
+        self.knowledge.called(now)
+        if settings.epoch < self.settings.epoch:
+            return self.log(f"settings of epoch {settings.epoch} not taken, {self.settings.epoch} holds")
+        self.log(f"epoch {settings.epoch} in place of {self.settings.epoch}")
+        self.settings = settings
+        for session in list(self.sessions.all.values()):
+            if any(self.outdated(session, function) for function in session.ids):
+                self.close(session, f"epoch {settings.epoch} holds")
+
+    def outdated(self, session: Session, function: str) -> bool:
+        watch = self.watched.functions[function].watches[session.number]
+        return watch.epoch < self.settings.oldest_epoch or watch.shard not in self.settings.shards
 
     # time
 
     def tick(self, now: int) -> None:
         """To be called when `next_due` has come, or soon after: leases lapse, batches are sent."""
-        raise NotImplementedError
+        self.knowledge.called(now)
+        self.knowledge.tick(now)
+        for session in self.sessions.lapsed(now):
+            self.close(session, "no renewal within the lease")
+        for session in self.sessions.take_due(now):
+            self.flush(session, now)
+
+    def flush(self, session: Session, now: int) -> None:
+        """Send what is due, as far as the bounds on bytes allow; what is urgent goes in any case."""
+        wait = max(session.bytes.wait(now), self.bytes.wait(now))
+        make = self.batches.urgent if wait else self.batches.all
+        update = make(session, self.revision, now)
+        if update is not None:
+            size = line_bytes(update)
+            session.bytes.take(size, now)
+            self.bytes.take(size, now)
+            self.send(session, update)
+        if not session.idle:
+            wait = max(session.bytes.wait(now), self.bytes.wait(now), self.settings.urgent_delay)
+            urgent = any(session.names.values())
+            self.sessions.due_by(session, now + (self.settings.urgent_delay if urgent else wait))
 
     def next_due(self) -> int:
         """When `tick` is to be called next; it may have become earlier after any other call."""
-        raise NotImplementedError
+        return min(self.sessions.next_due(), self.sessions.next_lapse(), self.knowledge.next_due())
 
     # for operators
 
     def show(self, function: str = "") -> dict[str, Any]:
         """What is known, as plain values: of one function, or figures of the whole."""
-        raise NotImplementedError
+        shown: dict[str, Any] = {
+            "revision": msgspec.to_builtins(self.revision),
+            "knowledge": self.knowledge.mode.name.lower(),
+            "epoch": self.settings.epoch,
+            "shards": sorted(self.settings.shards),
+            "instances": len(self.instances.known),
+        }
+        if not function:
+            shown["sessions"] = len(self.sessions.all)
+            shown["functions"] = len(self.watched.functions)
+            shown["watches"] = sum(len(session.ids) for session in self.sessions.all.values())
+            shown["snapshots refused as busy"] = self.admission.turned_away
+            return shown
+        known = self.watched.functions.get(function)
+        shown["function"], shown["shard"] = function, shard_of(function, self.settings.shard_count)
+        shown["watchers"] = len(known.watches) if known is not None else 0
+        places = islice(self.instances.ring.places(function), MOST_SHOWN)
+        names = [place.name for place in places]
+        shown["order"] = [msgspec.to_builtins(self.instances.known[name].entry) for name in names]
+        return shown
--- /dev/null
+++ b/lapistrestle/directory/instances.py
@@ -0,0 +1,158 @@
+"""All instances of a region as the roster tells them: entries, times of start, and sums over them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lapistrestle.directory.order import InstanceRing
+from lapistrestle.wire.directory import RegionSums
+from lapistrestle.wire.messages import Entry
+
+SECOND = 10_000  # in tenths of a millisecond
+PER_MILLISECOND = 10
+LONGEST_UP_FOR = 86_400_000.0  # milliseconds, as bounded on the wire
+
+Word = Enum("Word", "NEW GONE URGENT CHANGED SAME")  # what a list says of an instance
+
+
+@dataclass(eq=False, slots=True)
+class Instance:
+    """One instance. `entry` has no `up_for`: that is counted from `booted`, on the holder's clock."""
+
+    entry: Entry
+    booted: int | None
+    urgent_at: int = -(10**15)  # when word of it was urgent last
+    dated_at: int = -1
+    dated: Entry | None = None
+
+    def entry_at(self, now: int) -> Entry:
+        """The entry as it is sent at this moment."""
+        if self.booted is None:
+            return self.entry
+        if self.dated is None or self.dated_at != now:
+            e = self.entry
+            up_for = min(LONGEST_UP_FOR, max(0, now - self.booted) / PER_MILLISECOND)
+            self.dated = Entry(
+                e.name, e.port, e.zone, e.cell, e.kind, e.size, e.listing, e.start, up_for
+            )  # fmt: skip
+            self.dated_at = now
+        return self.dated
+
+
+@dataclass(slots=True)
+class Changes:
+    """What a list or a change came to, by name."""
+
+    entered: list[str] = field(default_factory=list)  # new on the ring, or with further points
+    left: list[str] = field(default_factory=list)
+    urgent: list[str] = field(default_factory=list)  # drain, restarted, or moved to another address
+    other: list[str] = field(default_factory=list)
+
+
+class RegionSizes:
+    """Sums of size and warmth, kept up with each change. Young instances are kept by the second of their
+    start, so that their warmth costs as many steps as the ramp has seconds."""
+
+    def __init__(self, ramp_time: int, cold_share: float) -> None:
+        self.ramp_time, self.cold_share = ramp_time, cold_share
+        self.serving, self.size = 0, 0.0
+        self.by_second = dict[int, float]()  # sizes by second of start, as far back as the ramp reaches
+
+    def count(self, instance: Instance, sign: int) -> None:
+        """Add an instance that serves, or take it out again."""
+        if instance.entry.listing != "serving":
+            return
+        self.serving += sign
+        self.size += sign * instance.entry.size
+        if instance.booted is not None and self.ramp_time:
+            second = instance.booted // SECOND
+            self.by_second[second] = self.by_second.get(second, 0.0) + sign * instance.entry.size
+
+    def warm(self, now: int) -> float:
+        missing = 0.0
+        for second in [s for s in self.by_second if now - s * SECOND >= self.ramp_time + SECOND]:
+            del self.by_second[second]
+        for second, size in self.by_second.items():
+            age = min(self.ramp_time, max(0, now - second * SECOND))
+            missing += size * (1 - self.cold_share) * (1 - age / self.ramp_time)
+        return max(0.0, self.size - missing)
+
+
+class Instances:
+    """The region's instances, and the ring of them."""
+
+    def __init__(self, ramp_time: int = 0, cold_share: float = 1.0) -> None:
+        self.ring = InstanceRing()
+        self.known = dict[str, Instance]()
+        self.sizes = RegionSizes(ramp_time, cold_share)
+
+    def serves(self, name: str) -> bool:
+        return self.known[name].entry.listing == "serving"
+
+    def sums(self, now: int) -> RegionSums:
+        sizes = self.sizes
+        size, warm = round(sizes.size, 3), round(sizes.warm(now), 3)
+        return RegionSums(size, warm, sizes.serving, len(self.known))
+
+    def apply(self, entries: Iterable[Entry], whole: bool, now: int) -> Changes:
+        """Take a list, or a change of some."""
+        changes = Changes()
+        named = set[str]()
+        for entry in entries:
+            named.add(entry.name)
+            self.take(entry, now, changes)
+        if whole:
+            for name in [name for name in self.known if name not in named]:
+                self.drop(name, changes)
+        return changes
+
+    def take(self, entry: Entry, now: int, changes: Changes) -> None:
+        known = self.known.get(entry.name)
+        if entry.listing == "gone":
+            if known is not None:
+                self.drop(entry.name, changes)
+            return
+        word = self.word(known, entry)
+        if word is Word.SAME:
+            return
+        sized = known is None or known.entry.size != entry.size
+        if known is None:
+            known = self.known[entry.name] = Instance(undated(entry), booted_at(entry, now))
+        else:
+            self.sizes.count(known, -1)
+            if entry.start != known.entry.start or known.booted is None:
+                known.booted = booted_at(entry, now)
+            known.entry, known.dated = undated(entry), None
+        self.sizes.count(known, +1)
+        if sized:
+            self.ring.insert(entry.name, entry.size)
+            changes.entered.append(entry.name)
+        if word is not Word.NEW:
+            (changes.urgent if word is Word.URGENT else changes.other).append(entry.name)
+
+    def word(self, known: Instance | None, entry: Entry) -> Word:
+        if known is None:
+            return Word.NEW
+        old = known.entry
+        if entry.start != old.start or (entry.port, entry.zone) != (old.port, old.zone):
+            return Word.URGENT
+        if entry.listing != old.listing:
+            return Word.URGENT if entry.listing == "draining" else Word.CHANGED
+        same = (entry.size, entry.cell, entry.kind) == (old.size, old.cell, old.kind)
+        return Word.SAME if same else Word.CHANGED
+
+    def drop(self, name: str, changes: Changes) -> None:
+        self.sizes.count(self.known.pop(name), -1)
+        self.ring.remove(name)
+        changes.left.append(name)
+
+
+def undated(entry: Entry) -> Entry:
+    return Entry(
+        entry.name, entry.port, entry.zone, entry.cell, entry.kind, entry.size, entry.listing, entry.start
+    )
+
+
+def booted_at(entry: Entry, now: int) -> int | None:
+    """When it started, on the clock of `now`; `None`: not told."""
+    return None if entry.up_for is None else now - int(entry.up_for * PER_MILLISECOND)
--- /dev/null
+++ b/lapistrestle/directory/prefixes.py
@@ -0,0 +1,75 @@
+"""Prefixes of an order, and how one becomes another."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lapistrestle.wire.directory import Placed, PrefixChange
+
+
+@dataclass(frozen=True, slots=True)
+class Prefix:
+    """The beginning of a function's order: names in order, and whether there are no further ones."""
+
+    names: tuple[str, ...] = ()
+    complete: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """What turns one prefix into another: some names leave, then others enter, by rising position."""
+
+    removed: tuple[str, ...]
+    inserted: tuple[tuple[int, str], ...]
+
+    @property
+    def size(self) -> int:
+        return len(self.removed) + len(self.inserted)
+
+
+class LostChange(Exception):
+    """A change doesn't fit the prefix that it is for."""
+
+
+def difference(before: Sequence[str], after: Sequence[str]) -> Difference:
+    """From one order of names to another; a name that moves leaves and enters again."""
+    wanted = set(after)
+    kept = [name for name in before if name in wanted]
+    left = set(kept)  # of `kept`: those not met yet, and not moved
+    removed = [name for name in before if name not in wanted]
+    inserted = list[tuple[int, str]]()
+    at = 0
+    for position, name in enumerate(after):
+        while at < len(kept) and kept[at] not in left:
+            at += 1
+        if name in left and at + 1 < len(kept) and kept[at] != name and kept[at + 1] == name:
+            left.discard(kept[at])  # the one ahead has moved back
+            removed.append(kept[at])
+            at += 1
+        if at < len(kept) and kept[at] == name:
+            at += 1
+        else:
+            if name in left:
+                removed.append(name)
+            inserted.append((position, name))
+        left.discard(name)
+    return Difference(tuple(removed), tuple(inserted))
+
+
+def message_of(watch: int, change: Difference, after: Prefix) -> PrefixChange:
+    inserted = [Placed(position, name) for position, name in change.inserted]
+    return PrefixChange(watch, len(after.names), list(change.removed), inserted, after.complete)
+
+
+def changed(names: Sequence[str], change: PrefixChange) -> tuple[str, ...]:
+    """The names after a change. Raises `LostChange` where the result can't be the sender's."""
+    removed = set(change.removed)
+    after = [name for name in names if name not in removed]
+    if len(after) + len(removed) != len(names):
+        raise LostChange(f"{len(removed)} were to leave {len(names)}, {len(names) - len(after)} did")
+    for placed in change.inserted:
+        if placed.position > len(after):
+            raise LostChange(f"position {placed.position} is past the {len(after)} that there are")
+        after.insert(placed.position, placed.name)
+    if len(after) != change.length or len(set(after)) != len(after):
+        raise LostChange(f"{len(after)} names, {len(set(after))} different, where {change.length} should be")
+    return tuple(after)
--- /dev/null
+++ b/lapistrestle/directory/watched.py
@@ -0,0 +1,200 @@
+"""The functions that are watched at a holder, and which of them a change of an instance touches.
+
+Two indexes make a change cost what it touches and no more. One leads from an instance to the functions that
+have it in a prefix that some watcher was told, or is to be told. The other keeps the positions on the ring
+from which the prefixes of watched functions were searched: a new instance takes stretches of the ring from
+the points behind it, and touches the functions with a position in one of them.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lapistrestle.directory.instances import Changes, Instances
+from lapistrestle.directory.points import PointTable
+from lapistrestle.directory.prefixes import Difference, Prefix, difference
+from lapistrestle.wire.directory import LONGEST_PREFIX
+
+MOST_MEMBERS = 4 * LONGEST_PREFIX  # of one function in the index, before what nobody was told is pruned
+MOST_PER_SERVING = 4  # instances in a prefix for each that was asked for, where many drain
+
+NOTHING = Prefix()
+
+
+@dataclass(eq=False, slots=True)
+class Watch:
+    """One watcher's watch of a function."""
+
+    session: int
+    id: int
+    shard: int
+    epoch: int
+    count: int
+    told: Prefix = NOTHING
+
+
+@dataclass(eq=False)
+class WatchedFunction:
+    """A function with at least one watch."""
+
+    name: str
+    watches: dict[int, Watch] = field(default_factory=dict)  # by session
+    counts: Counter[int] = field(default_factory=Counter)  # how many watches ask for each count
+    prefixes: dict[int, Prefix] = field(default_factory=dict)  # by count
+    positions: frozenset[int] = frozenset()  # that the prefixes were searched from
+    members: set[str] = field(default_factory=set)  # in the index of instances
+    behind: set[int] = field(default_factory=set)  # sessions that were not told the latest prefix
+    differences: dict[tuple[Prefix, Prefix], Difference] = field(default_factory=dict)
+
+    def difference(self, before: Prefix, after: Prefix) -> Difference:
+        """Computed once for all watchers that make the same step."""
+        step = before, after
+        if step not in self.differences:
+            self.differences[step] = difference(before.names, after.names)
+        return self.differences[step]
+
+
+class WatchedFunctions:
+    """All watched functions of a holder."""
+
+    def __init__(self, instances: Instances) -> None:
+        self.instances = instances
+        self.functions = dict[str, WatchedFunction]()
+        self.having = dict[str, set[str]]()  # instance to functions
+        self.positions = PointTable()
+        self.short = set[str]()  # functions whose longest prefix is the whole order: any new instance enters
+        self.recomputed = 0  # prefixes computed so far, for tests of the cost
+
+    # watches
+
+    def watch(self, function: str, watch: Watch) -> Prefix:
+        """Start a watch, or take the place of the same session's earlier one. Gives the prefix to be told."""
+        known = self.functions.get(function)
+        if known is None:
+            known = self.functions[function] = WatchedFunction(function)
+        before = known.watches.get(watch.session)
+        known.counts[watch.count] += 1
+        if before is not None:
+            self.uncount(known, before.count)
+        known.watches[watch.session] = watch
+        if watch.count not in known.prefixes:
+            self.recompute(known)
+        watch.told = known.prefixes[watch.count]
+        self.caught_up(known, watch.session)
+        return watch.told
+
+    def unwatch(self, function: str, session: int) -> None:
+        known = self.functions.get(function)
+        watch = known.watches.pop(session, None) if known is not None else None
+        if known is None or watch is None:
+            return
+        self.uncount(known, watch.count)
+        if known.watches:
+            self.caught_up(known, session)
+        else:
+            self.forget(known)
+
+    def uncount(self, known: WatchedFunction, count: int) -> None:
+        known.counts[count] -= 1
+        if not known.counts[count]:
+            del known.counts[count]
+            known.prefixes.pop(count, None)
+
+    def forget(self, known: WatchedFunction) -> None:
+        self.index_positions(known, frozenset())
+        self.index_members(known, set())
+        self.short.discard(known.name)
+        del self.functions[known.name]
+
+    def caught_up(self, known: WatchedFunction, session: int) -> None:
+        """A session was told the latest prefix, or watches no more."""
+        known.behind.discard(session)
+        if not known.behind:
+            known.differences.clear()
+            self.index_members(known, {name for prefix in known.prefixes.values() for name in prefix.names})
+
+    # instances
+
+    def touched(self, changes: Changes) -> set[str]:
+        """Functions whose prefixes may have changed; the ring has the changes already."""
+        functions = set[str]()
+        for name in (*changes.left, *changes.urgent, *changes.other, *changes.entered):
+            functions |= self.having.get(name, set())
+        if not changes.entered:
+            return functions
+        if len(changes.entered) > len(self.functions):
+            return set(self.functions)
+        functions |= self.short
+        for name in changes.entered:
+            for arc in self.instances.ring.arcs(name):
+                functions.update(self.positions.owners_within(arc.first, arc.last))
+        return functions
+
+    def renew(self, functions: Iterable[str]) -> list[tuple[WatchedFunction, Watch]]:
+        """Compute these functions' prefixes anew. Gives the watches that were told other ones."""
+        behind = list[tuple[WatchedFunction, Watch]]()
+        for name in sorted(functions):
+            known = self.functions[name]
+            self.recompute(known)
+            for watch in known.watches.values():
+                if watch.told != known.prefixes[watch.count]:
+                    known.behind.add(watch.session)
+                    behind.append((known, watch))
+                elif watch.session in known.behind:
+                    known.behind.discard(watch.session)  # it came back to what was told
+            if not known.behind:
+                self.caught_up(known, -1)
+        return behind
+
+    def having_told(self, name: str) -> list[Watch]:
+        """Watches whose watcher was told this instance."""
+        functions = sorted(self.having.get(name, ()))
+        watches = (watch for function in functions for watch in self.functions[function].watches.values())
+        return [watch for watch in watches if name in watch.told.names]
+
+    def recompute(self, known: WatchedFunction) -> None:
+        """Walk the order as far as the longest count asks, and cut the prefixes from it."""
+        self.recomputed += 1
+        missing = sorted(known.counts)
+        names, positions, serving = list[str](), list[int](), 0
+        known.prefixes = {}
+        for place in self.instances.ring.places(known.name):
+            names.append(place.name)
+            positions.extend(place.looked_from)
+            serving += self.instances.serves(place.name)
+            while missing and (serving >= missing[0] or len(names) >= longest(missing[0])):
+                complete = len(names) == len(self.instances.ring)
+                known.prefixes[missing.pop(0)] = Prefix(tuple(names), complete)
+            if not missing:
+                break
+        for count in missing:
+            known.prefixes[count] = Prefix(tuple(names), True)
+        whole = len(names) == len(self.instances.ring)
+        (self.short.add if whole else self.short.discard)(known.name)
+        self.index_positions(known, frozenset(positions))
+        self.index_members(known, known.members | set(names))
+        if len(known.members) > MOST_MEMBERS:
+            told = {name for watch in known.watches.values() for name in watch.told.names}
+            self.index_members(known, told | set(names))
+
+    def index_positions(self, known: WatchedFunction, positions: frozenset[int]) -> None:
+        for position in known.positions - positions:
+            self.positions.discard(position, known.name)
+        for position in positions - known.positions:
+            self.positions.add(position, known.name)
+        known.positions = positions
+
+    def index_members(self, known: WatchedFunction, members: set[str]) -> None:
+        for name in known.members - members:
+            functions = self.having[name]
+            functions.discard(known.name)
+            if not functions:
+                del self.having[name]
+        for name in members - known.members:
+            self.having.setdefault(name, set()).add(known.name)
+        known.members = members
+
+
+def longest(count: int) -> int:
+    """How many instances a prefix has at the most, for so many that serve."""
+    return min(MOST_PER_SERVING * count, LONGEST_PREFIX)
--- a/lapistrestle/wire/directory.py
+++ b/lapistrestle/wire/directory.py
@@ -99,7 +99,7 @@
 class Placed(Struct, omit_defaults=True, gc=False):
     """An instance that enters a prefix, at this position of the new prefix."""
 
-    position: Annotated[int, Meta(ge=0, lt=LONGEST_PREFIX * 4)]
+    position: Annotated[int, Meta(ge=0, lt=LONGEST_PREFIX)]
     name: Name
 
 
