Settings name a directory of instances, its shards and what a holder serves

Dispatchers and holders need the same assignment of functions to shards, with an epoch, and the same lease and silence. The group `directory` is off unless shards are named; a holder's own file adds `serve`.

--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -3,13 +3,14 @@
 import difflib
 import re
 import typing
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, TypeVar
 
 import json5
 import msgspec
 
-from lapistrestle.deployment.shape import Deployment, Span
+from lapistrestle.deployment.shape import Deployment, Directory, HolderDeployment, Span
 from lapistrestle.interface import Facts
 
 T = TypeVar("T")
@@ -126,6 +127,10 @@
     return f":{text.count(chr(10), 0, at) + 1}" if text and at >= 0 else ""
 
 
+Complain = Callable[..., Wrong]  # says what is wrong, and at which steps of the path
+SHORTEST_SILENCE = Span(1_000)  # tenths of a millisecond; shorter ones would take a pause for a death
+
+
 def load(path: Path) -> Deployment:
     """A checked deployment. Raises Wrong."""
     value, text = read_json5(path)
@@ -134,12 +139,61 @@
     return made
 
 
-def check(made: Deployment, text: str = "", source: str = "") -> None:
-    """What can't be seen in one value alone. Raises Wrong."""
+def load_holder(path: Path) -> HolderDeployment:
+    """The checked settings of a directory's holder. Raises Wrong."""
+    value, text = read_json5(path)
+    made = shaped(value, HolderDeployment, text, str(path))
+    check_holder(made, text, str(path))
+    return made
+
+
+def check_holder(made: HolderDeployment, text: str = "", source: str = "") -> None:
+    """What can't be seen in one value of a holder's settings alone. Raises Wrong."""
+    wrong = complaints(text, source)
+    shards = made.directory.shards
+    if not shards:
+        raise wrong("is empty; a holder needs at least one shard", "directory", "shards")
+    check_directory(made.directory, wrong)
+    for place, shard in enumerate(made.serve.shards):
+        if shard >= len(shards):
+            raise wrong(f"is {shard}; expected 0 to {len(shards) - 1}", "serve", "shards", place)
+    if len(set(made.serve.shards)) < len(made.serve.shards):
+        raise wrong("names a shard twice", "serve", "shards")
+
+
+def check_directory(made: Directory, wrong: Complain) -> None:
+    """What can't be seen in one value of the directory's group alone. Raises Wrong."""
+    for number, copies in enumerate(made.shards):
+        here = ("directory", "shards", number)
+        if not copies:
+            raise wrong("is empty; a shard needs at least one copy", *here)
+        for place, copy in enumerate(copies):
+            if not copy.port:
+                raise wrong("is 0; dispatchers need the port of each copy", *here, place, "port")
+            if (copy.host, copy.port) in {(other.host, other.port) for other in copies[:place]}:
+                raise wrong("stands there before; a shard's copies are different holders", *here, place)
+    if made.silence < SHORTEST_SILENCE:
+        raise wrong("is under 100 ms; a pause would count as a death", "directory", "silence")
+    if made.lease <= made.silence:
+        raise wrong("is not above the silence; a lease outlives a change of copy", "directory", "lease")
+    if made.lookup_time_out <= 0:
+        raise wrong("is 0; expected a duration above 0", "directory", "lookup_time_out")
+    if made.idle < made.lease:
+        raise wrong("is under the lease", "directory", "idle")
+
+
+def complaints(text: str, source: str) -> Complain:
+    """How to say what is wrong in the file `source` that reads `text`."""
 
     def wrong(says: str, *path: str | int) -> Wrong:
         return Wrong(f"{source}{_line(path, text)}: {_shown(path)}: {says}")
 
+    return wrong
+
+
+def check(made: Deployment, text: str = "", source: str = "") -> None:
+    """What can't be seen in one value alone. Raises Wrong."""
+    wrong = complaints(text, source)
     if not made.methods:
         raise wrong("is empty; expected at least one method", "methods")
     for name, method in made.methods.items():
@@ -166,6 +220,10 @@
         raise wrong("is under one for each dispatcher; some could never load", "fleet", "loads")
     if made.fleet.name and min(made.fleet.period, made.fleet.tell) < 1_000:
         raise wrong("is under 100 ms; a member would do nothing else", "fleet", "period")
+    if made.directory.shards:
+        check_directory(made.directory, wrong)
+        if made.roster.mode == "asked":
+            raise wrong('is "asked"; a dispatcher with a directory follows no roster', "roster", "mode")
     if orders.window and not orders.free and not orders.share:
         raise wrong("allows no order at all; expected free or share above 0", "orders", "window")
 
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -134,6 +134,49 @@
     loads: int = 0  # under way at once, of all edges together; 0: no bound but each edge's own
 
 
+class DirectoryCopy(Shape):
+    """Where one holder of a shard answers."""
+
+    port: Port
+    zone: str = ""
+    host: str = "127.0.0.1"
+
+
+class Directory(Shape):
+    """The directory of instances, told alike to dispatchers and to holders; no `shards`: there is none, and a
+    dispatcher follows the roster itself."""
+
+    epoch: Annotated[int, Meta(ge=1, lt=2**53)] = 1  # of the assignment below; a change of it counts one up
+    shards: list[list[DirectoryCopy]] = field(default_factory=list)  # the copies of each shard
+    lease: Span = Span(30_000)  # of a watch, from before its holder was asked
+    silence: Span = Span(6_000)  # of a holder, after which a dispatcher goes to the next copy
+    lookup_time_out: Span = Span(2_500)  # of the first look-up of a function
+    first_count: Count = 8  # instances asked for at a function's first call
+    idle: Span = Span(1_200_000)  # a function not called for this long is watched no more
+    bytes_per_second: Annotated[int, Meta(ge=1_024)] = 65_536  # of updates, towards one dispatcher
+
+
+class DirectoryServe(Shape):
+    """What one holder answers for. `shards` are numbers from 0; none named: all of them."""
+
+    name: str = "holder"
+    port: Port = 0
+    zone: str = ""
+    shards: list[Annotated[int, Meta(ge=0)]] = field(default_factory=list)
+    snapshots_per_second: Annotated[float, Meta(gt=0)] = 2_000.0  # further ones are told when to come back
+    bytes_per_second: Annotated[int, Meta(ge=1_024)] = 16_777_216  # to all dispatchers together
+    connections: Count = 8_192  # of dispatchers at once; a further one is closed
+    unsent: Annotated[int, Meta(ge=4096)] = 8_388_608  # bytes waiting towards a slow dispatcher
+
+
+class HolderDeployment(Shape):
+    """The settings file of a holder: `lapistrestle directory serve`."""
+
+    directory: Directory
+    serve: DirectoryServe = field(default_factory=DirectoryServe)
+    roster: Roster = field(default_factory=Roster)
+
+
 class Counting(Shape):
     """How the operators count service; the module may read it, no rule depends on it."""
 
@@ -156,4 +199,5 @@
     planner: Planner = field(default_factory=Planner)
     counting: Counting = field(default_factory=Counting)
     fleet: Fleet = field(default_factory=Fleet)
+    directory: Directory = field(default_factory=Directory)
     peers: list[Port] = field(default_factory=list)  # ports of the other front ends, by number
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lapistrestle.deployment import words
-from lapistrestle.deployment.load import Wrong, facts, load
+from lapistrestle.deployment.load import Wrong, facts, load, load_holder
 from lapistrestle.standins.script import plain, read_day
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -62,6 +62,74 @@
     assert says in str(trouble.value) and str(path) in str(trouble.value)
 
 
+def directory(**more: object) -> str:
+    """A deployment with a directory of two shards, as text."""
+    made: dict[str, object] = {"shards": [[{"port": 7200}, {"port": 7201}], [{"port": 7201}]], **more}
+    return "{" + METHODS + ",\n directory: " + json.dumps(made) + "}"
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (directory(shards=[[]]), "directory.shards.0: is empty; a shard needs at least one copy"),
+        (directory(shards=[[{"port": 0}]]), "directory.shards.0.0.port: is 0; dispatchers need the port"),
+        (directory(shards=[[{"port": 1}, {"port": 1}]]), "directory.shards.0.1: stands there before"),
+        (directory(shards=[[{"zone": "a"}]]), "directory.shards.0.0: port is missing"),
+        (directory(epoch=0), "a.json5:2: directory.epoch: is 0; expected a whole number >= 1"),
+        (directory(silence="50 ms"), "directory.silence: is under 100 ms"),
+        (directory(lease="500 ms"), "directory.lease: is not above the silence"),
+        (directory(lookup_time_out="0 s"), "directory.lookup_time_out: is 0; expected a duration above 0"),
+        (directory(idle="1 s"), "directory.idle: is under the lease"),
+        (directory(first_counts=8), "directory.first_counts: no such name; did you mean first_count?"),
+        (
+            directory(bytes_per_second=10),
+            "directory.bytes_per_second: is 10; expected a whole number >= 1024",
+        ),
+        (directory()[:-1] + ', roster: {mode: "asked"}}', 'roster.mode: is "asked"; a dispatcher with a'),
+    ],
+)
+def test_what_is_wrong_in_a_directory_is_said(tmp_path, text, says):
+    path = tmp_path / "a.json5"
+    path.write_text(text)
+    with pytest.raises(Wrong) as trouble:
+        load(path)
+    assert says in str(trouble.value) and str(path) in str(trouble.value)
+
+
+def test_a_directory_is_off_unless_shards_are_named(tmp_path):
+    path = tmp_path / "a.json5"
+    path.write_text("{" + METHODS + ', directory: {epoch: 4, lease: "1 ms"}}')
+    assert load(path).directory.shards == []
+    path.write_text(directory())
+    made = load(path).directory
+    assert [len(copies) for copies in made.shards] == [2, 1]
+    assert (made.lease, made.silence, made.lookup_time_out) == (30_000, 6_000, 2_500)
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("{directory: {}}", "directory.shards: is empty; a holder needs at least one shard"),
+        ("{}", "directory is missing"),
+        (
+            "{directory: {shards: [[{port: 1}]]},\n serve: {shards: [1]}}",
+            "a.json5:2: serve.shards.0: is 1; expected 0 to 0",
+        ),
+        (
+            "{directory: {shards: [[{port: 1}]]}, serve: {shards: [0, 0]}}",
+            "serve.shards: names a shard twice",
+        ),
+        ("{directory: {shards: [[{port: 1}]]}, server: {}}", "server: no such name; did you mean serve?"),
+    ],
+)
+def test_what_is_wrong_in_a_holders_settings_is_said(tmp_path, text, says):
+    path = tmp_path / "a.json5"
+    path.write_text(text)
+    with pytest.raises(Wrong) as trouble:
+        load_holder(path)
+    assert says in str(trouble.value) and str(path) in str(trouble.value)
+
+
 def test_a_missing_file_is_said(tmp_path):
     with pytest.raises(Wrong, match="can't be read"):
         load(tmp_path / "none.json5")
