Following of a numbered list stands apart from what a front end keeps of it

A directory's holder follows the roster by the same table of modes and numbers, and keeps entries where a front end keeps facts for the module. NumberedList is that table with its numbers; no behaviour changes. tests/test_following.py and tests/test_checks.py: 24 pass.

--- a/lapistrestle/edge/following.py
+++ b/lapistrestle/edge/following.py
@@ -66,16 +66,27 @@
     addresses: tuple[tuple[str, int, str], ...] = ()  # name, port, start; port 0: gone
 
 
-class Following:
-    """The roster's list as one front end holds it."""
+class NumberedList:
+    """The numbers of one roster's lists as one follower has taken them: a front end, or a directory's holder.
 
-    def __init__(self, zones: list[str], kinds: list[str], log: Callable[[str], None]) -> None:
-        self.zones = {zone: i for i, zone in enumerate(zones)}
-        self.kinds = {kind: i for i, kind in enumerate(kinds)}
+    A subclass keeps what the lists say, and tells its `size` for the log.
+    """
+
+    def __init__(self, log: Callable[[str], None]) -> None:
         self.log = log
         self.mode, self.number, self.epoch = Mode.BLANK, -1, ""
         self.back: tuple[str, int] | None = None  # a list that jumped back, seen once
-        self.known: dict[str, Known] = {}
+
+    def size(self) -> int:
+        """Workers that are known now."""
+        raise NotImplementedError
+
+    def accept(self, message: Whole | Change) -> Do:
+        """What is to be done with a list or change; one that is taken is the newest from now on."""
+        do = self.step(self.news(message))
+        if do is Do.TAKE:
+            self.number, self.epoch, self.back = message.number, message.epoch, None
+        return do
 
     def news(self, message: Whole | Change) -> News:
         same = message.epoch == self.epoch
@@ -95,16 +106,28 @@
         self.mode, do = FOLLOWING[self.mode, news]
         if self.mode is not before:
             mode, why = self.mode.name.lower(), news.name.lower()
-            self.log(f"list {mode}: {why} at {self.number}, {len(self.known)} known")
+            self.log(f"list {mode}: {why} at {self.number}, {self.size()} known")
         return do
 
+
+class Following(NumberedList):
+    """The roster's list as one front end holds it."""
+
+    def __init__(self, zones: list[str], kinds: list[str], log: Callable[[str], None]) -> None:
+        super().__init__(log)
+        self.zones = {zone: i for i, zone in enumerate(zones)}
+        self.kinds = {kind: i for i, kind in enumerate(kinds)}
+        self.known: dict[str, Known] = {}
+
+    def size(self) -> int:
+        return len(self.known)
+
     def told(self, message: Whole | Change, now: int) -> Taken:
         """A list or change came from the roster."""
-        do = self.step(self.news(message))
+        do = self.accept(message)
         if do is not Do.TAKE:
             return Taken(do)
         whole = isinstance(message, Whole)
-        self.number, self.epoch, self.back = message.number, message.epoch, None
         gone = {}
         if whole:
             if not message.workers and self.known:
