--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -159,6 +159,10 @@
             raise wrong(f"is {shard}; expected 0 to {len(shards) - 1}", "serve", "shards", place)
     if len(set(made.serve.shards)) < len(made.serve.shards):
         raise wrong("names a shard twice", "serve", "shards")
+    if made.serve.oldest_epoch > made.directory.epoch:
+        raise wrong("is above directory.epoch", "serve", "oldest_epoch")
+    if made.roster.mode == "asked":
+        raise wrong('is "asked"; a holder needs each change at once', "roster", "mode")
 
 
 def check_directory(made: Directory, wrong: Complain) -> None:
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -151,9 +151,9 @@
     lease: Span = Span(30_000)  # of a watch, from before its holder was asked
     silence: Span = Span(6_000)  # of a holder, after which a dispatcher goes to the next copy
     lookup_time_out: Span = Span(2_500)  # of the first look-up of a function
-    first_count: Count = 8  # instances asked for at a function's first call
+    first_count: Annotated[int, Meta(ge=1, le=512)] = 8  # instances asked for at a function's first call
     idle: Span = Span(1_200_000)  # a function not called for this long is watched no more
-    bytes_per_second: Annotated[int, Meta(ge=1_024)] = 65_536  # of updates, towards one dispatcher
+    bytes_per_second: Annotated[int, Meta(ge=1_024)] = 4_096  # towards one dispatcher; drains are not held up
 
 
 class DirectoryServe(Shape):
@@ -164,17 +164,19 @@
     zone: str = ""
     shards: list[Annotated[int, Meta(ge=0)]] = field(default_factory=list)
     snapshots_per_second: Annotated[float, Meta(gt=0)] = 2_000.0  # further ones are told when to come back
-    bytes_per_second: Annotated[int, Meta(ge=1_024)] = 16_777_216  # to all dispatchers together
+    bytes_per_second: Annotated[int, Meta(ge=1_024)] = 4_194_304  # to all dispatchers; drains aren't held up
     connections: Count = 8_192  # of dispatchers at once; a further one is closed
+    oldest_epoch: Annotated[int, Meta(ge=0, lt=2**53)] = 0  # still served besides `epoch`; 0: none
     unsent: Annotated[int, Meta(ge=4096)] = 8_388_608  # bytes waiting towards a slow dispatcher
 
 
 class HolderDeployment(Shape):
-    """The settings file of a holder: `lapistrestle directory serve`."""
+    """The settings file of a holder: `lapistrestle directory serve`. Of `workers` only the ramp counts."""
 
     directory: Directory
     serve: DirectoryServe = field(default_factory=DirectoryServe)
     roster: Roster = field(default_factory=Roster)
+    workers: Workers = field(default_factory=Workers)
 
 
 class Counting(Shape):
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -119,6 +119,11 @@
             "{directory: {shards: [[{port: 1}]]}, serve: {shards: [0, 0]}}",
             "serve.shards: names a shard twice",
         ),
+        (
+            "{directory: {shards: [[{port: 1}]]}, serve: {oldest_epoch: 2}}",
+            "serve.oldest_epoch: is above directory.epoch",
+        ),
+        ('{directory: {shards: [[{port: 1}]]}, roster: {mode: "asked"}}', 'roster.mode: is "asked"'),
         ("{directory: {shards: [[{port: 1}]]}, server: {}}", "server: no such name; did you mean serve?"),
     ],
 )
