With a directory, told is the holder's word to the edge, and it has a second from the roster's

Where a deployment names a directory an edge never speaks with the roster, so the tape's reading finds nobody who told it of a drain.

A ninth check has each drain or end that the roster tells a holder reach every edge that holds the runner by its word within 1 s, less the time that the holder stood still or the link was cut.

--- /dev/null
+++ b/lapistrestle/checks/directory.py
@@ -0,0 +1,206 @@
+"""What a directory's holders told edges, from the tape of the relays between them.
+
+With a directory an edge is told of a runner by a holder, so rule 3 counts from the holder's word; and each
+holder has a second for what the roster told it to reach the edges that hold the runner.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lapistrestle.wire import directory as wire
+from lapistrestle.wire.messages import Entry
+
+NEVER = float("inf")
+TENTHS = 10  # tenths of a millisecond, the unit of leases, in a millisecond
+Tell = Callable[[int, float, str, str, bool], None]  # line, time, edge, start, whether it drains or is gone
+
+
+@dataclass(eq=False)
+class Held:
+    """While the last word of one connection had an edge hold a start as serving. Times in milliseconds."""
+
+    edge: str
+    holder: str
+    start: str
+    at: float
+    line: int
+    until: float = NEVER
+    told: bool = False  # it ended by word of a drain, and not because it left the prefixes
+
+
+@dataclass(eq=False)
+class Watching:
+    """One connection of an edge to a holder, as both ends know it."""
+
+    edge: str
+    holder: str
+    functions: dict[int, str] = field(default_factory=dict)  # by watch
+    prefixes: dict[int, dict[str, None]] = field(default_factory=dict)  # names by watch
+    held: dict[str, Held] = field(default_factory=dict)  # by name
+    serving: dict[str, str] = field(default_factory=dict)  # starts told, by name, also outside prefixes
+    asked: float = NEVER  # when the edge last renewed its watches, or began one
+    lease: float = NEVER  # milliseconds
+
+    def lapses(self) -> float:
+        """When its watches lapse, unless they are renewed."""
+        return self.asked + self.lease
+
+
+class Epochs:
+    """In which order the roster's lists came to be, whoever was told of them first."""
+
+    def __init__(self) -> None:
+        self.order: dict[str, int] = {}
+
+    def met(self, epoch: str) -> None:
+        self.order.setdefault(epoch, len(self.order))
+
+    def age(self, revision: wire.Revision) -> tuple[int, int]:
+        """Orders revisions, the older first."""
+        return self.order.get(revision.source, -1), revision.number
+
+
+class DirectoryStory:
+    """Reads the lines of all relayed connections in order."""
+
+    def __init__(self, epochs: Epochs, lists: dict[str, dict[str, str]], tell: Tell) -> None:
+        """`lists`: for each edge, the start that it was last told of each runner."""
+        self.epochs, self.lists, self.tell = epochs, lists, tell
+        self.watching: dict[str, Watching] = {}
+        self.words: dict[tuple[str, str], tuple[int, int]] = {}  # age of the last word, by edge and name
+        self.holds: list[Held] = []
+        self.number, self.at = 0, 0.0  # of the line that is read
+
+    def opened(self, connection: str, edge: str, holder: str) -> None:
+        self.watching[connection] = Watching(edge, holder)
+
+    def closed(self, connection: str, at: float) -> None:
+        watching = self.watching.pop(connection, None)
+        if watching is not None:
+            self.drop(watching, min(at, watching.lapses()))
+
+    def line(self, number: int, at: float, connection: str, message: Any) -> None:
+        watching = self.watching.get(connection)
+        if watching is None:
+            return
+        self.number, self.at = number, at
+        if at > watching.lapses():
+            self.drop(watching, watching.lapses())
+        match message:
+            case wire.Watch():
+                watching.asked = at
+                watching.functions[message.id] = message.function
+            case wire.Renew():
+                watching.asked = at
+            case wire.Unwatch():
+                self.forget(watching, message.id)
+            case wire.Renewed():
+                watching.lease = message.lease / TENTHS
+            case wire.Snapshot():
+                self.snapshot(watching, message)
+            case wire.Update():
+                self.update(watching, message)
+
+    def snapshot(self, watching: Watching, message: wire.Snapshot) -> None:
+        watching.lease = message.lease / TENTHS
+        function = watching.functions.get(message.id)
+        before = [id_ for id_, name in watching.functions.items() if name == function and id_ < message.id]
+        watching.prefixes[message.id] = {entry.name: None for entry in message.entries}
+        for id_ in before:
+            self.forget(watching, id_)
+        age = self.epochs.age(message.revision)
+        for entry in message.entries:
+            self.entry(watching, entry, age)
+        if message.complete:
+            named = watching.prefixes[message.id]
+            for name in [n for n in self.lists.get(watching.edge, {}) if n not in named]:
+                self.gone(watching, name, age)
+
+    def update(self, watching: Watching, message: wire.Update) -> None:
+        age = self.epochs.age(message.revision)
+        for name in message.gone:
+            self.gone(watching, name, age)
+        for change in message.changes:
+            prefix = watching.prefixes.get(change.id)
+            if prefix is None:
+                continue  # a watch that the edge has ended meanwhile
+            for name in change.removed:
+                prefix.pop(name, None)
+            prefix.update((placed.name, None) for placed in change.inserted)
+        for entry in message.entries:
+            self.entry(watching, entry, age)
+        for name in [n for n in watching.held if not self.in_prefix(watching, n)]:
+            self.over(watching, name, self.at, told=False)
+        for name, start in watching.serving.items():
+            if name not in watching.held and self.in_prefix(watching, name):
+                self.hold(watching, name, start)
+
+    def entry(self, watching: Watching, entry: Entry, age: tuple[int, int]) -> None:
+        """Word of one runner. Older word than the edge has had of it tells the edge nothing."""
+        serves = entry.listing == "serving"
+        held = watching.held.get(entry.name)
+        if held is not None and (held.start != entry.start or not serves):
+            self.over(watching, entry.name, self.at, told=True)
+        if serves:
+            watching.serving[entry.name] = entry.start
+            if entry.name not in watching.held and self.in_prefix(watching, entry.name):
+                self.hold(watching, entry.name, entry.start)
+        else:
+            watching.serving.pop(entry.name, None)
+        if not self.newest(watching.edge, entry.name, age):
+            return
+        known = self.lists.setdefault(watching.edge, {})
+        before = known.get(entry.name, entry.start)
+        if before != entry.start:
+            self.tell(self.number, self.at, watching.edge, before, True)
+        known[entry.name] = entry.start
+        self.tell(self.number, self.at, watching.edge, entry.start, not serves)
+        if entry.listing == "gone":
+            del known[entry.name]
+
+    def gone(self, watching: Watching, name: str, age: tuple[int, int]) -> None:
+        if name in watching.held:
+            self.over(watching, name, self.at, told=True)
+        watching.serving.pop(name, None)
+        if self.newest(watching.edge, name, age):
+            start = self.lists.get(watching.edge, {}).pop(name, None)
+            if start is not None:
+                self.tell(self.number, self.at, watching.edge, start, True)
+
+    def newest(self, edge: str, name: str, age: tuple[int, int]) -> bool:
+        """Whether this word is no older than the last one that this edge had of that runner."""
+        if age < self.words.get((edge, name), age):
+            return False
+        self.words[edge, name] = age
+        return True
+
+    def in_prefix(self, watching: Watching, name: str) -> bool:
+        return any(name in prefix for prefix in watching.prefixes.values())
+
+    def hold(self, watching: Watching, name: str, start: str) -> None:
+        made = watching.held[name] = Held(watching.edge, watching.holder, start, self.at, self.number)
+        self.holds.append(made)
+
+    def over(self, watching: Watching, name: str, at: float, told: bool) -> None:
+        held = watching.held.pop(name)
+        held.until, held.told = at, told
+
+    def forget(self, watching: Watching, id_: int) -> None:
+        """A watch is over."""
+        watching.functions.pop(id_, None)
+        watching.prefixes.pop(id_, None)
+        for name in [n for n in watching.held if not self.in_prefix(watching, n)]:
+            self.over(watching, name, self.at, told=False)
+
+    def drop(self, watching: Watching, at: float) -> None:
+        """All watches of a connection are over."""
+        watching.functions.clear()
+        watching.prefixes.clear()
+        watching.serving.clear()
+        for name in list(watching.held):
+            self.over(watching, name, at, told=False)
+
+    def finish(self, end: float) -> None:
+        for connection in list(self.watching):
+            self.closed(connection, end)
--- a/lapistrestle/checks/reading.py
+++ b/lapistrestle/checks/reading.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from lapistrestle.checks.directory import DirectoryStory, Epochs
+from lapistrestle.wire import directory as directory_wire
 from lapistrestle.wire import messages as wire
 from lapistrestle.wire.lines import union
 
@@ -18,8 +20,14 @@
     "client": union(wire.FromClient),
     "runner": union(wire.FromRunner),
     "roster": union(wire.FromRoster),
+    "directory": union(directory_wire.FromHolder),
+}
+FROM_EDGE = {
+    "client": union(wire.ToClient),
+    "runner": union(wire.ToRunner),
+    "roster": union(wire.ToRoster),
+    "directory": union(directory_wire.FromWatcher),
 }
-FROM_EDGE = {"client": union(wire.ToClient), "runner": union(wire.ToRunner), "roster": union(wire.ToRoster)}
 NEVER = float("inf")
 
 
@@ -123,7 +131,8 @@
 
 @dataclass
 class Told:
-    """What an edge was told of a runner's start: `drains` from then on, or about its start."""
+    """What an edge, or a directory's holder, was told of a runner's start: `drains` from then on, or about
+    its start. `by_roster`: by whoever tells it the list, and not by the runner."""
 
     line: int
     at: float
@@ -145,8 +154,12 @@
         self.boots: dict[str, Boot] = {}
         self.wishes: dict[str, Wish] = {}
         self.effects: list[tuple[float, int, str, str, int | None, Run | None]] = []
-        self.told: dict[tuple[str, str], list[Told]] = {}  # edge and start
-        self.lists: dict[str, dict[str, str]] = {}  # edge: runner to the start that it was last told of
+        self.told: dict[tuple[str, str], list[Told]] = {}  # edge or holder, and start
+        # by edge or holder: runner to the start that it was last told of
+        self.lists: dict[str, dict[str, str]] = {}
+        self.epochs = Epochs()
+        self.directory = DirectoryStory(self.epochs, self.lists, self.directory_told)
+        self.cuts: dict[tuple[str, str], list[tuple[float, float]]] = {}  # edge and holder
         self.stalls: dict[str, list[tuple[float, float]]] = {}
         self.kills: dict[str, list[float]] = {}
         self.backs: list[tuple[float, int, str]] = []  # when it was accepted, line, version
@@ -170,12 +183,20 @@
                 if not event.get("cut"):
                     self.line(number, at, on, what == ">", event["line"])
             case "open":
-                kind = "roster" if "roster" in event else "runner" if "runner" in event else "client"
+                kind = next((k for k in ("roster", "runner", "directory") if k in event), "client")
                 self.connections[on] = Connection(
                     on, kind, event.get("edge", ""), event.get("start", ""), event.get("runner", "")
                 )
+                if kind == "directory":
+                    self.directory.opened(on, event["edge"], event["holder"])
             case "close":
                 self.connections[on].closed = at
+                self.directory.closed(on, at)
+            case "cut":
+                self.cuts.setdefault((event["edge"], event["holder"]), []).append((at, NEVER))
+            case "healed":
+                cuts = self.cuts[event["edge"], event["holder"]]
+                cuts[-1] = (cuts[-1][0], at)
             case "boot":
                 self.boots[on] = Boot(on, event["runner"], at, event["cores"], event["speed"], event["share"])
             case "place":
@@ -216,7 +237,9 @@
         except (msgspec.MsgspecError, UnicodeError):
             return
         self.texts[number] = text if len(text) <= 300 else text[:297] + "..."
-        if isinstance(message, wire.Hello) and not to_edge:
+        if connection.kind == "directory":
+            self.directory.line(number, at, on, message)
+        elif isinstance(message, wire.Hello) and not to_edge:
             if connection.kind == "client":
                 connection.you = message.you
             else:
@@ -276,6 +299,7 @@
 
     def roster(self, number: int, at: float, connection: Connection, message: Any) -> None:
         known = self.lists.setdefault(connection.edge, {})
+        self.epochs.met(message.epoch)
         if isinstance(message, wire.Whole):
             named = {entry.name for entry in message.workers}
             for name in [n for n in known if n not in named]:
@@ -293,7 +317,12 @@
     def tell(self, edge: str, start: str, told: Told) -> None:
         self.told.setdefault((edge, start), []).append(told)
 
+    def directory_told(self, number: int, at: float, edge: str, start: str, drains: bool) -> None:
+        """A holder's word to an edge binds as the roster's would."""
+        self.tell(edge, start, Told(number, at, drains, True))
+
     def finish(self) -> None:
+        self.directory.finish(self.end)
         for call in self.calls:
             call.closed = self.connections[call.connection].closed
         for run in self.runs:
--- a/lapistrestle/checks/rules.py
+++ b/lapistrestle/checks/rules.py
@@ -6,8 +6,10 @@
 
 from scipy.stats import binom
 
+from lapistrestle.checks.directory import Held
 from lapistrestle.checks.reading import NEVER, Run, Story
 
+DIRECTORY_TIME = 1000.0  # milliseconds from the roster's word to a holder until that reaches an edge
 EPS = 5.0  # milliseconds by which the clocks of two sockets of one machine may seem to differ
 
 
@@ -182,6 +184,39 @@
     return since, by
 
 
+def directory_prompt(story: Story) -> Judged:
+    """What the roster told a directory's holder of a drain or an end reaches the edges that hold the runner
+    within a second, but for times in which the holder stood still or its link to the edge was cut."""
+    judged = Judged("directory told in time")
+    longest, told = 0.0, 0
+    for held in story.directory.holds:
+        since, by = _told_since(story, held.holder, held.start, held.until)
+        if since is None:
+            continue
+        due = _due(story, held, since)
+        if held.told:
+            told += 1
+            longest = max(longest, held.until - due + DIRECTORY_TIME)
+        if held.until > due + EPS:
+            after = min(held.until, story.end) - since
+            says = (
+                f"{held.edge} holds {held.start} by word of {held.holder} {after:.0f} ms after that was told"
+            )
+            judged.breach(due, says, held.line, by)
+    judged.figures = {"words of drains or ends": told, "longest way to an edge, ms": max(0.0, longest)}
+    return judged
+
+
+def _due(story: Story, held: Held, since: float) -> float:
+    """When word of what the holder was told then must have reached the edge."""
+    due = since + DIRECTORY_TIME
+    away = story.stalls.get(held.holder, []) + story.cuts.get((held.edge, held.holder), [])
+    for begin, end in sorted(away):
+        if begin < due and end > since:
+            due += end - max(begin, since)
+    return due
+
+
 def cold_not_pushed(story: Story) -> Judged:
     """Rule 4: no cold runner is sent so much that it falls over."""
     judged = Judged("4 cold runners not pushed over")
@@ -335,6 +370,7 @@
     withdrawn_left,
     shares_kept,
     repeats_on_their_version,
+    directory_prompt,
 )
 
 
--- a/lapistrestle/edge/rosters.py
+++ b/lapistrestle/edge/rosters.py
@@ -1,11 +1,11 @@
 """The connection to the roster: its lists handed on."""
 
-from typing import Any
+from typing import Any, Protocol
 
 from lapistrestle.edge.following import Do, News
 from lapistrestle.edge.sources import Source
 from lapistrestle.wire import messages as wire
-from lapistrestle.wire.lines import Speaker, union
+from lapistrestle.wire.lines import LineBounds, Speaker, union
 
 
 class RosterSpeaker(Speaker):
@@ -35,11 +35,29 @@
         self.source.lost(self)
 
 
+class RosterFollower(Protocol):
+    """For whom a `RosterSource` follows the roster: an edge, or a holder of the directory."""
+
+    name: str
+    bounds: LineBounds  # of the connection
+    facts: dict[str, Any]  # `dial_time_out`, in tenths of a millisecond, and `list_asked`
+
+    def input(self) -> None: ...  # something is heard
+    def list_told(self, message: wire.Whole | wire.Change) -> Do: ...
+    def list_news(self, news: News) -> None: ...
+    def passed_over(self, name: str, why: str) -> None: ...
+
+
 class RosterSource(Source):
     """Follows the roster at one port."""
 
+    edge: RosterFollower
     wanted = False
 
+    def ask(self) -> None:
+        """Have the whole list once more."""
+        self.say(wire.Ask())
+
     def speak(self) -> RosterSpeaker:
         return RosterSpeaker(self)
 
--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -26,7 +26,7 @@
 # what needs a wire, or a process that stands still: only on sockets
 WIRES = frozenset(
     ("balancer_stall", "refused", "broken", "silent", "delayed", "split", "garbled", "edge_kill", "unread",
-     "planner_stall", "planner_kill")
+     "planner_stall", "planner_kill", "holder_stall", "holder_kill", "directory_cut")
 )  # fmt: skip
 
 
--- a/lapistrestle/standins/children.py
+++ b/lapistrestle/standins/children.py
@@ -1,12 +1,24 @@
 """Programs of ours started as processes, each telling its port in a file."""
 
 import signal
+import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
 
 
+def free_tcp_ports(count: int) -> list[int]:
+    """Ports at which nothing listens now, each another."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports: list[int] = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
 class Child:
     """`lapistrestle ARGS --tell-port FILE` as a process of its own."""
 
--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -8,10 +8,10 @@
 from typing import Any, BinaryIO
 
 from lapistrestle.deployment.load import Wrong
-from lapistrestle.deployment.shape import Deployment
+from lapistrestle.deployment.shape import Deployment, HolderDeployment
 from lapistrestle.edge.program import Edge
 from lapistrestle.planner.program import Planner
-from lapistrestle.standins.children import Child
+from lapistrestle.standins.children import Child, free_tcp_ports
 from lapistrestle.standins.script import Day, plain
 from lapistrestle.standins.troubles import schedule
 from lapistrestle.standins.virtual import Process, VirtualReactor
@@ -70,7 +70,8 @@
 
     with tempfile.TemporaryDirectory() as folder:
         make_planner = virtual_planners(reactor, Path(folder) / "journal", log)
-        world = World(outside, day, deployment, sink, make_edge, make_planner, Path(folder))
+        holders = VirtualHolders(reactor, log)
+        world = World(outside, day, deployment, sink, make_edge, make_planner, Path(folder), holders=holders)
         reactor.links = world.links.fates
         run_virtual(reactor, world, begun)
     return world
@@ -126,6 +127,71 @@
     return lambda: VirtualPlanner(reactor, port, journal, log)
 
 
+class VirtualHolder:
+    """A holder of the directory as an object, in a process that can stand still or be killed."""
+
+    def __init__(self, reactor: VirtualReactor, settings: HolderDeployment, log: Log, seed: int) -> None:
+        from lapistrestle.directory.server import HolderProgram  # a day without a directory needs none
+
+        self.name = settings.serve.name
+        self.process = Process(reactor, self.name)
+        self.program = HolderProgram(self.process, settings, log, seed)
+        self.listens = 0
+
+    def start(self) -> None:
+        self.listens = self.program.start()
+
+    def port(self) -> int:
+        return 0 if self.process.dead else self.listens
+
+    def stall(self) -> None:
+        self.process.stall()
+
+    def resume(self) -> None:
+        self.process.resume()
+
+    def kill(self) -> None:
+        self.process.kill()
+
+
+class VirtualHolders:
+    """Makes holders in virtual time."""
+
+    def __init__(self, reactor: VirtualReactor, log: Log) -> None:
+        self.reactor, self.log = reactor, log
+
+    def ports(self, count: int) -> list[int]:
+        return [self.reactor.free_port() for _ in range(count)]
+
+    def make(self, settings: HolderDeployment, start: int) -> VirtualHolder:
+        return VirtualHolder(self.reactor, settings, self.log, start)
+
+
+class ProcessHolder(Child):
+    """A holder as a process of its own, at the same port whenever it starts."""
+
+    def __init__(self, folder: Path, settings: HolderDeployment) -> None:
+        name = settings.serve.name
+        file = folder / f"{name}-{time.monotonic_ns()}.json5"
+        file.write_text(json.dumps(plain(settings)))
+        super().__init__(folder, name, "directory", "serve", str(file), "--json")
+
+
+class ProcessHolders:
+    """Makes holders that are processes; `made` has all of them, also those that were killed."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.made: list[ProcessHolder] = []
+
+    def ports(self, count: int) -> list[int]:
+        return free_tcp_ports(count)
+
+    def make(self, settings: HolderDeployment, start: int) -> ProcessHolder:
+        self.made.append(ProcessHolder(self.folder, settings))
+        return self.made[-1]
+
+
 class ProcessPlanner(Child):
     """A planner as a process of its own, at the same port whenever it starts."""
 
@@ -157,6 +223,7 @@
     made: list[ProcessEdge] = []
     worlds: list[World] = []
     planners: list[ProcessPlanner] = []
+    holders: list[ProcessHolder] = []
     with tempfile.TemporaryDirectory() as folder:
 
         def make_edge(deployment: Deployment, start: int) -> ProcessEdge:
@@ -168,13 +235,19 @@
             return planners[-1]
 
         def begin() -> None:
-            world = World(reactor, day, deployment, sink, make_edge, make_planner, Path(folder), relayed=True)
+            makers = ProcessHolders(Path(folder))
+            makers.made = holders
+            world = World(
+                reactor, day, deployment, sink, make_edge, make_planner, Path(folder), relayed=True,
+                holders=makers,
+            )  # fmt: skip
             worlds.append(world)
             world.start()
             wait_for_edges(world, reactor.seconds() + 20)
 
         def wait_for_edges(world: World, until: float) -> None:
             up = all(line.up is not None for line in world.crowd.lines)
+            up = up and (world.directory is None or world.directory.up())
             if not up and reactor.seconds() < until:
                 reactor.callLater(0.05, wait_for_edges, world, until)
                 return
@@ -187,9 +260,10 @@
         try:
             reactor.run()
         finally:
-            for edge in [*made, *planners]:
-                edge.stop()
-            for edge in [*made, *planners]:
-                for line in edge.lines():
-                    log("edge", name=edge.name, line=line)
+            children: list[Child] = [*made, *planners, *holders]
+            for child in children:
+                child.stop()
+            for child in children:
+                for line in child.lines():
+                    log("edge", name=child.name, line=line)
     return worlds[0]
--- a/lapistrestle/standins/script.py
+++ b/lapistrestle/standins/script.py
@@ -7,7 +7,7 @@
 from msgspec import Meta, field
 
 from lapistrestle.deployment.load import Wrong, check, load, read_json5, shaped
-from lapistrestle.deployment.shape import Deployment, Part, Positive, Shape, Span
+from lapistrestle.deployment.shape import Deployment, HolderDeployment, Part, Positive, Shape, Span
 
 Kind = Literal[
     "balancer_stall", "burst", "crash", "deploy", "discovery_stale", "fast_errors", "hot_key", "neighbour",
@@ -16,6 +16,7 @@
     "edge_kill", "store_slow", "roster_back", "roster_gap", "roster_restart", "unread",
     "planner_stall", "planner_kill",
     "edges_apart", "edges_deaf", "edges_lossy",
+    "holder_stall", "holder_kill", "directory_cut",
 ]  # fmt: skip
 
 
@@ -68,7 +69,7 @@
     kind: Kind
     at: Span
     lasts: Span = Span(50_000)
-    share: Part = 0.25  # of the runners, edges, or RPCs that it meets
+    share: Part = 0.25  # of the runners, edges, holders, or RPCs that it meets
     factor: Positive = 4.0  # times slower, times the traffic
     by: Span = Span(20_000)  # how far behind, how long held
     zone: str = ""
@@ -147,8 +148,8 @@
     return day, deployment
 
 
-def plain(deployment: Deployment) -> Any:
-    """The deployment as plain values that `load` takes again."""
+def plain(deployment: Deployment | HolderDeployment) -> Any:
+    """The deployment as plain values that `load`, or `load_holder`, takes again."""
 
     def span(value: Any) -> Any:
         if isinstance(value, Span):
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -12,6 +12,7 @@
 
 from lapistrestle.deployment.shape import Deployment, Place, Planner
 from lapistrestle.standins.client import Crowd, Habits, Line, Wish
+from lapistrestle.standins.directories import DirectoryRig, Holders, holder_names
 from lapistrestle.standins.engine import RunnerFacts
 from lapistrestle.standins.fleet import Links, free_ports, relay
 from lapistrestle.standins.operator import Operator
@@ -73,11 +74,13 @@
 
 class World:
     """Builds and plays one day. `make_edge` decides whether edges are objects or processes; `relayed` has
-    what they say among themselves pass through the rig, which breaks it there."""
+    what they say among themselves pass through the rig, which breaks it there; `holders` makes those of a
+    directory of instances, where the deployment names one."""
 
     def __init__(
         self, reactor: Any, day: Day, deployment: Deployment, sink: BinaryIO, make_edge: MakeEdge,
         make_planner: MakePlanner | None = None, folder: Path | None = None, relayed: bool = False,
+        holders: Holders | None = None,
     ) -> None:  # fmt: skip
         self.reactor, self.day, self.deployment = reactor, day, deployment
         self.random = random.Random(day.seed)
@@ -106,6 +109,9 @@
         if relayed and deployment.fleet.name:
             self.fleet_ports = free_ports(day.edges)
             self.told_ports = relay(reactor, self.links, self.fleet_ports)
+        self.directory: DirectoryRig | None = None
+        if deployment.directory.shards and holders is not None:
+            self.directory = DirectoryRig(reactor, self.tape, deployment, self.roster.port, holders)
         self.planner: EdgeHandle | None = None
         if day.rollouts and make_planner is not None:
             self.begin_planner()
@@ -158,6 +164,8 @@
         if made.fleet.name:
             port, told, seeds = self.fleet_ports[number], self.told_ports[number], self.told_ports[:2]
             made.fleet = msgspec.structs.replace(made.fleet, port=port, told_port=told, seeds=seeds)
+        if self.directory is not None:
+            made.directory = self.directory.directory_of(made.dispatcher.name)
         if self.folder is not None:
             keep = str(self.folder / f"edge-{number}.plan")
             made.planner = msgspec.structs.replace(made.planner, keep=keep)
@@ -237,6 +245,8 @@
     # playing
 
     def start(self) -> None:
+        if self.directory is not None:
+            self.directory.start()
         for edge in self.edges:
             edge.start()
         self.crowd.lines = self.lines()
@@ -319,7 +329,9 @@
 def header(day: Day, deployment: Deployment) -> dict[str, Any]:
     """What a reader of the tape must know: the rules' figures, in milliseconds."""
     workers, orders, allowed = deployment.workers, deployment.orders, deployment.allowed
+    holders = holder_names(deployment.directory)
     return {
+        **({"holders": list(holders.values())} if holders else {}),
         "day": day.name,
         "seed": day.seed,
         "edges": [f"edge-{i}" for i in range(day.edges)],
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -26,7 +26,7 @@
     assert result.output.rstrip().endswith("rules: kept") and "gain answered over gain asked" in result.output
     again = run("day", "check", tape, "--json")
     told = json.loads(again.output)
-    assert again.exit_code == 0 and told["kept"] and len(told["rules"]) == 8
+    assert again.exit_code == 0 and told["kept"] and len(told["rules"]) == 9
     assert 0.5 < told["service"]["total"] <= 1
 
 
--- /dev/null
+++ b/tests/test_directory_checks.py
@@ -0,0 +1,190 @@
+"""What the checks read from a tape with a directory: whose word binds an edge, and how long it took."""
+
+import msgspec
+import pytest
+
+from lapistrestle.checks.reading import Story
+from lapistrestle.checks.rules import directory_prompt, drains_kept
+from lapistrestle.wire import directory as wire
+from lapistrestle.wire.messages import Change, Entry, Hello, Run, Whole
+
+EDGE, HOLDER, RUNNER = "edge-0", "holder-0", "w#0"
+HEADER = {"tape": 1, "edges": [EDGE], "holders": [HOLDER], "rules": {"drain_grace": 1000}}
+W = Entry("w", 9001, start=RUNNER)
+DRAINS = Entry("w", 9001, start=RUNNER, listing="draining")
+LEASE = 30_000  # tenths of a millisecond
+
+
+class Tape:
+    """A tape written by hand; times in milliseconds."""
+
+    def __init__(self, renewals=True):
+        self.events = [HEADER]
+        self.renews = renewals
+        self.put(0, "roster/1", "open", roster=True)
+        self.say(0, "roster/1", "<", Hello("lapistrestle.roster", 1, HOLDER))
+        self.say(1, "roster/1", ">", Whole(1, [W], "e1"))
+        self.open("link", HOLDER)
+
+    def put(self, at, on, what, **more):
+        self.events.append({"at": at * 1000, "on": on, "is": what, **more})
+
+    def say(self, at, on, sign, message):
+        self.put(at, on, sign, line=msgspec.json.encode(message).decode())
+
+    def open(self, link, holder):
+        self.put(2, link, "open", directory=True, edge=EDGE, holder=holder)
+        self.say(2, link, "<", wire.Watch(1, 0, 1, "f", 8))
+
+    def snapshot(self, at, *entries, number=1, link="link", id=1, complete=False, source="e1"):
+        revision = wire.Revision(source, number)
+        made = wire.Snapshot(id, 1, revision, 1, list(entries), complete, LEASE)
+        self.say(at, link, ">", made)
+
+    def update(self, at, *entries, number=2, gone=(), removed=(), link="link"):
+        changes = [wire.PrefixChange(1, 0, list(removed))] if removed else []
+        made = wire.Update(2, wire.Revision("e1", number), list(entries), list(gone), changes)
+        self.say(at, link, ">", made)
+
+    def roster(self, at, *entries, number=2, epoch="e1"):
+        self.say(at, "roster/1", ">", Change(number, list(entries), epoch))
+
+    def run(self, at):
+        self.put(3, "runner/1", "open", runner="w", start=RUNNER, edge=EDGE)
+        self.say(3, "runner/1", "<", Hello("lapistrestle.runner", 1, EDGE))
+        self.say(at, "runner/1", "<", Run(1, "r", "f", "m", 100.0))
+
+    def story(self, end=6_000):
+        if self.renews:
+            for at in range(100, end, 100):
+                self.say(at, "link", "<", wire.Renew(at))
+        self.put(end, "day", "trouble ends")
+        self.events[1:] = sorted(self.events[1:], key=lambda event: event["at"])
+        return Story(self.events)
+
+
+def prompt(tape):
+    """Breaches of the second, and the longest way in milliseconds."""
+    judged = directory_prompt(tape.story())
+    return [breach.says for breach in judged.breaches], judged.figures["longest way to an edge, ms"]
+
+
+def test_word_within_a_second_is_in_time_and_measured():
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.roster(1_000, DRAINS)
+    tape.update(1_400, DRAINS)
+    assert prompt(tape) == ([], 400.0)
+
+
+@pytest.mark.parametrize("never", [False, True])
+def test_late_word_and_none_are_breaches(never):
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.roster(1_000, DRAINS)
+    if not never:
+        tape.update(2_100, DRAINS)
+    breaches, _ = prompt(tape)
+    assert len(breaches) == 1 and f"{EDGE} holds {RUNNER} by word of {HOLDER}" in breaches[0]
+
+
+def test_word_that_it_is_gone_counts_from_the_rosters():
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.roster(1_000, msgspec.structs.replace(W, listing="gone"))
+    tape.update(2_100, gone=["w"])
+    assert len(prompt(tape)[0]) == 1
+
+
+@pytest.mark.parametrize(("begin", "end", "late"), [(900, 1_800, 0), (1_200, 1_900, 0), (1_200, 1_250, 1)])
+def test_a_cut_or_a_stand_still_gives_its_time_back_and_no_more(begin, end, late):
+    for away in ("cut", "still"):
+        tape = Tape()
+        tape.snapshot(10, W)
+        if away == "cut":
+            tape.put(begin, "day", "cut", edge=EDGE, holder=HOLDER)
+            tape.put(end, "day", "healed", edge=EDGE, holder=HOLDER)
+        else:
+            tape.put(begin, HOLDER, "stalled")
+            tape.put(end, HOLDER, "resumed")
+        tape.roster(1_000, DRAINS)
+        tape.update(2_600, DRAINS)
+        assert len(prompt(tape)[0]) == late, away
+
+
+def test_a_holder_that_tells_what_it_knows_to_be_old_is_caught():
+    tape = Tape()
+    tape.roster(1_000, DRAINS)
+    tape.snapshot(2_500, W, number=2)
+    assert len(prompt(tape)[0]) == 1
+
+
+def test_nobody_need_tell_of_what_left_the_prefix_or_whose_lease_lapsed():
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.update(900, removed=["w"])
+    tape.roster(1_000, DRAINS)
+    assert prompt(tape)[0] == []
+    tape = Tape(renewals=False)  # the lease ends at 3,002 ms
+    tape.snapshot(10, W)
+    tape.roster(2_500, DRAINS)
+    assert prompt(tape)[0] == []
+
+
+def kept(tape):
+    return [breach.says for breach in drains_kept(tape.story()).breaches]
+
+
+def test_rule_3_counts_from_the_holders_word():
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.roster(1_000, DRAINS)
+    tape.update(1_900, DRAINS)
+    tape.run(2_800)
+    assert kept(tape) == []
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.roster(1_000, DRAINS)
+    tape.update(1_900, DRAINS)
+    tape.run(2_910)
+    assert len(kept(tape)) == 1 and f"an RPC goes to {RUNNER} 1010 ms after {EDGE} was told" in kept(tape)[0]
+
+
+@pytest.mark.parametrize("how", ["gone", "replaced", "left out of a whole order"])
+def test_rule_3_takes_every_word_of_an_end(how):
+    tape = Tape()
+    tape.snapshot(10, W)
+    if how == "gone":
+        tape.update(1_000, gone=["w"])
+    elif how == "replaced":
+        tape.update(1_000, Entry("w", 9002, start="w#1"))
+    else:
+        tape.snapshot(1_000, number=2, complete=True)
+    tape.run(2_500)
+    assert len(kept(tape)) == 1
+
+
+def test_an_older_holders_word_takes_nothing_back_and_ends_nothing():
+    tape = Tape()
+    tape.open("late", "holder-1")
+    tape.snapshot(10, W)
+    tape.roster(1_000, DRAINS)
+    tape.update(1_100, DRAINS)
+    tape.snapshot(1_200, W, number=1, link="late")  # from before the drain
+    tape.run(2_500)
+    assert len(kept(tape)) == 1
+    tape = Tape()
+    tape.open("late", "holder-1")
+    tape.snapshot(10, W, number=4)
+    tape.snapshot(20, Entry("w", 9000, start="w#before"), number=3, link="late")
+    tape.run(2_500)
+    assert kept(tape) == []  # it did not tell that the newer start is gone
+
+
+def test_a_roster_that_began_anew_is_newer_whatever_its_numbers():
+    tape = Tape()
+    tape.snapshot(10, W, number=1)
+    tape.roster(500, W, number=0, epoch="e2")
+    tape.snapshot(600, DRAINS, number=0, source="e2")
+    tape.run(1_700)
+    assert len(kept(tape)) == 1
