--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,54 @@
+"""Commands of the scale tests.
+
+python -m benchmarks.scale run [--role NAME]... [--quick] [--out FOLDER]
+python -m benchmarks.scale page [--check]
+"""
+
+import sys
+from pathlib import Path
+
+import click
+
+from benchmarks.scale import page as capacity
+from benchmarks.scale import results, roles, running
+
+
+@click.group()
+def main() -> None:
+    """Scale tests and the tables of docs/CAPACITY.md."""
+
+
+@main.command()
+@click.option("--role", "names", multiple=True, help="Only these roles; all by default.")
+@click.option("--quick", is_flag=True, help="Small sizes, one repeat; kept only where --out names a folder.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder of the result files.")
+def run(names: tuple[str, ...], quick: bool, out: Path | None) -> None:
+    """Measure, and keep one result file for each role. A role that fails leaves its old file as it was."""
+    known = roles.all_roles()
+    if unknown := [name for name in names if name not in known]:
+        raise click.ClickException(f"no role {', '.join(unknown)}; there are {', '.join(known)}")
+    command = " ".join(["python -m benchmarks.scale", *sys.argv[1:]])
+    folder = out or (None if quick else results.RESULTS)
+    failed = 0
+    for outcome in running.run(running.Plan(names or tuple(known), quick, command), click.echo):
+        if isinstance(outcome, running.Failure):
+            failed += 1
+            click.echo(f"{outcome.role}: {outcome.why}", err=True)
+        elif folder:
+            click.echo(f"wrote {results.save(outcome, folder)}")
+    sys.exit(1 if failed else 0)
+
+
+@main.command()
+@click.option("--check", is_flag=True, help="Write nothing; fail where a table is not that of the results.")
+def page(check: bool) -> None:
+    """Write the tables into docs/CAPACITY.md."""
+    if not check:
+        return capacity.write()
+    if differing := capacity.check():
+        raise click.ClickException(f"not the tables of the result files: {', '.join(differing)}")
+    click.echo("every table is that of the result files")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/scale/assumptions.py
@@ -0,0 +1,126 @@
+"""The input table of the scale tests: target figures and assumptions, typed and checked."""
+
+from pathlib import Path
+from typing import Annotated
+
+import json5
+import msgspec
+from msgspec import Meta, Struct
+
+FILE = Path(__file__).with_name("assumptions.json5")
+
+Count = Annotated[int, Meta(ge=1)]
+Positive = Annotated[float, Meta(gt=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Table(Struct, frozen=True, forbid_unknown_fields=True):
+    """What all groups share."""
+
+
+class Target(Table, frozen=True, forbid_unknown_fields=True):
+    """The size that the design has to carry."""
+
+    dispatchers: Count
+    instances: Count
+    functions: Count
+    calls_per_second: Positive
+    cold_start_seconds: Positive
+    cold_start_part: Share  # of the cold starts that keep to it
+    regions: Count
+    zones: Count
+    changes_per_day: Positive
+    change_within_seconds: Positive
+    control_machines: Count
+    control_cores: Positive  # of a dispatcher's cores, spent for control
+    control_bytes: Positive  # of a dispatcher's memory
+    control_bytes_per_second: Positive
+    failures_per_day: Positive
+    restarts_per_day: Positive
+
+    @property
+    def dispatchers_per_region(self) -> int:
+        return self.dispatchers // self.regions
+
+    @property
+    def instances_per_region(self) -> int:
+        return self.instances // self.regions
+
+    @property
+    def dispatchers_per_zone(self) -> int:
+        return self.dispatchers // self.zones
+
+    @property
+    def calls_per_dispatcher(self) -> float:
+        """A second."""
+        return self.calls_per_second / self.dispatchers
+
+
+class Spread(Table, frozen=True, forbid_unknown_fields=True):
+    """How calls spread over functions: rank r is called in proportion to (r + offset) ** -exponent.
+
+    Without an offset this is Zipf's law; with one it is Mandelbrot's, whose few most called are more alike.
+    """
+
+    name: str
+    exponent: Annotated[float, Meta(ge=0, le=3)]
+    offset: Annotated[float, Meta(ge=0)] = 0.0
+
+    def rates(self, functions: int, calls_per_second: float) -> list[float]:
+        """Calls a second of each function, the most called first."""
+        weights = [(rank + self.offset) ** -self.exponent for rank in range(1, functions + 1)]
+        scale = calls_per_second / sum(weights)
+        return [weight * scale for weight in weights]
+
+
+class Machine(Table, frozen=True, forbid_unknown_fields=True):
+    """One machine of the fleet."""
+
+    cores: Count
+    memory_bytes: Positive
+    instances: Count  # of functions on it
+
+
+class Restarts(Table, frozen=True, forbid_unknown_fields=True):
+    """How the day's restarts are spread."""
+
+    busiest_hour_part: Share  # of the day's restarts, in the busiest hour
+    burst_changes_part: Share  # of the day's changes of configuration, in the worst minute
+
+
+class Instance(Table, frozen=True, forbid_unknown_fields=True):
+    """The life of an instance."""
+
+    life_seconds: Positive
+    idle_seconds: Positive  # without a call, before it is taken down
+    name_bytes: Count
+
+
+class Cold(Table, frozen=True, forbid_unknown_fields=True):
+    """Cold calls and what a cold start takes."""
+
+    part_of_calls: Share
+    load_seconds: Positive
+    dial_seconds: Positive
+    first_answer_seconds: Positive
+
+
+class Assumptions(Table, frozen=True, forbid_unknown_fields=True):
+    """The whole file."""
+
+    target: Target
+    spread: Spread
+    sensitivity: Annotated[tuple[Spread, ...], Meta(min_length=2)]
+    instance: Instance
+    cold: Cold
+    machine: Machine
+    restarts: Restarts
+    dispatchers_per_function: (
+        Count  # how many dispatchers of a region one seldom called function's calls reach
+    )
+    prefix: Count  # instances of one function that a dispatcher asks for at first
+
+
+def load(path: Path = FILE) -> Assumptions:
+    """Read and check the file; raises `msgspec.ValidationError` naming the field."""
+    return msgspec.convert(json5.loads(path.read_text()), Assumptions)
--- /dev/null
+++ b/benchmarks/scale/tables.py
@@ -0,0 +1,221 @@
+"""Tables of the capacity page, each worked out from the result files and the assumptions alone."""
+
+import math
+from collections.abc import Callable, Mapping, Sequence
+
+from msgspec import Struct
+
+from benchmarks.scale import assumptions
+from benchmarks.scale.assumptions import Assumptions
+from benchmarks.scale.fitting import Kind
+from benchmarks.scale.results import Result, Series
+from benchmarks.scale.samples import UNITS, Budget
+
+Results = Mapping[str, Result]
+SMALL = -4  # powers of ten below this are written with an exponent
+
+
+class Unknown(Exception):
+    """The page asks for a table that is not made, or for a role that has no result file."""
+
+
+class Breaking(Struct, frozen=True):
+    """Where one metric of a role leaves its budget."""
+
+    role: str
+    dimension: str
+    metric: str
+    budget: float
+    at_target: float
+    crossing: float  # size
+    target: float  # size
+
+
+def number(value: float) -> str:
+    """Three significant figures, with thousands apart."""
+    if math.isinf(value):
+        return "never"
+    if value == 0:
+        return "0"
+    magnitude = math.floor(math.log10(abs(value)))
+    if magnitude < SMALL:
+        return f"{value:.2e}"
+    return f"{round(value, 2 - magnitude):,.{max(0, 2 - magnitude)}f}"
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    lines = [f"| {' | '.join(head)} |", "|" + " --- |" * len(head)]
+    return "\n".join([*lines, *(f"| {' | '.join(row)} |" for row in rows)])
+
+
+def unit_of(metric: str) -> str:
+    return UNITS.get(metric, "")
+
+
+def titled(metric: str) -> str:
+    unit = unit_of(metric)
+    return f"{metric.replace('_', ' ')}" + (f", {unit}" if unit else "")
+
+
+def used(series: Series, metric: str) -> bool:
+    """A metric that is nought at every size is left out of the tables."""
+    growth = next(growth for growth in series.growths if growth.metric == metric)
+    return bool(growth.fit.base or growth.fit.slope)
+
+
+def growth_table(result: Result) -> str:
+    rows = []
+    for series in result.series:
+        sizes = ", ".join(f"{point.size:,}" for point in series.points[:-1])
+        for growth in series.growths:
+            if not used(series, growth.metric):
+                continue
+            fit = growth.fit
+            slope = "" if fit.kind is Kind.FLAT else number(fit.slope)
+            spread = "" if fit.kind is Kind.FLAT else f"{number(fit.slope_low)} to {number(fit.slope_high)}"
+            at_target = number(fit.at(series.target))
+            row = [series.dimension, sizes, titled(growth.metric), fit.kind, number(fit.base), slope, spread]
+            rows.append([*row, f"{fit.error:.0%}", at_target])
+    head = ["grows", "sizes", "metric", "kind", "base", "slope", "over repeats", "error", "at target"]
+    return table(head, rows)
+
+
+def prediction_table(result: Result) -> str:
+    rows = []
+    for series in result.series:
+        for made in series.predictions:
+            if not used(series, made.metric):
+                continue
+            miss = made.measured / made.predicted - 1 if made.predicted else math.inf
+            figures = [number(made.predicted), number(made.measured), f"{miss:+.0%}"]
+            rows.append([series.dimension, f"{made.size:,}", titled(made.metric), *figures])
+    return table(["grows", "size", "metric", "predicted", "measured", "miss"], rows)
+
+
+def scene_table(result: Result) -> str:
+    rows = []
+    for scene in result.scenes:
+        for figure in scene.figures:
+            spread = "" if figure.low is None else f"{number(figure.low)} to {number(figure.high or 0.0)}"
+            budget = "" if figure.budget is None else number(figure.budget)
+            rows.append(
+                [
+                    scene.name,
+                    figure.name,
+                    number(figure.value),
+                    figure.unit,
+                    spread,
+                    budget,
+                    margin(figure.value, figure.budget),
+                ]
+            )
+    return table(["scene", "figure", "measured", "unit", "over repeats", "budget", "margin"], rows)
+
+
+def margin(value: float, budget: float | None) -> str:
+    """What is left of the budget, or by how much it is overrun."""
+    if budget is None:
+        return ""
+    if value <= budget:
+        return f"{1 - value / budget:.0%} left"
+    return f"over, {number(value / budget)} times" if budget else "over"
+
+
+def breaking(results: Results) -> list[Breaking]:
+    """Every budget of every role against the dimension, the one that breaks first at the top."""
+    found = [
+        Breaking(result.role, series.dimension, budget.metric, budget.most, *place, series.target)
+        for result in results.values()
+        for series in result.series
+        for budget in result.budgets
+        if (place := crossing(series, budget)) is not None
+    ]
+    return sorted(found, key=lambda row: (row.crossing / row.target, row.role, row.metric))
+
+
+def crossing(series: Series, budget: Budget) -> tuple[float, float] | None:
+    """The metric at the target size and the size at which it passes the budget."""
+    for growth in series.growths:
+        if growth.metric == budget.metric and used(series, budget.metric):
+            return growth.fit.at(series.target), growth.fit.crossing(budget.most)
+    return None
+
+
+def ranking_table(results: Results) -> str:
+    rows = []
+    for row in breaking(results):
+        place = [number(row.crossing), number(row.target), number(row.crossing / row.target)]
+        figures = [number(row.budget), number(row.at_target), margin(row.at_target, row.budget)]
+        rows.append([row.role, row.dimension, titled(row.metric), *place, *figures])
+    head = ["role", "grows", "metric", "leaves its budget at", "target", "part of target"]
+    return table([*head, "budget", "at target", "margin"], rows)
+
+
+def origin_table(results: Results) -> str:
+    rows = []
+    for result in results.values():
+        o = result.origin
+        quick = "quick" if o.quick else "full"
+        rows.append(
+            [
+                result.role,
+                o.commit,
+                o.date,
+                quick,
+                f"{o.seconds:.0f} s",
+                str(o.cores),
+                str(o.load_before),
+                f"`{o.command}`",
+            ]
+        )
+    return table(["role", "commit", "date", "run", "took", "cores", "load before", "command"], rows)
+
+
+def target_table(given: Assumptions) -> str:
+    target = given.target
+    return table(
+        ["target", "figure"],
+        [[n.replace("_", " "), number(getattr(target, n))] for n in target.__struct_fields__],
+    )
+
+
+def assumption_table(given: Assumptions) -> str:
+    rows = [
+        [f"calls over functions: {s.name}", f"(rank + {s.offset:g}) ** -{s.exponent:g}"]
+        for s in (given.spread, *given.sensitivity)
+    ]
+    for group in (given.instance, given.cold, given.machine, given.restarts):
+        name = type(group).__name__.lower()
+        rows += [
+            [f"{name}: {f.replace('_', ' ')}", number(getattr(group, f))] for f in group.__struct_fields__
+        ]
+    rows.append(
+        [
+            "dispatchers of a region that one seldom called function's calls reach",
+            str(given.dispatchers_per_function),
+        ]
+    )
+    rows.append(["instances of a function that a dispatcher asks for at first", str(given.prefix)])
+    return table(["assumed", "figure"], rows)
+
+
+WHOLE: dict[str, Callable[[Results], str]] = {"ranking": ranking_table, "runs": origin_table}
+GIVEN: dict[str, Callable[[Assumptions], str]] = {"target": target_table, "assumptions": assumption_table}
+OF_ROLE: dict[str, Callable[[Result], str]] = {
+    "growth": growth_table,
+    "prediction": prediction_table,
+    "scenes": scene_table,
+}
+
+
+def made(name: str, results: Results) -> str:
+    """The table called `name`: `ranking`, `runs`, `target`, `assumptions`, or `growth ROLE`,
+    `prediction ROLE`, `scenes ROLE`. Raises `Unknown`."""
+    if name in WHOLE:
+        return WHOLE[name](results)
+    if name in GIVEN:
+        return GIVEN[name](assumptions.load())
+    kind, _, role = name.partition(" ")
+    if kind not in OF_ROLE or role not in results:
+        raise Unknown(f"no table called {name!r}: roles with results are {', '.join(results) or 'none'}")
+    return OF_ROLE[kind](results[role])
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,139 @@
+"""The scale tests' deterministic part: yardsticks, fits, the input table, the page, and kinds of growth."""
+
+import math
+
+import msgspec
+import pytest
+
+from benchmarks.scale import assumptions, fitting, measuring, page, roles, running, tables
+from benchmarks.scale.fitting import Kind
+from benchmarks.scale.samples import Dimension, Sample, Sweep
+
+SIZES = (100, 200, 400, 800)
+
+
+def values(shape):
+    return [shape(size) for size in SIZES]
+
+
+@pytest.mark.parametrize(
+    ("kind", "shape"),
+    [
+        (Kind.FLAT, lambda n: 7.0 + 0.0001 * n),
+        (Kind.LOG, lambda n: 3 + 2 * math.log2(n)),
+        (Kind.LINEAR, lambda n: 50 + 3 * n),
+        (Kind.LINEAR, lambda n: 3_000 + 3 * n),
+        (Kind.LINEAR, lambda n: 3.0 * n * (1.02 if n == 200 else 0.99)),
+        (Kind.WORSE, lambda n: 10 + 0.5 * n * n),
+    ],
+)
+def test_the_kind_of_growth_is_told(kind, shape):
+    assert fitting.kind_of(SIZES, values(shape)) is kind
+
+
+def test_a_fit_predicts_beyond_its_sizes_and_finds_where_a_budget_is_passed():
+    made = fitting.fit(SIZES, [values(lambda n: 50 + 3 * n), values(lambda n: 50 + 3 * n)])
+    assert made.at(8_000) == pytest.approx(24_050)
+    assert made.crossing(24_050) == pytest.approx(8_000)
+    assert fitting.fit(SIZES, [values(lambda n: 7.0)]).crossing(8.0) == math.inf
+    log = fitting.fit(SIZES, [values(lambda n: 3 + 2 * math.log2(n))])
+    assert log.crossing(3 + 2 * 20) == pytest.approx(2**20)
+
+
+def test_spread_of_a_slope_is_over_the_repeats():
+    made = fitting.fit(
+        SIZES, [values(lambda n: 2.0 * n), values(lambda n: 3.0 * n), values(lambda n: 4.0 * n)]
+    )
+    assert (made.slope_low, made.slope, made.slope_high) == pytest.approx((2, 3, 4))
+
+
+def test_counted_steps_are_the_same_every_time_and_grow_with_a_planted_scan():
+    def scan(size):
+        names = [f"w{i}" for i in range(size)]
+
+        def action():
+            found = 0
+            for name in names:
+                found += name == "w3"
+            return found
+
+        return measuring.count_steps(action).instructions
+
+    assert scan(100) == scan(100)
+    assert fitting.kind_of(SIZES, [scan(size) for size in SIZES]) is Kind.LINEAR
+
+
+def test_a_copy_inside_one_built_in_shows_in_the_peak():
+    names = list(range(10_000))
+    assert measuring.count_steps(lambda: names[5:] + names[:5]).peak_bytes > 8 * len(names)
+
+
+def test_state_is_what_is_still_held():
+    _, held = measuring.build_measured(lambda: [bytes(1_000) for _ in range(1_000)])
+    assert 1_000_000 < held < 1_200_000
+
+
+def test_sweeps_need_four_sizes_two_apart_and_one_beyond():
+    for sizes, beyond in [((1, 2, 4), 8), ((1, 2, 3, 8), 16), ((1, 2, 4, 8), 9)]:
+        with pytest.raises(ValueError, match="instances"):
+            Sweep(Dimension.INSTANCES, sizes, beyond, 100.0)
+
+
+def test_the_input_table_is_checked():
+    given = assumptions.load()
+    assert given.target.dispatchers == 3_900
+    assert len(given.sensitivity) >= 2
+    raw = msgspec.to_builtins(given)
+    for group, field, wrong in [("target", "regions", 0), ("cold", "part_of_calls", 2), ("cold", "typo", 1)]:
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.convert({**raw, group: {**raw[group], field: wrong}}, assumptions.Assumptions)
+
+
+def test_most_functions_are_called_less_than_once_a_minute_as_the_target_says():
+    given = assumptions.load()
+    rates = given.spread.rates(given.target.functions, given.target.calls_per_second)
+    assert sum(rates) == pytest.approx(given.target.calls_per_second)
+    assert sum(rate < 1 / 60 for rate in rates) > given.target.functions / 2
+
+
+class Toy:
+    """A role whose state grows with the instances, and whose work does not."""
+
+    name, text, budgets, scenes = "toy", "a toy", (), ()
+    sweeps = (Sweep(Dimension.INSTANCES, SIZES, 1_600, 1_000.0),)
+
+    def measure(self, dimension, size, seed, given):
+        return Sample(state_bytes=10.0 * size, steps=50, figures={"first call, s": 0.001 * size})
+
+
+def test_a_role_is_measured_fitted_and_predicted_beyond():
+    result = running.measure_role(Toy(), running.Plan(("toy",), True, "test"))
+    (series,) = result.series
+    kinds = {growth.metric: growth.fit.kind for growth in series.growths}
+    assert (kinds["state_bytes"], kinds["steps"]) == (Kind.LINEAR, Kind.FLAT)
+    beyond = {made.metric: (made.predicted, made.measured) for made in series.predictions}
+    assert beyond["state_bytes"] == pytest.approx((16_000, 16_000))
+    assert beyond["first call, s"] == pytest.approx((1.6, 1.6))
+
+
+def test_a_page_is_filled_checked_and_refused():
+    found = {"toy": running.measure_role(Toy(), running.Plan(("toy",), True, "test"))}
+    growth, target = "<!-- table: growth toy -->\n<!-- end -->", "<!-- table: target -->\nold\n<!-- end -->"
+    text = f"# A\n\n{growth}\n\nwords\n\n{target}\n"
+    assert page.differing(text, found) == ["growth toy", "target"]
+    filled = page.written(text, found)
+    assert "words" in filled
+    assert "| linear |" in filled
+    assert page.differing(filled, found) == []
+    assert page.written(filled, found) == filled
+    assert page.differing(filled.replace("| linear |", "| flat |"), found) == ["growth toy"]
+    with pytest.raises(tables.Unknown):
+        page.written("<!-- table: growth none -->\n<!-- end -->", found)
+    with pytest.raises(page.Malformed):
+        page.written("<!-- table: target -->\nno end", found)
+
+
+def test_every_role_is_registered_with_sweeps_that_stand():
+    for name, role in roles.all_roles().items():
+        assert role.name == name
+        assert role.sweeps or role.scenes
