--- a/benchmarks/scale/assumptions.py
+++ b/benchmarks/scale/assumptions.py
@@ -1,5 +1,6 @@
 """The input table of the scale tests: target figures and assumptions, typed and checked."""
 
+import math
 from pathlib import Path
 from typing import Annotated
 
@@ -9,6 +10,9 @@
 
 FILE = Path(__file__).with_name("assumptions.json5")
 
+DAY = 86_400.0  # seconds
+CHANGES_OF_A_LIFE = 3  # of an instance: it begins, drains, is gone
+
 Count = Annotated[int, Meta(ge=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -120,6 +124,27 @@
     )
     prefix: Count  # instances of one function that a dispatcher asks for at first
 
+    def functions_in_view(self, idle_seconds: float, spread: Spread | None = None) -> float:
+        """Functions that one dispatcher has called within `idle_seconds`, where the calls of each reach all
+        dispatchers of a region alike: the most that there can be."""
+        each = self.target.calls_per_second / self.target.dispatchers
+        rates = (spread or self.spread).rates(self.target.functions, each)
+        return sum(1 - math.exp(-rate * idle_seconds) for rate in rates)
+
+    def first_calls_per_second(self, idle_seconds: float, spread: Spread | None = None) -> float:
+        """Calls at one dispatcher to a function that it has not called within `idle_seconds`."""
+        each = self.target.calls_per_second / self.target.dispatchers
+        rates = (spread or self.spread).rates(self.target.functions, each)
+        return sum(rate * math.exp(-rate * idle_seconds) for rate in rates)
+
+    def instance_changes_per_second(self, instances: int) -> float:
+        """How often a list of so many instances changes: each begins, drains and goes once in its life, and
+        all of a machine that is restarted do so once more."""
+        ordinary = instances / self.instance.life_seconds
+        machines = self.target.restarts_per_day / DAY
+        restarted = machines * self.machine.instances * instances / self.target.instances
+        return CHANGES_OF_A_LIFE * (ordinary + restarted)
+
 
 def load(path: Path = FILE) -> Assumptions:
     """Read and check the file; raises `msgspec.ValidationError` naming the field."""
--- a/benchmarks/scale/fitting.py
+++ b/benchmarks/scale/fitting.py
@@ -62,7 +62,7 @@
 def line(kind: Kind, sizes: Sequence[float], values: Sequence[float]) -> tuple[float, float, float]:
     """Base, slope and error of one kind, each point weighted by the inverse square of its value."""
     floor = max(map(abs, values)) * 1e-3 or TINY
-    weights = [1 / max(abs(value), floor) ** 2 for value in values]
+    weights = [(floor / max(abs(value), floor)) ** 2 for value in values]
     shapes = [SHAPES[kind](size) for size in sizes]
     total = sum(weights)
     mean_shape = sum(w * x for w, x in zip(weights, shapes, strict=True)) / total
@@ -73,7 +73,8 @@
         sum(w * (x - mean_shape) * (y - mean_value) for w, x, y in paired) / spread if spread > TINY else 0
     )
     base = mean_value - slope * mean_shape
-    misses = [w * (base + slope * x - y) ** 2 for w, x, y in zip(weights, shapes, values, strict=True)]
+    points = zip(shapes, values, strict=True)
+    misses = [((base + slope * x - y) / max(abs(y), floor)) ** 2 for x, y in points]
     return base, slope, math.sqrt(sum(misses) / len(misses))
 
 
--- a/benchmarks/scale/measuring.py
+++ b/benchmarks/scale/measuring.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 Built = TypeVar("Built")
-REPEATS = 5
+REPEATS = 7
 
 
 class Seconds(Struct, frozen=True):
--- a/benchmarks/scale/samples.py
+++ b/benchmarks/scale/samples.py
@@ -72,6 +72,10 @@
     metric: str  # a field of `Sample`, or a name in its `figures`
     most: float
     why: str
+    dimensions: tuple[Dimension, ...] = ()  # where it counts; empty: in each
+
+    def counts_in(self, dimension: Dimension) -> bool:
+        return not self.dimensions or dimension in self.dimensions
 
 
 class Figure(Struct, frozen=True, omit_defaults=True):
@@ -97,11 +101,16 @@
 class Role(Protocol):
     """What a module of `roles/` registers."""
 
-    name: str
-    text: str
-    sweeps: tuple[Sweep, ...]
-    budgets: tuple[Budget, ...]
-    scenes: tuple[Scene, ...]
+    @property
+    def name(self) -> str: ...
+    @property
+    def text(self) -> str: ...
+    @property
+    def sweeps(self) -> tuple[Sweep, ...]: ...
+    @property
+    def budgets(self) -> tuple[Budget, ...]: ...
+    @property
+    def scenes(self) -> tuple[Scene, ...]: ...
 
     def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample: ...
 
--- a/benchmarks/scale/tables.py
+++ b/benchmarks/scale/tables.py
@@ -128,7 +128,7 @@
         for result in results.values()
         for series in result.series
         for budget in result.budgets
-        if (place := crossing(series, budget)) is not None
+        if budget.counts_in(series.dimension) and (place := crossing(series, budget)) is not None
     ]
     return sorted(found, key=lambda row: (row.crossing / row.target, row.role, row.metric))
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,6 +23,8 @@
         (Kind.LOG, lambda n: 3 + 2 * math.log2(n)),
         (Kind.LINEAR, lambda n: 50 + 3 * n),
         (Kind.LINEAR, lambda n: 3_000 + 3 * n),
+        (Kind.LINEAR, lambda n: 6e6 * (n / 100)),
+        (Kind.LINEAR, lambda n: 6e-6 * (n / 100)),
         (Kind.LINEAR, lambda n: 3.0 * n * (1.02 if n == 200 else 0.99)),
         (Kind.WORSE, lambda n: 10 + 0.5 * n * n),
     ],
@@ -34,6 +36,7 @@
 def test_a_fit_predicts_beyond_its_sizes_and_finds_where_a_budget_is_passed():
     made = fitting.fit(SIZES, [values(lambda n: 50 + 3 * n), values(lambda n: 50 + 3 * n)])
     assert made.at(8_000) == pytest.approx(24_050)
+    assert made.error < 1e-9
     assert made.crossing(24_050) == pytest.approx(8_000)
     assert fitting.fit(SIZES, [values(lambda n: 7.0)]).crossing(8.0) == math.inf
     log = fitting.fit(SIZES, [values(lambda n: 3 + 2 * math.log2(n))])
