--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -223,24 +223,25 @@
         self.answered_at.clear()
 
 
-def deployment(of: int, number: int = 0) -> Deployment:
-    """Settings of one dispatcher of many, as the example of small rule programs has them."""
-    return shaped(
-        {
-            "dispatcher": {"name": f"edge-{number}", "number": number, "of": of, "zone": ZONES[0]},
-            "listen": {"longest_line": LONGEST_LINE, "open_calls": 100_000},
-            "roster": {"port": ROSTER_PORT},
-            "zones": list(ZONES),
-            "methods": {"check": {"effect": "idempotent", "deadline": "3 s", "soft_deadline": "1.4 s"}},
-            "workers": {
-                "size_means": "rough", "drain_grace": "1 s", "cold_share": 0.18, "ramp": "15 s",
-                "fall_multiple": 3.5, "fall_time": "3 s", "idle_life": "9 s", "reports": "inline",
-            },
-            "orders": {"allowed": True, "time_out": "10 s"},
-            "allowed": {"tries": 3, "dial": "250 ms", "come_back": "500 ms"},
+def settings(of: int, number: int = 0, roster_port: int = ROSTER_PORT) -> dict[str, Any]:
+    """One dispatcher of many, as the example of small rule programs has them."""
+    return {
+        "dispatcher": {"name": f"edge-{number}", "number": number, "of": of, "zone": ZONES[0]},
+        "listen": {"longest_line": LONGEST_LINE, "open_calls": 100_000},
+        "roster": {"port": roster_port},
+        "zones": list(ZONES),
+        "methods": {"check": {"effect": "idempotent", "deadline": "3 s", "soft_deadline": "1.4 s"}},
+        "workers": {
+            "size_means": "rough", "drain_grace": "1 s", "cold_share": 0.18, "ramp": "15 s",
+            "fall_multiple": 3.5, "fall_time": "3 s", "idle_life": "9 s", "reports": "inline",
         },
-        Deployment,
-    )  # fmt: skip
+        "orders": {"allowed": True, "time_out": "10 s"},
+        "allowed": {"tries": 3, "dial": "250 ms", "come_back": "500 ms"},
+    }  # fmt: skip
+
+
+def deployment(of: int, number: int = 0) -> Deployment:
+    return shaped(settings(of, number), Deployment)
 
 
 def entry(number: int, listing: Any = "serving", start: int = 0, region: int = 0) -> wire.Entry:
