--- a/lapistrestle/directory/effects.py
+++ b/lapistrestle/directory/effects.py
@@ -167,7 +167,9 @@
     stale: int = 1 * SECOND  # age of a holder's knowledge at which another copy is looked for
     dial_time_out: int = 300 * MILLISECOND
     idle: int = 120 * SECOND  # a function unused for so long is watched no more
+    rebalance: int = 300 * SECOND  # about so long with another copy, then the first choice is tried again
     first_pause: int = 50 * MILLISECOND  # at the most, before the next copy is dialled; doubles
     longest_pause: int = 2 * SECOND
+    most_functions: int = 16_384  # watched at once; a look-up of a further one fails
     most_pending: int = 4_096  # look-ups without answer
     most_retired: int = 4_096  # instances remembered so that older word of them is not believed
--- a/lapistrestle/directory/holder.py
+++ b/lapistrestle/directory/holder.py
@@ -22,6 +22,7 @@
 from lapistrestle.directory.watched import Watch as Watched
 from lapistrestle.directory.watched import WatchedFunctions
 from lapistrestle.wire.directory import (
+    MOST_SUPERSEDED,
     Busy,
     Refused,
     RegionSums,
@@ -55,6 +56,7 @@
         self.batches = Batches(self.instances, self.watched)
         self.knowledge = Knowledge(settings, now, lambda: self.effects.append(AskRoster()), log)
         self.revision = Revision()
+        self.superseded = list[str]()  # sources before the present one
         rate, burst, longest = settings.snapshot_rate, settings.snapshot_burst, settings.longest_retry
         self.admission = Admission(rate, burst, longest, now, Jitter(seed))
         self.bytes = TokenBucket.full(settings.total_bytes, settings.total_bytes * BURST, now)
@@ -75,6 +77,8 @@
         self.knowledge.called(now, len(told))
         if revision.source == self.revision.source and revision.number < self.revision.number:
             self.start_over(revision)
+        if self.revision.source not in ("", revision.source):
+            self.superseded = [*self.superseded, self.revision.source][-MOST_SUPERSEDED:]
         self.revision = revision
         changes = self.instances.apply(told, whole, now)
         self.pass_on(changes, now)
@@ -188,7 +192,7 @@
         entries = [self.instances.known[name].entry_at(now) for name in prefix.names]
         snapshot = Snapshot(
             asked.id, asked.epoch, self.revision, session.next_sequence(), entries, prefix.complete,
-            self.settings.lease, self.knowledge.age(now),
+            self.settings.lease, self.knowledge.age(now), self.superseded,
         )  # fmt: skip
         self.bytes.take(line_bytes(snapshot), now)
         self.send(session, snapshot)
--- /dev/null
+++ b/lapistrestle/directory/known.py
@@ -0,0 +1,138 @@
+"""The instances that a watcher knows: those of its prefixes, and a bounded memory of those it knew before.
+
+Holders of different shards may be at different revisions, and each instance may be told by several of them.
+The word of the newest revision holds for each. What is remembered of an instance that left all prefixes keeps
+a holder that is behind from bringing back an older incarnation; where that memory is full, its oldest item
+goes, and nothing older than that item's revision is taken from any holder from then on.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lapistrestle.directory.revisions import Revisions
+from lapistrestle.wire.directory import Revision
+from lapistrestle.wire.messages import Entry
+
+LONGEST_UP_FOR = 86_400_000.0  # milliseconds, as bounded on the wire
+PER_MILLISECOND = 10
+
+
+@dataclass(eq=False, slots=True)
+class Known:
+    """An instance, and from which revision this is known."""
+
+    entry: Entry
+    revision: Revision
+    at: int  # when `up_for` was true, on the watcher's clock
+    functions: set[str] = field(default_factory=set)  # that have it in their prefix
+
+    @property
+    def gone(self) -> bool:
+        return self.entry.listing == "gone"
+
+
+@dataclass(slots=True)
+class News:
+    """What one message has changed."""
+
+    changed: dict[str, Entry] = field(default_factory=dict)
+    gone: dict[str, None] = field(default_factory=dict)
+    forgotten: dict[str, None] = field(default_factory=dict)
+    functions: dict[str, None] = field(default_factory=dict)  # whose prefixes may be shown otherwise now
+
+
+class KnownInstances:
+    """All instances that a watcher knows."""
+
+    def __init__(self, revisions: Revisions, most_retired: int) -> None:
+        self.revisions, self.most_retired = revisions, most_retired
+        self.known = dict[str, Known]()
+        self.retired = dict[str, Known]()  # in no prefix any more, the oldest first
+        self.floor: Revision | None = None  # nothing older is taken
+        self.news = News()
+
+    def take_news(self) -> News:
+        """What has changed since the last call."""
+        news, self.news = self.news, News()
+        return news
+
+    def told(self, entry: Entry, revision: Revision, now: int) -> None:
+        """A holder told an instance."""
+        known = self.known.get(entry.name) or self.restored(entry.name, now)
+        if known is None:
+            self.known[entry.name] = Known(entry, revision, now)
+            self.news.changed[entry.name] = entry
+            return
+        if self.revisions.older(revision, known.revision):
+            return
+        before, known.entry, known.revision, known.at = known.entry, entry, revision, now
+        if undated(before) == undated(entry):
+            return
+        self.news.changed[entry.name] = entry
+        self.news.gone.pop(entry.name, None)
+        if before.listing == "gone":
+            self.news.functions.update(dict.fromkeys(known.functions))
+
+    def restored(self, name: str, now: int) -> Known | None:
+        """Bring back what is remembered of an instance that is named again."""
+        known = self.retired.pop(name, None)
+        if known is None:
+            return None
+        self.known[name] = known
+        if known.entry.up_for is not None:
+            up_for = min(LONGEST_UP_FOR, known.entry.up_for + max(0, now - known.at) / PER_MILLISECOND)
+            known.entry, known.at = msgspec.structs.replace(known.entry, up_for=up_for), now
+        if not known.gone:
+            self.news.changed[name] = known.entry
+        return known
+
+    def told_gone(self, name: str, revision: Revision) -> None:
+        """A holder said that an instance is gone."""
+        known = self.known.get(name) or self.retired.get(name)
+        if known is None or known.gone or self.revisions.older(revision, known.revision):
+            return
+        known.entry, known.revision = msgspec.structs.replace(known.entry, listing="gone"), revision
+        self.news.gone[name] = None
+        self.news.changed.pop(name, None)
+        self.news.functions.update(dict.fromkeys(known.functions))
+
+    def used_by(
+        self, function: str, before: Iterable[str], after: Iterable[str], revision: Revision, now: int
+    ) -> None:
+        """A function's prefix has become another one, by word of this revision."""
+        old, new = set(before), set(after)
+        for name in new - old:
+            known = self.known.get(name) or self.restored(name, now)
+            if known is None:  # named, but gone by the time the batch was made
+                known = self.known[name] = Known(Entry(name, listing="gone"), revision, now)
+            known.functions.add(function)
+        for name in old - new:
+            known = self.known.get(name)
+            if known is not None:
+                known.functions.discard(function)
+
+    def retire(self, names: Iterable[str]) -> None:
+        """Those of these instances that no prefix has any more go into the memory."""
+        for name in names:
+            known = self.known.get(name)
+            if known is None or known.functions:
+                continue
+            self.retired[name] = self.known.pop(name)
+            self.news.changed.pop(name, None)
+            if not known.gone:
+                self.news.forgotten[name] = None
+        while len(self.retired) > self.most_retired:
+            oldest = self.retired.pop(next(iter(self.retired)))
+            if self.floor is None or self.revisions.older(self.floor, oldest.revision):
+                self.floor = oldest.revision
+
+    def usable(self, names: Iterable[str]) -> tuple[str, ...]:
+        """Those that are known and not gone."""
+        return tuple(name for name in names if name in self.known and not self.known[name].gone)
+
+
+def undated(entry: Entry) -> Entry:
+    """Without the time since its start, which differs each time it is told."""
+    return msgspec.structs.replace(entry, up_for=None)
--- a/lapistrestle/wire/directory.py
+++ b/lapistrestle/wire/directory.py
@@ -12,6 +12,7 @@
 from lapistrestle.wire.messages import NO_BODY, Bye, Entry, Fault, Hello, Message, Name, Number
 
 DIRECTORY = "lapistrestle.directory"
+MOST_SUPERSEDED = 8  # sources named in a snapshot
 LONGEST_PREFIX = 512  # instances of one prefix, so that a snapshot fits the longest line
 MOST_IN_A_BATCH = 512  # entries of one update, for the same reason
 
@@ -82,8 +83,8 @@
 class Snapshot(Message, tag="snapshot"):
     """A prefix as a whole, the answer to a watch. `complete`: it is the whole order, there are no more.
 
-    `lease` counts from when the watcher sent its question. `age`: since when the holder has not been sure to
-    hear its roster; 0 while it hears it.
+    `lease` counts from when the watcher sent its question. `age`: for how long the holder has not been sure
+    to hear its roster; 0 while it hears it. `superseded`: the roster's earlier epochs that it saw end.
     """
 
     id: Number
@@ -94,6 +95,7 @@
     complete: bool = False
     lease: Duration = 0
     age: Duration = 0
+    superseded: list[str] = field(default_factory=list)
 
 
 class Placed(Struct, omit_defaults=True, gc=False):
