--- /dev/null
+++ b/lapistrestle/command/directories.py
@@ -0,0 +1,112 @@
+"""`lapistrestle directory`: run a holder of the directory of instances, and show what one knows."""
+
+import secrets
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from lapistrestle.command.asking import asked
+from lapistrestle.command.programs import as_json, serve, tell_port
+from lapistrestle.deployment.load import Wrong, load_holder
+from lapistrestle.edge.running import reactor_of_now
+from lapistrestle.records.logs import make_log
+
+
+@click.group()
+def directory() -> None:
+    """The directory of instances: dispatchers watch in it the functions that they call."""
+
+
+@directory.command("serve")
+@click.argument("settings", type=click.Path(path_type=Path))
+@click.option("--port", type=int, help="Listen here instead of where the settings say.")
+@click.option("--roster-port", type=int, help="Follow the roster here instead.")
+@tell_port
+@as_json
+def serve_shards(
+    settings: Path, port: int | None, roster_port: int | None, tell_port: Path | None, json_: bool
+) -> None:
+    """Run a holder: follow the roster, and tell dispatchers of the shards that SETTINGS name.
+
+    SIGTERM tells them that it stops; they go to the next copy at once.
+    """
+    from lapistrestle.directory.server import HolderProgram
+
+    made = load_holder(settings)
+    if port is not None:
+        made.serve.port = port
+    if roster_port is not None:
+        made.roster.port = roster_port
+    if not made.roster.port:
+        raise Wrong(f"{settings}: roster.port: is missing; a holder needs one (or --roster-port)")
+    reactor = reactor_of_now()
+    program = HolderProgram(reactor, made, make_log(json_), secrets.randbits(32))
+    serve(reactor, program.start, tell_port, lambda: program.stop(reactor.stop))
+
+
+@directory.command("show")
+@click.argument("function", default="")
+@click.option("--port", default=7200, show_default=True, help="Where the holder listens.")
+@as_json
+def show_directory(function: str, port: int, json_: bool) -> None:
+    """Shards, copies, epoch, revision and load of one holder; of FUNCTION its shard and prefix."""
+    from lapistrestle.wire import directory as wire
+
+    none = f"no answer from a holder at port {port}"
+    answer = asked(port, wire.DIRECTORY, wire.FromHolder, wire.Show(function), none)
+    shown = msgspec.json.decode(answer.body, type=dict[str, Any])
+    if json_:
+        return click.echo(msgspec.json.encode(shown).decode())
+    if function:
+        show_function(shown)
+    else:
+        show_holder(shown)
+
+
+def show_holder(shown: dict[str, Any]) -> None:
+    """Figures of the whole, for people."""
+    click.echo(heading(shown))
+    click.echo(f"{shown['instances']} instances, {shown['functions']} functions watched")
+    rate = f"{shown['bytes a second']:.0f} bytes a second, at most {shown['most bytes in a second']}"
+    click.echo(f"{shown['sessions']} sessions ({shown['slow']} slow), {shown['watches']} watches, {rate}")
+    busy = shown["snapshots refused as busy"]
+    click.echo(f"{busy} told to come back, {shown['turned away']} closed, {shown['cut as slow']} cut as slow")
+    table = Table("shard", "here", "copies")
+    for number, copies in enumerate(shown["copies"]):
+        here = "yes" if number in shown["shards"] else ""
+        table.add_row(str(number), here, ", ".join(map(place_of, copies)))
+    Console().print(table)
+
+
+def show_function(shown: dict[str, Any]) -> None:
+    """A function's shard and the beginning of its order, for people."""
+    click.echo(heading(shown))
+    copies = ", ".join(map(place_of, shown["copies"][shown["shard"]]))
+    elsewhere = "" if shown["shard"] in shown["shards"] else ", which is not here"
+    click.echo(f"{shown['function']} is in shard {shown['shard']}{elsewhere}, at {copies}")
+    prefix = f"the longest prefix has {shown['longest prefix']} of {shown['instances']} instances"
+    click.echo(f"{shown['watchers']} watchers here, {prefix}; the order begins:")
+    table = Table("place", "instance", "port", "zone", "size", "is", "start")
+    for place, entry in enumerate(shown["order"], 1):
+        size, listing = entry.get("size", 1.0), entry.get("listing", "serving")
+        zone, start = entry.get("zone", ""), entry.get("start", "")
+        table.add_row(str(place), entry["name"], str(entry.get("port", 0)), zone, f"{size:g}", listing, start)
+    Console().print(table)
+
+
+def heading(shown: dict[str, Any]) -> str:
+    """Which holder, and how new its knowledge is."""
+    revision = shown["revision"]
+    number, source = revision.get("number", -1), revision.get("source", "")
+    where = f" in zone {shown['zone']}" if shown["zone"] else ""
+    known = f"revision {number} of {source or 'no roster yet'}, {shown['knowledge']}"
+    return f"{shown['holder']}{where}, epoch {shown['epoch']}; {known}, {shown['age ms']:.0f} ms old"
+
+
+def place_of(copy: dict[str, Any]) -> str:
+    zone = f" ({copy['zone']})" if copy["zone"] else ""
+    return f"{copy['host']}:{copy['port']}{zone}"
--- a/lapistrestle/command/main.py
+++ b/lapistrestle/command/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from lapistrestle.command import days, demo, experiments, fleets, programs, rollouts
+from lapistrestle.command import days, demo, directories, experiments, fleets, programs, rollouts
 from lapistrestle.deployment.load import Wrong, facts, load
 
 
@@ -48,5 +48,12 @@
 
 for program in (programs.edge, programs.runner, programs.roster, programs.call, rollouts.planner):
     main.add_command(program)
-for group in (days.day, demo.demo, rollouts.rollout, experiments.experiment, fleets.fleet):
+for group in (
+    days.day,
+    demo.demo,
+    rollouts.rollout,
+    experiments.experiment,
+    fleets.fleet,
+    directories.directory,
+):
     main.add_command(group)
--- a/lapistrestle/standins/roster.py
+++ b/lapistrestle/standins/roster.py
@@ -28,7 +28,7 @@
         if now:
             return self.tell(entry, booted)
         at = self.due = max(self.due, self.reactor.seconds() + self.lag + self.stale)
-        self.reactor.callLater(at - self.reactor.seconds(), self.tell, entry, booted)
+        self.reactor.callLater(max(0.0, at - self.reactor.seconds()), self.tell, entry, booted)
 
     def tell(self, entry: wire.Entry, booted: float) -> None:
         if entry.listing == "gone":
--- /dev/null
+++ b/tests/test_directory_process.py
@@ -0,0 +1,276 @@
+"""Holders of the directory as processes: by hand, killed, stopped and awake again; and days that do so."""
+
+import json
+import re
+import signal
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from test_real import command
+
+from lapistrestle.standins.children import Child, free_tcp_ports
+from lapistrestle.wire.directory import DIRECTORY
+
+PATIENCE = 20.0  # seconds; bounds a wait, and passes no test
+
+
+class Watcher:
+    """A scripted watcher on a socket, which waits for what it is told."""
+
+    def __init__(self, port, name="edge-0"):
+        self.socket = socket.create_connection(("127.0.0.1", port), PATIENCE)
+        self.lines = self.socket.makefile()
+        self.heard = []
+        self.say("hello", protocol=DIRECTORY, version=1, name=name)
+
+    def say(self, kind, **fields):
+        self.socket.sendall(json.dumps({"is": kind, **fields}).encode() + b"\n")
+
+    def watch(self, id=1, function="f", count=4, epoch=1, shard=0):
+        self.say("watch", id=id, shard=shard, epoch=epoch, function=function, count=count)
+
+    def next(self):
+        """The next message. Raises EOFError where the connection ends, TimeoutError where none comes."""
+        line = self.lines.readline()
+        if not line:
+            raise EOFError(self.heard[-1:])
+        self.heard.append(json.loads(line))
+        return self.heard[-1]
+
+    def until(self, kind, holds=lambda message: True):
+        """The next message of that kind for which it holds, all others read and kept."""
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            message = self.next()
+            if message["is"] == kind and holds(message):
+                return message
+        raise AssertionError(self.heard)
+
+    def close(self):
+        self.socket.close()
+
+
+class Directory:
+    """A roster and some holders of one shard, as processes."""
+
+    def __init__(self, folder, holders=1, instances=12):
+        self.folder, self.ports = folder, free_tcp_ports(holders)
+        self.workers = {f"w{n}": {"port": 9001, "zone": "a", "start": f"w{n}#0"} for n in range(instances)}
+        self.write()
+        self.roster = Child(folder, "roster", "roster", str(folder / "w.json5"), "--lag", "0")
+        self.roster.start()
+        self.roster.wait_port()
+        self.children = {}
+        self.old = []
+        for number in range(holders):
+            self.start(number)
+
+    def write(self):
+        told = [{"name": name, **worker} for name, worker in self.workers.items()]
+        part = self.folder / "w.part"
+        part.write_text(json.dumps(told))
+        part.replace(self.folder / "w.json5")
+
+    def change(self, name, **more):
+        """The roster tells this of a worker; `gone`: nothing any more."""
+        if more.pop("gone", False):
+            del self.workers[name]
+        else:
+            self.workers[name] |= more
+        self.write()
+        self.roster.send(signal.SIGHUP)
+
+    def settings(self, number, **serve):
+        zones = ("a", "b", "c")
+        copies = [{"port": port, "zone": zone} for port, zone in zip(self.ports, zones, strict=False)]
+        serve = {"name": f"holder-{number}", "port": self.ports[number], "zone": zones[number], **serve}
+        made = {
+            "directory": {"shards": [copies], "lease": "30 s"},
+            "serve": serve,
+            "roster": {"port": self.roster.known},
+        }
+        file = self.folder / f"holder-{number}.json5"
+        file.write_text(json.dumps(made))
+        return str(file)
+
+    def start(self, number):
+        child = Child(self.folder, f"holder-{number}", "directory", "serve", self.settings(number), "--json")
+        child.start()
+        child.wait_port()
+        if number in self.children:
+            self.old.append(self.children[number])
+        self.children[number] = child
+
+    def watcher(self, number=0):
+        return Watcher(self.ports[number])
+
+    def show(self, number=0, function=""):
+        """What `lapistrestle directory show --json` prints, without a process for each look."""
+        watcher = self.watcher(number)
+        watcher.say("show", function=function)
+        shown = watcher.until("shown")["body"]
+        watcher.close()
+        return shown
+
+    def until(self, holds):
+        """Wait for it, within a bound."""
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            if holds():
+                return
+            time.sleep(0.02)
+        raise AssertionError([self.show(number) for number in self.children])
+
+    def logged(self):
+        children = [*self.children.values(), *self.old]
+        return [json.loads(line) for child in children for line in child.lines()]
+
+    def end(self):
+        for child in [*self.children.values(), self.roster]:
+            child.resume()
+            child.kill()
+
+
+@pytest.fixture
+def directory(tmp_path):
+    made = []
+
+    def start(*args, **more):
+        made.append(Directory(tmp_path, *args, **more))
+        return made[-1]
+
+    yield start
+    for each in made:
+        each.end()
+
+
+def test_a_holder_by_hand(directory):
+    here = directory()
+    edge = here.watcher()
+    edge.watch()
+    names = [entry["name"] for entry in edge.until("snapshot")["entries"]]
+    here.change(names[0], listing="draining")
+    told = edge.until("update")
+    assert ("draining", names[0]) in [(e.get("listing"), e["name"]) for e in told["entries"]]
+    here.change(names[1], gone=True)
+    assert edge.until("update", lambda update: names[1] in update.get("gone", []))
+    port = ("--port", here.ports[0])
+    shown = command("directory", "show", *port)
+    assert shown.returncode == 0 and "holder-0 in zone a, epoch 1; revision 14 of e1, fresh" in shown.stdout
+    assert "11 instances, 1 functions watched" in shown.stdout and "1 watches" in shown.stdout
+    shown = command("directory", "show", "f", *port)
+    assert shown.returncode == 0 and f"f is in shard 0, at 127.0.0.1:{here.ports[0]} (a)" in shown.stdout
+    assert names[0] in shown.stdout and "draining" in shown.stdout and "1 watchers here" in shown.stdout
+    shown = json.loads(command("directory", "show", "f", *port, "--json").stdout)
+    order = [entry["name"] for entry in shown["order"]]
+    assert [n for n in order if n in names] == [n for n in names if n != names[1]]
+    assert here.children[0].stop() == 0
+    assert edge.until("bye")["why"] == "the holder stops"
+    events = [line["event"] for line in here.logged()]
+    assert events[0] == "listening" and "stopped" in events
+    none = command("directory", "show", *port)
+    assert none.returncode == 1 and "no answer from a holder" in none.stderr
+
+
+def test_what_a_holder_cannot_be_started_with_is_said(directory, tmp_path):
+    here = directory()
+    taken = command("directory", "serve", here.settings(0))
+    assert taken.returncode == 1 and "can't listen" in taken.stderr
+    file = tmp_path / "wrong.json5"
+    file.write_text("{directory: {shards: [[{port: 7200}]]},\n serve: {shard: [0]}}")
+    wrong = command("directory", "serve", file)
+    assert wrong.returncode == 1 and "wrong.json5:2: serve.shard: no such name" in wrong.stderr
+    file.write_text("{directory: {shards: [[{port: 7200}]]}}")
+    assert "roster.port: is missing" in command("directory", "serve", file).stderr
+
+
+def test_a_holder_that_is_killed_breaks_off_and_its_successor_knows_all(directory):
+    here = directory(holders=2)
+    edge = here.watcher(0)
+    edge.watch()
+    names = [entry["name"] for entry in edge.until("snapshot")["entries"]]
+    here.children[0].kill()  # SIGKILL
+    with pytest.raises((EOFError, ConnectionError)):
+        edge.until("update")
+    other = here.watcher(1)  # the other copy has the same order
+    other.watch()
+    assert [entry["name"] for entry in other.until("snapshot")["entries"]] == names
+    here.change(names[0], gone=True)
+    assert other.until("update", lambda update: names[0] in update.get("gone", []))
+    here.start(0)
+    here.until(lambda: here.show(0)["knowledge"] == "fresh")
+    again = here.watcher(0)
+    again.watch()
+    snapshot = again.until("snapshot")
+    assert names[0] not in [entry["name"] for entry in snapshot["entries"]] and snapshot["sequence"] == 1
+    assert not any("Traceback" in line for child in here.old for line in child.lines())
+
+
+def test_an_old_holder_that_wakes_says_nothing_old(directory):
+    here = directory()
+    edge = here.watcher()
+    edge.watch()
+    first = edge.until("snapshot")["entries"][0]["name"]
+    here.children[0].stall()  # SIGSTOP
+    stopped = time.monotonic()
+    edge.say("renew", asked=1)
+    edge.watch(id=2, function="g", count=12)
+    here.change(first, start=f"{first}#1", port=9002)
+    here.until(lambda: time.monotonic() > stopped + 0.5)  # for longer than passes for a pause
+    here.children[0].resume()
+    edge.until("update", lambda update: any(e["start"] == f"{first}#1" for e in update["entries"]))
+    late = [message for message in edge.heard if message["is"] in ("renewed", "snapshot")][1:]
+    assert all(message["revision"]["number"] == 13 for message in late)
+    edge.watch(id=3, function="g", count=12)
+    snapshot = edge.until("snapshot", lambda snapshot: snapshot["id"] == 3)
+    starts = {entry["name"]: entry["start"] for entry in snapshot["entries"]}
+    assert starts[first] == f"{first}#1" and snapshot["revision"]["number"] == 13
+    modes = [line["figures"] for line in here.logged() if line["event"] == "directory"]
+    assert any("knowledge catching_up: stood still" in mode for mode in modes)
+    assert "knowledge fresh" in modes[-1]
+
+
+def test_a_roster_that_is_gone_shows_in_the_age_and_the_next_one_is_followed(directory):
+    here = directory()
+    port = str(here.roster.known)
+    here.roster.kill()
+    here.until(lambda: here.show()["knowledge"] == "cut")
+    edge = here.watcher()
+    edge.watch()
+    assert edge.until("snapshot")["age"] > 0  # what is known serves on, and says how old it is
+    here.workers["w0"]["listing"] = "draining"
+    here.write()
+    workers = str(here.folder / "w.json5")
+    here.roster = Child(here.folder, "roster", "roster", workers, "--port", port, "--lag", "0")
+    here.roster.start()
+    here.until(lambda: here.show()["knowledge"] == "fresh")
+    listing = {e["name"]: e.get("listing", "serving") for e in here.show(function="f")["order"]}
+    assert listing["w0"] == "draining"
+    edge.say("renew", asked=5)
+    renewed = edge.until("renewed")
+    assert renewed["asked"] == 5 and renewed.get("age", 0) == 0
+
+
+def test_all_watchers_back_at_once_are_answered_and_the_holder_stays_small(directory):
+    here = directory(instances=40)
+    edges = [here.watcher() for _ in range(120)]
+    for edge in edges:
+        for number in range(30):
+            edge.watch(id=number, function=f"f{number}", count=8)
+    busy = 0
+    for edge in edges:
+        missing = set(range(30))
+        while missing:
+            message = edge.next()
+            if message["is"] == "busy":
+                busy += 1
+                edge.watch(id=message["id"], function=f"f{message['id']}", count=8)
+            elif message["is"] == "snapshot":
+                missing.remove(message["id"])
+    shown = here.show()
+    assert shown["watches"] == 120 * 30 and shown["snapshots refused as busy"] == busy
+    status = Path(f"/proc/{here.children[0].child.pid}/status").read_text()
+    (resident,) = re.findall(r"VmRSS:\s*(\d+) kB", status)
+    assert int(resident) < 150_000
--- /dev/null
+++ b/tests/test_directory_server.py
@@ -0,0 +1,357 @@
+"""A holder's program on wires in memory: what it sends to scripted watchers, and what it bounds."""
+
+import pytest
+from twisted.internet.protocol import ClientFactory
+
+from lapistrestle.deployment.load import check_holder
+from lapistrestle.deployment.shape import (
+    Directory,
+    DirectoryCopy,
+    DirectoryServe,
+    HolderDeployment,
+    Roster,
+    Span,
+)
+from lapistrestle.directory.server import HolderProgram, Meter
+from lapistrestle.standins.roster import RosterStandIn
+from lapistrestle.standins.virtual import Process, VirtualReactor
+from lapistrestle.wire import directory as wire
+from lapistrestle.wire.lines import LineBounds, Speaker, union
+from lapistrestle.wire.messages import Entry, Hello, encode
+
+PORT = 7200
+
+
+def entry(name, start=0, **more):
+    return Entry(name, 9000 + start, "north", start=f"{name}#{start}", **more)
+
+
+class Watcher(ClientFactory):
+    """A watcher that says what a test has it say, and keeps what it hears."""
+
+    noisy = False
+
+    def __init__(self, rig, name):
+        self.process = Process(rig.reactor, name)
+        self.name, self.heard, self.bye, self.over = name, [], "", False
+        self.speaker = None
+        self.process.connectTCP("127.0.0.1", PORT, self)
+
+    def buildProtocol(self, addr):
+        self.speaker = WatcherEnd(self)
+        return self.speaker
+
+    def say(self, message):
+        self.speaker.say(message)
+
+    def watch(self, id=1, function="f", count=4, epoch=1, shard=0):
+        self.say(wire.Watch(id, shard, epoch, function, count))
+
+    def of(self, kind):
+        return [message for message in self.heard if isinstance(message, kind)]
+
+    def names(self):
+        return [e.name for e in self.of(wire.Snapshot)[-1].entries]
+
+
+class WatcherEnd(Speaker):
+    protocol = wire.DIRECTORY
+    decoder = union(wire.FromHolder)
+
+    def __init__(self, watcher):
+        super().__init__(LineBounds())
+        self.watcher = watcher
+
+    def greeting(self):
+        return Hello(self.protocol, 1, self.watcher.name)
+
+    def heard(self, message):
+        self.watcher.heard.append(message)
+
+    def left(self, why):
+        self.watcher.bye = why
+
+    def lost(self):
+        self.watcher.over = True
+
+
+class Rig:
+    """A roster, one holder and any watchers in virtual time."""
+
+    def __init__(self, count=12, directory=None, **serve):
+        self.reactor = VirtualReactor()
+        self.outside = Process(self.reactor, "outside")
+        self.roster = RosterStandIn(self.outside, 0.0)
+        for number in range(count):
+            self.roster.note(entry(f"w{number}"), self.reactor.seconds() - 100, now=True)
+        shards = [[DirectoryCopy(port=PORT, zone="north")]]
+        settings = HolderDeployment(
+            directory=Directory(shards=shards, **(directory or {})),
+            serve=DirectoryServe(name="holder-0", port=PORT, zone="north", **serve),
+            roster=Roster(port=self.roster.port),
+        )
+        check_holder(settings)
+        self.logs = []
+        self.process = Process(self.reactor, "holder-0")
+        self.program = HolderProgram(
+            self.process, settings, lambda what, **more: self.logs.append((what, more))
+        )
+        self.program.start()
+        self.run(0.1)
+
+    def run(self, seconds):
+        self.reactor.run(self.reactor.seconds() + seconds)
+
+    def watcher(self, name="edge-0"):
+        made = Watcher(self, name)
+        self.run(0.01)
+        return made
+
+    def note(self, told):
+        self.roster.note(told, self.reactor.seconds(), now=True)
+
+    def restart_all(self, start):
+        """All instances are replaced, told in one list."""
+        booted = self.reactor.seconds()
+        self.roster.told = {name: (entry(name, start), booted) for name in self.roster.told}
+        self.roster.number += 1
+        self.roster.say_all(self.roster.whole())
+
+    def keep(self, watchers, seconds, every=0.2):
+        """Let time pass while these renew their watches."""
+        until = self.reactor.seconds() + seconds
+        while self.reactor.seconds() < until:
+            for watcher in watchers:
+                if not watcher.over:
+                    watcher.say(wire.Renew(round(self.reactor.seconds() * 1e4)))
+            self.run(every)
+
+    def logged(self, what):
+        return [more for said, more in self.logs if said == what]
+
+
+def test_a_watch_is_answered_by_a_snapshot_and_then_numbered_batches():
+    rig = Rig()
+    edge = rig.watcher()
+    edge.watch()
+    rig.run(0.01)
+    (snapshot,) = edge.of(wire.Snapshot)
+    assert len(snapshot.entries) == 4 and not snapshot.complete and snapshot.lease == 30_000
+    first, second = edge.names()[:2]
+    rig.note(entry(first, listing="draining"))
+    rig.run(0.1)  # word of a drain doesn't wait for the next batch
+    (update,) = edge.of(wire.Update)
+    assert update.sequence == snapshot.sequence + 1 and update.revision.number == 13
+    told = {e.name: e.listing for e in update.entries}
+    assert told.pop(first) == "draining"  # another one that serves enters in its place
+    assert len(told) == 1 and not set(told) & set(edge.names())
+    rig.note(entry(second, listing="gone"))
+    rig.run(1.0)
+    told = edge.of(wire.Update)
+    assert [u.sequence for u in told] == list(range(2, 2 + len(told)))
+    assert second in [name for u in told for name in u.gone]
+    names = list(edge.names())
+    for change in (c for u in told for c in u.changes):
+        names = [n for n in names if n not in change.removed]
+        for placed in change.inserted:
+            names.insert(placed.position, placed.name)
+    shown = rig.program.show("f")
+    assert names == [e["name"] for e in shown["order"]][: len(names)] and shown["longest prefix"] == len(
+        names
+    )
+
+
+def test_two_holders_have_the_same_order_whatever_they_heard_first():
+    one, other = Rig(), Rig(count=0)
+    for number in reversed(range(12)):
+        other.note(entry(f"w{number}"))
+    other.run(0.1)
+    for function in ("f", "g", "h"):
+        orders = [[e["name"] for e in rig.program.show(function)["order"]] for rig in (one, other)]
+        assert orders[0] == orders[1] and len(orders[0]) == 12
+
+
+def test_an_instance_that_flaps_is_not_told_each_time():
+    rig = Rig()
+    edge = rig.watcher()
+    edge.watch()
+    rig.run(0.01)
+    first = edge.names()[0]
+    for number in range(100):
+        rig.note(entry(first, listing="draining" if number % 2 else "serving"))
+        rig.run(0.02)
+    rig.keep([edge], 1.0)
+    assert len(edge.of(wire.Update)) <= 8
+    last = [e for u in edge.of(wire.Update) for e in u.entries if e.name == first][-1]
+    assert last.listing == "draining"
+
+
+def test_an_old_or_new_epoch_and_another_shard_are_refused():
+    rig = Rig(directory={"epoch": 5})
+    edge = rig.watcher()
+    for id, (epoch, shard) in enumerate([(4, 0), (6, 0), (5, 1)]):
+        edge.watch(id=id, epoch=epoch, shard=shard)
+    rig.run(0.01)
+    assert [(r.id, r.why, r.epoch) for r in edge.of(wire.Refused)] == [
+        (0, "old epoch", 5),
+        (1, "new epoch", 5),
+        (2, "shard", 5),
+    ]
+    assert not edge.of(wire.Snapshot)
+
+
+def test_a_lost_roster_shows_in_the_age_and_a_new_one_in_the_source():
+    rig = Rig()
+    edge = rig.watcher()
+    edge.watch()
+    rig.keep([edge], 1.0)
+    assert edge.of(wire.Renewed)[-1].age == 0 and edge.of(wire.Renewed)[-1].sums is None
+    assert any(r.sums is not None and r.sums.serving == 12 for r in edge.of(wire.Renewed))
+    rig.roster.weather.silent = True  # begins anew, and doesn't answer for a second
+    rig.roster.begin_anew()
+    rig.keep([edge], 1.0)
+    assert edge.of(wire.Renewed)[-1].age > 5_000
+    rig.roster.weather.silent = False
+    rig.note(entry("w0", listing="draining"))
+    rig.keep([edge], 2.0)
+    last = edge.of(wire.Renewed)[-1]
+    assert last.age == 0 and last.revision.source == "e2"
+    said = [more["figures"] for more in rig.logged("directory")]
+    assert any("knowledge cut" in text for text in said) and "knowledge fresh" in said[-1]
+
+
+def test_a_holder_that_stood_still_answers_only_once_it_has_caught_up():
+    rig = Rig()
+    edge = rig.watcher()
+    edge.watch()
+    rig.run(0.01)
+    first = edge.names()[0]
+    rig.process.stall()
+    edge.watch(id=2, function="g")
+    edge.say(wire.Renew(1))
+    rig.run(1.0)
+    rig.note(entry(first, start=1))
+    rig.run(1.0)
+    heard = len(edge.heard)
+    rig.process.resume()
+    rig.run(0.0)
+    assert not any(isinstance(m, wire.Snapshot | wire.Renewed) for m in edge.heard[heard:])
+    rig.run(0.5)
+    (changed,) = [e for u in edge.of(wire.Update) for e in u.entries if e.name == first]
+    assert changed.start == f"{first}#1"
+    edge.watch(id=3, function="g")
+    rig.run(0.1)
+    assert edge.of(wire.Snapshot)[-1].id == 3
+
+
+def test_a_watcher_that_does_not_read_is_cut_and_holds_up_nobody():
+    lease, count, unsent = Span(600_000), 300, 65_536
+    rig = Rig(count, {"bytes_per_second": 10_000_000, "lease": lease}, unsent=unsent)
+    slow, edge = rig.watcher("slow"), rig.watcher("edge-1")
+    for watcher in (slow, edge):
+        watcher.watch(count=count)
+    rig.run(0.05)
+    slow.process.stall()
+    turns = 0
+    while not rig.logged("watcher cut") and turns < 60:
+        turns += 1
+        rig.restart_all(turns)
+        rig.keep([edge], 0.6)
+    (cut,) = rig.logged("watcher cut")
+    assert cut["watcher"] == "slow" and unsent < cut["waiting"] < unsent + 40_000  # one batch over it
+    assert rig.logged("watcher slow") == [{"watcher": "slow", "slow": 1, "sessions": 2}]
+    assert rig.program.counts["cut as slow"] == 1 and rig.program.slow == set()
+    assert not edge.over and rig.program.show("")["sessions"] == 1
+    assert {e.start for e in edge.of(wire.Update)[-1].entries} == {f"w{n}#{turns}" for n in range(count)}
+
+
+def test_a_connection_too_many_and_a_line_that_is_none_are_closed():
+    rig = Rig(connections=2)
+    edges = [rig.watcher(f"edge-{n}") for n in range(3)]
+    rig.run(0.1)
+    assert [e.over for e in edges] == [False, False, True] and "2 watchers" in edges[2].bye
+    edges[0].speaker.transport.write(b'{"is": "watch"}\n')
+    rig.run(0.1)
+    assert edges[0].over and "unreadable" in edges[0].bye and rig.program.counts["passed over"] == 1
+    edges[1].watch()
+    rig.run(0.1)
+    assert edges[1].of(wire.Snapshot)
+
+
+def test_another_protocol_is_told_so():
+    rig = Rig()
+    edge = Watcher(rig, "edge-0")
+    rig.reactor.run(rig.reactor.seconds() + 0.0004)
+    edge.speaker.transport.write(encode(Hello("lapistrestle.roster", 1)) + b"\n")
+    rig.run(0.1)
+    assert edge.over and rig.program.show("")["sessions"] == 0
+
+
+def test_a_watch_that_is_not_renewed_lapses():
+    rig = Rig()
+    quiet, edge = rig.watcher("quiet"), rig.watcher("edge-1")
+    for watcher in (quiet, edge):
+        watcher.watch()
+    rig.keep([edge], 3.5)
+    assert quiet.over and "lease" in quiet.bye and not edge.over
+
+
+def test_all_watchers_at_once_are_admitted_at_the_stated_rate():
+    rig = Rig(count=30, snapshots_per_second=200)
+    edges = [Watcher(rig, f"edge-{n}") for n in range(100)]
+    rig.run(0.01)
+    asked = {(edge, n): 0.0 for edge in edges for n in range(10)}
+    began, answered = rig.reactor.seconds(), []
+    seen = dict.fromkeys(edges, 0)
+    while asked and rig.reactor.seconds() < began + 10:
+        now = rig.reactor.seconds()
+        for (edge, number), at in asked.items():
+            if at <= now:
+                asked[edge, number] = float("inf")
+                edge.watch(id=number, function=f"f{number}", count=8)
+        rig.run(0.01)
+        for edge in edges:
+            for message in edge.heard[seen[edge] :]:
+                if isinstance(message, wire.Busy):
+                    asked[edge, message.id] = rig.reactor.seconds() + message.retry_after / 1e4
+                elif isinstance(message, wire.Snapshot):
+                    del asked[edge, message.id]
+                    answered.append(rig.reactor.seconds() - began)
+            seen[edge] = len(edge.heard)
+    assert not asked and len(answered) == 1_000
+    in_second = [sum(second <= at < second + 1 for at in answered) for second in range(10)]
+    assert max(in_second) <= 200 + 50 and answered[-1] < 2 * 1_000 / 200
+    assert rig.program.show("")["snapshots refused as busy"] > 0
+
+
+def test_one_that_stops_says_so_to_all_and_ends():
+    rig = Rig()
+    edges = [rig.watcher(f"edge-{n}") for n in range(3)]
+    ended = []
+    rig.program.stop(lambda: ended.append(rig.reactor.seconds()))
+    rig.run(0.1)
+    assert all(edge.over and edge.bye == "the holder stops" for edge in edges) and len(ended) == 1
+    assert rig.logged("stopped")[0]["sessions"] == 3
+    late = Watcher(rig, "late")
+    rig.run(0.1)
+    assert late.speaker is None
+    rig.run(5.0)
+    assert len(ended) == 1
+
+
+def test_one_whose_watchers_do_not_read_ends_all_the_same():
+    rig = Rig()
+    edge = rig.watcher()
+    edge.process.stall()
+    ended = []
+    rig.program.stop(lambda: ended.append(True))
+    rig.run(1.1)
+    assert ended == [True]
+
+
+@pytest.mark.parametrize("span", [1, 5, 10])
+def test_the_meter_counts_whole_seconds(span):
+    meter = Meter(0)
+    for at in range(0, span * 10_000, 1_000):
+        meter.add(100, at)
+    assert meter.rates(span * 10_000) == (1_000.0, 1_000) and meter.total == span * 1_000
