Fleet: digests, allowances and lending with typed settings and standard terms

Cause: their settings were bare maps merged with defaults, and their words their own (Teller, told, reckon, had, given). Change: DigestSettings and AllowanceSettings as frozen dataclasses with units; Reporter, transmissions, update_rates, rows_to_send, counted, lent_out, borrowed, lent_units, request and lend; named constants for every bound.

--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -3,7 +3,8 @@
 from typing import Any
 
 from lapistrestle.deployment.shape import Fleet
-from lapistrestle.fleet.allowance import Allowance
+from lapistrestle.fleet.allowance import Allowance, AllowanceSettings
+from lapistrestle.fleet.digests import DigestSettings
 from lapistrestle.fleet.endpoint import FleetEndpoint
 from lapistrestle.fleet.lending import Lending
 from lapistrestle.fleet.settings import FleetSettings
@@ -28,9 +29,9 @@
             seeds=tuple(("127.0.0.1", port) for port in fleet.seeds),
         )
         self.endpoint = FleetEndpoint(edge, settings, place.name, place.zone, boot, nonce, place.seed)
-        told = {"tell": int(fleet.tell), "refresh": 2 * int(fleet.tell)}
+        digest_settings = DigestSettings(send_every=int(fleet.tell), refresh=2 * int(fleet.tell))
         life = self.endpoint.members.me.life
-        self.door = Door(edge.facts, life, told, place.seed, self.endpoint.log, edge.clock())
+        self.door = Door(edge.facts, life, digest_settings, place.seed, self.endpoint.log, edge.clock())
         self.verdicts = Verdicts(place.name)
         self.triers: dict[str, list[str]] = {}  # by worker: who tries it while it is suspect
         self.those: list[str] = []  # of whom they were drawn
@@ -41,7 +42,7 @@
         if fleet.loads:
             longest = max(m["deadline"] for m in edge.facts["methods"])  # that one counts as under way
             settle = max(longest, edge.facts["order_time_out"])
-            lends = {"settle": settle, "lasts": 3 * settle}  # so that what began on a loan ends within it
+            lends = AllowanceSettings(lasts=3 * settle, settle=settle)  # what began on a loan ends within it
             loads = Allowance("loads", fleet.loads, place.of, place.number, lends, edge.clock())
             self.endpoint.lending = Lending(loads, self.loading, self.endpoint.lend, place.seed)
             edge.facts["loads"] = self.loads
@@ -67,9 +68,9 @@
         if self.edge.stopping:
             return
         if self.endpoint.lending is not None:
-            here = [member.claim for member in self.endpoint.members.live()]
+            live = [member.claim for member in self.endpoint.members.live()]
             member = self.endpoint.members.state in ACTIVE
-            self.endpoint.lending.look(here, member, self.edge.clock())
+            self.endpoint.lending.update(live, member, self.edge.clock())
         if self.fleet.shed:
             self.door.look(self.endpoint.present, self.endpoint.members.size, self.edge.clock())
             self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
@@ -113,7 +114,7 @@
         if self.endpoint.lending is None:
             return None
         of = self.endpoint.lending.allowance
-        lent, had = of.out_on_loan(), sum(loan.units for loan in of.had.values())
+        lent, had = of.lent_units(), sum(loan.units for loan in of.borrowed.values())
         return {"may": of.part(now), "cut": of.cut, "lent": lent, "borrowed": had,
                 "under way": self.loading()}  # fmt: skip
 
--- a/lapistrestle/fleet/allowance.py
+++ b/lapistrestle/fleet/allowance.py
@@ -11,27 +11,31 @@
 """
 
 from collections import deque
-from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from lapistrestle.wire.fleet import Lend, Lent, Returned
 
 SECOND = 10_000  # in tenths of a millisecond
-DEFAULTS: Mapping[str, Any] = {
-    "lasts": 4 * SECOND,  # a loan
-    "settle": SECOND,  # what was used counts for so long after it: a window of the limit, or work under way
-    "drift": 0.1,  # no clock is wrong by more than this part
-    "kept": 0.5,  # of one's cut, which is never lent
-}
-AWAITED = 8  # own asks that may be open at once
-LOANS = 256  # given at once: guards against one that asks without end
+MOST_OPEN = 8  # own requests that may be open at once
+MOST_LOANS = 256  # given at once: guards against one that asks without end
 
-Life = tuple[str, int, int]
+Life = tuple[str, int, int]  # name, boot and nonce: one start of one process
+
+
+@dataclass(frozen=True)
+class AllowanceSettings:
+    """Spans are whole tenths of a millisecond."""
+
+    lasts: int = 4 * SECOND  # a loan
+    settle: int = SECOND  # use counts for so long after it: a window of the limit, or work under way
+    drift: float = 0.1  # no clock is wrong by more than this part
+    kept: float = 0.5  # part of one's cut which is never lent
 
 
 @dataclass(frozen=True)
 class Loan:
+    """Units lent or borrowed, until a moment."""
+
     units: int
     until: int  # by the clock of whoever holds this record
 
@@ -39,33 +43,36 @@
 class Allowance:
     """One dispatcher's part of `whole` units, cut over `of` dispatchers of which it is number `me`."""
 
-    def __init__(self, name: str, whole: int, of: int, me: int, facts: Mapping[str, Any], now: int) -> None:
-        self.name, self.facts = name, {**DEFAULTS, **facts}
+    def __init__(
+        self, name: str, whole: int, of: int, me: int, settings: AllowanceSettings, now: int
+    ) -> None:
+        self.name, self.settings = name, settings
         self.cut = whole * (me + 1) // of - whole * me // of if 0 <= me < of else 0
-        self.kept = int(self.cut * self.facts["kept"])
+        self.kept = int(self.cut * self.settings.kept)
         self.whole_from = now + self.longest()
-        self.given: dict[tuple[Life, int], Loan] = {}
-        self.had: dict[tuple[Life, int], Loan] = {}
+        self.lent_out: dict[tuple[Life, int], Loan] = {}
+        self.borrowed: dict[tuple[Life, int], Loan] = {}
         self.open: dict[int, tuple[Life, int]] = {}  # own asks by number: of whom, and when
         self.uses: deque[tuple[int, int]] = deque()  # when, how many units
         self.numbers, self.wanted = now, 0  # so that no number of the process before comes again
-        self.out = False  # displaced or left: nothing may be used
+        self.suspended = False  # displaced or left: nothing may be used
 
     def longest(self) -> int:
         """After so long by one's own clock no loan that was asked for before is used by anybody."""
-        return int(self.facts["lasts"] * (1 + self.facts["drift"])) + 1
+        return int(self.settings.lasts * (1 + self.settings.drift)) + 1
 
     def part(self, now: int) -> int:
         """Units that may be in use at this moment. Ask at each use: a process that stood still has less."""
-        if self.out:
+        if self.suspended:
             return 0
         own = self.cut if now >= self.whole_from else self.kept
-        self.given = {key: loan for key, loan in self.given.items() if now < loan.until}
-        self.had = {key: loan for key, loan in self.had.items() if now < loan.until}
-        return own - self.out_on_loan() + sum(loan.units for loan in self.had.values())
+        self.lent_out = {key: loan for key, loan in self.lent_out.items() if now < loan.until}
+        self.borrowed = {key: loan for key, loan in self.borrowed.items() if now < loan.until}
+        return own - self.lent_units() + sum(loan.units for loan in self.borrowed.values())
 
-    def out_on_loan(self) -> int:
-        return sum(loan.units for loan in self.given.values())
+    def lent_units(self) -> int:
+        """Units lent to others."""
+        return sum(loan.units for loan in self.lent_out.values())
 
     def note(self, used: int, now: int) -> None:
         """So many units are in use now."""
@@ -75,7 +82,7 @@
 
     def used(self, now: int) -> int:
         """The most in use within the time that use settles in."""
-        while len(self.uses) > 1 and self.uses[1][0] <= now - self.facts["settle"]:
+        while len(self.uses) > 1 and self.uses[1][0] <= now - self.settings.settle:
             self.uses.popleft()
         return max((used for _, used in self.uses), default=0)
 
@@ -85,10 +92,10 @@
 
     # as a borrower
 
-    def ask(self, lender: Life, units: int, now: int) -> Lend | None:
+    def request(self, lender: Life, units: int, now: int) -> Lend | None:
         """Ask for units; None where too many asks are open."""
-        self.open = {n: (who, at) for n, (who, at) in self.open.items() if now < at + self.facts["lasts"]}
-        if units <= 0 or len(self.open) >= AWAITED or self.out:
+        self.open = {n: (who, at) for n, (who, at) in self.open.items() if now < at + self.settings.lasts}
+        if units <= 0 or len(self.open) >= MOST_OPEN or self.suspended:
             return None
         self.numbers += 1
         self.open[self.numbers] = (lender, now)
@@ -101,38 +108,44 @@
         if waited != (lender, word.asked) or word.allowance != self.name:
             return
         del self.open[word.number]
-        lasts = min(word.lasts, self.facts["lasts"]) * (1 - self.facts["drift"]) - self.facts["settle"]
+        lasts = min(word.lasts, self.settings.lasts) * (1 - self.settings.drift) - self.settings.settle
         until = waited[1] + int(lasts)
         if now < until:
-            self.had[lender, word.number] = Loan(word.units, until)
+            self.borrowed[lender, word.number] = Loan(word.units, until)
 
     def give_back(self, now: int) -> list[tuple[Life, Returned]]:
         """Loans that are not needed, and were not in use of late; they are given up before this is said."""
         spare, ends = self.spare(now), list[tuple[Life, Returned]]()
-        for (lender, number), loan in list(self.had.items()):
+        for (lender, number), loan in list(self.borrowed.items()):
             if loan.units <= spare and self.wanted <= self.part(now) - loan.units:
                 spare -= loan.units
-                del self.had[lender, number]
+                del self.borrowed[lender, number]
                 ends.append((lender, Returned(self.name, number)))
         return ends
 
     # as a lender
 
-    def asked(self, borrower: Life, word: Lend, now: int) -> Lent | None:
+    def lend(self, borrower: Life, word: Lend, now: int) -> Lent | None:
         """Lend half of what is spare and not kept; None: nothing. Asked twice, it is lent once."""
-        known = self.given.get((borrower, word.number))
+        known = self.lent_out.get((borrower, word.number))
         if known is not None and now < known.until:
-            return Lent(self.name, word.number, word.asked, known.units, self.facts["lasts"])
-        if word.allowance != self.name or now < self.whole_from or len(self.given) >= LOANS or self.out:
+            return Lent(self.name, word.number, word.asked, known.units, self.settings.lasts)
+        if (
+            word.allowance != self.name
+            or now < self.whole_from
+            or len(self.lent_out) >= MOST_LOANS
+            or self.suspended
+        ):
             return None
         part = self.part(now)
-        own = min(self.cut - self.kept - self.out_on_loan(), part - max(self.used(now), self.wanted))
+        own = min(self.cut - self.kept - self.lent_units(), part - max(self.used(now), self.wanted))
         units = min(word.units, (own + 1) // 2)
         if units <= 0:
             return None
-        self.given[borrower, word.number] = Loan(units, now + self.longest())
-        return Lent(self.name, word.number, word.asked, units, self.facts["lasts"])
+        self.lent_out[borrower, word.number] = Loan(units, now + self.longest())
+        return Lent(self.name, word.number, word.asked, units, self.settings.lasts)
 
     def returned(self, borrower: Life, word: Returned, now: int) -> None:
+        """A loan is over before its time."""
         if word.allowance == self.name:
-            self.given.pop((borrower, word.number), None)
+            self.lent_out.pop((borrower, word.number), None)
--- a/lapistrestle/fleet/endpoint.py
+++ b/lapistrestle/fleet/endpoint.py
@@ -23,7 +23,7 @@
     """What passes on what was found of workers (`overload.probers`)."""
 
     def heard(self, verdicts: Iterable[wire.Verdict], now: int) -> None: ...
-    def to_tell(self, now: int, most: int) -> tuple[wire.Verdict, ...]: ...
+    def to_send(self, now: int, most: int) -> tuple[wire.Verdict, ...]: ...
 
 
 class Runtime(Protocol):
@@ -61,7 +61,7 @@
         self.digests: Digests | None = None
         self.verdicts: Verdicts | None = None
         self.lending: Lending | None = None
-        self.told_at = runtime.clock()
+        self.sent_at = runtime.clock()
         self.draws = 0
         self.timer: Any = None
         self.timer_at = -1
@@ -99,7 +99,7 @@
         """Have `turn` called when something is due next; one timer at a time."""
         due = self.members.due
         if self.digests is not None:
-            due = min(due, self.told_at + self.digests.facts["tell"])
+            due = min(due, self.sent_at + self.digests.settings.send_every)
         if self.timer is not None and self.timer_at <= due:
             return
         if self.timer is not None:
@@ -112,21 +112,21 @@
         now = self.runtime.clock()
         if now >= self.members.due:
             self.members.tick(now)
-        if self.digests is not None and now >= self.told_at + self.digests.facts["tell"]:
-            self.told_at = now
-            self.tell(self.digests, now)
+        if self.digests is not None and now >= self.sent_at + self.digests.settings.send_every:
+            self.sent_at = now
+            self.send_rows(self.digests, now)
         self.wake()
 
-    def tell(self, digests: Digests, now: int) -> None:
+    def send_rows(self, digests: Digests, now: int) -> None:
         """Counters to a few, drawn anew each time."""
         live = list(self.members.live()) if self.members.state is SelfState.MEMBER else []
-        own = wire.size(digests.tellers[digests.life[0]].row)
+        own = wire.size(digests.reporters[digests.life[0]].row)
         for _ in range(min(len(live), digests.datagrams(len(live) + 1, own))):
             self.draws += 1
             member = live.pop(crc32(f"{self.seed}:tell:{self.draws}".encode()) % len(live))
-            verdicts = self.verdicts.to_tell(now, VERDICTS) if self.verdicts is not None else ()
+            verdicts = self.verdicts.to_send(now, VERDICTS) if self.verdicts is not None else ()
             room = wire.MOST - wire.HEAD - sum(map(wire.size, verdicts))
-            word = wire.Rows(digests.layout, tuple(digests.to_tell(now, room)), verdicts)
+            word = wire.Rows(digests.layout, tuple(digests.rows_to_send(now, room)), verdicts)
             self.send(member.claim.host, member.claim.port, word, ())
 
     # what membership asks (dissemination.MembershipTransport)
--- a/lapistrestle/overload/door.py
+++ b/lapistrestle/overload/door.py
@@ -9,7 +9,7 @@
 from typing import Any
 from zlib import crc32
 
-from lapistrestle.fleet.digests import Digests, Figures
+from lapistrestle.fleet.digests import Digests, DigestSettings, Figures
 from lapistrestle.overload.alone import Reliance, Step
 from lapistrestle.overload.budget import further_rate
 from lapistrestle.overload.comeback import Calendar
@@ -27,16 +27,21 @@
     """`facts` is the module's plain map. Counters of a fleet: `columns` of `Digests`."""
 
     def __init__(
-        self, facts: Mapping[str, Any], life: tuple[str, int, int], told: Mapping[str, Any], seed: int,
-        log: Callable[[str], None], now: int,
-    ) -> None:  # fmt: skip
+        self,
+        facts: Mapping[str, Any],
+        life: tuple[str, int, int],
+        digest_settings: DigestSettings,
+        seed: int,
+        log: Callable[[str], None],
+        now: int,
+    ) -> None:
         self.facts, self.seed, self.draws = facts, seed, 0
         self.ladder = Ladder(facts)
         rungs = range(self.ladder.count)
         self.asked = [f"asked {rung}" for rung in rungs]
         self.customers = [f"customer {i}" for i in range(min(CUSTOMERS, len(facts["customers"])))]
         columns = [*self.asked, "let", "good", "bad", "gone", "fault", "again", "repeat", *self.customers]
-        self.digests = Digests(columns, life, told, now)
+        self.digests = Digests(columns, life, digest_settings, now)
         softs = [method["soft_deadline"] for method in facts["methods"]]
         soft = sum(softs) // max(1, len(softs))
         self.fleet = Shedding(self.ladder.count, soft, lambda text: log(f"fleet {text}"), now)
@@ -94,11 +99,11 @@
     def look(self, present: Callable[[str], bool], size: int, now: int) -> None:
         """Work the level out anew. `size`: of the fleet, oneself included; 0: one is no member."""
         figures = self.figures = self.digests.figures(now, present, max(1, size))
-        own = self.digests.alone()
+        own = self.digests.own_figures()
         if size > 1:
             self.size = size
         fleet_seen, own_seen = self.seen(figures), self.seen(own)
-        step = self.reliance.look(figures.told, size, own_seen.let, now)
+        step = self.reliance.look(figures.counted, size, own_seen.let, now)
         levels = {
             Step.TOGETHER: self.fleet.see(fleet_seen, now),
             Step.PART: self.own.see(own_seen, now),
@@ -140,7 +145,7 @@
             "step": self.reliance.step.name.lower(), "shedding": self.fleet.mode.name.lower(),
             "level": round(self.level.height, 3), "rungs": self.ladder.count, "denied": self.denied,
             "further": None if self.further == float("inf") else round(self.further, 1),
-            "told": figures.told if figures else 1, "age ms": figures.age / 10 if figures else 0.0,
+            "told": figures.counted if figures else 1, "age ms": figures.age / 10 if figures else 0.0,
             "rates": {k: round(v, 1) for k, v in figures.rates.items()} if figures else {},
             "beyond": {str(i): round(1 - part, 3) for i, part in self.shares.items()},
         }  # fmt: skip
--- a/lapistrestle/overload/probers.py
+++ b/lapistrestle/overload/probers.py
@@ -67,7 +67,7 @@
         found = self.found.get(worker)
         return found is not None and not found.fit and now - found.at < STALE
 
-    def to_tell(self, now: int, most: int, times: int = 4) -> tuple[Verdict, ...]:
+    def to_send(self, now: int, most: int, times: int = 4) -> tuple[Verdict, ...]:
         """What is news, a few times each."""
         told = list[Verdict]()
         for worker, found in self.found.items():
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lapistrestle.fleet.allowance import Allowance, Loan
+from lapistrestle.fleet.allowance import Allowance, AllowanceSettings, Loan
 from lapistrestle.wire.fleet import Lend, Lent
 
-WHOLE, FACTS = 100, {"lasts": 4_000, "settle": 500, "drift": 0.1}
+WHOLE, SETTINGS = 100, AllowanceSettings(lasts=4_000, settle=500, drift=0.1)
 
 
 class Schedule:
@@ -26,7 +26,7 @@
         self.holds = [[] for _ in range(count)]  # what each has begun to use: until when (true time), units
 
     def make(self, i):
-        return self.kind("loads", WHOLE, len(self.rates), i, FACTS, self.clock(i))
+        return self.kind("loads", WHOLE, len(self.rates), i, SETTINGS, self.clock(i))
 
     def clock(self, i):
         return 10_000 * i + int(self.now * self.rates[i])
@@ -72,12 +72,12 @@
         if act == "ask":
             one.wanted = chance.choice((0, 10, 60))
             other = chance.randrange(len(self.all))
-            word = one.ask(self.life(other), chance.randint(1, 60), now) if other != i else None
+            word = one.request(self.life(other), chance.randint(1, 60), now) if other != i else None
             if word:
                 self.send(other, i, word)
         elif act == "use" and (room := one.part(now) - in_use) > 0:
             units = chance.randint(1, room)
-            self.holds[i].append((self.now + FACTS["settle"] / 1.1, units))
+            self.holds[i].append((self.now + SETTINGS.settle / 1.1, units))
             one.note(in_use + units, now)
         elif act == "back":
             one.wanted = 0
@@ -89,7 +89,7 @@
                 return
             there, clock = self.all[target], self.clock(target)
             if isinstance(word, Lend):
-                answer = there.asked(sender, word, clock)
+                answer = there.lend(sender, word, clock)
                 if answer:
                     self.send(source, target, answer)
             elif hasattr(word, "lasts"):
@@ -117,7 +117,7 @@
     """Planted: what is given back is handed out again though the borrower may still use it."""
 
     def longest(self):
-        return int(self.facts["lasts"] * 0.7)
+        return int(self.settings.lasts * 0.7)
 
 
 class CountsFromAnswer(Allowance):
@@ -140,7 +140,9 @@
     """Planted: a doubled answer counts twice."""
 
     def lent(self, lender, word, now):
-        self.had[lender, word.number * 1_000 + len(self.had)] = Loan(word.units, now + word.lasts // 2)
+        self.borrowed[lender, word.number * 1_000 + len(self.borrowed)] = Loan(
+            word.units, now + word.lasts // 2
+        )
 
 
 class MixesUpItsLives(Allowance):
@@ -173,12 +175,12 @@
 
 
 def test_need_moves_units_and_they_come_back():
-    a, b = (Allowance("loads", 100, 2, i, FACTS, 0) for i in (0, 1))
+    a, b = (Allowance("loads", 100, 2, i, SETTINGS, 0) for i in (0, 1))
     now = 10_000
     assert (a.part(now), b.part(now)) == (50, 50)
     b.wanted = 60
-    word = b.ask(("a", 0, 0), 10, now)
-    b.lent(("a", 0, 0), a.asked(("b", 0, 0), word, now), now)
+    word = b.request(("a", 0, 0), 10, now)
+    b.lent(("a", 0, 0), a.lend(("b", 0, 0), word, now), now)
     assert (a.part(now), b.part(now)) == (40, 60)
     b.wanted = 0
     [(lender, back)] = b.give_back(now + 1_000)
@@ -188,22 +190,22 @@
 
 
 def test_what_is_kept_is_never_lent_and_a_start_has_it_at_once():
-    a = Allowance("loads", 100, 2, 0, FACTS, 0)
-    assert a.part(0) == 25 and a.asked(("b", 0, 0), Lend("loads", 1, 0, 50), 0) is None
+    a = Allowance("loads", 100, 2, 0, SETTINGS, 0)
+    assert a.part(0) == 25 and a.lend(("b", 0, 0), Lend("loads", 1, 0, 50), 0) is None
     now = a.whole_from
-    given = [a.asked(("b", 0, 0), Lend("loads", n, 0, 50), now) for n in range(2, 12)]
+    given = [a.lend(("b", 0, 0), Lend("loads", n, 0, 50), now) for n in range(2, 12)]
     assert sum(g.units for g in given if g) == 25 and a.part(now) == 25
 
 
 def test_a_loan_that_nobody_returns_comes_back_by_the_clock():
-    a = Allowance("loads", 100, 2, 0, FACTS, 0)
+    a = Allowance("loads", 100, 2, 0, SETTINGS, 0)
     now = a.whole_from
-    lent = a.asked(("b", 0, 0), Lend("loads", 1, 0, 10), now)
+    lent = a.lend(("b", 0, 0), Lend("loads", 1, 0, 10), now)
     assert lent and a.part(now) == 40
     assert a.part(now + a.longest() - 1) == 40 and a.part(now + a.longest()) == 50
 
 
 def test_the_cuts_add_up_exactly_and_a_strange_number_has_none():
     for of in (1, 3, 7, 200, 333):
-        assert sum(Allowance("x", WHOLE, of, i, FACTS, 0).cut for i in range(of)) == WHOLE
-    assert Allowance("x", WHOLE, 3, 5, FACTS, 0).part(10**9) == 0
+        assert sum(Allowance("x", WHOLE, of, i, SETTINGS, 0).cut for i in range(of)) == WHOLE
+    assert Allowance("x", WHOLE, 3, 5, SETTINGS, 0).part(10**9) == 0
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lapistrestle.fleet.digests import PART, Digests
+from lapistrestle.fleet.digests import MAX_OVER_MEDIAN, Digests, DigestSettings
 from lapistrestle.wire import fleet as wire
 from lapistrestle.wire.fleet import Row
 
@@ -16,8 +16,8 @@
     return True
 
 
-def digests(name="a", boot=1, now=0, **facts):
-    return Digests(COLUMNS, (name, boot, 1), facts, now)
+def digests(name="a", boot=1, now=0, **settings):
+    return Digests(COLUMNS, (name, boot, 1), DigestSettings(**settings), now)
 
 
 def row(name="b", boot=1, seq=1, at=0, age=0, counts=(0, 0), nonce=1):
@@ -44,7 +44,7 @@
         made.heard(made.layout, [row(seq=seq, at=seq * SECOND, age=0, counts=(50 * seq, seq))], 20 * SECOND)
     figures = made.figures(20 * SECOND, everyone, 2)
     assert figures.rates["asked"] in (0, pytest.approx(50))
-    assert figures.told == 1 + (figures.rates["asked"] > 0)
+    assert figures.counted == 1 + (figures.rates["asked"] > 0)
 
 
 def test_rates_follow_the_teller_s_own_clock():
@@ -75,10 +75,10 @@
 def test_age_grows_on_the_way_and_a_shorter_way_makes_younger():
     made = digests()
     made.heard(made.layout, [row(seq=1, at=1, age=4 * SECOND)], 10 * SECOND)
-    assert made.tellers["b"].true_at == 6 * SECOND
-    assert [r.age for r in made.to_tell(11 * SECOND, 500) if r.name == "b"] == [5 * SECOND]
+    assert made.reporters["b"].true_at == 6 * SECOND
+    assert [r.age for r in made.rows_to_send(11 * SECOND, 500) if r.name == "b"] == [5 * SECOND]
     made.heard(made.layout, [row(seq=1, at=1, age=2 * SECOND)], 11 * SECOND)
-    assert made.tellers["b"].true_at == 9 * SECOND
+    assert made.reporters["b"].true_at == 9 * SECOND
 
 
 @pytest.mark.parametrize(("at", "counts"), [(10**7, (3, 0)), (1, (10**6, 10**6)), (10**7, (10**6,))])
@@ -90,14 +90,14 @@
 
 
 def test_one_that_tells_nonsense_moves_the_figure_by_its_own_part_only():
-    made = digests(most=5_000.0)
+    made = digests(max_rate=5_000.0)
     for name in "bcdefg":
         steady(made, name, 10, 8)
     before = made.figures(8 * SECOND, everyone, 8).rates["asked"]
     steady(made, "h", 10**9, 8)
     after = made.figures(8 * SECOND, everyone, 8).rates["asked"]
-    assert before == pytest.approx(60) and after - before <= PART * 10
-    small = digests(most=5_000.0)
+    assert before == pytest.approx(60) and after - before <= MAX_OVER_MEDIAN * 10
+    small = digests(max_rate=5_000.0)
     steady(small, "b", 10**9, 8)
     assert small.figures(8 * SECOND, everyone, 2).rates["asked"] == 5_000
 
@@ -113,7 +113,7 @@
 def test_another_layout_is_refused():
     made = digests()
     made.heard(made.layout + 1, [row(seq=1)], 0)
-    assert made.refused == 1 and "b" not in made.tellers
+    assert made.refused == 1 and "b" not in made.reporters
 
 
 def test_a_telling_fits_its_room_and_passes_on_what_was_told_least():
@@ -122,7 +122,7 @@
         made.heard(made.layout, [row(f"m{i:02d}", seq=1, at=1, counts=(2**60, 2**60))], 0)
     seen = []
     for _ in range(30):
-        rows = made.to_tell(10, 1_000)
+        rows = made.rows_to_send(10, 1_000)
         assert sum(map(wire.size, rows)) <= 1_000 and rows[0].name == "a"
         seen += [r.name for r in rows[1:]]
     assert max(map(seen.count, seen)) == min(map(seen.count, seen)) and len(set(seen)) == 100
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -10,7 +10,7 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.program import Edge
-from lapistrestle.fleet.allowance import Allowance
+from lapistrestle.fleet.allowance import Allowance, AllowanceSettings
 from lapistrestle.fleet.lending import Lending
 from lapistrestle.wire.fleet import Claim, Lend, Rank
 
@@ -31,7 +31,7 @@
 
     @staticmethod
     def cut(number, count):
-        return Allowance("loads", WHOLE, count, number, {}, 0)
+        return Allowance("loads", WHOLE, count, number, AllowanceSettings(), 0)
 
     def say(self, sender, to, word):
         if not self.lost:
@@ -46,7 +46,7 @@
             for _ in range(want - part):
                 made.wish()
             others = [claim for claim in self.claims if claim.name != f"e-{i}"]
-            made.look(others, True, self.now)
+            made.update(others, True, self.now)
         words, self.words = self.words, []
         for sender, to, word in words:
             self.made[to].heard(self.claims[sender], word, self.now)
@@ -63,7 +63,7 @@
     for _ in range(10):
         ring.step([0, 0, 0, 0])
     assert [made.part(ring.now) for made in ring.made] == [2, 2, 2, 2]
-    assert [made.allowance.out_on_loan() for made in ring.made] == [0, 0, 0, 0]
+    assert [made.allowance.lent_units() for made in ring.made] == [0, 0, 0, 0]
 
 
 @given(st.lists(st.tuples(st.lists(st.integers(0, 9), min_size=4, max_size=4), st.booleans()), max_size=60))
@@ -85,7 +85,7 @@
 
 def test_one_that_is_no_member_uses_nothing():
     ring = Ring(2)
-    ring.made[0].look([], False, SECOND)
+    ring.made[0].update([], False, SECOND)
     assert ring.made[0].part(SECOND) == 0
 
 
@@ -94,9 +94,11 @@
     for _ in range(20):
         ring.step([8, 0])
     part = ring.made[0].part(ring.now)
-    other = Lending(Allowance("trials", WHOLE, 2, 0, {}, 0), lambda: 8, partial(ring.say, 0), 0)
+    other = Lending(
+        Allowance("trials", WHOLE, 2, 0, AllowanceSettings(), 0), lambda: 8, partial(ring.say, 0), 0
+    )
     other.wish()
-    other.look([ring.claims[1]], True, ring.now)
+    other.update([ring.claims[1]], True, ring.now)
     ring.made[1].heard(ring.claims[0], ring.words[0][2], ring.now)
     assert ring.made[0].part(ring.now) == part
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -316,4 +316,4 @@
     assert made.unfit("w", SECOND) and not made.unfit("w", 1_000 + 9_000 + STALE)
     made.heard([Verdict("w", False, STALE, "d")], 10 * SECOND)
     assert not made.unfit("w", 10 * SECOND)
-    assert [v.worker for v in made.to_tell(SECOND, 5)] == ["w"]
+    assert [v.worker for v in made.to_send(SECOND, 5)] == ["w"]
