Overload: admission control in standard terms, its settings typed

Cause: overload/ spoke of doors, ladders, rungs, looks and coming back, and took the module's whole map of settings. Change: admission.py (AdmissionController, AdmissionSettings), priorities.py, fallback.py (Basis, Fallback), retry_after.py (RetryCalendar), retry_budget.py, unused.py (UnusedRoom, a token bucket), shedding.py (Traffic, Condition), probers.py (Finding). Columns of digests, log lines, shown keys and settings of deployments stay.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -450,7 +450,7 @@
         """A second's rows of all, in datagrams as they come."""
         together = made.together
         assert together is not None
-        digests = together.door.digests
+        digests = together.admission.digests
         counts = (10 * second,) * len(digests.counts)
         rows = [Row(name, 1, 1, second + 1, 10_000 * (second + 1), 0, counts) for name in others]
         for first in range(0, len(rows), 10):  # each passes on what it has heard of others
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -145,7 +145,7 @@
         route = self.routing.moved(pending.fn.name, key_of(call.key, call.token, pending.tag))
         left = pending.deadline - self.clock()
         if self.together is not None:
-            self.together.door.again()
+            self.together.admission.count_restart()
         self.take(pending.client, call, pending.method, pending.customer, left, route, True, attempts)
 
     def closed(self, pending: PendingRequest, how: str) -> None:
@@ -154,8 +154,8 @@
         if self.together is not None:
             late = self.late(pending)
             if how in (DENIED, ABORTED) and cost_before(pending) and not late:
-                self.together.door.wished()
-            self.together.door.ended(how, late, bool(pending.call_outs), faulty(pending))
+                self.together.admission.count_further_attempt()
+            self.together.admission.ended(how, late, bool(pending.call_outs), faulty(pending))
         if pending.route is not None and pending.route.candidate and how != "moved":
             if how != "ok" and self.barred(pending.fn.name):
                 return
@@ -188,7 +188,7 @@
         if self.barred(attempt.pending.fn.name):
             return self.host.ended(attempt.number, Outcome.MOOT)
         if self.together is not None and cost_before(attempt.pending):
-            self.together.door.wished()
+            self.together.admission.count_further_attempt()
         super().run(attempt)
 
     def hold(self, task: WorkerTask) -> None:
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/together.py
@@ -9,7 +9,7 @@
 from lapistrestle.fleet.lending import Lending
 from lapistrestle.fleet.settings import FleetSettings
 from lapistrestle.fleet.table import ACTIVE
-from lapistrestle.overload.door import LOOK, Door
+from lapistrestle.overload.admission import UPDATE_EVERY, AdmissionController, AdmissionSettings
 from lapistrestle.overload.probers import Verdicts, probers
 from lapistrestle.state import Srv
 
@@ -31,13 +31,20 @@
         self.endpoint = FleetEndpoint(edge, settings, place.name, place.zone, boot, nonce, place.seed)
         digest_settings = DigestSettings(send_every=int(fleet.tell), refresh=2 * int(fleet.tell))
         life = self.endpoint.members.me.life
-        self.door = Door(edge.facts, life, digest_settings, place.seed, self.endpoint.log, edge.clock())
+        self.admission = AdmissionController(
+            AdmissionSettings.of(edge.facts),
+            life,
+            digest_settings,
+            place.seed,
+            self.endpoint.log,
+            edge.clock(),
+        )
         self.verdicts = Verdicts(place.name)
         self.triers: dict[str, list[str]] = {}  # by worker: who tries it while it is suspect
         self.those: list[str] = []  # of whom they were drawn
         self.doubted: set[Srv] = set()  # of whom we told that they are suspect
         if fleet.shed:
-            self.endpoint.digests, self.endpoint.verdicts = self.door.digests, self.verdicts
+            self.endpoint.digests, self.endpoint.verdicts = self.admission.digests, self.verdicts
 
         if fleet.loads:
             longest = max(m["deadline"] for m in edge.facts["methods"])  # that one counts as under way
@@ -72,15 +79,15 @@
             member = self.endpoint.members.state in ACTIVE
             self.endpoint.lending.update(live, member, self.edge.clock())
         if self.fleet.shed:
-            self.door.look(self.endpoint.present, self.endpoint.members.size, self.edge.clock())
-            self.edge.facts["shedding"] = self.door.sheds  # the module's map is the edge's
-            self.edge.facts["further"] = self.door.further
+            self.admission.update(self.endpoint.present, self.endpoint.members.size, self.edge.clock())
+            self.edge.facts["shedding"] = self.admission.sheds  # the module's map is the edge's
+            self.edge.facts["further"] = self.admission.further
             self.share_trials()
-        self.edge.after(LOOK, self.look, None)
+        self.edge.after(UPDATE_EVERY, self.look, None)
 
     def share_trials(self) -> None:
         """Tell others what the module found of workers, and the module what others found."""
-        now, me, found = self.edge.clock(), self.verdicts.me, self.verdicts.found
+        now, me, found = self.edge.clock(), self.verdicts.me, self.verdicts.findings
         members = self.endpoint.members
         those = [me, *(m.name for m in members.live())] if members.size else [me]
         if those != self.those:
@@ -92,12 +99,12 @@
             if srv.suspect and told is not None and told.fit and told.by != me:
                 self.edge.host.vouched(srv, told.at)
             if srv.suspect and srv not in self.doubted:
-                self.verdicts.seen(srv.name, False, now)
+                self.verdicts.record(srv.name, False, now)
                 self.doubted.add(srv)
             elif not srv.suspect and srv in self.doubted:
                 self.doubted.discard(srv)
                 if told is not None and told.by == me:  # else it was others that found it fit
-                    self.verdicts.seen(srv.name, True, now)
+                    self.verdicts.record(srv.name, True, now)
             if srv.suspect:
                 names = self.triers.get(srv.name) or probers(srv.name, those)
                 self.triers[srv.name] = names
@@ -105,10 +112,10 @@
         self.doubted &= set(srvs)
 
     def gate(self, method: int, customer: int, repeat: bool, key: str) -> int | None:
-        """As `Door.gate`."""
+        """As `AdmissionController.admit`."""
         if not self.fleet.shed:
             return None
-        return self.door.gate(method, customer, repeat, key, self.edge.clock())
+        return self.admission.admit(method, customer, repeat, key, self.edge.clock())
 
     def loads_shown(self, now: int) -> dict[str, int] | None:
         if self.endpoint.lending is None:
@@ -122,10 +129,10 @@
         endpoint, members, now = self.endpoint, self.endpoint.members, self.edge.clock()
         return {
             "name": members.me.name, "fleet": self.fleet.name, "standing": members.state.name.lower(),
-            "doubt": members.health.score, "size": members.size, "door": self.door.show(),
+            "doubt": members.health.score, "size": members.size, "door": self.admission.show(),
             "loads": self.loads_shown(now),
             "datagrams": {"sent": endpoint.sent, "bytes": endpoint.sent_bytes, "came": endpoint.came,
-                          "refused": endpoint.refused + self.door.digests.refused},
+                          "refused": endpoint.refused + self.admission.digests.refused},
             "members": [
                 {"name": m.name, "zone": m.claim.zone, "port": m.claim.port, "is": m.rank.name.lower(),
                  "for ms": (now - m.since) / 10, "incarnation": m.claim.incarnation,
--- a/lapistrestle/model/overload.py
+++ b/lapistrestle/model/overload.py
@@ -12,8 +12,8 @@
 
 import numpy as np
 
-from lapistrestle.overload.ladder import Level, level_for
-from lapistrestle.overload.shedding import SECOND, Seen, Shedding
+from lapistrestle.overload.priorities import Level, level_for
+from lapistrestle.overload.shedding import SECOND, Shedding, Traffic
 
 STEP = 0.1  # seconds
 WINDOW = 20  # steps over which rates are taken, as in `fleet.digests`
@@ -65,8 +65,8 @@
         self.logs: list[str] = []
         self.shedding = Shedding(rungs, int(day.soft * SECOND), self.logs.append, 0)
 
-    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
-        return self.shedding.see(fleet, now)
+    def look(self, fleet: Traffic, own: Traffic, now: int) -> Level:
+        return self.shedding.update(fleet, now)
 
 
 class Open:
@@ -75,7 +75,7 @@
     def __init__(self, day: Day, rungs: int) -> None:
         self.level = Level(rungs)
 
-    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
+    def look(self, fleet: Traffic, own: Traffic, now: int) -> Level:
         return self.level
 
 
@@ -85,24 +85,24 @@
     def __init__(self, day: Day, rungs: int) -> None:
         self.room = day.capacity / day.dispatchers
 
-    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
-        return level_for(own.asked, self.room)
+    def look(self, fleet: Traffic, own: Traffic, now: int) -> Level:
+        return level_for(own.demand, self.room)
 
 
 class AloneByLevel(ByLevel):
     """The same decision from one's own figures alone."""
 
-    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
-        return self.shedding.see(own, now)
+    def look(self, fleet: Traffic, own: Traffic, now: int) -> Level:
+        return self.shedding.update(own, now)
 
 
 class RetryBudget(Open):
     """Each dispatcher denies repeats beyond a fifth of what it has let in lately, and nothing else."""
 
-    def look(self, fleet: Seen, own: Seen, now: int) -> Level:
-        repeats = sum(own.asked[1::2])
-        part = min(1.0, 0.2 * own.let / repeats) if repeats else 1.0
-        return RepeatsOnly(len(own.asked), part)
+    def look(self, fleet: Traffic, own: Traffic, now: int) -> Level:
+        repeats = sum(own.demand[1::2])
+        part = min(1.0, 0.2 * own.admitted / repeats) if repeats else 1.0
+        return RepeatsOnly(len(own.demand), part)
 
 
 @dataclass(frozen=True)
@@ -148,14 +148,14 @@
                 end = max(1, step - int(lags[i]))
                 begin = max(0, end - WINDOW)
                 lasts = (end - begin) * STEP
-                fleet = Seen(
+                fleet = Traffic(
                     tuple(asked[begin:end].sum((0, 1)) / lasts), let[begin:end].sum() / lasts,
                     good[begin:end].sum() / lasts, bad[begin:end].sum() / lasts,
                     float((let - good - bad)[:end].sum()), int(lags[i] * STEP * SECOND),
                 )  # fmt: skip
                 since = max(0, step - WINDOW)
                 lasts = (step - since) * STEP
-                own = Seen(
+                own = Traffic(
                     tuple(asked[since:step, i].sum(0) / lasts), let[since:step, i].sum() / lasts,
                     good[since:step, i].sum() / lasts, bad[since:step, i].sum() / lasts,
                     float((let - good - bad)[:step, i].sum()), 0,
@@ -192,7 +192,7 @@
         story.asked.append(float((first.sum(0) * worth[0::2]).sum()))
         story.could.append(best(first.sum(0), worth[0::2], day.capacity * day.up(t) * STEP))
         story.let.append(float(let[step].sum()))
-        heights = [level.height for level in levels]
+        heights = [level.value for level in levels]
         story.spread.append(max(heights) - min(heights))
     return story
 
@@ -200,8 +200,9 @@
 def gate(level: Level, rungs: int) -> list[float]:
     """The part of each rung that is let in."""
     if isinstance(level, RepeatsOnly):
-        return [level.part if rung % 2 else 1.0 for rung in range(rungs)]
-    return [1.0 if rung < level.rung else level.part if rung == level.rung else 0.0 for rung in range(rungs)]
+        return [level.fraction if rung % 2 else 1.0 for rung in range(rungs)]
+    at = level.priority
+    return [1.0 if rung < at else level.fraction if rung == at else 0.0 for rung in range(rungs)]
 
 
 def best(first: Any, worth: Any, room: float) -> float:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,27 +1,25 @@
 """Who sheds what: decisions over the fleet's figures, and the loop they make in a fluid model."""
 
 import pytest
-from helpers import SETTINGS
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lapistrestle.deployment import words
 from lapistrestle.model.overload import AloneByLevel, ByLevel, Day, Open, RetryBudget, play
 from lapistrestle.overload import shedding
-from lapistrestle.overload.alone import Reliance, Step
-from lapistrestle.overload.budget import FEW, RATIO, further_rate
-from lapistrestle.overload.comeback import HEADROOM, SLOT, Calendar
-from lapistrestle.overload.filling import Filling
-from lapistrestle.overload.ladder import Ladder, Level, level_for, point
+from lapistrestle.overload.fallback import Basis, Fallback
+from lapistrestle.overload.priorities import Level, PriorityLevels, hash_fraction, level_for
 from lapistrestle.overload.probers import PROBERS, STALE, Verdicts, probers
-from lapistrestle.overload.shedding import MODES, Mode, Seen, Shedding, Sign
+from lapistrestle.overload.retry_after import HEADROOM, SLOT, RetryCalendar
+from lapistrestle.overload.retry_budget import MIN_RATE, RETRY_RATIO, further_attempt_rate
+from lapistrestle.overload.shedding import TRANSITIONS, Condition, Mode, Shedding, Traffic
+from lapistrestle.overload.unused import UnusedRoom
 from lapistrestle.wire.fleet import Verdict
 
 SECOND = 10_000
 
 
 def seen(asked=(100.0, 100.0), let=100.0, good=100.0, bad=0.0, age=0, out=0.0):
-    return Seen(tuple(asked), let, good, bad, out, age)
+    return Traffic(tuple(asked), let, good, bad, out, age)
 
 
 def strained(good, bad, asked=(2_000.0, 1_000.0)):
@@ -34,31 +32,32 @@
     return Shedding(2, SECOND, lambda text: None, 0)
 
 
-# the ladder
+# priorities
 
 
-def ladder(gains, over=0.5):
-    facts = {**words.facts(SETTINGS), "over_share_gain": over}
-    return Ladder({**facts, "methods": [{**facts["methods"][0], "gain": gain} for gain in gains]})
+def levels(gains, over=0.5):
+    return PriorityLevels(gains, over)
 
 
 def test_what_earns_more_is_denied_later_and_a_repeat_before_a_first_try_of_its_worth():
-    made = ladder([1.0, 4.0])
-    order = [made.rung(m, beyond, repeat) for m, beyond, repeat in
+    made = levels([1.0, 4.0])
+    order = [made.priority(m, beyond, repeat) for m, beyond, repeat in
              [(1, False, False), (1, False, True), (1, True, False), (0, False, False), (0, False, True),
               (0, True, False), (0, True, True)]]  # fmt: skip
     assert order == sorted(set(order)) and order[0] == 0
 
 
 def test_many_worths_share_the_last_rung():
-    made = ladder([float(i) for i in range(1, 40)])
-    assert made.count == 16 and made.rung(0, True, True) == 15
+    made = levels([float(i) for i in range(1, 40)])
+    assert made.count == 16 and made.priority(0, True, True) == 15
 
 
 @given(st.lists(st.floats(0, 1e4), min_size=1, max_size=8), st.floats(0, 1e5))
 def test_the_level_fits_the_room(asked, room):
     level = level_for(asked, room)
-    let = sum(asked[: level.rung]) + (level.part * asked[level.rung] if level.rung < len(asked) else 0)
+    let = sum(asked[: level.priority]) + (
+        level.fraction * asked[level.priority] if level.priority < len(asked) else 0
+    )
     assert let <= room + 1e-6 and (let >= min(room, sum(asked)) - 1e-6)
 
 
@@ -66,71 +65,71 @@
     level = Level(1, 0.3)
     assert level.admits(0, "x") and not level.admits(2, "x")
     assert 250 < sum(level.admits(1, f"rpc-{i}") for i in range(1_000)) < 350
-    assert point("x") == point("x")
+    assert hash_fraction("x") == hash_fraction("x")
 
 
 # shedding
 
 
 def test_every_mode_answers_every_sign():
-    assert set(MODES) == {(mode, sign) for mode in Mode for sign in Sign}
+    assert set(TRANSITIONS) == {(mode, sign) for mode in Mode for sign in Condition}
 
 
 def test_strain_cuts_under_what_is_done_and_the_best_of_late_is_its_floor(one):
-    one.see(seen(good=1_000, let=1_000), 0)
-    one.see(strained(500, 500), SECOND)
+    one.update(seen(good=1_000, let=1_000), 0)
+    one.update(strained(500, 500), SECOND)
     assert one.mode is Mode.SHEDDING and one.room == shedding.CUT * 500
-    one.see(strained(10, 990), 2 * SECOND)
+    one.update(strained(10, 990), 2 * SECOND)
     assert one.room == shedding.FLOOR * 1_000
-    one.see(strained(10, 990), 20 * SECOND)
+    one.update(strained(10, 990), 20 * SECOND)
     assert one.room == shedding.CUT * 10  # what was done long ago says nothing
 
 
 def test_few_ends_are_no_strain(one):
-    one.see(seen(good=4, bad=4), SECOND)
+    one.update(seen(good=4, bad=4), SECOND)
     assert one.mode is Mode.CALM
 
 
 def test_bad_ends_without_long_stays_shut_no_door(one):
     """Workers or loads that fail: fewer let in would mend nothing."""
     for now in range(0, 20 * SECOND, SECOND):
-        one.see(seen((2_000.0, 1_000.0), let=900, good=500, bad=400, out=90), now)
+        one.update(seen((2_000.0, 1_000.0), let=900, good=500, bad=400, out=90), now)
     assert one.mode is Mode.CALM and one.level == Level(2)
 
 
 def test_the_room_goes_back_to_the_best_of_late_once_but_not_after_a_relapse(one):
-    one.see(seen(good=1_000), 0)
+    one.update(seen(good=1_000), 0)
     jam, fine = strained(300, 700), seen((3_000, 0), 300, 300, 0)
-    one.see(jam, SECOND)
-    one.see(fine, 2 * SECOND)
+    one.update(jam, SECOND)
+    one.update(fine, 2 * SECOND)
     assert one.room == shedding.BACK * 1_000
-    one.see(jam, 3 * SECOND)
+    one.update(jam, 3 * SECOND)
     assert one.room == pytest.approx(shedding.CUT * 300)
-    one.see(fine, 4 * SECOND)
+    one.update(fine, 4 * SECOND)
     assert one.room == pytest.approx(shedding.BACK * shedding.BACK * 1_000)  # less with every relapse
 
 
 def test_a_step_is_not_made_again_until_the_figures_can_show_it(one):
-    one.see(strained(500, 500), 0)
+    one.update(strained(500, 500), 0)
     fine = seen((3_000, 0), 600, 600, 0, age=2 * SECOND)
-    one.see(fine, 10)
+    one.update(fine, 10)
     before = one.room
     for now in range(20, 4 * SECOND, 1_000):  # one lag: the window of two seconds and the age of two
-        one.see(fine, now)
+        one.update(fine, now)
     assert before < one.room <= before * (1 + shedding.EASE) * 1.05
     hasty, slow = Shedding(2, SECOND, lambda text: None, 0), Shedding(2, SECOND, lambda text: None, 0)
     for made, age in ((hasty, 0), (slow, 8 * SECOND)):
-        made.see(strained(500, 500), 0)
+        made.update(strained(500, 500), 0)
         for now in range(10, 6 * SECOND, 1_000):
-            made.see(seen((3_000, 0), made.room, made.room, 0, age=age), now)
+            made.update(seen((3_000, 0), made.room, made.room, 0, age=age), now)
     assert slow.room < hasty.room
 
 
 def test_what_piles_up_is_seen_before_anything_is_late(one):
-    one.see(strained(500, 500), 0)
-    one.see(seen((3_000, 0), 1_000, 1_000, 0), SECOND)
-    one.see(seen((3_000, 0), 1_000, 900, 0, out=0.5 * 900), 2 * SECOND)
-    assert one.mode is Mode.EASING and one.room == pytest.approx(shedding.DRAINS * 900)
+    one.update(strained(500, 500), 0)
+    one.update(seen((3_000, 0), 1_000, 1_000, 0), SECOND)
+    one.update(seen((3_000, 0), 1_000, 900, 0, out=0.5 * 900), 2 * SECOND)
+    assert one.mode is Mode.EASING and one.room == pytest.approx(shedding.DRAIN * 900)
 
 
 def over(t):
@@ -160,11 +159,11 @@
     """Planted: steps as if each look at the figures were news."""
 
     def hasty(self, now_seen, now):
-        self.room = max(self.room, now_seen.let) * (1 + shedding.EASE)
+        self.room = max(self.room, now_seen.admitted) * (1 + shedding.EASE)
 
     good = play(day(12, age=3.0), ByLevel).part(35, 75)
-    table = {key: (mode, hasty if do is Shedding.ease else do) for key, (mode, do) in MODES.items()}
-    monkeypatch.setattr(shedding, "MODES", table)
+    table = {key: (mode, hasty if do is Shedding.ease else do) for key, (mode, do) in TRANSITIONS.items()}
+    monkeypatch.setattr(shedding, "TRANSITIONS", table)
     assert play(day(12, age=3.0), ByLevel).part(35, 75) < good - 0.15
 
 
@@ -179,23 +178,23 @@
 
 
 def test_figures_that_age_lead_down_at_once_and_up_in_steps():
-    made = Reliance(lambda text: None, 0)
-    assert made.look(12, 12, 50.0, SECOND) is Step.ALONE
-    assert made.look(12, 12, 50.0, 4 * SECOND) is Step.PART
-    assert made.look(12, 12, 50.0, 8 * SECOND) is Step.TOGETHER
-    assert made.look(5, 12, 50.0, 8 * SECOND + 1) is Step.PART
-    assert made.look(12, 12, 50.0, 9 * SECOND) is Step.PART
-    assert made.look(1, 1, 0.5, 9 * SECOND + 1) is Step.ALONE
+    made = Fallback(lambda text: None, 0)
+    assert made.update(12, 12, 50.0, SECOND) is Basis.NONE
+    assert made.update(12, 12, 50.0, 4 * SECOND) is Basis.OWN
+    assert made.update(12, 12, 50.0, 8 * SECOND) is Basis.FLEET
+    assert made.update(5, 12, 50.0, 8 * SECOND + 1) is Basis.OWN
+    assert made.update(12, 12, 50.0, 9 * SECOND) is Basis.OWN
+    assert made.update(1, 1, 0.5, 9 * SECOND + 1) is Basis.NONE
 
 
 def test_what_ends_falls_with_what_is_let_in_and_that_shuts_nothing(one):
-    one.see(seen(good=1_000, let=1_000), 0)
-    one.see(strained(500, 500), SECOND)
-    one.see(seen((2_000.0, 1_000.0), let=400, good=400), 2 * SECOND)
+    one.update(seen(good=1_000, let=1_000), 0)
+    one.update(strained(500, 500), SECOND)
+    one.update(seen((2_000.0, 1_000.0), let=400, good=400), 2 * SECOND)
     assert one.mode is Mode.EASING
     for step in range(1, 20):  # ten seconds in which half of what is let in ends, and stays long
         let = one.room
-        one.see(seen((2_000.0, 1_000.0), let=let, good=let / 2, out=let), 2 * SECOND + step * SECOND // 2)
+        one.update(seen((2_000.0, 1_000.0), let=let, good=let / 2, out=let), 2 * SECOND + step * SECOND // 2)
         assert one.room >= shedding.FLOOR * 1_000  # the best of the last 15 s
 
 
@@ -205,31 +204,31 @@
 @given(st.lists(st.tuples(st.integers(0, 300), st.booleans()), max_size=300), st.floats(1, 500))
 def test_no_more_is_filled_in_than_there_is_room_for(asks, rate):
     """However the level and what it denies take turns."""
-    made, now, taken = Filling(0), 0, 0
-    made.set(rate, 0)
+    made, now, taken = UnusedRoom(0), 0, 0
+    made.set_rate(rate, 0)
     for gap, admitted in asks:
         now += gap
         if admitted:
-            made.took(now)
-        taken += not admitted and made.takes(now)
+            made.charge(now)
+        taken += not admitted and made.try_take(now)
         assert taken <= max(1.0, rate / 2) + rate * now / SECOND + 1e-6
 
 
 def test_room_that_the_level_leaves_unused_is_filled_and_what_it_uses_is_not():
-    made = Filling(0)
-    made.set(10.0, 0)
-    assert sum(made.takes(now) for now in range(0, 10 * SECOND, 100)) in (99, 100)
+    made = UnusedRoom(0)
+    made.set_rate(10.0, 0)
+    assert sum(made.try_take(now) for now in range(0, 10 * SECOND, 100)) in (99, 100)
     for now in range(10 * SECOND, 20 * SECOND, SECOND // 10):  # all of the room by the level
-        made.took(now)
-    assert sum(made.takes(now) for now in range(20 * SECOND, 21 * SECOND, 100)) in (9, 10, 14)
-    made.set(float("inf"), 21 * SECOND)
-    assert not made.takes(30 * SECOND)
+        made.charge(now)
+    assert sum(made.try_take(now) for now in range(20 * SECOND, 21 * SECOND, 100)) in (9, 10, 14)
+    made.set_rate(float("inf"), 21 * SECOND)
+    assert not made.try_take(30 * SECOND)
 
 
 def test_ones_part_is_taken_of_figures_of_one_moment():
-    made = Filling(0)
+    made = UnusedRoom(0)
     for second in range(10):  # a burst that ended three seconds ago, which the fleet's figures don't show yet
-        part = made.part(120.0 if second < 7 else 10.0, 960.0, 4 * SECOND, second * SECOND)
+        part = made.own_part(120.0 if second < 7 else 10.0, 960.0, 4 * SECOND, second * SECOND)
     assert part == 120 / 960
 
 
@@ -238,10 +237,10 @@
 
 @given(st.lists(st.tuples(st.integers(0, 400), st.floats(0, 0.999)), max_size=200), st.floats(0.1, 200))
 def test_no_moment_is_promised_to_more_than_fit_in_it(denials, room):
-    calendar, now, promised = Calendar(5 * SECOND, 0), 0, {}
+    calendar, now, promised = RetryCalendar(5 * SECOND, 0), 0, {}
     for gap, chance in denials:
         now += gap
-        stay = calendar.promise(now, 500, room, chance)
+        stay = calendar.reserve(now, 500, room, chance)
         assert stay == 0 or 500 <= stay + SLOT <= 6 * SECOND
         if stay:
             slot = (now + stay) // SLOT
@@ -253,7 +252,7 @@
 
 
 def test_nothing_is_promised_without_room():
-    assert Calendar(5 * SECOND, 0).promise(0, 0, 0.0, 0.5) == 0
+    assert RetryCalendar(5 * SECOND, 0).reserve(0, 0, 0.0, 0.5) == 0
 
 
 rates = st.floats(0, 1e4)
@@ -264,27 +263,27 @@
     """Beyond what each may make at the least; and where all wishes fit, each may make what it wishes."""
     rows = [dict(zip(("good", "again", "repeat"), row, strict=True)) for row in members]
     fleet = {name: sum(row[name] for row in rows) for name in rows[0]}
-    whole = max(0.0, RATIO * fleet["good"] - fleet["repeat"])
-    parts = [further_rate(fleet, row, True) for row in rows]
-    assert all(part >= FEW for part in parts)
+    whole = max(0.0, RETRY_RATIO * fleet["good"] - fleet["repeat"])
+    parts = [further_attempt_rate(fleet, row, True) for row in rows]
+    assert all(part >= MIN_RATE for part in parts)
     if fleet["again"] > whole:
-        assert sum(part for part in parts if part > FEW) <= whole * (1 + 1e-9)
+        assert sum(part for part in parts if part > MIN_RATE) <= whole * (1 + 1e-9)
     else:
         assert all(part >= row["again"] * (1 - 1e-9) for part, row in zip(parts, rows, strict=True))
 
 
 def test_a_budget_follows_need_and_without_figures_there_is_none():
     fleet = {"good": 1_000.0, "again": 400.0, "repeat": 0.0}
-    parts = [further_rate(fleet, {"good": 333.0, "again": x}, True) for x in (300.0, 80.0, 20.0)]
-    assert sum(parts) == pytest.approx(RATIO * 1_000) and parts == sorted(parts, reverse=True)
-    assert further_rate(fleet, {"good": 333.0, "again": 300.0}, False) == float("inf")
+    parts = [further_attempt_rate(fleet, {"good": 333.0, "again": x}, True) for x in (300.0, 80.0, 20.0)]
+    assert sum(parts) == pytest.approx(RETRY_RATIO * 1_000) and parts == sorted(parts, reverse=True)
+    assert further_attempt_rate(fleet, {"good": 333.0, "again": 300.0}, False) == float("inf")
 
 
 def test_what_clients_repeat_by_themselves_leaves_less_to_try_again():
     own = {"good": 500.0, "again": 100.0}
     fleet = {"good": 1_000.0, "again": 200.0}
-    assert further_rate({**fleet, "repeat": 150.0}, own, True) == pytest.approx(25.0)
-    assert further_rate({**fleet, "repeat": 900.0}, own, True) == FEW
+    assert further_attempt_rate({**fleet, "repeat": 150.0}, own, True) == pytest.approx(25.0)
+    assert further_attempt_rate({**fleet, "repeat": 900.0}, own, True) == MIN_RATE
 
 
 def test_few_probe_each_worker_and_little_changes_hands():
@@ -303,13 +302,13 @@
     for views, most in (([members], PROBERS), ([members[:15], members[15:]], 2 * PROBERS)):
         for second in range(10, 20):
             asks = [(m, view, second * SECOND + k) for view in views for m in view for k in (0, 9)]
-            count = sum(held[m].mine("w", view, now) for m, view, now in asks)
+            count = sum(held[m].should_probe("w", view, now) for m, view, now in asks)
             assert 0 < count <= most
 
 
 def test_the_newest_verdict_holds_and_an_old_one_says_nothing():
     made = Verdicts("a")
-    made.seen("w", True, 0)
+    made.record("w", True, 0)
     made.heard([Verdict("w", False, 1_000, "b")], SECOND)
     assert made.unfit("w", SECOND)
     made.heard([Verdict("w", True, 9_900, "c")], SECOND)  # older than b's
