--- a/benchmarks/scale/assumptions.py
+++ b/benchmarks/scale/assumptions.py
@@ -109,6 +109,21 @@
     first_answer_seconds: Positive
 
 
+class Network(Table, frozen=True, forbid_unknown_fields=True):
+    """How long a message takes one way."""
+
+    in_region_seconds: Positive
+    between_regions_seconds: Positive
+
+
+class Directory(Table, frozen=True, forbid_unknown_fields=True):
+    """How the directory of a region is laid out."""
+
+    shards: Count
+    holders_per_region: Count  # processes, each with a copy of every shard
+    watch_idle_seconds: Positive  # a function unused for so long is watched no more
+
+
 class Assumptions(Table, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
@@ -119,6 +134,8 @@
     cold: Cold
     machine: Machine
     restarts: Restarts
+    network: Network
+    directory: Directory
     dispatchers_per_function: (
         Count  # how many dispatchers of a region one seldom called function's calls reach
     )
--- a/benchmarks/scale/measuring.py
+++ b/benchmarks/scale/measuring.py
@@ -6,7 +6,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from types import FrameType
+from types import BuiltinFunctionType, CodeType, FrameType, FunctionType, ModuleType
 from typing import Any, TypeVar
 
 from msgspec import Struct
@@ -48,6 +48,27 @@
     return built, held
 
 
+def deep_size(root: object, skip: tuple[type, ...] = ()) -> int:
+    """Bytes of an object and of all that it refers to, by `sys.getsizeof` with the collector's headers; what
+    is of a type in `skip`, and types, modules and functions, are left out with what they lead to."""
+    left_out = (*skip, type, ModuleType, FunctionType, BuiltinFunctionType, CodeType)
+    seen, total, waiting = {id(root)}, 0, [root]
+    while waiting:
+        found = waiting.pop()
+        total += sys.getsizeof(found)
+        inner = struct_fields(found) if isinstance(found, Struct) else gc.get_referents(found)
+        for one in inner:
+            if id(one) not in seen and not isinstance(one, left_out):
+                seen.add(id(one))
+                waiting.append(one)
+    return total
+
+
+def struct_fields(struct: Struct) -> list[Any]:
+    """Structs outside the collector do not tell what they refer to."""
+    return [getattr(struct, name) for name in struct.__struct_fields__]
+
+
 def processor_seconds(action: Callable[[], object], repeats: int = REPEATS) -> Seconds:
     """Processor time of this process, by `time.process_time`, with the cyclic collector off meanwhile."""
     taken = []
--- a/benchmarks/scale/tables.py
+++ b/benchmarks/scale/tables.py
@@ -184,7 +184,7 @@
         [f"calls over functions: {s.name}", f"(rank + {s.offset:g}) ** -{s.exponent:g}"]
         for s in (given.spread, *given.sensitivity)
     ]
-    for group in (given.instance, given.cold, given.machine, given.restarts):
+    for group in (given.instance, given.cold, given.machine, given.restarts, given.network, given.directory):
         name = type(group).__name__.lower()
         rows += [
             [f"{name}: {f.replace('_', ' ')}", number(getattr(group, f))] for f in group.__struct_fields__
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -140,3 +140,7 @@
     for name, role in roles.all_roles().items():
         assert role.name == name
         assert role.sweeps or role.scenes
+
+
+def test_the_page_has_the_tables_of_the_result_files():
+    assert page.check() == []
