--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -81,9 +81,9 @@
     scenes: tuple[Played, ...]
 
 
-def origin(command: str, date: str, load_before: float, seconds: float, quick: bool) -> Origin:
+def origin(commit: str, command: str, date: str, load_before: float, seconds: float, quick: bool) -> Origin:
     cores = os.cpu_count() or 1
-    return Origin(commit(), cores, platform.python_version(), command, date, load_before, seconds, quick)
+    return Origin(commit, cores, platform.python_version(), command, date, load_before, seconds, quick)
 
 
 def commit() -> str:
--- a/benchmarks/scale/running.py
+++ b/benchmarks/scale/running.py
@@ -99,11 +99,11 @@
 def measure_role(role: Role, plan: Plan) -> Result:
     """Every sweep and every scene of a role, in this process."""
     date, load, began = datetime.now(UTC).isoformat("T", "seconds"), os.getloadavg()[0], time.monotonic()
-    given = assumptions.load()
+    given, commit = assumptions.load(), results.commit()
     series = tuple(measure_sweep(role, sweep, plan, given) for sweep in role.sweeps)
     scenes = tuple(play_scene(scene, plan, given) for scene in role.scenes)
     took = round(time.monotonic() - began, 1)
-    origin = results.origin(plan.command, date, round(load, 1), took, plan.quick)
+    origin = results.origin(commit, plan.command, date, round(load, 1), took, plan.quick)
     return Result(role.name, role.text, origin, role.budgets, series, scenes)
 
 
