--- a/benchmarks/scale/directory_fleet.py
+++ b/benchmarks/scale/directory_fleet.py
@@ -36,6 +36,7 @@
 FROM_WATCHER = union(wire.FromWatcher)
 FROM_HOLDER = union(wire.FromHolder)
 NEVER = 2**62
+FIRST_PORT = 101  # of the holders
 
 
 def tenths(reactor: VirtualReactor) -> int:
@@ -348,7 +349,7 @@
     ) -> None:
         self.reactor = VirtualReactor()
         self.one_way, self.seed, self.zones = one_way, seed, zones
-        copies = tuple(Copy("127.0.0.1", 1 + n, zones[n % len(zones)]) for n in range(holders))
+        copies = tuple(Copy("127.0.0.1", FIRST_PORT + n, zones[n % len(zones)]) for n in range(holders))
         self.assignment = Assignment(1, (copies,) * shards)
         self.watcher_settings = watcher_settings or WatcherSettings()
         settings = HolderSettings(shards=frozenset(range(shards)), shard_count=shards, **holder_settings)
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -50,21 +50,29 @@
 class HollowTransport:
     """What a Twisted transport is to a protocol; bytes written go to `written`."""
 
-    __slots__ = ("closed", "protocol", "written")
+    __slots__ = ("closed", "left", "protocol", "written")
     disconnecting = False
 
-    def __init__(self, protocol: Any, written: Callable[["HollowTransport", bytes], None]) -> None:
-        self.protocol, self.written, self.closed = protocol, written, False
+    def __init__(
+        self,
+        protocol: Any,
+        written: Callable[["HollowTransport", bytes], None],
+        left: Callable[[], None] | None = None,
+    ) -> None:
+        """`left` is called once the program closes it."""
+        self.protocol, self.written, self.left, self.closed = protocol, written, left, False
 
     def write(self, data: bytes) -> None:
         if not self.closed:
             self.written(self, data)
 
     def loseConnection(self) -> None:
+        if not self.closed and self.left is not None:
+            self.left()
         self.closed = True
 
     def abortConnection(self) -> None:
-        self.closed = True
+        self.loseConnection()
 
     def registerProducer(self, producer: Any, streaming: bool) -> None: ...
     def unregisterProducer(self) -> None: ...
@@ -157,23 +165,39 @@
     def __init__(self, reactor: VirtualReactor, workers: Workers, roster: Roster) -> None:
         super().__init__(reactor, "edge")
         self.workers, self.roster = workers, roster
+        self.holders: dict[int, Callable[[Any], None]] = {}  # what takes a dial, by port
 
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> Any:
         if port == ROSTER_PORT:
             return self.roster.accept(factory)
+        if port in self.holders:
+            return self.reactor.at(0, self.holders[port], factory)
         return self.reactor.at(2 * LATENCY, self.workers.accept, factory)
 
 
 class HollowDispatcher:
-    """One edge with the whole list, its clients and its workers."""
-
-    def __init__(self, entries: list[wire.Entry], seed: int, of: int, number: int = 0) -> None:
-        self.reactor = VirtualReactor()
+    """One edge, its clients and its workers; with the whole list unless its settings say otherwise."""
+
+    def __init__(
+        self,
+        entries: list[wire.Entry],
+        seed: int,
+        of: int,
+        number: int = 0,
+        reactor: VirtualReactor | None = None,
+        holders: dict[int, Callable[[Any], None]] | None = None,
+        **more: Any,
+    ) -> None:
+        """`holders` take dials to the directory, by port; `more` are further settings."""
+        self.reactor = reactor or VirtualReactor()
         self.workers, self.roster = Workers(self.reactor), Roster(entries)
         process = HollowProcess(self.reactor, self.workers, self.roster)
-        self.edge = Edge(process, deployment(of, number), lambda what, **figures: None, seed)
+        process.holders = holders or {}
+        made = shaped({**settings(of, number), **more}, Deployment)
+        self.edge = Edge(process, made, lambda what, **figures: None, seed)
         self.clients, self.answers = Traffic(), dict.fromkeys(("ok", "denied", "aborted"), 0)
-        self.answered_at: dict[str, float] = {}
+        self.called_at: dict[str, float] = {}  # of calls without answer, by id
+        self.took: list[float] = []  # seconds until the answer, of those that were ok
         self.count = 0
         self.edge.start()
         self.seat = self.connected_client()
@@ -190,7 +214,9 @@
             message = FROM_EDGE_TO_CLIENT.decode(line)
             if isinstance(message, wire.Answer):
                 self.answers[message.verdict] += 1
-                self.answered_at[message.id] = self.reactor.seconds()
+                began = self.called_at.pop(message.id)
+                if message.verdict == "ok":
+                    self.took.append(self.reactor.seconds() - began)
 
     def learn_all(self) -> None:
         """The roster tells the whole list, and every connection that the edge makes of it is up."""
@@ -205,6 +231,7 @@
     def call(self, function: str) -> None:
         """A client calls; the answer comes in virtual time."""
         line = self.line_of(function)
+        self.called_at[str(self.count)] = self.reactor.seconds()
         self.clients.came(line)
         self.seat.dataReceived(line)
 
@@ -220,7 +247,7 @@
 
     def drop_answers(self) -> None:
         """What the test notes of answers is no state of the dispatcher."""
-        self.answered_at.clear()
+        self.took.clear()
 
 
 def settings(of: int, number: int = 0, roster_port: int = ROSTER_PORT) -> dict[str, Any]:
@@ -240,10 +267,6 @@
     }  # fmt: skip
 
 
-def deployment(of: int, number: int = 0) -> Deployment:
-    return shaped(settings(of, number), Deployment)
-
-
 def entry(number: int, listing: Any = "serving", start: int = 0, region: int = 0) -> wire.Entry:
     """One instance as a roster names it; names have the length that the assumptions state."""
     name, zone = f"instance-r{region}-{number:012d}", ZONES[number % len(ZONES)]
--- a/benchmarks/scale/roles/shard_holder.py
+++ b/benchmarks/scale/roles/shard_holder.py
@@ -1,7 +1,7 @@
 """A shard's holder: all instances of a region, and the watches of the dispatchers that come to this copy.
 
 `state_bytes` is by `tracemalloc` where instances grow and by a recursive `sys.getsizeof` elsewhere.
-`processor` is all that the holder does: lists, look-ups, renewals, changes to watchers, decoding and encoding.
+`processor` is all that the holder does: lists, look-ups, renewals, changes to watchers, and the encoding.
 """
 
 from itertools import count
