--- a/lapistrestle/directory/holder.py
+++ b/lapistrestle/directory/holder.py
@@ -92,6 +92,15 @@
         for session in list(self.sessions.all.values()):
             self.close(session, "the roster went back")
 
+    def roster_asked(self, now: int) -> None:
+        """The program itself has asked the roster for a whole list: on connecting, or because of a gap.
+
+        Not to be called for `AskRoster`. Without it a list that was on its way while the holder stood still
+        would pass for the answer to what the holder asks when it wakes.
+        """
+        self.knowledge.called(now)
+        self.knowledge.asked(now)
+
     def roster_lost(self, now: int) -> None:
         """The connection to the roster is gone, or the roster says that it can't answer.
 
@@ -175,14 +184,15 @@
         self.effects.append(SendTo(session.number, message))
 
     def watch(self, session: Session, asked: Watch, now: int) -> None:
+        if asked.id <= session.last_watch:
+            return  # asked for before
+        session.last_watch = asked.id
         refused = self.refusal(session, asked)
         if refused is not None:
             return self.send(session, refused)
         wait = self.admission.retry_after(now)
         if wait:
             return self.send(session, Busy(asked.id, wait))
-        if session.watches.get(asked.id, asked.function) != asked.function:
-            self.unwatch(session, asked.id)  # the number was another function's
         self.unwatch(session, session.ids.get(asked.function, -1), replaced=True)
         session.ids[asked.function], session.watches[asked.id] = asked.id, asked.function
         watch = Watched(session.number, asked.id, asked.shard, asked.epoch, asked.count)
--- a/lapistrestle/directory/knowledge.py
+++ b/lapistrestle/directory/knowledge.py
@@ -44,6 +44,7 @@
         self.allowed = 0  # further time until the next call, for work that a call has made
         self.heard_at = now  # the last list or change
         self.since = now  # from when on it may be old
+        self.connected = False  # to the roster, as far as is known
         self.unanswered = 0  # questions; a list answers one
         self.asked_at = now
 
@@ -70,17 +71,22 @@
         allowed = self.settings.standstill + self.allowed + int(entries * READING)
         if now - self.called_at > allowed:
             self.step(Event.STOOD_STILL, now, self.called_at)
-            if self.mode is Mode.CATCHING_UP:
+            if self.connected:
                 self.ask(now)
         self.called_at, self.allowed = max(now, self.called_at), 0
 
     def ask(self, now: int) -> None:
-        self.unanswered, self.asked_at = self.unanswered + 1, now
+        self.asked(now)
         self.ask_roster()
 
+    def asked(self, now: int) -> None:
+        """One more whole list is to come."""
+        self.connected = True
+        self.unanswered, self.asked_at = self.unanswered + 1, now
+
     def told(self, whole: bool, entries: int, entered: int, now: int) -> None:
         """A list or a change was taken."""
-        self.heard_at = now
+        self.heard_at, self.connected = now, True
         self.allowed = int(entries * READING + entered * BUILDING)
         if whole:
             self.unanswered = max(0, self.unanswered - 1)
@@ -89,7 +95,7 @@
 
     def lost(self, now: int) -> None:
         """The connection to the roster is over, and every question on it."""
-        self.unanswered = 0
+        self.unanswered, self.connected = 0, False
         self.step(Event.ROSTER_LOST, now, now)
 
     def tick(self, now: int) -> None:
@@ -102,5 +108,11 @@
             self.ask(now)
 
     def next_due(self) -> int:
-        """When to be called at the latest, so that a late call means a standstill."""
-        return self.called_at + self.settings.standstill // 3
+        """When to be called at the latest, so that a late call means a standstill, and a silent roster is
+        noticed however often others call."""
+        due = self.called_at + self.settings.standstill // 3
+        if self.mode is not Mode.FRESH:
+            return due
+        if self.unanswered:
+            return min(due, self.asked_at + self.settings.roster_patience)
+        return min(due, self.heard_at + self.settings.roster_silence)
--- a/lapistrestle/directory/known.py
+++ b/lapistrestle/directory/known.py
@@ -81,6 +81,7 @@
         if known is None:
             return None
         self.known[name] = known
+        self.news.forgotten.pop(name, None)
         if known.entry.up_for is not None:
             up_for = min(LONGEST_UP_FOR, known.entry.up_for + max(0, now - known.at) / PER_MILLISECOND)
             known.entry, known.at = msgspec.structs.replace(known.entry, up_for=up_for), now
--- a/lapistrestle/directory/revisions.py
+++ b/lapistrestle/directory/revisions.py
@@ -1,6 +1,6 @@
 """Which of two revisions is the newer, as far as a watcher can tell."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from lapistrestle.wire.directory import Revision
 
@@ -10,17 +10,18 @@
 
 
 class Revisions:
-    """Sources in the order in which they superseded one another.
+    """Sources in the order in which they superseded one another, as far as holders have told.
 
     Revisions of one source are ordered by their number. A source that is new to this watcher is taken for
-    newer than all before it: the roster began anew. One that was superseded stays so, but for two cases in
-    which the order was learnt the wrong way round, from a holder that was behind: a holder goes over from one
-    source to another (it never goes back), or nobody has spoken of the present source for so long that a
-    holder which says that it hears its roster must be right.
+    newer than all before it: the roster began anew. One that was superseded stays so, but where the order was
+    learnt the wrong way round, from a holder that was behind. That shows when a holder tells which sources
+    it saw end, or goes over from one to another (it never goes back); or when nobody has spoken of the
+    present source for so long that a holder which says that it hears its roster must be right.
     """
 
     def __init__(self) -> None:
-        self.sources = dict[str, int]()  # when each was last heard of; the last one is the present one
+        self.order = list[str]()  # the last one is the present one
+        self.heard_at = dict[str, int]()  # when a holder last spoke of each
 
     def older(self, one: Revision, other: Revision) -> bool:
         """Whether `one` is older than `other`, which this watcher has seen."""
@@ -30,33 +31,36 @@
 
     def rank(self, source: str) -> int:
         """The higher, the newer. What was never seen here is taken for new."""
-        return list(self.sources).index(source) if source in self.sources else len(self.sources)
+        return self.order.index(source) if source in self.heard_at else len(self.order)
 
     def seen(self, source: str, now: int) -> None:
-        """A holder spoke of this source."""
-        if source in self.sources:
-            self.sources[source] = max(now, self.sources[source])
-            return
-        self.sources[source] = now
-        self.bound()
-
-    def went_over(self, before: str, after: str, now: int) -> None:
-        """One holder spoke of one source, and then of another, which is the newer."""
-        if self.rank(after) < self.rank(before):
-            self.make_present(after, now)
-
-    def superseded(self, sources: Iterable[str], by: str, now: int) -> None:
-        """A holder saw these end before its present source began."""
-        for source in sources:
-            if source not in self.sources:
-                self.sources = {source: now, **self.sources}
-            elif by in self.sources and self.rank(by) < self.rank(source):
-                self.make_present(by, now)
-        self.bound()
-
-    def bound(self) -> None:
-        while len(self.sources) > MOST_SOURCES:
-            del self.sources[next(iter(self.sources))]
+        """Word of this source was taken."""
+        if source not in self.heard_at:
+            self.place(source, len(self.order), now)
+        self.heard_at[source] = max(now, self.heard_at[source])
+
+    def place(self, source: str, at: int, now: int) -> None:
+        self.order.insert(at, source)
+        self.heard_at[source] = now
+        while len(self.order) > MOST_SOURCES:
+            del self.heard_at[self.order.pop(0)]
+
+    def superseded(self, sources: Sequence[str], by: str, now: int) -> None:
+        """A holder saw these end, one after the other, before the one that it speaks of now."""
+        later = by
+        for source in reversed(sources):
+            if source not in self.heard_at:
+                at = self.rank(later) if later in self.heard_at else self.after_known(sources, source)
+                self.place(source, at, now)
+            elif later in self.heard_at and self.rank(later) < self.rank(source):
+                self.order.remove(source)
+                self.order.insert(self.rank(later), source)
+            later = source
+
+    def after_known(self, sources: Sequence[str], source: str) -> int:
+        """Behind the last of the sources ahead of this one that is known here; first, if none is."""
+        ahead = [self.rank(known) for known in sources[: sources.index(source)] if known in self.heard_at]
+        return max(ahead, default=-1) + 1
 
     def acceptable(self, source: str, age: int, now: int) -> bool:
         """Whether knowledge of this source may be taken from a holder that this watcher has just met.
@@ -64,17 +68,13 @@
         `age` is 0 where the holder hears its roster. Where it doesn't, a source not heard of here may well be
         an old one.
         """
-        present = next(reversed(self.sources), source)
-        if source == present:
+        if not self.order or source == self.order[-1]:
             return True
-        if source not in self.sources:
-            return not age or now - self.sources[present] >= REVERSAL
-        later = list(self.sources)[self.rank(source) + 1 :]
-        if age or any(now - self.sources[other] < REVERSAL for other in later):
+        if source not in self.heard_at:
+            return not age or now - self.heard_at[self.order[-1]] >= REVERSAL
+        later = self.order[self.rank(source) + 1 :]
+        if age or any(now - self.heard_at[other] < REVERSAL for other in later):
             return False
-        self.make_present(source, now)
+        self.order.remove(source)
+        self.order.append(source)
         return True
-
-    def make_present(self, source: str, now: int) -> None:
-        self.sources.pop(source, None)
-        self.sources[source] = now
--- a/lapistrestle/directory/watched.py
+++ b/lapistrestle/directory/watched.py
@@ -43,6 +43,7 @@
     prefixes: dict[int, Prefix] = field(default_factory=dict)  # by count
     positions: frozenset[int] = frozenset()  # that the prefixes were searched from
     members: set[str] = field(default_factory=set)  # in the index of instances
+    length: int = 0  # of the longest prefix
     behind: set[int] = field(default_factory=set)  # sessions that were not told the latest prefix
     differences: dict[tuple[Prefix, Prefix], Difference] = field(default_factory=dict)
 
@@ -63,6 +64,7 @@
         self.having = dict[str, set[str]]()  # instance to functions
         self.positions = PointTable()
         self.short = set[str]()  # functions whose longest prefix is the whole order: any new instance enters
+        self.by_length = dict[int, set[str]]()  # functions by the length of their longest prefix
         self.recomputed = 0  # prefixes computed so far, for tests of the cost
 
     # watches
@@ -104,6 +106,7 @@
         self.index_positions(known, frozenset())
         self.index_members(known, set())
         self.short.discard(known.name)
+        self.index_length(known, 0)
         del self.functions[known.name]
 
     def caught_up(self, known: WatchedFunction, session: int) -> None:
@@ -120,6 +123,8 @@
         functions = set[str]()
         for name in (*changes.left, *changes.urgent, *changes.other, *changes.entered):
             functions |= self.having.get(name, set())
+        if changes.left:  # a prefix may have become the whole order without any change of its own
+            functions |= self.by_length.get(len(self.instances.ring), set())
         if not changes.entered:
             return functions
         if len(changes.entered) > len(self.functions):
@@ -172,11 +177,23 @@
         whole = len(names) == len(self.instances.ring)
         (self.short.add if whole else self.short.discard)(known.name)
         self.index_positions(known, frozenset(positions))
+        self.index_length(known, len(names))
         self.index_members(known, known.members | set(names))
         if len(known.members) > MOST_MEMBERS:
             told = {name for watch in known.watches.values() for name in watch.told.names}
             self.index_members(known, told | set(names))
 
+    def index_length(self, known: WatchedFunction, length: int) -> None:
+        if length == known.length:
+            return
+        functions = self.by_length.get(known.length, set())
+        functions.discard(known.name)
+        if not functions:
+            self.by_length.pop(known.length, None)
+        if length:
+            self.by_length.setdefault(length, set()).add(known.name)
+        known.length = length
+
     def index_positions(self, known: WatchedFunction, positions: frozenset[int]) -> None:
         for position in known.positions - positions:
             self.positions.discard(position, known.name)
--- a/lapistrestle/directory/watcher.py
+++ b/lapistrestle/directory/watcher.py
@@ -344,7 +344,7 @@
     def spoke(self, connection: Connection, revision: Revision, now: int) -> None:
         """A holder told how new its knowledge is."""
         if connection.source is not None and connection.source != revision.source:
-            self.revisions.went_over(connection.source, revision.source, now)
+            self.revisions.superseded([connection.source], revision.source, now)
         connection.source = revision.source
 
     def snapshot(self, connection: Connection, snapshot: Snapshot, now: int) -> None:
@@ -601,6 +601,8 @@
     def next_due(self) -> int:
         """When `tick` is to be called next; it may have become earlier after any other call."""
         dues = [self.called_at + self.settings.heartbeat, self.review_at]
+        if self.functions:
+            dues.append(next(iter(self.functions.values())).used_at + self.settings.idle)
         if self.pending:
             dues.append(self.functions[next(iter(self.pending))].deadline)
         if self.retries:
