The module takes a told prefix of a function's order and the region's sums

A dispatcher with a directory of instances holds a part of the fleet: its order of a function is a prefix that the host hands over (`ranked`), a longer one is asked for where it runs out (`more`), and size, warm size and count of all that serve are the region's where the fact is given. An RPC that waited for its prefix counts from when it came, also in the order budget. Without the fact and the prefix nothing changes.

--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -68,6 +68,8 @@
     def follow_list(self) -> None:
         self.act("Listen", enable=True)
 
+    def more(self, fn: FnFacts) -> None: ...  # the list names every runner
+
     def log(self, text: str) -> None:
         self.act("Log", what=text)
 
--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -15,7 +15,7 @@
 
 from lapistrestle import interface as face
 from lapistrestle.interface import Answer, CallOut, Facts, Host, Listing, Outcome, Warmth
-from lapistrestle.state import Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Zone
+from lapistrestle.state import MEANING, Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Zone
 
 SECOND = 10_000  # in tenths of a millisecond
 PERIOD = 5 * SECOND  # of the holds, as the design page says
@@ -34,9 +34,6 @@
 HOLD_PART = 0.25  # of the order budget is for holds, the rest for what an RPC waits for
 FURTHER = 1.0  # further call-outs for each recent ok one, when all further ones succeed
 
-MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
-MEANING |= dict.fromkeys((Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT), Input.NEVER_RAN)
-
 
 class Dispatcher:
     def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
@@ -48,7 +45,8 @@
         self.hints = [Mean(LONG) for _ in facts["methods"]]  # hinted work
         self.ok_weight, self.demand, self.good, self.bad = (Sum(x, now) for x in (LONG, LONG, MEMORY, MEMORY))
         self.ok_count, self.ok_took, self.further = Sum(MEMORY), Mean(MEMORY), Mean(MEMORY)
-        self.size = self.warm_size = 0.0  # of all that serve, and by their warmth
+        self.size = self.warm_size = self.count = 0.0  # of all that serve, by their warmth, and how many
+        self.region = facts.get("region", self)  # whose these three are: told where only a part is listed
         self.stretch = 1.0  # of what is remembered of a worker, for a front end that meets it seldom
         self.out = 0  # own call-outs under way but for those behind a load
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
@@ -71,19 +69,16 @@
         for srv, facts in srvs:
             restarted = facts.booted is not None and facts.booted != srv.booted
             if restarted or srv not in known:
-                srv.good, srv.bad, srv.took, srv.iso, srv.served = (Sum(MEMORY) for _ in range(5))
-                srv.emptied, srv.suspect, srv.unheard, srv.pause = facts.booted or -1, False, None, SECOND
-                srv.place = crc32(srv.name.encode())
+                srv.begin_anew(MEMORY, SECOND, facts.booted)
             known[srv] = None
-            srv.zone, srv.cell, srv.kind, srv.size = facts.zone, facts.cell, facts.kind, facts.size
-            srv.listing, srv.booted = facts.listing, facts.booted
+            srv.take(facts)
         ring = sorted((s for s in known if s.listing is not Listing.GONE), key=lambda s: (s.place, s.name))
         if ring != self.ring:  # else the orders made from it still hold
             self.ring, self.version = ring, self.version + 1
         self.srvs, self.serving = list(known), [srv for srv in ring if srv.listing is Listing.SERVING]
-        self.size = sum(srv.size for srv in self.serving)
+        self.size, self.count = sum(srv.size for srv in self.serving), len(self.srvs)
         self.suspects, self.weighed = sum(srv.suspect for srv in self.serving), -1
-        self.load_limit = self.load_limit or max(1.0, len(self.srvs) / self.facts["dispatchers"])
+        self.load_limit = self.load_limit or max(1.0, self.region.count / self.facts["dispatchers"])
         self.forget()
 
     def forget(self) -> None:
@@ -94,8 +89,11 @@
         gone -= {x.srv for fn in self.fns for x in fn.spots.values() if x.ordered or x.waiters}
         self.srvs = [srv for srv in self.srvs if srv not in gone]
         for fn in self.fns:
-            fn.spots = {srv: spot for srv, spot in fn.spots.items() if srv not in gone}
-            fn.marks = {srv: mark for srv, mark in fn.marks.items() if srv not in gone}
+            fn.drop(gone)
+
+    def ranked(self, fn: Fn, prefix: list[Srv]) -> None:
+        """The host knows the first workers of the function's order, and none of the others."""
+        fn.prefix = prefix
 
     def follow(self) -> None:
         self.host.follow_list()
@@ -105,6 +103,8 @@
         """The shared order, from the worker that the function's hash marks; a new one rehomes its own. Where
         front ends outnumber workers it is entered anew at the next mark for each further worker: guards
         against neighbours that a crowded home fills unseen; harms where a longer run would share copies."""
+        if fn.prefix is not None:
+            return fn.prefix
         if fn.version != self.version:
             for srv in self.ring:
                 if srv not in fn.marks:
@@ -123,11 +123,13 @@
         order, all_ = self.walk(fn), self.facts["dispatchers"]
         part = (self.facts["me"] + crc32(fn.name.encode())) % all_ / all_
         sure = max(0.0, fn.asked.read(self.now) - self.weight(fn.method))
-        skip = part * sure / max(self.demand.read(self.now), 1) * self.size / FILL
+        skip = part * sure / max(self.demand.read(self.now), 1) * self.region.size / FILL
         for i, srv in enumerate(order):
             skip -= srv.size if srv.listing is Listing.SERVING else 0
             if skip < 0:
                 return order[i:] + order[:i]
+        if fn.prefix is not None:
+            self.host.more(fn)
         return order
 
     def drive(self, rpc: Rpc, signal: Input | None, spot: Spot | None = None) -> None:
@@ -137,7 +139,7 @@
             signal = effect(self, rpc, spot) if effect else None
 
     def arrived(self, rpc: Rpc) -> None:
-        rpc.began = self.now
+        rpc.began = rpc.began or self.now  # earlier where it waited for the function's prefix
         if rpc.work:
             self.hints[rpc.method].add(self.now, rpc.work)
             rpc.scale = max(0.2, rpc.work / self.hints[rpc.method].read(rpc.work))
@@ -149,7 +151,8 @@
         rpc.fn.asked.life = self.demand.life = int(LONG * self.stretch)
         for asked in (rpc.fn.asked, self.demand):
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
-        self.taken.extend(() if rpc.moved else (self.now if rpc.came is None else rpc.came,))
+        if not rpc.moved:
+            insort(self.taken, self.now if rpc.came is None else rpc.came)
         while self.taken and self.taken[0] <= self.now - self.facts["order_window"]:
             self.taken.popleft()  # where nothing is ever ordered it would grow without end
         self.drive(rpc, Input.ARRIVED)
@@ -241,6 +244,8 @@
             fit = not self.believed(spot) and self.zone(spot) is not Zone.UNSAFE
             if fit and (not to_load or self.now >= srv.line_until):
                 return fn.spot(srv)
+        if fn.prefix is not None:
+            self.host.more(fn)
         return None
 
     def candidates(self, rpc: Rpc, order: Iterable[Srv], missed: bool = False) -> Iterator[Srv]:
@@ -390,7 +395,7 @@
         elif outcome is Outcome.FULL:  # with room, but it holds this customer back
             srv.held_back[rpc.customer] = self.now + int(BACKOFF * self.stretch)
         if self.stretch > 1 and "backlog" in answer.report:  # others' RPCs there, over the pace of its size
-            pace = self.rate(self.ok_count) * self.facts["dispatchers"] * srv.size / max(self.size, 1e-9)
+            pace = self.rate(self.ok_count) * self.facts["dispatchers"] * srv.size / (self.region.size or 1)
             srv.timed(self.now, self.iso(fn) + answer.report["backlog"] / max(pace, 1e-9), self.iso(fn))
         skip = outcome in (Outcome.MISS, Outcome.MOOT) or (outcome is Outcome.OK and load)
         if skip or answer.warmth is Warmth.LOAD_FAILED:
@@ -409,8 +414,7 @@
         front ends that each see too little of a function to know it is hot; harms where waits are short."""
         if company < self.believed(spot) * spot.fn.lanes or self.loading >= self.load_limit:
             return
-        cold = self.first_cold(rpc, self.entered(spot.fn))
-        if cold and not cold.loading:
+        if (cold := self.first_cold(rpc, self.entered(spot.fn))) and not cold.loading:
             self.order(cold, 1)
 
     def weight(self, method: int) -> float:
@@ -443,10 +447,7 @@
     def srv_zone(self, spot: Spot) -> Zone:
         """By all functions' latencies and what is out: own windows fill slowly; harms if one is slow."""
         srv, iso = spot.srv, self.iso(spot.fn)
-        took, alone = srv.took.read(self.now), srv.iso.read(self.now)
-        for call_out in islice(srv.warm, WINDOW):  # the oldest first
-            if self.now - call_out.sent > call_out.usual:
-                took, alone = took + self.now - call_out.sent, alone + call_out.usual
+        took, alone = srv.took_so_far(self.now, WINDOW)
         average = iso * (took + PRIOR * iso) / (alone + PRIOR * iso)
         return self.quarter(spot.fn, max(average, self.crowd(srv)))
 
@@ -519,7 +520,7 @@
         """The size of all that serve by their warmth; a tenth of a second old at most."""
         if self.weighed < 0 or self.now - self.weighed > SECOND // 10:
             self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serving)
-        return self.warm_size
+        return float(max(self.warm_size, self.region.warm_size))
 
     def heft(self, rpc: Rpc) -> float:
         """What it puts on a cold worker: guards against functions much heavier than their method's usual;
@@ -583,8 +584,7 @@
 
     def release(self, spot: Spot) -> None:
         """What waited for a load is placed anew once that, or what might have begun it, has ended."""
-        waiters, spot.waiters = spot.waiters, []
-        for rpc in waiters:
+        for rpc in spot.freed():
             self.drive(rpc, Input.LOADED, spot)
 
     def judge_load(self, fn: Fn, ok: bool, took: int) -> None:
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -199,6 +199,8 @@
         for source in self.sources:
             source.follow()
 
+    def more(self, fn: FnFacts) -> None: ...
+
     # the end
 
     def stop(self, stopped: Callable[[], None]) -> None:
--- a/lapistrestle/hosting/answers.py
+++ b/lapistrestle/hosting/answers.py
@@ -22,11 +22,10 @@
         self.cancel_unsent: Callable[[PendingRequest], None] = lambda pending: None
 
     def take(self, pending: PendingRequest) -> None:
-        """A request has come."""
+        """A request has come; the module is told of it by whoever calls this."""
         self.open += 1
         self.counts[TAKEN] += 1
         pending.guard = self.timers.at(pending.deadline + self.slack, self.overdue, pending)
-        self.events.post(pending, "arrived", pending)
 
     def finish(self, pending: PendingRequest, verdict: str, come_back: int = 0, body: Any = None) -> None:
         """Answer, unless an answer is out already."""
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -93,15 +93,26 @@
         self, *, client: Any, message: Any, tag: str, fn: str, method: int, customer: int, left: int,
         memory: float = 0.0, lanes: int = 1, work: int | None = None, repeat: bool = False, route: Any = None,
         moved: bool = False, prior_attempts: int = 0, load: int | None = None, came: int | None = None,
+        waits: bool = False,
     ) -> PendingRequest:  # fmt: skip
-        """A request has come; `left` is how long its client still waits, `came` the earliest that it came."""
+        """A request has come; `left` is how long its client still waits, `came` the earliest that it came.
+        One that `waits` for its function's prefix reaches the module by `looked_up`."""
         now, function = self.clock(), self.registry.fn(fn, method, memory, lanes, load)
         pending = PendingRequest(tag, function, method, customer, now + left, work, repeat, moved, came)
         pending.client, pending.message, pending.route = client, message, route
         pending.prior_attempts = prior_attempts
         self.answers.take(pending)
+        if waits:
+            pending.began, pending.came = now, now if came is None else came
+        else:
+            self.events.post(pending, "arrived", pending)
         return pending
 
+    def looked_up(self, pending: PendingRequest) -> None:
+        """The prefix of the request's function is known, and the module was told it."""
+        if not pending.final:
+            self.events.post(pending, "arrived", pending)
+
     def client_left(self, pending: PendingRequest) -> None:
         """The client has gone; what a worker has of the request goes on to its own end."""
         self.answers.client_left(pending)
@@ -164,6 +175,10 @@
         for srv in gone:  # without this a long life keeps every worker that ever served
             del self.registry.srvs[srv.name]
 
+    def ranked(self, fn: Fn, names: Sequence[str]) -> None:
+        """The first workers of a function's order; each was listed before."""
+        self.events.post(None, "ranked", fn, [self.registry.srv(name) for name in names])
+
     def list_failed(self) -> None:
         """The list of workers could not be read."""
         self.events.post(None, "list_failed")
@@ -222,5 +237,8 @@
     def follow_list(self) -> None:
         self.transport.follow_list()
 
+    def more(self, fn: FnFacts) -> None:
+        self.transport.more(fn)
+
     def log(self, text: str) -> None:
         self.transport.log("mode", figures=text)
--- a/lapistrestle/hosting/transport.py
+++ b/lapistrestle/hosting/transport.py
@@ -43,6 +43,9 @@
     def follow_list(self) -> None:
         """Ask the sources of the worker list for updates."""
 
+    def more(self, fn: FnFacts) -> None:
+        """Ask for a longer prefix of the function's order than is known."""
+
     def wake(self) -> None:
         """The next timer may have changed."""
 
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -3,15 +3,21 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from itertools import islice
 from math import exp
+from zlib import crc32
 
 from lapistrestle import interface as face
-from lapistrestle.interface import CallOut
+from lapistrestle.interface import CallOut, Outcome
 
 State = Enum("State", "NEW PLACING OUT PARKED OVER")  # of an RPC
 Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
 Zone = IntEnum("Zone", "SAFE PREWARNING WARNING UNSAFE")  # of a function on a worker
 
+# what the end of a call-out means for its RPC
+MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
+MEANING |= dict.fromkeys((Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT), Input.NEVER_RAN)
+
 
 @dataclass
 class Sum:
@@ -70,6 +76,25 @@
     emptied: int = -1  # nothing loaded before this moment still stands
     sends: deque[tuple[int, float]] = field(default_factory=deque)  # while cold: when and what weight
 
+    def begin_anew(self, life: int, pause: int, booted: int | None) -> None:
+        """First heard of, or another process under the name: nothing is known of it. `life` of the sums."""
+        self.good, self.bad, self.took, self.iso, self.served = (Sum(life) for _ in range(5))
+        self.emptied, self.suspect, self.unheard, self.pause = booted or -1, False, None, pause
+        self.place = crc32(self.name.encode())
+
+    def take(self, facts: face.SrvFacts) -> None:
+        """What the list says of it now."""
+        self.zone, self.cell, self.kind, self.size = facts.zone, facts.cell, facts.kind, facts.size
+        self.listing, self.booted = facts.listing, facts.booted
+
+    def took_so_far(self, now: int, most: int) -> tuple[float, float]:
+        """What its call-outs took and would have taken alone; of the oldest `most` also late ones count."""
+        took, alone = self.took.read(now), self.iso.read(now)
+        for call_out in islice(self.warm, most):  # the oldest first
+            if now - call_out.sent > call_out.usual:
+                took, alone = took + now - call_out.sent, alone + call_out.usual
+        return took, alone
+
     def remember(self, life: int) -> None:
         for total in (self.took, self.iso, self.good, self.bad, self.served):
             total.life = life
@@ -114,6 +139,11 @@
         self.srv.loads += bool(count) - bool(self.behind)
         self.behind = count
 
+    def freed(self) -> list["Rpc"]:
+        """Those that waited, who wait no longer."""
+        waiters, self.waiters = self.waiters, []
+        return waiters
+
     def begin(self, call_out: CallOut) -> None:
         srv = self.srv
         if not call_out.cold:
@@ -137,6 +167,12 @@
     marks: dict[Srv, float] = field(default_factory=dict)  # the order begins at the lowest
     order: list[Srv] = field(default_factory=list)
     version: int = -1  # of the list that `order` was made from
+    prefix: list[Srv] | None = None  # the first workers of the order, where a directory tells them
+
+    def drop(self, gone: set[Srv]) -> None:
+        """Forget what was known of it on these workers."""
+        self.spots = {srv: spot for srv, spot in self.spots.items() if srv not in gone}
+        self.marks = {srv: mark for srv, mark in self.marks.items() if srv not in gone}
 
     def spot(self, srv: Srv) -> Spot:
         if srv not in self.spots:
