What a front end knows of workers stands apart from the list that told it

A front end with a directory is told of instances by entries and not by a numbered list, and the workers' own word (their greeting, their drains, their start) counts alike.

--- a/lapistrestle/edge/following.py
+++ b/lapistrestle/edge/following.py
@@ -6,7 +6,7 @@
 since being told that a worker is gone binds (rule 3); the log says so.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -56,6 +56,9 @@
     drains: str = ""  # the start at which the worker itself said that it drains
 
 
+Address = tuple[str, int, str]  # of a worker: name, port, start; port 0: gone
+
+
 @dataclass(frozen=True)
 class Taken:
     """What a list led to."""
@@ -63,7 +66,7 @@
     do: Do
     whole: bool = False
     facts: tuple[SrvFacts, ...] = ()
-    addresses: tuple[tuple[str, int, str], ...] = ()  # name, port, start; port 0: gone
+    addresses: tuple[Address, ...] = ()
 
 
 class NumberedList:
@@ -110,34 +113,18 @@
         return do
 
 
-class Following(NumberedList):
-    """The roster's list as one front end holds it."""
+class KnownWorkers:
+    """The workers that one front end knows, from whoever tells it of them and from themselves."""
 
-    def __init__(self, zones: list[str], kinds: list[str], log: Callable[[str], None]) -> None:
-        super().__init__(log)
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
         self.zones = {zone: i for i, zone in enumerate(zones)}
         self.kinds = {kind: i for i, kind in enumerate(kinds)}
         self.known: dict[str, Known] = {}
 
-    def size(self) -> int:
-        return len(self.known)
-
-    def told(self, message: Whole | Change, now: int) -> Taken:
-        """A list or change came from the roster."""
-        do = self.accept(message)
-        if do is not Do.TAKE:
-            return Taken(do)
-        whole = isinstance(message, Whole)
-        gone = {}
-        if whole:
-            if not message.workers and self.known:
-                self.log(f"list empty at {message.number}: all {len(self.known)} count as gone")
-            named = {entry.name for entry in message.workers}
-            gone = {name: known for name, known in self.known.items() if name not in named}
-            for name in gone:
-                del self.known[name]
-        facts, addresses = [], [(name, 0, "") for name in gone]
-        for entry in message.workers:
+    def note(self, entries: Iterable[Entry], now: int) -> tuple[list[SrvFacts], list[Address]]:
+        """What entries say, for the module, and where the workers listen now."""
+        facts, addresses = list[SrvFacts](), list[Address]()
+        for entry in entries:
             known = self.known.get(entry.name)
             if known is None:
                 known = self.known[entry.name] = Known(entry)
@@ -147,7 +134,7 @@
             addresses.append((entry.name, 0 if entry.listing == "gone" else entry.port, entry.start))
             if entry.listing == "gone":
                 del self.known[entry.name]
-        return Taken(do, whole, tuple(facts), tuple(addresses))
+        return facts, addresses
 
     def started(self, known: Known, start: str, up_for: float | None, now: int, first: bool) -> bool:
         """Note a start. The worker's own word, met by connecting, may be ahead of the list or behind it."""
@@ -187,3 +174,31 @@
         zone, kind = self.zones.get(entry.zone, 0), self.kinds.get(entry.kind, 0)
         facts = SrvFacts(entry.name, zone, entry.cell, kind, entry.size)
         return replace(facts, listing=listing, booted=known.booted)
+
+
+class Following(NumberedList, KnownWorkers):
+    """The roster's list as one front end holds it."""
+
+    def __init__(self, zones: list[str], kinds: list[str], log: Callable[[str], None]) -> None:
+        NumberedList.__init__(self, log)
+        KnownWorkers.__init__(self, zones, kinds)
+
+    def size(self) -> int:
+        return len(self.known)
+
+    def told(self, message: Whole | Change, now: int) -> Taken:
+        """A list or change came from the roster."""
+        do = self.accept(message)
+        if do is not Do.TAKE:
+            return Taken(do)
+        whole = isinstance(message, Whole)
+        gone = {}
+        if whole:
+            if not message.workers and self.known:
+                self.log(f"list empty at {message.number}: all {len(self.known)} count as gone")
+            named = {entry.name for entry in message.workers}
+            gone = {name: known for name, known in self.known.items() if name not in named}
+            for name in gone:
+                del self.known[name]
+        facts, addresses = self.note(message.workers, now)
+        return Taken(do, whole, tuple(facts), (*((name, 0, "") for name in gone), *addresses))
