An edge with a directory of instances holds only the instances of what it calls

It has no list of the whole fleet: the first call of a function waits for the function's prefix, within the look-up time-out and its own deadline, and a failed look-up denies it at once with a time to come back where settings allow one. Calls of one function share a look-up. Drains and departures reach the module and hold waiting lines back as the roster's do; an instance in no prefix any more is dropped, one that still warms up only once it is warm, so that its budget is not spent twice (rule 4). The region's warm size is extrapolated to the most that it can be by now.

--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -18,6 +18,10 @@
 
 
 NAMED = msgspec.json.Decoder(Named)
+NOT_SHOWN = {
+    "fleet": "this edge is in no fleet (fleet.name is not set)",
+    "directory": "this edge has no directory (directory.shards is empty)",
+}
 
 
 class ClientSpeaker(Speaker):
@@ -46,15 +50,15 @@
                 if pending is not None:
                     self.edge.host.client_left(pending)
             case wire.Look():
-                self.show()
+                self.show(message.what)
             case _:
                 self.say(wire.Fault("a greeting or a call was expected"))
 
-    def show(self) -> None:
-        together = self.edge.together
-        if together is None:
-            return self.say(wire.Fault("this edge is in no fleet (fleet.name is not set)"))
-        self.say(wire.Shown(msgspec.Raw(msgspec.json.encode(together.show()))))
+    def show(self, what: str) -> None:
+        shown = {"fleet": self.edge.together, "directory": self.edge.directory}[what]
+        if shown is None:
+            return self.say(wire.Fault(NOT_SHOWN[what]))
+        self.say(wire.Shown(msgspec.Raw(msgspec.json.encode(shown.show()))))
 
     def call(self, call: wire.Call) -> None:
         edge = self.edge
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -3,7 +3,7 @@
 It is given a front (clients), a way to speak to runners and sources of the list; each set is one protocol.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
 from lapistrestle.choice import Dispatcher
@@ -145,7 +145,7 @@
             runner = self.runners[name] = self.speech(name, address, start)
             runner.named()
 
-    def held_back(self, told: tuple[SrvFacts, ...]) -> None:
+    def held_back(self, told: Sequence[SrvFacts]) -> None:
         """Lines that wait for a runner that drains are not sent later: rule 3 binds at the socket."""
         for facts_ in told:
             if facts_.listing is not Listing.SERVING and facts_.name in self.runners:
--- a/lapistrestle/edge/planning.py
+++ b/lapistrestle/edge/planning.py
@@ -175,6 +175,9 @@
         if self.edge.barred(name) or not share:
             return stock.Stand(0, 0, stock.Lack.NOTHING)
         fn = edge.host.registry.fn(name, model.method, model.memory, model.lanes)
+        if edge.directory is not None and not edge.directory.ready(fn, edge.method_names[model.method]):
+            edge.directory.act()
+            return stock.Stand(stock.APART, 0, stock.Lack.WORKERS)  # its prefix is being looked up
         memory, idle_life = edge.facts["memory_by_kind"], edge.facts["idle_life"]
         shelves: dict[stock.Shelf, Srv] = {}
         for srv in module.walk(fn):
@@ -193,4 +196,7 @@
 
         now = stock.needed(busy, share, fn.lanes, edge.facts["dispatchers"])
         wanted = self.wants.setdefault(name, stock.Want()).follow(now)
-        return stock.keep(list(shelves), wanted, module.load_limit - module.loading, order)
+        stand = stock.keep(list(shelves), wanted, module.load_limit - module.loading, order)
+        if edge.directory is not None and not stand.enough:
+            edge.directory.more(name)
+        return stand
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -1,6 +1,6 @@
 """The edge of the line protocol: its clients, runners, roster and planner, and which version an RPC meets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from lapistrestle.choice import Dispatcher
@@ -8,14 +8,14 @@
 from lapistrestle.deployment.shape import Deployment
 from lapistrestle.edge.clients import Clients, ClientSpeaker
 from lapistrestle.edge.core import Core, Log
-from lapistrestle.edge.following import Do, Following, News
+from lapistrestle.edge.following import Address, Do, Following, News
 from lapistrestle.edge.keeping import Keeping
 from lapistrestle.edge.peers import Peers
 from lapistrestle.edge.planning import PlannerSource
 from lapistrestle.edge.rosters import RosterSource
 from lapistrestle.edge.runners import Runner, bounds_of
 from lapistrestle.hosting.requests import ABORTED, DENIED, Attempt, PendingRequest, WorkerTask
-from lapistrestle.interface import Outcome
+from lapistrestle.interface import FnFacts, Outcome, SrvFacts
 from lapistrestle.rollout.routing import Route, Routing
 from lapistrestle.rollout.versions import Course, after_denial, key_of
 from lapistrestle.wire import messages as wire
@@ -42,6 +42,7 @@
         place = deployment.dispatcher
         self.deployment, self.bounds = deployment, bounds_of(deployment.listen)
         self.methods = {name: i for i, name in enumerate(deployment.methods)}
+        self.method_names = list(deployment.methods)
         self.customers = {name: i for i, name in enumerate(deployment.customers)}
         self.margin = int(deployment.listen.margin)
         kinds = list(deployment.workers.memory_by_kind)
@@ -50,11 +51,22 @@
         self.planner: PlannerSource | None = None
         self.routing = Routing()
         seed = place.seed if seed is None else seed
-        super().__init__(reactor, place.name, facts(deployment), log, seed, self.margin // 2, make)
+        told = dict(facts(deployment))
+        self.directory: Any = None
+        if deployment.directory.shards:  # an edge with the whole list does not pay for what a directory needs
+            from lapistrestle.edge.directory import Region
+
+            told["region"] = Region(self.clock, told["cold_share"], told["ramp_time"])
+        super().__init__(reactor, place.name, told, log, seed, self.margin // 2, make)
         clients = Clients(self)
         self.front, self.seats = clients, clients.seats
         self.speech = lambda name, port, start: Runner(self, name, port, start)
-        if deployment.roster.port:
+        if deployment.directory.shards:
+            from lapistrestle.edge.directory import EdgeDirectory
+
+            self.directory = EdgeDirectory(self, deployment.directory)
+            self.sources.append(self.directory)
+        elif deployment.roster.port:
             self.source = RosterSource(self, deployment.roster.port)
             self.source.wanted = self.facts["list_asked"]
             self.sources.append(self.source)
@@ -87,12 +99,18 @@
     def list_told(self, message: wire.Whole | wire.Change) -> Do:
         taken = self.following.told(message, self.clock())
         if taken.do is Do.TAKE:
-            self.host.listed(taken.facts, taken.whole)
-            for name, port, start in taken.addresses:
-                self.address(name, port, start)
-            self.held_back(taken.facts)
+            self.workers_told(taken.facts, taken.addresses, taken.whole)
         return taken.do
 
+    def workers_told(
+        self, told: Sequence[SrvFacts], addresses: Sequence[Address], whole: bool = False
+    ) -> None:
+        """Workers that are new or have changed, and where they listen now."""
+        self.host.listed(told, whole)
+        for name, port, start in addresses:
+            self.address(name, port, start)
+        self.held_back(told)
+
     def list_news(self, news: News) -> None:
         self.input()
         if self.following.step(news) is Do.TELL_FAILED:
@@ -128,14 +146,21 @@
         self, seat: ClientSpeaker, call: wire.Call, method: int, customer: int, left: int, route: Route,
         moved: bool = False, prior_attempts: int = 0,
     ) -> None:  # fmt: skip
-        """An RPC begins, or begins again under another version."""
+        """An RPC begins, or begins again under another version. With a directory it may have to wait until
+        it is known where its function is."""
+        load = None if call.load is None else int(call.load * 10)
+        waits = False
+        if self.directory is not None:
+            fn = self.host.registry.fn(route.name, method, call.memory, call.lanes, load)
+            waits = not self.directory.ready(fn, call.method)
         pending = self.host.arrived(
             client=seat, message=call, tag=f"{seat.name}/{call.id}", fn=route.name, method=method,
             customer=customer, left=left, memory=call.memory, lanes=call.lanes,
             work=None if call.work is None else max(1, int(call.work * 10)), repeat=call.repeat, route=route,
-            load=None if call.load is None else int(call.load * 10), moved=moved,
-            prior_attempts=prior_attempts,
+            load=load, moved=moved, prior_attempts=prior_attempts, waits=waits,
         )  # fmt: skip
+        if waits:
+            self.directory.wait(pending)
         if not pending.final:
             seat.open[call.id] = pending
 
@@ -151,13 +176,14 @@
     def closed(self, pending: PendingRequest, how: str) -> None:
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
+        waited = self.directory is not None and self.directory.left(pending)
         if self.together is not None:
             late = self.late(pending)
             if how in (DENIED, ABORTED) and cost_before(pending) and not late:
                 self.together.admission.count_further_attempt()
             self.together.admission.ended(how, late, bool(pending.call_outs), faulty(pending))
         if pending.route is not None and pending.route.candidate and how != "moved":
-            if how != "ok" and self.barred(pending.fn.name):
+            if how != "ok" and (waited or self.barred(pending.fn.name)):
                 return
             self.routing.note(pending.route, how != "ok" or self.late(pending), self.clock())
 
@@ -189,6 +215,8 @@
             return self.host.ended(attempt.number, Outcome.MOOT)
         if self.together is not None and cost_before(attempt.pending):
             self.together.admission.count_further_attempt()
+        if self.directory is not None:
+            self.directory.used(attempt)
         super().run(attempt)
 
     def hold(self, task: WorkerTask) -> None:
@@ -196,6 +224,10 @@
             return self.host.ordered(task.number, Outcome.FULL, 0)
         super().hold(task)
 
+    def more(self, fn: FnFacts) -> None:
+        if self.directory is not None:
+            self.directory.more(fn.name)
+
     def tell_peer(self, peer: int | None, text: str) -> None:
         if self.peers is not None:
             self.peers.tell(peer, text)
--- a/lapistrestle/wire/messages.py
+++ b/lapistrestle/wire/messages.py
@@ -95,7 +95,7 @@
 class Look(Message, tag="look"):
     """An operator asks what the edge knows of something."""
 
-    what: Literal["fleet"]
+    what: Literal["fleet", "directory"]
 
 
 class Shown(Message, tag="shown"):
