Tests of an edge with a directory; a holder that has only started tells no sums

The test plays holders, runners and clients on virtual wires: the first call waits for its prefix, calls share a look-up, a failed look-up and a deadline end in a denial, a client that leaves while it waits is forgotten, drains and departures stop new work and hold lines back, a runner's own word counts, an instance replaced at its address is another, an unwatched one is dropped and kept counted while it warms up, and without a directory nothing of it is imported.

--- a/lapistrestle/edge/directory.py
+++ b/lapistrestle/edge/directory.py
@@ -49,10 +49,12 @@
         """`cold_share` and `ramp_time`: how the capacity of an instance grows after its start."""
         self.clock, self.cold_share, self.ramp_time = clock, cold_share, ramp_time
         self.sums: wire.RegionSums | None = None
-        self.since = 0  # when the sums were asked for
+        self.since = 0  # when the sums were true at the latest
 
-    def told(self, sums: wire.RegionSums, asked: int) -> None:
-        self.sums, self.since = sums, asked
+    def told(self, sums: wire.RegionSums, since: int) -> None:
+        """What a holder says, true `since` then. One that has only just started knows of none."""
+        if sums.serving:
+            self.sums, self.since = sums, since
 
     @property
     def size(self) -> float:
@@ -172,8 +174,7 @@
         self.dials: dict[int, HolderDial] = {}
         self.waiting: dict[str, dict[PendingRequest, Timer | None]] = {}  # by function: with its own time-out
         self.parted: dict[str, Known] = {}  # in no prefix any more, while they warm up
-        self.partial: dict[str, tuple[str, ...]] = {}  # prefixes that name some who are gone
-        self.asked = 0  # when the message at hand was asked for
+        self.asked = 0  # since when the message at hand was true
         self.acting = False
         self.timer: Timer | None = None
         self.counts = dict.fromkeys(("waited", "looked up", "failed", "late"), 0)
@@ -266,7 +267,7 @@
         if isinstance(message, Fault):
             return self.edge.passed_over("holder", f"it could not take a line: {message.why}")
         now = self.edge.clock()
-        self.asked = message.asked if isinstance(message, wire.Renewed) else now
+        self.asked = message.asked - message.age if isinstance(message, wire.Renewed) else now
         self.watcher.heard(dial.number, message, now)
         self.act()
 
@@ -286,13 +287,13 @@
         self.wake()
 
     def wake(self) -> None:
+        """Be called when more is due. A timer that proves early does no harm."""
         due = self.watcher.next_due()
-        if self.timer is not None and self.timer.when == due:
+        if self.timer is not None and self.timer.when <= due:
             return
         if self.timer is not None:
             self.timer.stop()
         self.timer = self.edge.after(max(0, due - self.edge.clock()), self.tick, None)
-        self.timer.when = due
 
     def tick(self, _: object) -> None:
         self.timer = None
@@ -334,16 +335,12 @@
             dial.speaker.say(effect.message)
 
     def changed(self, effect: InstancesChanged) -> None:
-        known, new = self.edge.following.known, False
         for entry in effect.entries:
             parted = self.parted.pop(entry.name, None)
             if parted is not None:  # what the module was told of its start stays as it was reckoned
-                known[entry.name] = parted
-            new = new or entry.name not in known
+                self.edge.following.known[entry.name] = parted
         facts, addresses = self.edge.following.note(effect.entries, self.edge.clock())
         self.edge.workers_told(facts, addresses)
-        if new:
-            self.rank_again()
 
     def gone(self, names: Iterable[str]) -> None:
         """Rule 3: nothing new goes there. What is out may still end."""
@@ -353,7 +350,6 @@
             if known is not None:
                 facts.append(replace(self.edge.following.facts(known), listing=Listing.GONE))
         self.tell_left(facts)
-        self.note_partial({told.name for told in facts})
 
     def forgotten(self, names: Iterable[str]) -> None:
         """No prefix names these any more, and no drain of theirs would be heard of: nothing goes there.
@@ -405,27 +401,7 @@
 
     def rank(self, fn: Fn, names: tuple[str, ...]) -> None:
         """Tell the module the function's prefix, as far as its workers are known."""
-        known = [name for name in names if name in self.edge.following.known]
-        self.partial.pop(fn.name, None)
-        if len(known) < len(names):
-            self.partial[fn.name] = names
-        self.edge.host.ranked(fn, known)
-
-    def note_partial(self, gone: set[str]) -> None:
-        """A worker that is gone may stay in a prefix until the next batch, or come back before it."""
-        for fn in self.edge.host.registry.fns.values() if gone else ():
-            names = tuple(srv.name for srv in fn.prefix or ())
-            if not gone.isdisjoint(names):
-                self.partial.setdefault(fn.name, names)
-
-    def rank_again(self) -> None:
-        """A worker of these prefixes may be back, as another process."""
-        for name, names in list(self.partial.items()):
-            fn = self.edge.host.registry.fns.get(name)
-            if fn is None:
-                del self.partial[name]
-            else:
-                self.rank(fn, names)
+        self.edge.host.ranked(fn, [name for name in names if name in self.edge.following.known])
 
     # operators
 
--- /dev/null
+++ b/tests/test_edge_directory.py
@@ -0,0 +1,387 @@
+"""An edge with a directory on virtual wires: what it asks of holders, and what waits and stops by it."""
+
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from test_edge import CALL, EXAMPLES, Listens, Stage, end
+
+from lapistrestle.deployment.load import load
+from lapistrestle.deployment.shape import Directory, DirectoryCopy
+from lapistrestle.edge.program import Edge
+from lapistrestle.interface import Listing
+from lapistrestle.standins.virtual import Process, VirtualReactor
+
+HELLO = {"is": "hello", "protocol": "lapistrestle.directory", "version": 1, "name": "holder"}
+LEASE = 30_000  # tenths of a millisecond
+LOOKUP = 0.25  # seconds, the default time-out
+SECONDS_UP = 3_600
+
+
+class DirectoryStage(Stage):
+    """An edge, two copies of its directory's one shard, and runners; the test plays all but the edge."""
+
+    def __init__(self, like="thumbs", runners=3, copies=2, allowed=None, **directory):
+        self.reactor = VirtualReactor()
+        self.outside = Process(self.reactor, "test")
+        self.process = Process(self.reactor, "edge")
+        self.logs = []
+        deployment = load(EXAMPLES / f"{like}.json5")
+        deployment.listen = msgspec.structs.replace(deployment.listen, port=0)
+        deployment.allowed = msgspec.structs.replace(deployment.allowed, **allowed or {})
+        self.rosters, self.clients = [], []
+        deployment.roster.port = self.outside.listenTCP(0, Listens(self.rosters)).port
+        self.copies = [[] for _ in range(copies)]  # connections to each
+        ports = [self.outside.listenTCP(0, Listens(made)).port for made in self.copies]
+        shards = [[DirectoryCopy(port=port) for port in ports]]
+        deployment.directory = Directory(shards=shards, **directory)
+        self.edge = Edge(self.process, deployment, lambda what, **figures: self.logs.append((what, figures)))
+        self.port = self.edge.start()
+        self.runners = {f"r{i}": [] for i in range(runners)}
+        self.ports = {n: self.outside.listenTCP(0, Listens(p)).port for n, p in self.runners.items()}
+        self.number, self.sequence, self.snapshots = 1, {}, 0
+        self.run()
+
+    @property
+    def holders(self):
+        """Connections to holders that stand."""
+        return [peer for made in self.copies for peer in made if not peer.closed]
+
+    def entry(self, name, **more):
+        return {"name": name, "port": self.ports[name], "zone": "", "start": f"{name}#0",
+                "up_for": SECONDS_UP * 1000, **more}  # fmt: skip
+
+    def greet_holders(self):
+        for peer in self.holders:
+            if peer not in self.sequence:
+                peer.say(**HELLO)
+                self.sequence[peer] = 0
+        self.run(0.002)
+
+    def watches(self):
+        """Connection and watch, of those that stand."""
+        return [(peer, watch) for peer in self.holders for watch in peer.heard("watch")]
+
+    def revision(self):
+        return {"source": "e1", "number": self.number}
+
+    def next_sequence(self, peer):
+        self.sequence[peer] += 1
+        return self.sequence[peer]
+
+    def snapshot(self, peer, watch, *entries, **more):
+        message = {"id": watch["id"], "epoch": 1, "revision": self.revision(), "complete": True}
+        message |= {"sequence": self.next_sequence(peer), "entries": list(entries), "lease": LEASE}
+        peer.say(**{"is": "snapshot"}, **message | more)
+
+    def update(self, peer, *entries, gone=(), changes=()):
+        self.number += 1
+        peer.say(**{"is": "update"}, sequence=self.next_sequence(peer), revision=self.revision(),
+                 entries=list(entries), gone=list(gone), changes=list(changes))  # fmt: skip
+
+    def renewed(self, peer, **sums):
+        """Answer the latest renewal."""
+        asked = peer.heard("renew")
+        if asked:
+            told = {"sums": sums} if sums else {}
+            peer.say(**{"is": "renewed"}, asked=asked[-1]["asked"], lease=LEASE,
+                     sequence=self.sequence[peer], revision=self.revision(), **told)  # fmt: skip
+
+    def call(self, client, id="1", **more):
+        client.say(**CALL | {"id": id, **more})
+        self.run(0.002)
+
+    def answer_watch(self, *names, **more):
+        self.greet_holders()
+        peer, watch = self.watches()[-1]
+        self.snapshot(peer, watch, *[self.entry(n) for n in names or self.runners], **more)
+        self.run(0.002)
+        return peer, watch
+
+    def look_up(self, client, *names, **more):
+        """A first call whose function's prefix is answered; the connection to the holder."""
+        self.call(client, **more)
+        peer, _ = self.answer_watch(*names)
+        for name in names or self.runners:
+            if self.runners[name]:
+                self.greet(name)
+        self.run(0.002)
+        return peer
+
+
+@pytest.fixture
+def stage():
+    return DirectoryStage()
+
+
+def verdicts(client):
+    return [(a["id"], a["verdict"]) for a in client.heard("answer")]
+
+
+def test_it_asks_nobody_before_the_first_call_and_never_the_roster(stage):
+    stage.run(5.0)
+    assert not stage.rosters and not any(stage.copies)
+
+
+def test_the_first_call_waits_for_its_prefix_and_is_placed_on_the_first(stage):
+    client = stage.client()
+    stage.call(client)
+    assert not stage.runs() and not verdicts(client)
+    peer = stage.look_up(client, "r1", "r0", id="2")
+    ((_, first), (_, second)) = stage.runs()
+    assert {first["rpc"], second["rpc"]} == {"c1/1", "c1/2"}
+    assert stage.runners["r1"] and [w["function"] for w in peer.heard("watch")] == ["f"]
+    for runner, run in stage.runs():
+        end(runner, run)
+    stage.run()
+    assert verdicts(client) == [("1", "ok"), ("2", "ok")] and stage.clean()
+    assert set(stage.edge.following.known) == {"r0", "r1"}
+
+
+def test_many_calls_of_one_function_share_one_look_up(stage):
+    client = stage.client()
+    for number in range(20):
+        stage.call(client, id=str(number))
+    stage.answer_watch()
+    assert len(stage.watches()) == 1 and not stage.edge.directory.waiting
+    assert stage.edge.host.open == 20
+    stage.call(client, id="again")
+    assert len(stage.watches()) == 1
+
+
+def test_a_look_up_without_answer_ends_in_a_denial_within_its_time_out():
+    stage = DirectoryStage(allowed={"come_back": 20_000})
+    client = stage.client()
+    stage.call(client)
+    stage.greet_holders()
+    stage.run(LOOKUP + 0.05)
+    (answer,) = client.heard("answer")
+    assert answer["verdict"] == "denied" and 0 < answer["come_back"] <= 2_000
+    assert stage.clean() and not stage.edge.directory.waiting
+
+
+def test_where_no_holder_can_be_reached_the_denial_comes_at_once():
+    stage = DirectoryStage(copies=1)
+    client = stage.client()
+    stage.outside.listeners[1].close()  # the holder's
+    stage.call(client)
+    stage.run(LOOKUP + 0.05)
+    assert verdicts(client) == [("1", "denied")]
+    stage.call(client, id="2")
+    assert verdicts(client) == [("1", "denied"), ("2", "denied")] and stage.clean()
+
+
+def test_an_rpc_does_not_wait_past_its_own_deadline(stage):
+    client = stage.client()
+    stage.call(client, left=120)
+    stage.greet_holders()
+    stage.run(0.12)
+    assert verdicts(client) == [("1", "denied")] and stage.clean()
+
+
+def test_a_client_that_leaves_while_its_call_waits_is_forgotten(stage):
+    client, other = stage.client(), stage.client()
+    stage.call(client, id="1")
+    stage.call(other, id="1")
+    stage.call(other, id="2")
+    client.transport.loseConnection()
+    other.say(**{"is": "leave", "id": "2"})
+    stage.run(0.002)
+    assert sum(map(len, stage.edge.directory.waiting.values())) == 1
+    stage.answer_watch()
+    stage.run(0.01)
+    for name in stage.runners:
+        if stage.runners[name]:
+            stage.greet(name)
+    stage.run()
+    ((_, run),) = stage.runs()
+    assert run["rpc"] == "c2/1"
+
+
+def test_a_drain_told_by_the_holder_stops_new_work_and_holds_lines_back(stage):
+    client = stage.client()
+    stage.call(client)
+    peer, _ = stage.answer_watch("r0", "r1")
+    assert stage.edge.host.attempts  # it waits for the runner's greeting
+    stage.update(peer, stage.entry("r0", listing="draining"))
+    stage.run(0.002)
+    for name in ("r0", "r1"):
+        if stage.runners[name]:
+            stage.greet(name)
+    stage.run()
+    assert [run["rpc"] for p, run in stage.runs() if p in stage.runners["r1"]] == ["c1/1"]
+    assert not [run for p, run in stage.runs() if p in stage.runners["r0"]]
+
+
+def test_what_is_gone_gets_nothing_new_and_what_is_out_there_may_still_end(stage):
+    client = stage.client()
+    peer = stage.look_up(client, "r0", "r1")
+    ((runner, run),) = stage.runs()
+    stage.update(peer, gone=["r0"], changes=[{"id": 1, "length": 1, "removed": ["r0"]}])
+    stage.run(0.002)
+    assert "r0" not in stage.edge.following.known
+    end(runner, run)
+    stage.run()
+    assert verdicts(client) == [("1", "ok")]
+    stage.call(client, id="2")
+    stage.greet("r1")
+    stage.run()
+    assert [run["rpc"] for p, run in stage.runs() if p in stage.runners["r1"]] == ["c1/2"]
+
+
+def test_the_runner_s_own_word_of_a_drain_counts(stage):
+    client = stage.client()
+    stage.look_up(client, "r0", "r1")
+    stage.runners["r0"][-1].say(**{"is": "draining"})
+    stage.run(0.002)
+    assert stage.edge.host.registry.srvs["r0"].listing is Listing.DRAINING
+
+
+def test_an_instance_replaced_at_its_address_is_another_process(stage):
+    client = stage.client()
+    peer = stage.look_up(client, "r0", "r1")
+    before = stage.edge.host.registry.srvs["r0"].booted
+    stage.update(peer, stage.entry("r0", start="r0#1", up_for=100))
+    stage.run(0.002)
+    srv = stage.edge.host.registry.srvs["r0"]
+    assert srv.booted > before and stage.edge.following.known["r0"].start == "r0#1"
+
+
+def test_one_that_is_gone_and_comes_back_stands_in_the_prefix_again(stage):
+    client = stage.client()
+    peer = stage.look_up(client, "r0", "r1")
+    for runner, run in stage.runs():
+        end(runner, run)
+    stage.run()
+    stage.update(peer, gone=["r0"])
+    stage.run(0.002)
+    stage.update(peer, stage.entry("r0", start="r0#1", up_for=100))
+    stage.run(0.002)
+    srvs = stage.edge.host.registry.srvs
+    assert stage.edge.host.registry.fns["f"].prefix == [srvs["r0"], srvs["r1"]]
+    assert srvs["r0"].listing is Listing.SERVING
+
+
+def test_a_function_not_called_is_watched_no_more_and_its_instances_are_dropped():
+    stage = DirectoryStage(idle=40_000)
+    client = stage.client()
+    stage.look_up(client, "r0", "r1")
+    for runner, run in stage.runs():
+        end(runner, run)
+    for _ in range(60):
+        stage.run(0.1)
+        for peer in stage.holders:
+            stage.renewed(peer)
+    assert not stage.edge.following.known and not stage.edge.runners
+    stage.call(client, id="2")
+    assert stage.edge.directory.waiting
+    stage.answer_watch("r0", "r1")
+    assert set(stage.edge.following.known) == {"r0", "r1"}
+
+
+def test_one_that_warms_up_is_kept_in_the_module_when_no_prefix_names_it(stage):
+    """Else it would be met anew with its budget unspent (rule 4)."""
+    client, ramp = stage.client(), stage.edge.facts["ramp_time"]
+    assert ramp
+    stage.call(client)
+    stage.greet_holders()
+    peer, watch = stage.watches()[-1]
+    stage.snapshot(peer, watch, stage.entry("r0"), stage.entry("r1", up_for=10))
+    stage.run(0.002)
+    cold = stage.edge.host.registry.srvs["r1"]
+    cold.sends.append((stage.edge.clock(), 5.0))
+    stage.update(peer, changes=[{"id": 1, "length": 1, "removed": ["r1"]}])
+    stage.run(0.002)
+    assert "r1" not in stage.edge.following.known and "r1" not in stage.edge.runners
+    assert cold.listing is Listing.DRAINING
+    changes = [{"id": 1, "length": 2, "inserted": [{"position": 1, "name": "r1"}]}]
+    stage.update(peer, stage.entry("r1", up_for=20), changes=changes)
+    stage.run(0.002)
+    assert stage.edge.host.registry.srvs["r1"] is cold and cold.sends and cold.listing is Listing.SERVING
+    stage.update(peer, changes=[{"id": 1, "length": 1, "removed": ["r1"]}])
+    for _ in range(ramp // 1_000 + 2):
+        stage.run(0.1)
+        stage.renewed(peer)
+    assert "r1" not in stage.edge.host.registry.srvs or cold.listing is Listing.GONE
+
+
+def test_a_longer_prefix_is_asked_for_where_the_known_one_is_used_up(stage):
+    client = stage.client()
+    stage.call(client)
+    stage.answer_watch("r0", complete=False)
+    fn = stage.edge.host.registry.fns["f"]
+    stage.edge.more(fn)
+    stage.run(0.01)
+    counts = [watch["count"] for _, watch in stage.watches()]
+    assert len(counts) == 2 and counts[1] > counts[0]
+    peer, watch = stage.watches()[-1]
+    stage.snapshot(peer, watch, *[stage.entry(name) for name in stage.runners])
+    stage.run(0.002)
+    assert [srv.name for srv in fn.prefix] == list(stage.runners)
+
+
+def test_the_module_is_told_the_region_s_sums(stage):
+    client = stage.client()
+    peer = stage.look_up(client, "r0")
+    stage.run(0.25)
+    stage.renewed(peer, size=400.0, warm=300.0, serving=100, instances=110)
+    stage.run(0.002)
+    module = stage.edge.host.module
+    assert (module.region.size, module.region.count) == (400.0, 110)
+    assert 300.0 <= module.warm() < 310.0
+
+
+def test_an_operator_sees_what_the_edge_knows_of_its_directory(stage):
+    client = stage.client()
+    stage.look_up(client, "r0", "r1")
+    client.say(**{"is": "look", "what": "directory"})
+    stage.run()
+    (shown,) = client.heard("shown")
+    assert shown["body"]["instances"] == 2 and shown["body"]["shards reached"] == 1
+
+
+def test_an_edge_without_a_directory_says_so():
+    stage = Stage()
+    client = stage.client()
+    client.say(**{"is": "look", "what": "directory"})
+    stage.run()
+    assert "directory" in client.heard("fault")[0]["why"]
+
+
+def test_stopping_answers_what_still_waits(stage):
+    client = stage.client()
+    stage.call(client)
+    stopped = []
+    stage.edge.stop(lambda: stopped.append(True))
+    stage.run(LOOKUP + 0.1)
+    assert verdicts(client) == [("1", "denied")] and stopped and not stage.holders
+
+
+LAZY = """
+import sys
+{imports}
+wrong = [name for name in sys.modules if name.startswith("lapistrestle.directory")
+         or name in ("lapistrestle.edge.directory", "lapistrestle.wire.directory")]
+assert not wrong, wrong
+"""
+
+
+@pytest.mark.parametrize(
+    "imports",
+    [
+        "import lapistrestle.edge.program",
+        "import lapistrestle.node.program, lapistrestle.node.__main__",
+        "from test_edge import Stage; Stage()",
+    ],
+)
+def test_without_a_directory_nothing_of_it_is_imported(imports):
+    """Run alone, as this process has it imported."""
+    done = subprocess.run(
+        [sys.executable, "-c", LAZY.format(imports=imports)],
+        cwd=EXAMPLES.parent / "tests",
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 0, done.stderr
