Planner: its state machine is named so, and its entry of time a tick

Cause: Keeper, look and standing were words of this project alone. Change: planner/state.py (PlannerState, Tick, AnyEntry) in place of planner/keeper.py, apply in place of take, RolloutStatus in place of plans.Standing, named defaults of steps and of the time for which a version is remembered.

--- a/lapistrestle/planner/program.py
+++ b/lapistrestle/planner/program.py
@@ -4,7 +4,17 @@
 
 from twisted.internet.protocol import ServerFactory
 
-from lapistrestle.planner.keeper import ENTRY, OVER, Command, Keeper, Look, Reply, Report, encode
+from lapistrestle.planner.state import (
+    ENTRY,
+    OVER,
+    AnyEntry,
+    Command,
+    PlannerState,
+    Reply,
+    Report,
+    Tick,
+    encode,
+)
 from lapistrestle.rollout.life import Rollout, State
 from lapistrestle.rollout.stock import Readiness, Word
 from lapistrestle.store.journal import Journal, Outdated, Unreadable
@@ -13,7 +23,7 @@
 from lapistrestle.wire.lines import LineBounds, Speaker, union
 
 TENTHS = 10_000  # of a millisecond in a second
-LOOK = 1.0  # seconds between two looks at what runs
+TICK_EVERY = 1.0  # seconds
 
 
 class Planner:
@@ -21,31 +31,32 @@
 
     def __init__(self, reactor: Any, journal: Journal, log: Any) -> None:
         self.reactor, self.journal, self.log = reactor, journal, log
-        self.keeper, self.base = Keeper(), 0
+        self.state, self.base = PlannerState(), 0
         for number, line in journal.entries():
             entry = ENTRY.decode(line)
-            self.keeper.take(number, entry)
+            self.state.apply(number, entry)
             self.base = max(self.base, entry.at)
         self.began = reactor.seconds()
         self.edges: dict[PlannerSpeaker, None] = {}
         self.readiness = Readiness()
         self.stopped: Any = None
         self.over = False
-        log("journal read", entries=self.keeper.number, epoch=journal.epoch)
+        log("journal read", entries=self.state.number, epoch=journal.epoch)
 
     def now(self) -> int:
         """On from where the journal ends: pauses between two planners do not count."""
         return self.base + int((self.reactor.seconds() - self.began) * TENTHS + 0.001)
 
     def start(self, port: int = 0) -> int:
+        """Listen. Returns the port."""
         listening = self.reactor.listenTCP(port, Speakers(self), interface="127.0.0.1")
-        self.reactor.callLater(LOOK, self.look)
+        self.reactor.callLater(TICK_EVERY, self.tick)
         made: int = listening.getHost().port
         self.log("listening", port=made)
         return made
 
-    def add(self, entry: Command | Report | Look) -> Reply | None:
-        """On disk first, then taken, then told."""
+    def add(self, entry: AnyEntry) -> Reply | None:
+        """Write an entry to disk, apply it, then tell edges. None: another planner writes the journal."""
         if self.over:
             return None
         try:
@@ -53,11 +64,11 @@
         except (Outdated, Unreadable) as trouble:
             self.end(str(trouble))
             return None
-        before = dict(self.keeper.changed)
-        reply = self.keeper.take(number, entry)
-        if self.keeper.changed != before:
-            for fn, rollout in self.keeper.rollouts.items():
-                if self.keeper.changed.get(fn) == number:
+        before = dict(self.state.changed)
+        reply = self.state.apply(number, entry)
+        if self.state.changed != before:
+            for fn, rollout in self.state.rollouts.items():
+                if self.state.changed.get(fn) == number:
                     state, share = rollout.state.name.lower(), rollout.share
                     self.log("rollout", fn=fn, candidate=rollout.candidate, state=state, share=share)
             for speaker in list(self.edges):
@@ -65,6 +76,7 @@
         return reply
 
     def end(self, why: str) -> None:
+        """Write nothing more, and cut all connections."""
         self.over = True
         self.log("ends", why=why)
         for speaker in list(self.edges):
@@ -72,16 +84,16 @@
         if self.stopped is not None:
             self.stopped()
 
-    def look(self) -> None:
+    def tick(self) -> None:
         if not self.over:
-            self.reactor.callLater(LOOK, self.look)
-            if self.keeper.running():
-                self.add(Look(at=self.now(), warm=self.warm_functions()))
+            self.reactor.callLater(TICK_EVERY, self.tick)
+            if self.state.running():
+                self.add(Tick(at=self.now(), warm=self.warm_functions()))
 
     def warm_functions(self) -> tuple[str, ...]:
         """Those that every connected edge has copies for the next share of."""
         edges, now = {speaker.name for speaker in self.edges}, self.now()
-        kept = self.keeper.rollouts.items()
+        kept = self.state.rollouts.items()
         return tuple(fn for fn, r in kept if self.readiness.ready(fn, r.candidate, r.next, edges, now))
 
     def current(self) -> bool:
@@ -92,31 +104,34 @@
         return not self.over
 
     def plan(self, after: int) -> plans.Plan:
+        """What changed after that entry; all of it where `after` is negative."""
         whole = after < 0
-        shares = [plans.shown(split) for split in self.keeper.plan(after).values()]
-        return plans.Plan(self.keeper.number, self.journal.epoch, shares, whole)
+        shares = [plans.shown(split) for split in self.state.plan(after).values()]
+        return plans.Plan(self.state.number, self.journal.epoch, shares, whole)
 
     def status(self) -> plans.Status:
+        """For operators."""
         return plans.Status(
-            self.keeper.number,
+            self.state.number,
             self.journal.epoch,
-            [self.standing(fn) for fn in sorted(self.keeper.rollouts)],
+            [self.rollout_status(fn) for fn in sorted(self.state.rollouts)],
             {speaker.name: speaker.has for speaker in self.edges},
         )
 
-    def standing(self, fn: str) -> plans.Standing:
-        rollout = self.keeper.rollouts[fn]
+    def rollout_status(self, fn: str) -> plans.RolloutStatus:
+        rollout = self.state.rollouts[fn]
         found, total = rollout.evidence.findings(), [0, 0, 0, 0]
         for tally in rollout.evidence.minutes().values():
             total = [a + b for a, b in zip(total, tally, strict=True)]
         history = [(at / 10, who, why, given, state) for at, who, why, given, state in rollout.history]
         counts = (total[0], total[1], total[2], total[3])
-        return plans.Standing(
+        return plans.RolloutStatus(
             fn, rollout.settled, rollout.candidate, rollout.state.name.lower(), rollout.share, rollout.step,
             counts, round(found.harm, 3), round(found.good, 3), history, rollout.next, self.waits(rollout),
         )  # fmt: skip
 
     def waits(self, rollout: Rollout) -> dict[str, str]:
+        """By edge, what it lacks for the next step."""
         if rollout.state in OVER or rollout.state is State.WITHDRAWING:
             return {}
         edges = [speaker.name for speaker in self.edges]
@@ -134,7 +149,7 @@
         super().__init__(LineBounds())
         self.planner, self.name, self.start_name = planner, "", ""
         self.has = -1  # the plan that the edge said it has
-        self.told = -1  # and the newest that it was told
+        self.sent = -1  # and the newest that was sent to it
 
     def greeting(self) -> wire.Hello:
         return wire.Hello(self.protocol, wire.VERSION, f"planner epoch {self.planner.journal.epoch}")
@@ -146,10 +161,10 @@
             self.catch_up()
 
     def catch_up(self) -> None:
-        """Tell what changed since this edge was told last."""
-        if self.told < self.planner.keeper.number or self.told < 0:
-            self.say(self.planner.plan(self.told))
-            self.told = self.planner.keeper.number
+        """Send what changed since the last plan."""
+        if self.sent < self.planner.state.number or self.sent < 0:
+            self.say(self.planner.plan(self.sent))
+            self.sent = self.planner.state.number
 
     def heard(self, message: Any) -> None:
         planner = self.planner
@@ -175,6 +190,7 @@
                 self.say(planner.status())
 
     def order(self, order: plans.Order) -> None:
+        """An operator's command."""
         reply = self.planner.add(
             Command(
                 at=self.planner.now(), id=order.id, what=order.what, fn=order.fn, who=order.who,
--- a/lapistrestle/planner/keeper.py
+++ b/lapistrestle/planner/state.py
@@ -1,9 +1,9 @@
-"""What the planner keeps of rollouts: the outcome of its entries, in order, and of nothing else. No I/O.
+"""The planner's state machine: all rollouts, as the outcome of its entries in order. Free of I/O.
 
-Everything that changes anything is an entry: an operator's command, an edge's report, a look. `Keeper.take`
-is the only way in, so the same entries give the same state after a restart, and an entry is written before
-it is taken. Plans are numbered by the entry that changed them; an edge that knows a number is told what
-changed since.
+Everything that changes anything is an entry: an operator's command, an edge's report, a tick.
+`PlannerState.apply` is the only way in, so the same entries give the same state after a restart, and an entry
+is written before it is applied. Plans are numbered by the entry that changed them; an edge that knows a
+number is told what changed since.
 """
 
 from dataclasses import dataclass, field
@@ -19,6 +19,8 @@
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 OVER = (State.SETTLED, State.WITHDRAWN)
+STEPS = (0.01, 0.05, 0.25, 1.0)  # shares of a candidate, unless a command names others
+REMEMBERED = 600_000  # tenths of a millisecond for which clients may still bring tokens of a version
 
 
 class Entry(Struct, tag_field="is", omit_defaults=True, kw_only=True):
@@ -36,8 +38,8 @@
     who: Name
     why: str = ""
     candidate: str = ""
-    steps: tuple[float, ...] = (0.01, 0.05, 0.25, 1.0)
-    remembered: int = 600_000
+    steps: tuple[float, ...] = STEPS
+    remembered: int = REMEMBERED
 
 
 class Report(Entry, tag="report"):
@@ -53,13 +55,14 @@
     counts: tuple[int, int, int, int]
 
 
-class Look(Entry, tag="look"):
-    """Now and again; `warm` names the functions whose next step's copies stand."""
+class Tick(Entry, tag="look"):
+    """Time has passed; `warm` names the functions whose next step's copies stand."""
 
     warm: tuple[str, ...] = ()
 
 
-ENTRY = msgspec.json.Decoder(Command | Report | Look)
+AnyEntry = Command | Report | Tick
+ENTRY = msgspec.json.Decoder(AnyEntry)
 encode = msgspec.json.Encoder().encode
 
 
@@ -75,8 +78,8 @@
 
 
 @dataclass
-class Keeper:
-    """All rollouts, as of the entries taken."""
+class PlannerState:
+    """All rollouts, as of the entries applied."""
 
     number: int = 0
     rollouts: dict[str, Rollout] = field(default_factory=dict)  # by function: the newest
@@ -85,8 +88,9 @@
     replies: dict[str, Reply] = field(default_factory=dict)
     changed: dict[str, int] = field(default_factory=dict)  # by function: the entry that changed its split
 
-    def take(self, number: int, entry: Command | Report | Look) -> Reply | None:
-        """Take the entry of that number; a command's reply."""
+    def apply(self, number: int, entry: AnyEntry) -> Reply | None:
+        """Apply the entry of that number; returns a command's reply. Raises ValueError where it does not
+        follow the last."""
         if number != self.number + 1:
             raise ValueError(f"entry {number} does not follow {self.number}")
         self.number = number
@@ -97,8 +101,8 @@
                 reply = self.command(entry)
             case Report():
                 self.report(entry)
-            case Look():
-                self.look(entry)
+            case Tick():
+                self.tick(entry)
         for fn, rollout in self.rollouts.items():
             if rollout.state is State.SETTLED:
                 self.settled[fn] = rollout.candidate
@@ -109,6 +113,7 @@
         return reply
 
     def command(self, command: Command) -> Reply:
+        """A command that comes twice is answered as the first time."""
         known = self.replies.get(command.id)
         if known is not None:
             return known
@@ -119,6 +124,7 @@
         return reply
 
     def start(self, command: Command) -> tuple[str, str]:
+        """Begin a rollout. Returns the outcome and what it says."""
         fn, candidate = command.fn, command.candidate
         running = self.rollouts.get(fn)
         if running is not None and running.state not in OVER:
@@ -141,6 +147,7 @@
         return outcome, f"{settled or 'none'} to {candidate}"
 
     def steer(self, command: Command) -> tuple[str, str]:
+        """Move the rollout under way. Returns the outcome and what it says."""
         rollout = self.rollouts.get(command.fn)
         if rollout is None:
             return REFUSED, f"{command.fn} has no rollout"
@@ -161,8 +168,9 @@
         """Those that the clock or the evidence may still move."""
         return {fn: r for fn, r in self.rollouts.items() if r.state not in OVER or r.kept}
 
-    def look(self, look: Look) -> dict[str, Findings]:
-        return {fn: rollout.look(look.at, fn in look.warm) for fn, rollout in self.running().items()}
+    def tick(self, tick: Tick) -> dict[str, Findings]:
+        """Let the clock and the evidence move what runs."""
+        return {fn: rollout.look(tick.at, fn in tick.warm) for fn, rollout in self.running().items()}
 
     # what edges are told
 
--- a/lapistrestle/wire/plans.py
+++ b/lapistrestle/wire/plans.py
@@ -104,7 +104,7 @@
     """An operator asks how things stand."""
 
 
-class Standing(Struct):
+class RolloutStatus(Struct):
     fn: str
     settled: str
     candidate: str
@@ -122,7 +122,7 @@
 class Status(Message, tag="status"):
     number: Number
     epoch: Number
-    rollouts: list[Standing]
+    rollouts: list[RolloutStatus]
     edges: dict[str, int]  # the plan that each edge has
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lapistrestle.planner.keeper import ENTRY, Command, Keeper, Look, Report, encode
+from lapistrestle.planner.state import ENTRY, Command, PlannerState, Report, Tick, encode
 from lapistrestle.rollout.life import DONE, NOTHING, REFUSED, State
 from lapistrestle.rollout.versions import Split
 from lapistrestle.store.journal import Journal, Outdated, Unreadable
@@ -22,11 +22,11 @@
     return Command(at=more.pop("at", 0), id=id_, what=what, fn=fn, who="duty", candidate=candidate, **more)
 
 
-class Numbered(Keeper):
+class Numbered(PlannerState):
     """Numbers entries by itself."""
 
     def add(self, entry):
-        return self.take(self.number + 1, entry)
+        return self.apply(self.number + 1, entry)
 
 
 @pytest.fixture
@@ -35,9 +35,9 @@
 
 
 def stepped(kept, at, warm=("f",)):
-    """Two looks: edges are told of a step a second before it comes."""
-    kept.add(Look(at=at, warm=warm))
-    kept.add(Look(at=at + 10_000, warm=warm))
+    """Two ticks: edges are told of a step a second before it comes."""
+    kept.add(Tick(at=at, warm=warm))
+    kept.add(Tick(at=at + 10_000, warm=warm))
 
 
 def good(step, minute=0):
@@ -49,7 +49,7 @@
 def test_a_command_that_comes_twice_is_answered_as_the_first_time(kept):
     first = kept.add(command("1"))
     assert first.outcome == DONE and first.state == "warming"
-    kept.add(Look(at=5, warm=("f",)))
+    kept.add(Tick(at=5, warm=("f",)))
     assert kept.add(command("1")) == first
 
 
@@ -69,13 +69,13 @@
     assert kept.rollouts["f"].state is State.SETTLED and kept.settled == {"f": "v2"}
     assert kept.add(command("2")).outcome == NOTHING  # it is what runs
     assert kept.add(command("3a", candidate="v3", at=40_001)).outcome == REFUSED  # clients may come back
-    kept.add(Look(at=10**6))
+    kept.add(Tick(at=10**6))
     assert kept.add(command("3", candidate="v3", at=10**6)).says == "v2 to v3"
     assert kept.plan()["f"].settled == "v2" and len(kept.ended) == 1
     kept.add(command("4", "back", candidate="v3", at=10**6))
     assert kept.plan()["f"].withdrawn
     assert kept.add(command("5", candidate="v4")).outcome == REFUSED  # until v3 is forgotten
-    kept.add(Look(at=10**9))
+    kept.add(Tick(at=10**9))
     assert kept.add(command("6", candidate="v4")).outcome == DONE
 
 
@@ -84,11 +84,11 @@
     stepped(kept, 10_000)
     kept.add(command("2", "advance", at=20_000))
     stepped(kept, 30_000)
-    kept.add(Look(at=10**7))
+    kept.add(Tick(at=10**7))
     assert kept.plan() == {"f": Split("f", "v2")} and not kept.running()
     assert kept.add(command("3", "back", at=10**7)).says == "v2 is withdrawing at 0%"
     assert kept.plan()["f"] == Split("f", "", "v2", 0.0, 1.0, withdrawn=True)
-    kept.add(Look(at=2 * 10**7))
+    kept.add(Tick(at=2 * 10**7))
     assert kept.settled["f"] == "" and kept.plan()["f"] == Split("f", "")
     assert kept.add(command("4", candidate="v2", at=2 * 10**7)).says == "none to v2"  # and may come again
 
@@ -126,21 +126,21 @@
 
 def test_the_same_entries_give_the_same_state(kept, tmp_path):
     journal = Journal(tmp_path / "j")
-    entries = [command("1"), Look(at=10_000, warm=("f",)), good(0), Look(at=20_000, warm=("f",)),
+    entries = [command("1"), Tick(at=10_000, warm=("f",)), good(0), Tick(at=20_000, warm=("f",)),
                command("2", "back", why="wrong prices", at=30_000)]  # fmt: skip
     for entry in entries:
-        kept.take(journal.append([encode(entry)]), entry)
+        kept.apply(journal.append([encode(entry)]), entry)
     journal.close()
-    again = Keeper()
+    again = PlannerState()
     for number, line in Journal(tmp_path / "j").entries():
-        again.take(number, ENTRY.decode(line))
+        again.apply(number, ENTRY.decode(line))
     assert again.rollouts == kept.rollouts and again.plan() == kept.plan() and again.replies == kept.replies
     assert again.rollouts["f"].history[-1] == (30_000, "duty", "wrong prices", "back", "withdrawing")
 
 
 def test_an_entry_that_does_not_follow_is_refused(kept):
     with pytest.raises(ValueError, match="does not follow"):
-        kept.take(2, command("1"))
+        kept.apply(2, command("1"))
 
 
 def test_an_older_writer_that_comes_back_is_refused(tmp_path):
--- a/tests/test_rollout_days.py
+++ b/tests/test_rollout_days.py
@@ -3,8 +3,8 @@
 import pytest
 from days import Played, day
 
-from lapistrestle.planner.keeper import Command
 from lapistrestle.planner.program import Planner
+from lapistrestle.planner.state import Command
 from lapistrestle.rollout.life import State
 from lapistrestle.rollout.versions import REPEATS, Course, Met
 from lapistrestle.standins.engine import Engine, RunnerFacts, Task
@@ -69,7 +69,7 @@
 
     @property
     def rollout(self):
-        return self.planner.keeper.rollouts["fn-0"]
+        return self.planner.state.rollouts["fn-0"]
 
     def runs(self):
         return [run for run in self.story.runs if run.message.fn == NAME]
@@ -206,7 +206,7 @@
 
     played = Rolled(script(), tmp_path / "j", does=[(5.0, newer), (6.0, use_older)])
     assert played.said is None and played.older.over
-    assert "late" not in played.planner.keeper.replies
+    assert "late" not in played.planner.state.replies
 
 
 @pytest.mark.parametrize(
@@ -225,7 +225,7 @@
     troubles = [{"kind": "planner_kill", "at": "6 s", "lasts": "1 s"}, {"kind": "planner_stall", "at": "9 s"}]
     played = Played(script(troubles, length="60 s") | {"rollouts": [version]})
     assert played.breaches() == [] and played.world.crowd.open == 0
-    rollout = played.world.planner.planner.keeper.rollouts["fn-0"]
+    rollout = played.world.planner.planner.state.rollouts["fn-0"]
     assert rollout.state in (State.WITHDRAWING, State.WITHDRAWN, State.WARMING), rollout.evidence.findings()
     assert played.world.operator.replies[0].outcome == "done"
 
