Agreement: the terms of the Raft paper, typed settings, doc comments

Cause: messages, roles and steps had names of this project alone, settings were a bare map. Change: messages.py (RequestVote, VoteReply, AppendEntries, AppendReply, LogEntry, PersistentState, Persist), RaftNode, RaftSettings and the usual names of its steps; the rig is standins/raft_cluster.py (RaftCluster, Faults, Invariants), its long run benchmarks/raft_schedules.py.

--- a/benchmarks/councils.py
+++ b/benchmarks/raft_schedules.py
@@ -1,6 +1,6 @@
-"""Many random days of members of an agreement, outside CI: what breaks is named with its seed.
+"""Many random days of a Raft group, outside CI: what breaks is named with its seed.
 
-python benchmarks/councils.py --days 10000
+python benchmarks/raft_schedules.py --days 10000
 """
 
 import time
@@ -8,24 +8,27 @@
 
 import click
 
-from lapistrestle.standins.council import Council, Weather
+from lapistrestle.agreement.raft import RaftSettings
+from lapistrestle.standins.raft_cluster import Faults, RaftCluster
 
-ROUGH = Weather(loss=0.1, kills=0.8, cuts=0.6, stalls=0.4)
-WILD = Weather(loss=0.2, doubled=0.2, kills=6, cuts=4, stalls=2, late=0.1, slow=600, asks=100, back=(1, 300))
-HASTY = {"patience": 300, "beat": 80, "batch": 1}
+ROUGH = Faults(loss=0.1, kills=0.8, cuts=0.6, stalls=0.4)
+WILD = Faults(loss=0.2, doubled=0.2, kills=6, cuts=4, stalls=2, late=0.1, slow=600, asks=100, back=(1, 300))
+HASTY = RaftSettings(election_timeout=300, heartbeat=80, batch=1)
 
 
 def play(seed: int) -> tuple[int, list[str], int, int, int]:
     """Odd seeds play wild days, with leaders chosen all the time; every day ends calm, and all agree then."""
     wild = bool(seed % 2)
-    made = Council(3 + 2 * (seed // 2 % 2), seed, WILD if wild else ROUGH, facts=HASTY if wild else None)
+    made = RaftCluster(
+        3 + 2 * (seed // 2 % 2), seed, WILD if wild else ROUGH, settings=HASTY if wild else None
+    )
     made.day(10)
     made.calm(8)
-    found = list(made.book.breaches)
-    logs = [made.members[name].entries[: made.book.acknowledged] for name in made.names]
+    found = list(made.invariants.breaches)
+    logs = [made.members[name].entries[: made.invariants.acknowledged] for name in made.names]
     if not found and any(log != logs[0] for log in logs):
         found.append("not all hold what is agreed, when all is calm")
-    return seed, found, made.kills, len(made.book.agreed), made.done_reads
+    return seed, found, made.kills, len(made.invariants.agreed), made.done_reads
 
 
 @click.command()
--- a/lapistrestle/agreement/words.py
+++ b/lapistrestle/agreement/messages.py
@@ -1,4 +1,4 @@
-"""What members of one agreement say to each other, what they keep on disk, and what they ask to be done.
+"""Messages between the members of a Raft group, what they persist, and the effects that they ask for.
 
 Shapes after Ongaro, "Consensus: Bridging Theory and Practice" (2014): Raft with pre-vote (9.6), a leader that
 steps down without a majority (6.2), reads that need no entry (6.4). Indices count from 1; times are whole
@@ -10,7 +10,7 @@
 
 
 @dataclass(frozen=True)
-class Entry:
+class LogEntry:
     """One place in the log; `command` is None for the one that a leader begins its term with."""
 
     term: int
@@ -18,16 +18,16 @@
 
 
 @dataclass
-class Disk:
-    """What has been saved: a member that returns begins from it and from nothing else."""
+class PersistentState:
+    """What is on disk: a member that returns begins from it and from nothing else."""
 
     term: int = 0
-    voted: str = ""  # for whom, in that term
-    entries: list[Entry] = field(default_factory=list)
+    voted_for: str = ""  # in that term
+    entries: list[LogEntry] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
-class AskVote:
+class RequestVote:
     """`pre`: would you vote for me in that term? Nothing is promised by it."""
 
     term: int
@@ -37,26 +37,28 @@
 
 
 @dataclass(frozen=True)
-class Vote:
+class VoteReply:
+    """`term`: the voter's; of a granted pre-vote the one that was asked for."""
+
     term: int
     granted: bool
     pre: bool
 
 
 @dataclass(frozen=True)
-class Append:
-    """A leader's word: entries after `prev`, and how far all is agreed. `round` comes back in the answer."""
+class AppendEntries:
+    """A leader's entries after `prev`, and how far the log is committed. `round` comes back in the reply."""
 
     term: int
     prev: int
     prev_term: int
-    entries: tuple[Entry, ...]
+    entries: tuple[LogEntry, ...]
     commit: int
     round: int
 
 
 @dataclass(frozen=True)
-class Appended:
+class AppendReply:
     """`index`: up to there the log is the leader's and on disk; not `ok`: the leader is to go back there."""
 
     term: int
@@ -65,32 +67,34 @@
     round: int
 
 
-Message = AskVote | Vote | Append | Appended
+Message = RequestVote | VoteReply | AppendEntries | AppendReply
 
 
 @dataclass(frozen=True)
-class Save:
+class Persist:
     """Put term and vote on disk, and the log from `since` on in place of what stands there. Nothing that
     follows it among the effects may be done before it is on disk."""
 
     term: int
-    voted: str
+    voted_for: str
     since: int = 0  # 0: the log is as it was
-    entries: tuple[Entry, ...] = ()
+    entries: tuple[LogEntry, ...] = ()
 
 
 @dataclass(frozen=True)
 class Send:
+    """Send a message to a member."""
+
     to: str
     message: Message
 
 
 @dataclass(frozen=True)
 class Commit:
-    """The entry at `index` is agreed; told once a life for each, in order."""
+    """The entry at `index` is committed; told once a life for each, in order."""
 
     index: int
-    entry: Entry
+    entry: LogEntry
 
 
 @dataclass(frozen=True)
@@ -101,4 +105,4 @@
     index: int | None
 
 
-Effect = Save | Send | Commit | Read
+Effect = Persist | Send | Commit | Read
--- a/lapistrestle/agreement/raft.py
+++ b/lapistrestle/agreement/raft.py
@@ -1,235 +1,260 @@
-"""One member of an agreement: events and a clock in, effects out, in the order in which they are to be done.
+"""One member of a Raft group: events and a clock in, effects out, in the order in which they are to be done.
 
-A member says nothing that it can't stand for after a kill: each change of term, vote or log is a `Save` ahead
-of the words that rest on it. A leader commits entries of its own term only; older ones are agreed by what
-follows them. A read is answered once a majority has answered a word that was sent after the read was asked.
+A member says nothing that it can't stand for after a kill: each change of term, vote or log is a `Persist`
+ahead of the messages that rest on it. A leader commits entries of its own term only; older ones are committed
+by what follows them. A read is answered once a majority has answered a message sent after it was asked.
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 from zlib import crc32
 
-from lapistrestle.agreement.words import (
-    Append,
-    Appended,
-    AskVote,
+from lapistrestle.agreement.messages import (
+    AppendEntries,
+    AppendReply,
     Commit,
-    Disk,
     Effect,
-    Entry,
+    LogEntry,
     Message,
+    Persist,
+    PersistentState,
     Read,
-    Save,
+    RequestVote,
     Send,
-    Vote,
+    VoteReply,
 )
 
 SECOND = 10_000  # in tenths of a millisecond
-DEFAULTS: Mapping[str, int] = {
-    "beat": SECOND // 10,  # between two words of a leader
-    "patience": SECOND // 2,  # without a leader's word before one asks for votes; up to twice that, by chance
-    "batch": 64,  # entries in one word at the most: a follower far behind must not hold up the others
-    "reads": 1_000,  # that wait at once
-}
 
-Role = Enum("Role", "FOLLOWER ASKING CANDIDATE LEADER")  # ASKING: for pre-votes
+
+@dataclass(frozen=True)
+class RaftSettings:
+    """Spans are whole tenths of a millisecond."""
+
+    heartbeat: int = SECOND // 10  # between two words of a leader
+    election_timeout: int = SECOND // 2  # without a leader's word; up to twice that, by chance
+    batch: int = 64  # entries in one word at the most: a follower far behind must not hold up the others
+    max_reads: int = 1_000  # that wait at once
+
+
+Role = Enum("Role", "FOLLOWER PRE_CANDIDATE CANDIDATE LEADER")
 
 
-class Member:
-    """`members` are all, oneself among them. `disk` is what was saved; it is read here, once."""
+class RaftNode:
+    """One member. `members` are all, oneself among them. `disk` is what was persisted, read here once."""
 
     def __init__(
-        self, me: str, members: Sequence[str], disk: Disk, facts: Mapping[str, int], seed: int, now: int,
+        self,
+        me: str,
+        members: Sequence[str],
+        disk: PersistentState,
+        settings: RaftSettings,
+        seed: int,
+        now: int,
         log: Callable[[str], None] = lambda text: None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.me, self.others = me, [name for name in members if name != me]
-        self.facts, self.seed, self.draws, self.log = {**DEFAULTS, **facts}, seed, 0, log
-        self.term, self.voted, self.entries = disk.term, disk.voted, list(disk.entries)
+        self.settings, self.seed, self.draws, self.log = settings, seed, 0, log
+        self.term, self.voted_for, self.entries = disk.term, disk.voted_for, list(disk.entries)
         self.role, self.leader = Role.FOLLOWER, ""
-        self.commit = 0
+        self.commit_index = 0
         self.votes = set[str]()
-        self.next = dict[str, int]()
-        self.match = dict[str, int]()
+        self.next_index = dict[str, int]()
+        self.match_index = dict[str, int]()
         self.heard_at = dict[str, int]()  # as a leader: when each other last answered
-        self.answered = dict[str, int]()  # the latest round that each has answered
+        self.answered_round = dict[str, int]()  # the latest round that each has answered
         self.round = 0
         self.reads: list[tuple[int, Any]] = []  # the round that must be answered, and the tag
-        self.word_at = now - 2 * self.facts["patience"]  # when a leader was last heard
+        self.leader_heard_at = now - 2 * self.settings.election_timeout  # when a leader was last heard
         self.out: list[Effect] = []
         self.due = now
-        self.be_patient(now)
+        self.reset_election_timer(now)
 
     # events
 
     def tick(self, now: int) -> list[Effect]:
         """Time has passed; ask again at `due`."""
         if now < self.due:
-            return self.done()
+            return self.take_effects()
         if self.role is not Role.LEADER:
-            self.ask(now, pre=True)
-        elif self.alone(now):
-            self.follow(self.term, "", now, "no majority answers")
+            self.start_election(now, pre=True)
+        elif self.lost_quorum(now):
+            self.become_follower(self.term, "", now, "no majority answers")
         else:
-            self.beat(now)
-        return self.done()
+            self.send_heartbeats(now)
+        return self.take_effects()
 
     def heard(self, sender: str, message: Message, now: int) -> list[Effect]:
         """A word of another member; those of no member are passed over."""
         if sender in self.others:
-            if message.term > self.term and not (isinstance(message, AskVote | Vote) and message.pre):
-                leads = sender if isinstance(message, Append) else ""
-                self.follow(message.term, leads, now, f"{sender} is at term {message.term}")
-            HEARD[type(message)](self, sender, message, now)
-        return self.done()
+            pre_vote = isinstance(message, RequestVote | VoteReply) and message.pre
+            if message.term > self.term and not pre_vote:
+                leads = sender if isinstance(message, AppendEntries) else ""
+                self.become_follower(message.term, leads, now, f"{sender} is at term {message.term}")
+            HANDLERS[type(message)](self, sender, message, now)
+        return self.take_effects()
 
     def propose(self, command: Any, now: int) -> tuple[int | None, list[Effect]]:
         """Where the command will stand if it is agreed under this term; None: this one does not lead."""
         if self.role is not Role.LEADER:
             return None, []
-        self.append([Entry(self.term, command)])
-        self.beat(now)
-        return self.last, self.done()
+        self.append([LogEntry(self.term, command)])
+        self.send_heartbeats(now)
+        return self.last_index, self.take_effects()
 
     def read(self, tag: Any, now: int) -> list[Effect]:
         """Ask to answer from what is agreed now; a `Read` follows, at once or later."""
-        if self.role is not Role.LEADER or len(self.reads) >= self.facts["reads"]:
+        if self.role is not Role.LEADER or len(self.reads) >= self.settings.max_reads:
             self.out.append(Read(tag, None))
         else:
             self.reads.append((self.round + 1, tag))
-            self.beat(now)
-        return self.done()
+            self.send_heartbeats(now)
+        return self.take_effects()
 
     # the log
 
     @property
-    def last(self) -> int:
+    def last_index(self) -> int:
+        """Of the last entry; 0: the log is empty."""
         return len(self.entries)
 
     def term_at(self, index: int) -> int:
-        return self.entries[index - 1].term if 0 < index <= self.last else 0
+        """Of the entry there; 0 where there is none."""
+        return self.entries[index - 1].term if 0 < index <= self.last_index else 0
 
-    def append(self, entries: Sequence[Entry]) -> None:
-        since = self.last + 1
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Put entries at the end of the log, and on disk."""
+        since = self.last_index + 1
         self.entries.extend(entries)
-        self.save(since, entries)
+        self.persist(since, entries)
 
-    def save(self, since: int = 0, entries: Sequence[Entry] = ()) -> None:
-        self.out.append(Save(self.term, self.voted, since, tuple(entries)))
+    def persist(self, since: int = 0, entries: Sequence[LogEntry] = ()) -> None:
+        """Have the term, the vote and the log from `since` on written to disk."""
+        self.out.append(Persist(self.term, self.voted_for, since, tuple(entries)))
 
-    def agree(self, index: int) -> None:
+    def commit_to(self, index: int) -> None:
         """Up to there all is agreed. Told in order; after a restart from the start again."""
-        while self.commit < min(index, self.last):
-            self.commit += 1
-            self.out.append(Commit(self.commit, self.entries[self.commit - 1]))
+        while self.commit_index < min(index, self.last_index):
+            self.commit_index += 1
+            self.out.append(Commit(self.commit_index, self.entries[self.commit_index - 1]))
 
     # roles
 
-    def be_patient(self, now: int) -> None:
+    def reset_election_timer(self, now: int) -> None:
+        """No election before a time-out from now on, with a part by chance so that two rarely ask at once."""
         self.draws += 1
-        patience = self.facts["patience"]
-        self.due = now + patience + crc32(f"{self.seed}:{self.draws}".encode()) % patience
+        timeout = self.settings.election_timeout
+        self.due = now + timeout + crc32(f"{self.seed}:{self.draws}".encode()) % timeout
 
-    def follow(self, term: int, leader: str, now: int, why: str) -> None:
+    def become_follower(self, term: int, leader: str, now: int, why: str) -> None:
         """Lead or ask no longer. A higher term begins without a vote."""
         if self.role is Role.LEADER:
             self.log(f"leads no more at term {self.term}: {why}")
         if term > self.term:
-            self.term, self.voted = term, ""
-            self.save()
+            self.term, self.voted_for = term, ""
+            self.persist()
         self.role, self.leader = Role.FOLLOWER, leader
         self.out.extend(Read(tag, None) for _, tag in self.reads)
         self.reads = []
-        self.be_patient(now)
+        self.reset_election_timer(now)
 
-    def ask(self, now: int, pre: bool) -> None:
+    def start_election(self, now: int, pre: bool) -> None:
         """Ask all for their votes; a pre-vote first, so that one that was cut off raises no term."""
         if not pre:
-            self.term, self.voted = self.term + 1, self.me
-            self.save()
-        self.role, self.leader, self.votes = Role.ASKING if pre else Role.CANDIDATE, "", {self.me}
-        self.be_patient(now)
-        word = AskVote(self.term + pre, self.last, self.term_at(self.last), pre)
+            self.term, self.voted_for = self.term + 1, self.me
+            self.persist()
+        self.role, self.leader, self.votes = Role.PRE_CANDIDATE if pre else Role.CANDIDATE, "", {self.me}
+        self.reset_election_timer(now)
+        word = RequestVote(self.term + pre, self.last_index, self.term_at(self.last_index), pre)
         self.out.extend(Send(name, word) for name in self.others)
-        self.count(now)
+        self.count_votes(now)
 
-    def count(self, now: int) -> None:
+    def count_votes(self, now: int) -> None:
+        """With a majority go on from a pre-vote to an election, or from that to leading."""
         if self.majority(len(self.votes)):
-            if self.role is Role.ASKING:
-                self.ask(now, pre=False)
+            if self.role is Role.PRE_CANDIDATE:
+                self.start_election(now, pre=False)
             else:
-                self.lead(now)
+                self.become_leader(now)
 
     def majority(self, count: int) -> bool:
+        """Whether so many members are one."""
         return 2 * count > len(self.others) + 1
 
-    def lead(self, now: int) -> None:
+    def become_leader(self, now: int) -> None:
+        """Lead this term, and begin it with an entry of its own."""
         self.role, self.leader = Role.LEADER, self.me
-        self.log(f"leads at term {self.term} with {len(self.votes)} votes, log {self.last} long")
-        self.next = dict.fromkeys(self.others, self.last + 1)
-        self.match = dict.fromkeys(self.others, 0)
+        self.log(f"leads at term {self.term} with {len(self.votes)} votes, log {self.last_index} long")
+        self.next_index = dict.fromkeys(self.others, self.last_index + 1)
+        self.match_index = dict.fromkeys(self.others, 0)
         self.heard_at = dict.fromkeys(self.others, now)
-        self.answered = dict.fromkeys(self.others, 0)
-        self.append([Entry(self.term, None)])  # what came before is agreed with it
-        self.beat(now)
+        self.answered_round = dict.fromkeys(self.others, 0)
+        self.append([LogEntry(self.term, None)])  # what came before is agreed with it
+        self.send_heartbeats(now)
 
-    def alone(self, now: int) -> bool:
+    def lost_quorum(self, now: int) -> bool:
         """Whether no majority has answered for so long that others may have chosen another."""
-        lately = sum(now - at < 2 * self.facts["patience"] for at in self.heard_at.values())
+        lately = sum(now - at < 2 * self.settings.election_timeout for at in self.heard_at.values())
         return not self.majority(1 + lately)
 
-    def beat(self, now: int) -> None:
+    def send_heartbeats(self, now: int) -> None:
         """A word to all. Each gets what it lacks, in batches."""
         self.round += 1
-        self.due = now + self.facts["beat"]
+        self.due = now + self.settings.heartbeat
         for name in self.others:
-            self.tell(name)
-        self.settle()
+            self.replicate_to(name)
+        self.advance()
 
-    def tell(self, name: str) -> None:
-        prev = self.next[name] - 1
-        entries = tuple(self.entries[prev : prev + self.facts["batch"]])
-        self.out.append(
-            Send(name, Append(self.term, prev, self.term_at(prev), entries, self.commit, self.round))
-        )
+    def replicate_to(self, name: str) -> None:
+        """Send a follower the next batch that it lacks."""
+        prev = self.next_index[name] - 1
+        entries = tuple(self.entries[prev : prev + self.settings.batch])
+        prev_term, commit = self.term_at(prev), self.commit_index
+        word = AppendEntries(self.term, prev, prev_term, entries, commit, self.round)
+        self.out.append(Send(name, word))
 
     # words of others
 
-    def on_ask(self, sender: str, word: AskVote, now: int) -> None:
+    def on_request_vote(self, sender: str, word: RequestVote, now: int) -> None:
         """A vote for a log no older than one's own; a pre-vote only where no leader was heard of late: guards
         a leader that works against one that comes back from a cut."""
-        newer = (word.last_term, word.last) >= (self.term_at(self.last), self.last)
+        newer = (word.last_term, word.last) >= (self.term_at(self.last_index), self.last_index)
         if word.pre:
-            quiet = self.role is not Role.LEADER and now - self.word_at >= self.facts["patience"]
-            granted = newer and quiet and word.term > self.term
-            return self.out.append(Send(sender, Vote(word.term if granted else self.term, granted, True)))
-        granted = word.term == self.term and newer and self.voted in ("", sender)
-        if granted and not self.voted:
-            self.voted = sender
-            self.save()
-            self.be_patient(now)
-        self.out.append(Send(sender, Vote(self.term, granted, False)))
-
-    def on_vote(self, sender: str, word: Vote, now: int) -> None:
-        asked = Role.ASKING if word.pre else Role.CANDIDATE
+            silent = now - self.leader_heard_at >= self.settings.election_timeout
+            granted = newer and self.role is not Role.LEADER and silent and word.term > self.term
+            term = word.term if granted else self.term
+            return self.out.append(Send(sender, VoteReply(term, granted, True)))
+        granted = word.term == self.term and newer and self.voted_for in ("", sender)
+        if granted and not self.voted_for:
+            self.voted_for = sender
+            self.persist()
+            self.reset_election_timer(now)
+        self.out.append(Send(sender, VoteReply(self.term, granted, False)))
+
+    def on_vote_reply(self, sender: str, word: VoteReply, now: int) -> None:
+        """A vote, or its refusal."""
+        asked = Role.PRE_CANDIDATE if word.pre else Role.CANDIDATE
         if not word.granted and word.term > self.term:
-            return self.follow(word.term, "", now, f"{sender} is at term {word.term}")
+            return self.become_follower(word.term, "", now, f"{sender} is at term {word.term}")
         if self.role is asked and word.granted and word.term == self.term + word.pre:
             self.votes.add(sender)
-            self.count(now)
+            self.count_votes(now)
 
-    def on_append(self, sender: str, word: Append, now: int) -> None:
+    def on_append_entries(self, sender: str, word: AppendEntries, now: int) -> None:
+        """Entries of a leader: taken up where they follow on, else it is told how far to go back."""
         if word.term < self.term:
-            return self.out.append(Send(sender, Appended(self.term, False, 0, word.round)))
+            return self.out.append(Send(sender, AppendReply(self.term, False, 0, word.round)))
         if self.role is not Role.FOLLOWER or self.leader != sender:
-            self.follow(word.term, sender, now, f"{sender} leads")
-        self.word_at = now
-        self.be_patient(now)
-        if word.prev > self.last or self.term_at(word.prev) != word.prev_term:
-            back = min(self.last, word.prev - 1)
-            while back > self.commit and self.term_at(back) > word.prev_term:
+            self.become_follower(word.term, sender, now, f"{sender} leads")
+        self.leader_heard_at = now
+        self.reset_election_timer(now)
+        if word.prev > self.last_index or self.term_at(word.prev) != word.prev_term:
+            back = min(self.last_index, word.prev - 1)
+            while back > self.commit_index and self.term_at(back) > word.prev_term:
                 back -= 1  # over a whole term of ours that the leader can't have
-            return self.out.append(Send(sender, Appended(self.term, False, back, word.round)))
+            return self.out.append(Send(sender, AppendReply(self.term, False, back, word.round)))
         at = word.prev
         for i, entry in enumerate(word.entries):
             if self.term_at(at + 1) != entry.term:  # a late word must not cut off what came after it
@@ -238,46 +263,48 @@
                 break
             at += 1
         match = word.prev + len(word.entries)
-        self.agree(min(word.commit, match))
-        self.out.append(Send(sender, Appended(self.term, True, match, word.round)))
+        self.commit_to(min(word.commit, match))
+        self.out.append(Send(sender, AppendReply(self.term, True, match, word.round)))
 
-    def on_appended(self, sender: str, word: Appended, now: int) -> None:
+    def on_append_reply(self, sender: str, word: AppendReply, now: int) -> None:
+        """How far a follower's log is the leader's."""
         if self.role is not Role.LEADER or word.term != self.term:
             return
         self.heard_at[sender] = now
-        self.answered[sender] = max(self.answered[sender], word.round)
+        self.answered_round[sender] = max(self.answered_round[sender], word.round)
         if word.ok:
-            self.match[sender] = max(self.match[sender], word.index)
-            self.next[sender] = max(self.next[sender], word.index + 1)
-            if self.next[sender] <= self.last and word.index + 1 == self.next[sender]:
-                self.tell(sender)
-        elif word.index + 1 < self.next[sender]:
-            self.next[sender] = max(self.match[sender], word.index) + 1
-            self.tell(sender)
-        self.settle()
-
-    def settle(self) -> None:
+            self.match_index[sender] = max(self.match_index[sender], word.index)
+            self.next_index[sender] = max(self.next_index[sender], word.index + 1)
+            if self.next_index[sender] <= self.last_index and word.index + 1 == self.next_index[sender]:
+                self.replicate_to(sender)
+        elif word.index + 1 < self.next_index[sender]:
+            self.next_index[sender] = max(self.match_index[sender], word.index) + 1
+            self.replicate_to(sender)
+        self.advance()
+
+    def advance(self) -> None:
         """What a majority has on disk is agreed, if of this term; reads that a majority bears out."""
-        index = self.borne(self.match, self.last)
+        index = self.majority_value(self.match_index, self.last_index)
         if self.term_at(index) == self.term:
-            self.agree(index)
-        answered = self.borne(self.answered, self.round)
-        while self.reads and self.reads[0][0] <= answered and self.term_at(self.commit) == self.term:
-            self.out.append(Read(self.reads.pop(0)[1], self.commit))
+            self.commit_to(index)
+        answered = self.majority_value(self.answered_round, self.round)
+        while self.reads and self.reads[0][0] <= answered and self.term_at(self.commit_index) == self.term:
+            self.out.append(Read(self.reads.pop(0)[1], self.commit_index))
 
-    def borne(self, others: Mapping[str, int], own: int) -> int:
+    def majority_value(self, others: Mapping[str, int], own: int) -> int:
         """The most that a majority has reached."""
         reached = sorted([*others.values(), own], reverse=True)
         return reached[len(reached) // 2]
 
-    def done(self) -> list[Effect]:
+    def take_effects(self) -> list[Effect]:
+        """The effects of this event, in order."""
         out, self.out = self.out, []
         return out
 
 
-HEARD: dict[type, Callable[[Member, str, Any, int], None]] = {
-    AskVote: Member.on_ask,
-    Vote: Member.on_vote,
-    Append: Member.on_append,
-    Appended: Member.on_appended,
+HANDLERS: dict[type, Callable[[RaftNode, str, Any, int], None]] = {
+    RequestVote: RaftNode.on_request_vote,
+    VoteReply: RaftNode.on_vote_reply,
+    AppendEntries: RaftNode.on_append_entries,
+    AppendReply: RaftNode.on_append_reply,
 }
--- a/lapistrestle/standins/council.py
+++ b/lapistrestle/standins/raft_cluster.py
@@ -1,4 +1,4 @@
-"""Members of an agreement in virtual time, with everything between them that breaks, and what may never be.
+"""Members of a Raft group in virtual time, faults between them, and the invariants that must hold.
 
 One step is one event: a word arrives, a member's time has come, something is asked of one. Members are killed
 between any two effects, with or without their disk; links lose, double, delay and cut, also one way.
@@ -6,32 +6,32 @@
 
 import heapq
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
-from lapistrestle.agreement.raft import Member, Role
-from lapistrestle.agreement.words import (
-    Append,
-    Appended,
-    AskVote,
+from lapistrestle.agreement.messages import (
+    AppendEntries,
+    AppendReply,
     Commit,
-    Disk,
     Effect,
-    Entry,
+    LogEntry,
     Message,
+    Persist,
+    PersistentState,
     Read,
-    Save,
+    RequestVote,
     Send,
-    Vote,
+    VoteReply,
 )
+from lapistrestle.agreement.raft import RaftNode, RaftSettings, Role
 
 TENTHS = 10_000
 
 
 @dataclass(frozen=True)
-class Weather:
-    """How rough a day is: chances by event or by second."""
+class Faults:
+    """Chances by message or by second; spans in tenths of a millisecond."""
 
     loss: float = 0.05
     doubled: float = 0.05
@@ -46,10 +46,10 @@
 
 
 @dataclass
-class Book:
-    """What must hold for all members together, whoever of them was killed; `breaches` says what did not."""
+class Invariants:
+    """What must hold for all members together, whoever was killed; `breaches` says what did not."""
 
-    agreed: dict[int, Entry] = field(default_factory=dict)
+    agreed: dict[int, LogEntry] = field(default_factory=dict)
     leaders: dict[int, str] = field(default_factory=dict)  # by term
     breaches: list[str] = field(default_factory=list)
 
@@ -58,59 +58,60 @@
         """Up to this index something was answered as taken: members agree in order, so none is left out."""
         return len(self.agreed)
 
-    def leads(self, name: str, term: int) -> None:
+    def check_leader(self, name: str, term: int) -> None:
         if self.leaders.setdefault(term, name) != name:
             self.breaches.append(f"term {term} is led by {self.leaders[term]} and {name}")
 
-    def commits(self, name: str, index: int, entry: Entry) -> None:
+    def check_commit(self, name: str, index: int, entry: LogEntry) -> None:
         if self.agreed.setdefault(index, entry) != entry:
             self.breaches.append(f"{name} agrees on {entry} at {index}, another on {self.agreed[index]}")
 
-    def says(self, name: str, to: str, message: Message, disk: Disk) -> None:
+    def check_message(self, name: str, to: str, message: Message, disk: PersistentState) -> None:
         """What is said has to be on disk by then: a kill may follow at once."""
         match message:
-            case Vote(granted=True, pre=False):
-                stands = (disk.term, disk.voted) == (message.term, to)
-            case AskVote(pre=False):
-                stands = (disk.term, disk.voted) == (message.term, name)
-            case Appended(ok=True):
+            case VoteReply(granted=True, pre=False):
+                stands = (disk.term, disk.voted_for) == (message.term, to)
+            case RequestVote(pre=False):
+                stands = (disk.term, disk.voted_for) == (message.term, name)
+            case AppendReply(ok=True):
                 stands = len(disk.entries) >= message.index
-            case Append():
+            case AppendEntries():
                 stands = len(disk.entries) >= message.prev + len(message.entries)
             case _:
                 stands = True
         if not stands:
             self.breaches.append(f"{name} says {message} and its disk stands for something else")
 
-    def leaps(self, name: str, term: int, commits: Sequence[Commit]) -> None:
+    def check_own_term(self, name: str, term: int, commits: Sequence[Commit]) -> None:
         """A leader agrees on entries of earlier terms only beneath one of its own."""
         if commits and commits[-1].entry.term != term:
             self.breaches.append(f"{name}, leading term {term}, agrees on {commits[-1]} by its copies")
 
-    def reads(self, name: str, index: int, asked_at: int) -> None:
+    def check_read(self, name: str, index: int, asked_at: int) -> None:
         if index < asked_at:
             self.breaches.append(f"{name} reads at {index}, agreed was {asked_at} when it was asked")
 
 
-Make = Callable[..., Member]
+MakeNode = Callable[..., RaftNode]
 
 
-class Council:
-    """`make` makes a member; `weather` and `seed` decide the day."""
+class RaftCluster:
+    """`make` makes a member; `faults` and `seed` decide the day."""
 
     def __init__(
-        self, count: int, seed: int, weather: Weather, make: Make = Member,
-        facts: Mapping[str, int] | None = None,
+        self, count: int, seed: int, faults: Faults, make: MakeNode = RaftNode,
+        settings: RaftSettings | None = None,
     ) -> None:  # fmt: skip
         self.names = [f"m{i}" for i in range(count)]
-        self.random, self.weather, self.make, self.facts = random.Random(seed), weather, make, facts or {}
+        self.random, self.faults, self.make = random.Random(seed), faults, make
+        self.settings = settings or RaftSettings()
         self.now, self.order, self.starts = 0, 0, 0
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
-        self.disks = {name: Disk() for name in self.names}
-        self.members: dict[str, Member] = {}
+        self.disks = {name: PersistentState() for name in self.names}
+        self.members: dict[str, RaftNode] = {}
         self.stalled: dict[str, int] = {}
         self.cut = set[tuple[str, str]]()
-        self.book = Book()
+        self.invariants = Invariants()
         self.asked: dict[Any, int] = {}  # reads: up to where it was agreed when they were asked
         self.done_reads = self.commands = self.kills = 0
         self.dying: dict[str, int] = {}  # killed after so many more effects
@@ -124,7 +125,7 @@
         heapq.heappush(self.queue, (self.now + delay, self.order, call))
 
     def run(self, until: int) -> None:
-        while self.queue and self.queue[0][0] <= until and not self.book.breaches:
+        while self.queue and self.queue[0][0] <= until and not self.invariants.breaches:
             self.now, _, call = heapq.heappop(self.queue)
             call()
         self.now = max(self.now, until)
@@ -134,11 +135,11 @@
     def start(self, name: str) -> None:
         self.starts += 1
         disk = self.disks[name]
-        held = Disk(disk.term, disk.voted, list(disk.entries))
-        made = self.members[name] = self.make(name, self.names, held, self.facts, self.starts, self.now)
+        held = PersistentState(disk.term, disk.voted_for, list(disk.entries))
+        made = self.members[name] = self.make(name, self.names, held, self.settings, self.starts, self.now)
         self.wake(name, made)
 
-    def wake(self, name: str, made: Member) -> None:
+    def wake(self, name: str, made: RaftNode) -> None:
         def turn() -> None:
             if self.members.get(name) is made:
                 self.step(name, lambda: made.tick(self.now))
@@ -151,8 +152,8 @@
         made = self.members[name]
         effects = event()
         if made.role is Role.LEADER:
-            self.book.leads(name, made.term)
-            self.book.leaps(name, made.term, [e for e in effects if isinstance(e, Commit)])
+            self.invariants.check_leader(name, made.term)
+            self.invariants.check_own_term(name, made.term, [e for e in effects if isinstance(e, Commit)])
         for effect in effects:
             left = self.dying.get(name, 1)
             if not left:
@@ -164,20 +165,20 @@
     def do(self, name: str, effect: Effect) -> None:
         disk = self.disks[name]
         match effect:
-            case Save():
-                disk.term, disk.voted = effect.term, effect.voted
+            case Persist():
+                disk.term, disk.voted_for = effect.term, effect.voted_for
                 if effect.since:
                     disk.entries[effect.since - 1 :] = effect.entries
             case Send():
-                self.book.says(name, effect.to, effect.message, disk)
+                self.invariants.check_message(name, effect.to, effect.message, disk)
                 self.post(name, effect.to, effect.message)
             case Commit():
-                self.book.commits(name, effect.index, effect.entry)
+                self.invariants.check_commit(name, effect.index, effect.entry)
             case Read():
                 asked_at = self.asked.pop(effect.tag)
                 if effect.index is not None:
                     self.done_reads += 1
-                    self.book.reads(name, effect.index, asked_at)
+                    self.invariants.check_read(name, effect.index, asked_at)
 
     def kill(self, name: str, disk: bool = True) -> None:
         if self.members.pop(name, None) is None:
@@ -185,17 +186,17 @@
         self.kills += 1
         self.dying.pop(name, None)
         if not disk:
-            self.disks[name] = Disk()
-        self.at(self.random.randint(*self.weather.back), lambda: self.start(name))
+            self.disks[name] = PersistentState()
+        self.at(self.random.randint(*self.faults.back), lambda: self.start(name))
 
     # words
 
     def post(self, sender: str, to: str, message: Any) -> None:
-        sky, chance = self.weather, self.random.random
-        if (sender, to) in self.cut or chance() < sky.loss:
+        faults, chance = self.faults, self.random.random
+        if (sender, to) in self.cut or chance() < faults.loss:
             return
-        for _ in range(1 + (chance() < sky.doubled)):
-            low, high = sky.delay if chance() >= sky.late else (sky.delay[1], sky.slow)
+        for _ in range(1 + (chance() < faults.doubled)):
+            low, high = faults.delay if chance() >= faults.late else (faults.delay[1], faults.slow)
             self.at(self.random.randint(low, high), lambda: self.arrive(sender, to, message))
 
     def arrive(self, sender: str, to: str, message: Any) -> None:
@@ -209,8 +210,8 @@
 
     def day(self, seconds: float) -> None:
         for chance, event in (
-            (self.weather.kills, self.some_kill), (self.weather.cuts, self.some_cut),
-            (self.weather.stalls, self.some_stall), (self.weather.asks, self.some_ask),
+            (self.faults.kills, self.some_kill), (self.faults.cuts, self.some_cut),
+            (self.faults.stalls, self.some_stall), (self.faults.asks, self.some_ask),
         ):  # fmt: skip
             if chance:
                 self.again(chance, event)
@@ -252,14 +253,14 @@
         if self.random.random() < 0.5:
             self.step(name, lambda: made.propose(command, self.now)[1])
         else:
-            self.asked[command] = self.book.acknowledged
+            self.asked[command] = self.invariants.acknowledged
             self.step(name, lambda: made.read(command, self.now))
 
     # what follows a day
 
     def calm(self, seconds: float) -> None:
-        """All return, nothing breaks any more."""
-        self.weather = Weather(0, 0, 0, self.weather.delay, 0, 0, 0, 0, 0)
+        """All members return and faults end."""
+        self.faults = Faults(0, 0, 0, self.faults.delay, 0, 0, 0, 0, 0)
         self.cut.clear()
         self.stalled.clear()
         self.queue = [item for item in self.queue if getattr(item[2], "__name__", "") != "turn"]
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,32 +1,34 @@
 """The replicated log: one leader a term, what is agreed stays, and planted faults are found."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lapistrestle.agreement.raft import Member, Role
-from lapistrestle.agreement.words import (
-    Append,
-    Appended,
-    AskVote,
+from lapistrestle.agreement.messages import (
+    AppendEntries,
+    AppendReply,
     Commit,
-    Disk,
-    Entry,
+    LogEntry,
+    Persist,
+    PersistentState,
     Read,
-    Save,
+    RequestVote,
     Send,
-    Vote,
+    VoteReply,
 )
-from lapistrestle.standins.council import Council, Weather
+from lapistrestle.agreement.raft import RaftNode, RaftSettings, Role
+from lapistrestle.standins.raft_cluster import Faults, RaftCluster
 
 SECOND = 10_000
-ROUGH = Weather(loss=0.1, kills=0.8, cuts=0.6, stalls=0.4)
+ROUGH = Faults(loss=0.1, kills=0.8, cuts=0.6, stalls=0.4)
 THREE = ["a", "b", "c"]
 
 
 @pytest.fixture
 def one():
-    return Member("a", THREE, Disk(), {}, 1, 0)
+    return RaftNode("a", THREE, PersistentState(), RaftSettings(), 1, 0)
 
 
 def said(effects, kind):
@@ -35,8 +37,8 @@
 
 def leading(one, now=2 * SECOND):
     one.tick(now)
-    one.heard("b", Vote(1, True, True), now)
-    one.heard("b", Vote(1, True, False), now)
+    one.heard("b", VoteReply(1, True, True), now)
+    one.heard("b", VoteReply(1, True, False), now)
     assert one.role is Role.LEADER
     return one
 
@@ -46,62 +48,72 @@
 
 def test_no_term_is_raised_before_a_majority_would_vote(one):
     effects = one.tick(2 * SECOND)
-    assert one.term == 0 and [m for _, m in said(effects, AskVote)] == [AskVote(1, 0, 0, True)] * 2
-    effects = one.heard("c", Vote(1, True, True), 2 * SECOND)
-    assert effects[0] == Save(1, "a") and said(effects, AskVote)[0][1] == AskVote(1, 0, 0, False)
+    assert one.term == 0 and [m for _, m in said(effects, RequestVote)] == [RequestVote(1, 0, 0, True)] * 2
+    effects = one.heard("c", VoteReply(1, True, True), 2 * SECOND)
+    assert effects[0] == Persist(1, "a") and said(effects, RequestVote)[0][1] == RequestVote(1, 0, 0, False)
 
 
 def test_a_vote_is_on_disk_before_it_is_said_and_given_once(one):
-    effects = one.heard("b", AskVote(3, 0, 0, False), 0)
-    assert effects.index(Save(3, "b")) < effects.index(Send("b", Vote(3, True, False)))
-    assert said(one.heard("c", AskVote(3, 9, 3, False), 0), Vote) == [("c", Vote(3, False, False))]
+    effects = one.heard("b", RequestVote(3, 0, 0, False), 0)
+    assert effects.index(Persist(3, "b")) < effects.index(Send("b", VoteReply(3, True, False)))
+    assert said(one.heard("c", RequestVote(3, 9, 3, False), 0), VoteReply) == [
+        ("c", VoteReply(3, False, False))
+    ]
 
 
 def test_one_with_a_longer_log_gives_no_vote(one):
-    one.entries = [Entry(2, "x")]
-    assert said(one.heard("b", AskVote(3, 5, 1, False), 0), Vote) == [("b", Vote(3, False, False))]
-    assert said(one.heard("c", AskVote(4, 1, 2, False), 0), Vote) == [("c", Vote(4, True, False))]
+    one.entries = [LogEntry(2, "x")]
+    assert said(one.heard("b", RequestVote(3, 5, 1, False), 0), VoteReply) == [
+        ("b", VoteReply(3, False, False))
+    ]
+    assert said(one.heard("c", RequestVote(4, 1, 2, False), 0), VoteReply) == [
+        ("c", VoteReply(4, True, False))
+    ]
 
 
 def test_a_pre_vote_is_refused_while_a_leader_is_heard(one):
-    one.heard("b", Append(1, 0, 0, (), 0, 1), 0)
-    assert said(one.heard("c", AskVote(2, 0, 0, True), 100), Vote) == [("c", Vote(1, False, True))]
+    one.heard("b", AppendEntries(1, 0, 0, (), 0, 1), 0)
+    assert said(one.heard("c", RequestVote(2, 0, 0, True), 100), VoteReply) == [
+        ("c", VoteReply(1, False, True))
+    ]
     later = 2 * SECOND
-    assert said(one.heard("c", AskVote(2, 0, 0, True), later), Vote) == [("c", Vote(2, True, True))]
+    assert said(one.heard("c", RequestVote(2, 0, 0, True), later), VoteReply) == [
+        ("c", VoteReply(2, True, True))
+    ]
 
 
 def test_a_late_word_cuts_nothing_off_that_came_after_it(one):
-    one.heard("b", Append(1, 0, 0, (Entry(1, "x"), Entry(1, "y")), 0, 1), 0)
-    effects = one.heard("b", Append(1, 0, 0, (Entry(1, "x"),), 0, 1), 10)
-    assert one.last == 2 and not any(isinstance(e, Save) for e in effects)
+    one.heard("b", AppendEntries(1, 0, 0, (LogEntry(1, "x"), LogEntry(1, "y")), 0, 1), 0)
+    effects = one.heard("b", AppendEntries(1, 0, 0, (LogEntry(1, "x"),), 0, 1), 10)
+    assert one.last_index == 2 and not any(isinstance(e, Persist) for e in effects)
 
 
 def test_what_differs_is_replaced_on_disk_before_it_is_answered(one):
-    one.heard("b", Append(1, 0, 0, (Entry(1, "x"), Entry(1, "y")), 1, 1), 0)
-    effects = one.heard("c", Append(2, 1, 1, (Entry(2, "z"),), 1, 1), 10)
-    save = Save(2, "", 2, (Entry(2, "z"),))
-    assert effects.index(save) < effects.index(Send("c", Appended(2, True, 2, 1)))
-    assert one.entries == [Entry(1, "x"), Entry(2, "z")]
+    one.heard("b", AppendEntries(1, 0, 0, (LogEntry(1, "x"), LogEntry(1, "y")), 1, 1), 0)
+    effects = one.heard("c", AppendEntries(2, 1, 1, (LogEntry(2, "z"),), 1, 1), 10)
+    save = Persist(2, "", 2, (LogEntry(2, "z"),))
+    assert effects.index(save) < effects.index(Send("c", AppendReply(2, True, 2, 1)))
+    assert one.entries == [LogEntry(1, "x"), LogEntry(2, "z")]
 
 
 def test_entries_of_an_earlier_term_are_agreed_by_what_follows_them_only(one):
-    one.entries = [Entry(1, "x")]
+    one.entries = [LogEntry(1, "x")]
     one.term = 1
     one.tick(2 * SECOND)
-    one.heard("b", Vote(2, True, True), 2 * SECOND)
-    one.heard("b", Vote(2, True, False), 2 * SECOND)
-    assert not any(isinstance(e, Commit) for e in one.heard("b", Appended(2, True, 1, 1), 2 * SECOND))
-    told = [e for e in one.heard("b", Appended(2, True, 2, 1), 2 * SECOND) if isinstance(e, Commit)]
-    assert told == [Commit(1, Entry(1, "x")), Commit(2, Entry(2, None))]
+    one.heard("b", VoteReply(2, True, True), 2 * SECOND)
+    one.heard("b", VoteReply(2, True, False), 2 * SECOND)
+    assert not any(isinstance(e, Commit) for e in one.heard("b", AppendReply(2, True, 1, 1), 2 * SECOND))
+    told = [e for e in one.heard("b", AppendReply(2, True, 2, 1), 2 * SECOND) if isinstance(e, Commit)]
+    assert told == [Commit(1, LogEntry(1, "x")), Commit(2, LogEntry(2, None))]
 
 
 def test_a_read_waits_for_a_majority_that_answers_after_it_was_asked(one):
     now = 2 * SECOND
-    leading(one).heard("b", Appended(1, True, 1, 1), now)
+    leading(one).heard("b", AppendReply(1, True, 1, 1), now)
     before = one.round
     assert not any(isinstance(e, Read) for e in one.read("r", now))
-    assert not any(isinstance(e, Read) for e in one.heard("c", Appended(1, True, 1, before), now))
-    assert Read("r", 1) in one.heard("c", Appended(1, True, 1, before + 1), now)
+    assert not any(isinstance(e, Read) for e in one.heard("c", AppendReply(1, True, 1, before), now))
+    assert Read("r", 1) in one.heard("c", AppendReply(1, True, 1, before + 1), now)
 
 
 def test_a_leader_that_hears_no_majority_leads_no_more_and_says_so_to_reads(one):
@@ -117,138 +129,144 @@
 
 
 def test_one_far_behind_is_led_back_in_few_words_and_caught_up_in_batches(one):
-    one.facts = {**one.facts, "batch": 10}
-    one.entries, one.term = [Entry(1, i) for i in range(95)], 1
+    one.settings = replace(one.settings, batch=10)
+    one.entries, one.term = [LogEntry(1, i) for i in range(95)], 1
     one.tick(2 * SECOND)
-    one.heard("b", Vote(2, True, True), 2 * SECOND)
-    one.heard("b", Vote(2, True, False), 2 * SECOND)
-    other, words = Member("b", THREE, Disk(1), {}, 2, 0), 0
-    queue = said(one.tick(2 * SECOND + 1_000), Append)
+    one.heard("b", VoteReply(2, True, True), 2 * SECOND)
+    one.heard("b", VoteReply(2, True, False), 2 * SECOND)
+    other, words = RaftNode("b", THREE, PersistentState(1), RaftSettings(), 2, 0), 0
+    queue = said(one.tick(2 * SECOND + 1_000), AppendEntries)
     while queue and words < 40:
         to, word = queue.pop(0)
         if to == "b":
             words += 1
-            for _, answer in said(other.heard("a", word, 3 * SECOND), Appended):
-                queue += said(one.heard("b", answer, 3 * SECOND), Append)
+            for _, answer in said(other.heard("a", word, 3 * SECOND), AppendReply):
+                queue += said(one.heard("b", answer, 3 * SECOND), AppendEntries)
     assert other.entries == one.entries and words <= 14
 
 
 def test_words_of_one_that_is_no_member_are_passed_over(one):
-    assert one.heard("x", AskVote(9, 9, 9, False), 0) == [] and one.term == 0
+    assert one.heard("x", RequestVote(9, 9, 9, False), 0) == [] and one.term == 0
 
 
-# councils
+# clusters
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 5])
-def test_a_calm_council_has_one_leader_and_agrees_on_all(count):
-    made = Council(count, 1, Weather(0, 0, 0, kills=0, cuts=0, stalls=0))
+def test_a_calm_cluster_has_one_leader_and_agrees_on_all(count):
+    made = RaftCluster(count, 1, Faults(0, 0, 0, kills=0, cuts=0, stalls=0))
     made.day(6)
-    assert len(made.leading()) == 1 and not made.book.breaches
-    assert len(made.book.agreed) > 5 and made.done_reads > 5
+    assert len(made.leading()) == 1 and not made.invariants.breaches
+    assert len(made.invariants.agreed) > 5 and made.done_reads > 5
     assert made.kills == 0 and len({made.members[n].term for n in made.names}) == 1
 
 
 @pytest.mark.parametrize("seed", range(60))
 def test_rough_days_break_nothing_and_all_agree_when_they_are_over(seed):
-    made = Council(3 + 2 * (seed % 2), seed, ROUGH)
+    made = RaftCluster(3 + 2 * (seed % 2), seed, ROUGH)
     made.day(20)
-    assert made.book.breaches == [] and made.kills > 5
+    assert made.invariants.breaches == [] and made.kills > 5
     made.calm(8)
-    assert made.book.breaches == [] and len(made.leading()) == 1
-    logs = [made.members[name].entries[: made.book.acknowledged] for name in made.names]
-    assert all(log == logs[0] for log in logs) and len(logs[0]) == made.book.acknowledged
+    assert made.invariants.breaches == [] and len(made.leading()) == 1
+    logs = [made.members[name].entries[: made.invariants.acknowledged] for name in made.names]
+    assert all(log == logs[0] for log in logs) and len(logs[0]) == made.invariants.acknowledged
 
 
 @given(st.integers(0, 10**6), st.integers(2, 5), st.integers(0, 4), st.integers(0, 3))
 @settings(max_examples=40, deadline=None)
-def test_whatever_the_weather_nothing_agreed_differs_or_vanishes(seed, count, loss, kills):
-    sky = Weather(loss=loss / 10, doubled=0.2, late=0.2, kills=kills, cuts=1.0, stalls=1.0)
-    made = Council(count, seed, sky)
+def test_whatever_the_faults_nothing_agreed_differs_or_vanishes(seed, count, loss, kills):
+    faults = Faults(loss=loss / 10, doubled=0.2, late=0.2, kills=kills, cuts=1.0, stalls=1.0)
+    made = RaftCluster(count, seed, faults)
     made.day(6)
-    assert made.book.breaches == []
+    assert made.invariants.breaches == []
 
 
 def test_the_same_day_twice_is_the_same():
-    first, second = Council(5, 7, ROUGH), Council(5, 7, ROUGH)
+    first, second = RaftCluster(5, 7, ROUGH), RaftCluster(5, 7, ROUGH)
     for made in (first, second):
         made.day(15)
-    assert first.book == second.book and first.disks == second.disks
+    assert first.invariants == second.invariants and first.disks == second.disks
 
 
 # planted faults
 
 
-class VotesInMemory(Member):
+class VotesInMemory(RaftNode):
     """Its vote is not on disk when it says it."""
 
-    def save(self, since=0, entries=()):
-        self.out.append(Save(self.term, "", since, tuple(entries)))
+    def persist(self, since=0, entries=()):
+        self.out.append(Persist(self.term, "", since, tuple(entries)))
 
 
-class CountsCopies(Member):
+class CountsCopies(RaftNode):
     """Takes an entry of an earlier term for agreed once a majority has it."""
 
-    def settle(self):
-        matches = sorted([*self.match.values(), self.last], reverse=True)
-        self.agree(matches[len(matches) // 2])
-        super().settle()
+    def advance(self):
+        matches = sorted([*self.match_index.values(), self.last_index], reverse=True)
+        self.commit_to(matches[len(matches) // 2])
+        super().advance()
 
 
-class ReadsAtOnce(Member):
+class ReadsAtOnce(RaftNode):
     """Answers reads as long as it thinks that it leads."""
 
     def read(self, tag, now):
-        return [Read(tag, self.commit if self.role is Role.LEADER else None)]
+        return [Read(tag, self.commit_index if self.role is Role.LEADER else None)]
 
 
-class AnswersFirst(Member):
+class AnswersFirst(RaftNode):
     """Says that it has entries before they are on disk."""
 
-    def done(self):
-        out = super().done()
-        return [*(e for e in out if not isinstance(e, Save)), *(e for e in out if isinstance(e, Save))]
+    def take_effects(self):
+        out = super().take_effects()
+        return [*(e for e in out if not isinstance(e, Persist)), *(e for e in out if isinstance(e, Persist))]
 
 
-class CutsOff(Member):
+class CutsOff(RaftNode):
     """A late word cuts off what came after it."""
 
-    def on_append(self, sender, word, now):
-        if word.term >= self.term and word.prev <= self.last and self.term_at(word.prev) == word.prev_term:
+    def on_append_entries(self, sender, word, now):
+        if (
+            word.term >= self.term
+            and word.prev <= self.last_index
+            and self.term_at(word.prev) == word.prev_term
+        ):
             del self.entries[word.prev :]
-            self.save(word.prev + 1)
-        super().on_append(sender, word, now)
+            self.persist(word.prev + 1)
+        super().on_append_entries(sender, word, now)
 
 
-HEARD_BY = {CutsOff: CutsOff.on_append}
+HANDLED_BY = {CutsOff: CutsOff.on_append_entries}
 
 
 @pytest.mark.parametrize("fault", [VotesInMemory, CountsCopies, ReadsAtOnce, AnswersFirst, CutsOff])
 def test_a_planted_fault_is_found(fault, monkeypatch):
     from lapistrestle.agreement import raft
 
-    if fault in HEARD_BY:
-        monkeypatch.setitem(raft.HEARD, Append, HEARD_BY[fault])
+    if fault in HANDLED_BY:
+        monkeypatch.setitem(raft.HANDLERS, AppendEntries, HANDLED_BY[fault])
     assert any(broken(seed, fault) for seed in range(400))
 
 
 def broken(seed, make):
-    """A council that chooses leaders all the time, and loses them as often."""
-    sky = Weather(loss=0.1, kills=6, cuts=4, stalls=2, late=0.1, slow=600, asks=100, back=(1, 300))
-    made = Council(3 + 2 * (seed % 2), seed, sky, make, {"patience": 300, "beat": 80, "batch": 1})
+    """A cluster that chooses leaders all the time, and loses them as often."""
+    faults = Faults(loss=0.1, kills=6, cuts=4, stalls=2, late=0.1, slow=600, asks=100, back=(1, 300))
+    made = RaftCluster(
+        3 + 2 * (seed % 2), seed, faults, make, RaftSettings(election_timeout=300, heartbeat=80, batch=1)
+    )
     made.day(6)
-    return made.book.breaches
+    return made.invariants.breaches
 
 
 def test_the_same_days_break_nothing_without_a_fault():
-    assert not any(broken(seed, Member) for seed in range(40))
+    assert not any(broken(seed, RaftNode) for seed in range(40))
 
 
 def test_a_member_that_returns_with_an_empty_disk_under_its_old_name_is_found():
     def lost(seed):
-        made = Council(3, seed, Weather(kills=0, cuts=1.0, stalls=1.0))
+        made = RaftCluster(3, seed, Faults(kills=0, cuts=1.0, stalls=1.0))
         made.again(1.5, lambda: made.kill(made.random.choice(made.names), disk=False))
         made.day(12)
-        return made.book.breaches
+        return made.invariants.breaches
 
     assert any(lost(seed) for seed in range(200))
