--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -20,7 +20,7 @@
 from lapistrestle.standins.runner import RunnerStandIn, Tokens
 from lapistrestle.standins.script import Day
 from lapistrestle.standins.tape import Tape
-from lapistrestle.standins.troubles import schedule
+from lapistrestle.standins.troubles.kinds import schedule
 from lapistrestle.standins.world import SECOND, World, header
 
 # what needs a wire, or a process that stands still: only on sockets
--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -13,7 +13,7 @@
 from lapistrestle.planner.program import Planner
 from lapistrestle.standins.children import Child, free_tcp_ports
 from lapistrestle.standins.script import Day, plain
-from lapistrestle.standins.troubles import schedule
+from lapistrestle.standins.troubles.kinds import schedule
 from lapistrestle.standins.virtual import Process, VirtualReactor
 from lapistrestle.standins.world import SECOND, World
 from lapistrestle.store.journal import Journal
--- /dev/null
+++ b/lapistrestle/standins/troubles/machines.py
@@ -0,0 +1,81 @@
+"""Troubles of the machines beneath runners: slow, failing, shared, or standing still."""
+
+from collections.abc import Callable
+from typing import Any
+
+from lapistrestle.standins.script import Trouble
+from lapistrestle.standins.troubles.effects import Begin, End, all_of, increase, multiply, nothing, repeatedly
+from lapistrestle.standins.world import SECOND, World
+
+NEIGHBOUR_EVERY = 1.5  # seconds
+NEIGHBOUR_HELD = 0.9  # seconds
+
+
+def engines(change: Callable[[Any, Trouble], End]) -> Begin:
+    """A trouble of the runners' machines; one that restarts is rid of it."""
+
+    def began(world: World, trouble: Trouble) -> End:
+        chosen = world.some(trouble.share, trouble.zone)
+        return all_of([change(slot.runner.engine, trouble) for slot in chosen])
+
+    return began
+
+
+def slow(engine: Any, trouble: Trouble) -> End:
+    """Everything takes longer."""
+    return multiply(engine, "slower", trouble.factor)
+
+
+def fast_errors(engine: Any, trouble: Trouble) -> End:
+    """Every call fails at once."""
+    engine.failing = True
+
+    def end() -> None:
+        engine.failing = False
+
+    return end
+
+
+def report_late(engine: Any, trouble: Trouble) -> End:
+    """Reports of load tell of a moment ago."""
+    return increase(engine, "report_late", trouble.by / SECOND)
+
+
+def neighbour(world: World, trouble: Trouble) -> End:
+    """Another program takes cores, on and off."""
+    chosen = [slot.runner.engine for slot in world.some(trouble.share, trouble.zone)]
+    held = [max(1, engine.facts.cores // 2) for engine in chosen]
+
+    def take() -> None:
+        for engine, cores in zip(chosen, held, strict=True):
+            engine.taken += cores
+        world.reactor.callLater(NEIGHBOUR_HELD, give)
+
+    def give() -> None:
+        for engine, cores in zip(chosen, held, strict=True):
+            engine.taken -= cores
+            engine.move()
+
+    repeatedly(world, NEIGHBOUR_EVERY, trouble.lasts / SECOND, take)
+    return nothing
+
+
+def stops(every: float, lasts: float) -> Begin:
+    """Machines stand still: `every` so many seconds, each time for as many as it `lasts`."""
+
+    def began(world: World, trouble: Trouble) -> End:
+        chosen = [slot.runner.engine for slot in world.some(trouble.share, trouble.zone)]
+
+        def stop() -> None:
+            for engine in chosen:
+                engine.pause(True)
+            world.reactor.callLater(lasts, go)
+
+        def go() -> None:
+            for engine in chosen:
+                engine.pause(False)
+
+        repeatedly(world, every, trouble.lasts / SECOND, stop)
+        return nothing
+
+    return began
--- /dev/null
+++ b/lapistrestle/standins/troubles/planner.py
@@ -0,0 +1,22 @@
+"""Troubles of the planner."""
+
+from lapistrestle.standins.script import Trouble
+from lapistrestle.standins.troubles.effects import End, nothing
+from lapistrestle.standins.world import World
+
+
+def planner_stall(world: World, trouble: Trouble) -> End:
+    """It stands still, and wakes with what it knew."""
+    planner = world.planner
+    if planner is None:
+        return nothing
+    planner.stall()
+    return planner.resume
+
+
+def planner_kill(world: World, trouble: Trouble) -> End:
+    """It comes back at the same port, on the same journal."""
+    if world.planner is None:
+        return nothing
+    world.planner.kill()
+    return world.begin_planner
--- /dev/null
+++ b/lapistrestle/standins/troubles/sockets.py
@@ -0,0 +1,71 @@
+"""Troubles of sockets: refused, broken, silent, late, split and garbled, or not read."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from lapistrestle.standins.script import Trouble
+from lapistrestle.standins.taped import Weather
+from lapistrestle.standins.troubles.effects import Begin, End, all_of
+from lapistrestle.standins.world import World
+
+
+def weathers(world: World, trouble: Trouble) -> list[Weather]:
+    """The sockets that it is about: the roster's, some clients' or some runners'."""
+    if trouble.on == "roster":
+        return [world.roster.weather]
+    if trouble.on == "clients":
+        lines = world.crowd.lines
+        chosen = world.random.sample(lines, max(1, round(trouble.share * len(lines))))
+        return [line.weather for line in chosen]
+    return [slot.runner.weather for slot in world.some(trouble.share, trouble.zone)]
+
+
+def weather(change: Callable[[Weather, Trouble], None], undo: Callable[[Weather], None]) -> Begin:
+    """A trouble that changes what sockets do."""
+
+    def began(world: World, trouble: Trouble) -> End:
+        chosen = weathers(world, trouble)
+        for each in chosen:
+            change(each, trouble)
+        return all_of(partial(undo, each) for each in chosen)
+
+    return began
+
+
+def set_to(name: str, value: Callable[[Trouble], Any], calm: Any) -> Begin:
+    """Set one field of the sockets' weather to `value`, and to `calm` when it is over."""
+    return weather(lambda w, t: setattr(w, name, value(t)), lambda w: setattr(w, name, calm))
+
+
+def refused(world: World, trouble: Trouble) -> End:
+    """Connections break and no new ones are accepted."""
+    chosen = [slot.runner for slot in world.some(trouble.share, trouble.zone)]
+    for runner in chosen:
+        runner.refuse(True)
+        for speaker in list(runner.speakers):
+            speaker.break_off()
+
+    def end() -> None:
+        for runner in chosen:
+            if not runner.engine.dead:
+                runner.refuse(False)
+
+    return end
+
+
+def unread(world: World, trouble: Trouble) -> End:
+    """Clients stop reading their answers."""
+    lines = world.random.sample(world.crowd.lines, max(1, round(trouble.share * len(world.crowd.lines))))
+    stopped = [line.up for line in lines if line.up is not None]
+    for speaker in stopped:
+        world.tape.put(speaker.connection, "unread")
+        speaker.transport.pauseProducing()
+
+    def end() -> None:
+        for speaker in stopped:
+            world.tape.put(speaker.connection, "reads")
+            if not speaker.closed:
+                speaker.transport.resumeProducing()
+
+    return end
--- /dev/null
+++ b/lapistrestle/standins/troubles/sources.py
@@ -0,0 +1,35 @@
+"""Troubles of the store of packages and of the roster."""
+
+from lapistrestle.standins.script import Trouble
+from lapistrestle.standins.troubles.effects import End, increase, multiply, nothing
+from lapistrestle.standins.world import SECOND, World
+
+JUMP = 2  # changes
+
+
+def store_slow(world: World, trouble: Trouble) -> End:
+    """Packages take longer to load."""
+    return multiply(world.store, "factor", trouble.factor)
+
+
+def discovery_stale(world: World, trouble: Trouble) -> End:
+    """The roster tells of changes late."""
+    return increase(world.roster, "stale", trouble.by / SECOND)
+
+
+def roster_back(world: World, trouble: Trouble) -> End:
+    """The roster's number goes back."""
+    world.roster.jump_back(JUMP)
+    return nothing
+
+
+def roster_gap(world: World, trouble: Trouble) -> End:
+    """A change is never told."""
+    world.roster.skip()
+    return nothing
+
+
+def roster_restart(world: World, trouble: Trouble) -> End:
+    """The roster starts anew, with another epoch."""
+    world.roster.begin_anew()
+    return nothing
--- /dev/null
+++ b/lapistrestle/standins/troubles/traffic.py
@@ -0,0 +1,28 @@
+"""Troubles of traffic: more of it, and of another kind."""
+
+from lapistrestle.standins.script import Trouble
+from lapistrestle.standins.troubles.effects import End, increase, multiply
+from lapistrestle.standins.world import World
+
+
+def burst(world: World, trouble: Trouble) -> End:
+    """More of the same."""
+    return multiply(world, "rate", trouble.factor)
+
+
+def hot_key(world: World, trouble: Trouble) -> End:
+    """A share of the calls goes to one new function of each method."""
+    for method in world.day.traffic.methods:
+        world.one_offs += 1
+        world.hot_functions.append(world.function(f"hot-{world.one_offs}", method))
+    return increase(world, "hot", trouble.share)
+
+
+def scan(world: World, trouble: Trouble) -> End:
+    """A share of the calls goes to functions that are called once."""
+    return increase(world, "scan", trouble.share)
+
+
+def retry_abuse(world: World, trouble: Trouble) -> End:
+    """A share of the clients repeats at once, whatever it was told."""
+    return increase(world.crowd.habits, "abuse", trouble.share)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -6,7 +6,7 @@
 from days import Played, day
 
 from lapistrestle.standins.script import Kind
-from lapistrestle.standins.troubles import TROUBLES
+from lapistrestle.standins.troubles.kinds import TROUBLES
 
 KINDS = typing.get_args(Kind)
 PAIRS = [
