Node: runners divided into pool, connection and replies

Cause: node/runners.py held reply formats, a connection and the pools in 426 lines under words of its own (Speech, Said, ran, spoilt). Lines on the wire and behaviour stay.

--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -1,4 +1,4 @@
-"""One dispatcher of the platform: the edge's core with a FastCGI front, the runners' speech and the board."""
+"""One dispatcher of the platform: the edge's core with a FastCGI front, runners' pools and the board."""
 
 from collections.abc import Callable
 from typing import Any
@@ -6,9 +6,10 @@
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.core import Core, Log
 from lapistrestle.node.board import Board
+from lapistrestle.node.connection import PROMPT
 from lapistrestle.node.front import Front
 from lapistrestle.node.place import Place, Wrong
-from lapistrestle.node.runners import PROMPT, Speech
+from lapistrestle.node.runners import RunnerPools
 
 GUARD = 40  # tenths of a millisecond past its deadline at which an RPC is answered whatever the module does
 LINGER = 7_500  # after SIGTERM new connections and requests still come for some tenths of a second
@@ -25,16 +26,16 @@
     def __init__(self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher) -> None:
         seed = int(place.file.seed, 16)
         self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make, PROMPT)
-        self.speech, self.board = Speech(self.core, place), Board(self.core, place)
+        self.pools, self.board = RunnerPools(self.core, place), Board(self.core, place)
         self.front = Front(self.core, place)
         self.front.ready = self.board.ready
-        self.core.front, self.core.speech, self.core.sources = self.front, self.speech, [self.board]
+        self.core.front, self.core.speech, self.core.sources = self.front, self.pools, [self.board]
         self.leaving, self.readings = False, 0
 
     def start(self) -> int:
         """Raises OSError where the address can't be listened at."""
         port = self.core.start()
-        self.speech.start()
+        self.pools.start()
         return port
 
     def renewed(self, place: Place) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,9 +10,10 @@
 from lapistrestle.edge.linking import Linking
 from lapistrestle.interface import CallOut, Listing
 from lapistrestle.node import records
+from lapistrestle.node.connection import RunnerConnection
 from lapistrestle.node.place import Wrong, parse
 from lapistrestle.node.program import Node
-from lapistrestle.node.runners import Runner, RunnerConnection
+from lapistrestle.node.runners import Runner
 from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, begin, frame, row
 from lapistrestle.state import Srv
 
@@ -650,7 +651,7 @@
     def held():
         core, module = stage.node.core, stage.module
         kinds = sum(isinstance(o, Srv | RunnerConnection | Runner | Linking) for o in gc.get_objects())
-        connections = stage.node.speech.connections
+        connections = stage.node.pools.connections
         return len(core.runners), len(module.srvs), len(stage.host.registry.srvs), connections, kinds
 
     client, port, before = stage.client(), stage.runners[0].port, None
