What a change of known instances costs the module follows the change, not all it knows

A front end with a directory is told of instances several times a second; each time the module sorted and summed all that it knew, weighed their warmth ten times a second, and looked at all of them for its oldest call-out. The list's bookkeeping is `Workers` in state.py: of a part of the fleet no ring is made, and sums are kept up; the region's warm size stands for the own; call-outs under way are kept in order.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -9,13 +9,12 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from hashlib import blake2b
-from itertools import islice
 from math import ceil, exp, inf, log, sqrt
 from zlib import crc32
 
 from lapistrestle import interface as face
 from lapistrestle.interface import Answer, CallOut, Facts, Host, Listing, Outcome, Warmth
-from lapistrestle.state import MEANING, Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Zone
+from lapistrestle.state import MEANING, Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Workers, Zone
 
 SECOND = 10_000  # in tenths of a millisecond
 PERIOD = 5 * SECOND  # of the holds, as the design page says
@@ -35,20 +34,21 @@
 FURTHER = 1.0  # further call-outs for each recent ok one, when all further ones succeed
 
 
-class Dispatcher:
+class Dispatcher(Workers):
     def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
+        super().__init__(partial="region" in facts)
         self.host, self.facts, self.seed, self.now, self.start = host, facts, seed, now, now
-        self.srvs, self.ring, self.serving = list[Srv](), list[Srv](), list[Srv]()
-        self.draws, self.version, self.suspects, self.weighed, self.pressed = 0, 0, 0, -1, False
+        self.draws, self.weighed, self.pressed = 0, -1, False
         self.fns: dict[Fn, None] = {}
         self.light = [Mean(LONG) for _ in facts["methods"]]  # latency of ok ones at light own load
         self.hints = [Mean(LONG) for _ in facts["methods"]]  # hinted work
         self.ok_weight, self.demand, self.good, self.bad = (Sum(x, now) for x in (LONG, LONG, MEMORY, MEMORY))
         self.ok_count, self.ok_took, self.further = Sum(MEMORY), Mean(MEMORY), Mean(MEMORY)
-        self.size = self.warm_size = self.count = 0.0  # of all that serve, by their warmth, and how many
-        self.region = facts.get("region", self)  # whose these three are: told where only a part is listed
+        self.warm_size = 0.0  # of all that serve, by their warmth
+        self.region = facts.get("region", self)  # whose size, warm size and count stand for the fleet's
         self.stretch = 1.0  # of what is remembered of a worker, for a front end that meets it seldom
         self.out = 0  # own call-outs under way but for those behind a load
+        self.under_way: dict[CallOut, None] = {}  # those, the oldest first
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
         self.orders, self.taken = list[int](), deque[int]()  # answered orders: when each may have crossed
@@ -63,31 +63,19 @@
         return crc32(f"{self.seed}:{self.draws}".encode()) % max(1, below)
 
     def listed(self, srvs: Sequence[tuple[Srv, face.SrvFacts]], whole: bool) -> None:
-        known = dict.fromkeys(self.srvs)
-        for srv in known if whole else ():
-            srv.listing = Listing.GONE
-        for srv, facts in srvs:
-            restarted = facts.booted is not None and facts.booted != srv.booted
-            if restarted or srv not in known:
-                srv.begin_anew(MEMORY, SECOND, facts.booted)
-            known[srv] = None
-            srv.take(facts)
-        ring = sorted((s for s in known if s.listing is not Listing.GONE), key=lambda s: (s.place, s.name))
-        if ring != self.ring:  # else the orders made from it still hold
-            self.ring, self.version = ring, self.version + 1
-        self.srvs, self.serving = list(known), [srv for srv in ring if srv.listing is Listing.SERVING]
-        self.size, self.count = sum(srv.size for srv in self.serving), len(self.srvs)
-        self.suspects, self.weighed = sum(srv.suspect for srv in self.serving), -1
+        self.note(srvs, whole, MEMORY, SECOND)
+        self.weighed = -1
         self.load_limit = self.load_limit or max(1.0, self.region.count / self.facts["dispatchers"])
         self.forget()
 
     def forget(self) -> None:
         """Workers that left, once nothing is out there: a long life would grow; one back is learnt anew."""
-        gone = {srv for srv in self.srvs if srv.listing is Listing.GONE and not srv.out}
+        gone = {srv for srv in self.leaving if not srv.out}
         if not gone:
             return
         gone -= {x.srv for fn in self.fns for x in fn.spots.values() if x.ordered or x.waiters}
-        self.srvs = [srv for srv in self.srvs if srv not in gone]
+        for srv in gone:
+            del self.known[srv], self.leaving[srv]
         for fn in self.fns:
             fn.drop(gone)
 
@@ -146,7 +134,7 @@
         if rpc.fn not in self.fns:
             self.fns[rpc.fn] = None
             self.host.wake_me(PERIOD, rpc.fn)
-        met = MEMORY * max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serving))  # each, in MEMORY
+        met = MEMORY * max(self.rate(self.ok_count), 1 / LONG) / max(1, len(self.serves))  # each, in MEMORY
         self.stretch = min(LONG / MEMORY, max(1.0, 1 / met))
         rpc.fn.asked.life = self.demand.life = int(LONG * self.stretch)
         for asked in (rpc.fn.asked, self.demand):
@@ -176,7 +164,8 @@
 
     def oldest(self) -> float:
         """For how long the oldest warm call-out has waited: guards a burst after a lull, which is no jam."""
-        return self.now - min((c.sent for s in self.serving for c in islice(s.warm, 1)), default=self.now)
+        oldest = (c.sent for c in self.under_way if c.srv.listing is Listing.SERVING)
+        return self.now - next(oldest, self.now)
 
     def hopeless(self, rpc: Rpc) -> bool:
         """Alone it would come back too late: impatient clients, heavy RPCs; harms where hints mislead."""
@@ -253,7 +242,7 @@
         fn, miss = rpc.fn, Outcome.MISS
         told = [c for c in rpc.call_outs if c.outcome is not miss or not (missed or fn.spot(c.srv).copies)]
         tried = {c.srv for c in told}
-        trust = 2 * self.suspects <= len(self.serving)  # else don't crowd the rest
+        trust = 2 * self.suspects <= len(self.serves)  # else don't crowd the rest
 
         def usable(srv: Srv) -> bool:
             open_ = srv.listing is Listing.SERVING and srv.held_back.get(rpc.customer, 0) <= self.now
@@ -279,6 +268,8 @@
         call_out = CallOut(rpc, srv, self.now, cold, spot.out + 1, int(self.iso(spot.fn) * rpc.scale) + 1)
         rpc.call_outs.append(call_out)
         spot.begin(call_out)
+        if not cold:
+            self.under_way[call_out] = None
         self.out, self.loading = self.out + (not cold), self.loading + cold
         if self.warmth_of(srv) < 1:
             srv.sends.append((self.now, self.heft(rpc)))
@@ -352,6 +343,7 @@
         rpc, srv = call_out.rpc, call_out.srv
         spot, call_out.outcome = rpc.fn.spot(srv), outcome
         spot.end(call_out)
+        self.under_way.pop(call_out, None)
         self.out, self.loading = self.out - (not call_out.cold), self.loading - call_out.cold
         if outcome is not Outcome.TIMED_OUT:
             srv.unheard = self.now if srv.warm else None
@@ -518,9 +510,9 @@
 
     def warm(self) -> float:
         """The size of all that serve by their warmth; a tenth of a second old at most."""
-        if self.weighed < 0 or self.now - self.weighed > SECOND // 10:
-            self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serving)
-        return float(max(self.warm_size, self.region.warm_size))
+        if self.region is self and (self.weighed < 0 or self.now - self.weighed > SECOND // 10):
+            self.weighed, self.warm_size = self.now, sum(s.size * self.warmth_of(s) for s in self.serves)
+        return float(self.region.warm_size)
 
     def heft(self, rpc: Rpc) -> float:
         """What it puts on a cold worker: guards against functions much heavier than their method's usual;
@@ -592,7 +584,7 @@
         if not ok or took > self.facts["methods"][fn.method]["deadline"] / 2:
             self.load_limit = max(1.0, 0.9 * self.load_limit)
         elif took > self.iso(fn):
-            self.load_limit = min(len(self.srvs), self.load_limit + 1 / self.load_limit)
+            self.load_limit = min(len(self.known), self.load_limit + 1 / self.load_limit)
 
     def renew_iso(self, fn: Fn) -> None:
         """The median window average at light own load, slowly renewed."""
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -1,6 +1,7 @@
 """What the decision module remembers, without any decision or tuned value."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from itertools import islice
@@ -8,7 +9,7 @@
 from zlib import crc32
 
 from lapistrestle import interface as face
-from lapistrestle.interface import CallOut, Outcome
+from lapistrestle.interface import CallOut, Listing, Outcome
 
 State = Enum("State", "NEW PLACING OUT PARKED OVER")  # of an RPC
 Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
@@ -171,8 +172,9 @@
 
     def drop(self, gone: set[Srv]) -> None:
         """Forget what was known of it on these workers."""
-        self.spots = {srv: spot for srv, spot in self.spots.items() if srv not in gone}
-        self.marks = {srv: mark for srv, mark in self.marks.items() if srv not in gone}
+        for srv in gone:
+            self.spots.pop(srv, None)
+            self.marks.pop(srv, None)
 
     def spot(self, srv: Srv) -> Spot:
         if srv not in self.spots:
@@ -187,3 +189,74 @@
     scale: float = 1.0  # of its work to the method's usual, where hints tell
     ran_at: int = 0  # sending of the first call-out that may have run
     ran_on: Srv | None = None
+
+
+class Workers:
+    """The workers that a list names, and sums over those that serve.
+
+    Of a front end that is told a part of them (`partial`) no order is made here, and a change costs what it
+    names, however many are known.
+    """
+
+    def __init__(self, partial: bool) -> None:
+        self.partial = partial
+        self.known: dict[Srv, None] = {}
+        self.serves: dict[Srv, None] = {}
+        self.leaving: dict[Srv, None] = {}  # gone from the list, and not forgotten yet
+        self.ring: list[Srv] = []  # by place, unless partial
+        self.version = 0  # of the ring
+        self.size = 0.0  # of those that serve
+        self.suspects = 0  # among them
+
+    @property
+    def srvs(self) -> list[Srv]:
+        return list(self.known)
+
+    @property
+    def serving(self) -> list[Srv]:
+        return list(self.serves)
+
+    @property
+    def count(self) -> int:
+        """How many are known."""
+        return len(self.known)
+
+    def note(self, srvs: Sequence[tuple[Srv, face.SrvFacts]], whole: bool, life: int, pause: int) -> None:
+        """What the list says now; `life` of the sums and `pause` of those that begin anew."""
+        for srv in self.known if whole else ():
+            self.leave(srv)
+            srv.listing = Listing.GONE
+            self.leaving[srv] = None
+        for srv, facts in srvs:
+            self.leave(srv)
+            restarted = facts.booted is not None and facts.booted != srv.booted
+            if restarted or srv not in self.known:
+                srv.begin_anew(life, pause, facts.booted)
+            srv.take(facts)
+            self.enter(srv)
+        if not self.partial:
+            self.sort()
+        elif self.suspects:
+            self.suspects = sum(srv.suspect for srv in self.serves)
+
+    def leave(self, srv: Srv) -> None:
+        if srv in self.serves:
+            del self.serves[srv]
+            self.size -= srv.size
+
+    def enter(self, srv: Srv) -> None:
+        self.known[srv] = None
+        self.leaving.pop(srv, None)
+        if srv.listing is Listing.SERVING:
+            self.serves[srv] = None
+            self.size += srv.size
+        elif srv.listing is Listing.GONE:
+            self.leaving[srv] = None
+
+    def sort(self) -> None:
+        ring = sorted((s for s in self.known if s not in self.leaving), key=lambda s: (s.place, s.name))
+        if ring != self.ring:  # else the orders made from it still hold
+            self.ring, self.version = ring, self.version + 1
+        self.serves = dict.fromkeys(srv for srv in ring if srv.listing is Listing.SERVING)
+        self.size = sum(srv.size for srv in self.serves)
+        self.suspects = sum(srv.suspect for srv in self.serves)
