--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -14,7 +14,7 @@
 
 from lapistrestle import interface as face
 from lapistrestle.interface import Answer, CallOut, Facts, Host, Listing, Outcome, Warmth
-from lapistrestle.state import MEANING, Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Workers, Zone
+from lapistrestle.state import Fn, Input, Mean, Order, Rpc, Spot, Srv, State, Sum, Workers, Zone
 
 SECOND = 10_000  # in tenths of a millisecond
 PERIOD = 5 * SECOND  # of the holds, as the design page says
@@ -33,6 +33,9 @@
 HOLD_PART = 0.25  # of the order budget is for holds, the rest for what an RPC waits for
 FURTHER = 1.0  # further call-outs for each recent ok one, when all further ones succeed
 
+MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
+MEANING |= dict.fromkeys((Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT), Input.NEVER_RAN)
+
 
 class Dispatcher(Workers):
     def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -9,16 +9,12 @@
 from zlib import crc32
 
 from lapistrestle import interface as face
-from lapistrestle.interface import CallOut, Listing, Outcome
+from lapistrestle.interface import CallOut, Listing
 
 State = Enum("State", "NEW PLACING OUT PARKED OVER")  # of an RPC
 Input = Enum("Input", "ARRIVED ADMITTED SENT WAITS NOWHERE OK NEVER_RAN MAY_HAVE_RUN MISSED LOADED LATE")
 Zone = IntEnum("Zone", "SAFE PREWARNING WARNING UNSAFE")  # of a function on a worker
 
-# what the end of a call-out means for its RPC
-MEANING = dict.fromkeys(Outcome, Input.MAY_HAVE_RUN) | {Outcome.OK: Input.OK, Outcome.MISS: Input.MISSED}
-MEANING |= dict.fromkeys((Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT), Input.NEVER_RAN)
-
 
 @dataclass
 class Sum:
--- a/tests/test_edge_directory.py
+++ b/tests/test_edge_directory.py
@@ -12,6 +12,8 @@
 from lapistrestle.edge.program import Edge
 from lapistrestle.interface import Listing
 from lapistrestle.standins.virtual import Process, VirtualReactor
+from lapistrestle.wire.directory import compact
+from lapistrestle.wire.messages import Entry
 
 HELLO = {"is": "hello", "protocol": "lapistrestle.directory", "version": 1, "name": "holder"}
 LEASE = 30_000  # tenths of a millisecond
@@ -19,6 +21,11 @@
 SECONDS_UP = 3_600
 
 
+def rows(entries):
+    """Entries as they cross the wire: arrays of their fields."""
+    return [msgspec.to_builtins(compact(msgspec.convert(entry, Entry))) for entry in entries]
+
+
 class DirectoryStage(Stage):
     """An edge, two copies of its directory's one shard, and runners; the test plays all but the edge."""
 
@@ -72,13 +79,13 @@
 
     def snapshot(self, peer, watch, *entries, **more):
         message = {"id": watch["id"], "epoch": 1, "revision": self.revision(), "complete": True}
-        message |= {"sequence": self.next_sequence(peer), "entries": list(entries), "lease": LEASE}
+        message |= {"sequence": self.next_sequence(peer), "entries": rows(entries), "lease": LEASE}
         peer.say(**{"is": "snapshot"}, **message | more)
 
     def update(self, peer, *entries, gone=(), changes=()):
         self.number += 1
         peer.say(**{"is": "update"}, sequence=self.next_sequence(peer), revision=self.revision(),
-                 entries=list(entries), gone=list(gone), changes=list(changes))  # fmt: skip
+                 entries=rows(entries), gone=list(gone), changes=list(changes))  # fmt: skip
 
     def renewed(self, peer, **sums):
         """Answer the latest renewal."""
