--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -170,8 +170,9 @@
         """Entries of the list of workers; `whole` if it names them all."""
         self.events.post(None, "listed", [(self.registry.srv(e.name), e) for e in entries], whole)
         held = {task.srv for task in self.tasks.values()}
+        back = {e.name for e in entries if e.listing is not Listing.GONE}  # the module may not have heard yet
         left = [s for s in self.registry.srvs.values() if s.listing is Listing.GONE and not s.out]
-        gone = [s for s in left if s not in held]
+        gone = [s for s in left if s not in held and s.name not in back]
         for srv in gone:  # without this a long life keeps every worker that ever served
             del self.registry.srvs[srv.name]
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -7,7 +7,7 @@
 from lapistrestle.deployment import words
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.registry import ObjectRegistry
-from lapistrestle.interface import Outcome, SrvFacts
+from lapistrestle.interface import Listing, Outcome, SrvFacts
 
 
 class Recorder:
@@ -241,3 +241,19 @@
     for i in range(6_000):
         registry.fn(f"g{i}", 0, 1.0, 1)
     assert "kept" not in registry.fns and len(registry.fns) < 1_100
+
+
+def test_a_worker_that_is_back_is_one_object_also_while_its_event_waits(hosting):
+    """As it was: in a poll of the sockets `listed` waits, the one that is back still counted as gone, was
+    dropped by name, and what named it next met another object that the module had never heard of."""
+    gone, back = SrvFacts("w1", listing=Listing.GONE), SrvFacts("w1", booted=7)
+    with hosting.batched():
+        hosting.listed([gone], whole=False)
+    with hosting.batched():
+        hosting.listed([back], whole=False)
+        hosting.ranked(hosting.registry.fn("f", 0, 100.0, 1), ["w1"])
+    (srv,) = (s for s in hosting.module.srvs if s.name == "w1")
+    assert srv is hosting.registry.srv("w1") and srv.listing is Listing.SERVING
+    assert hosting.registry.fns["f"].prefix == [srv]
+    ask(hosting)
+    assert not [act for act in hosting.transport.of("log") if act[0] == "module raised"]
