--- a/lapistrestle/checks/reading.py
+++ b/lapistrestle/checks/reading.py
@@ -113,6 +113,7 @@
     start: str = ""
     runner: str = ""
     you: str = ""
+    opened: float = 0.0
     closed: float = NEVER
     unread: list[tuple[float, float]] = field(default_factory=list)
 
@@ -187,6 +188,7 @@
                 self.connections[on] = Connection(
                     on, kind, event.get("edge", ""), event.get("start", ""), event.get("runner", "")
                 )
+                self.connections[on].opened = at
                 if kind == "directory":
                     self.directory.opened(on, event["edge"], event["holder"])
             case "close":
--- a/tests/test_directory_checks.py
+++ b/tests/test_directory_checks.py
@@ -1,10 +1,17 @@
 """What the checks read from a tape with a directory: whose word binds an edge, and how long it took."""
 
+from dataclasses import replace
+
+import json5
 import msgspec
 import pytest
+from days import EXAMPLES, Played, day
 
 from lapistrestle.checks.reading import Story
 from lapistrestle.checks.rules import directory_prompt, drains_kept
+from lapistrestle.directory import server
+from lapistrestle.edge.program import Edge
+from lapistrestle.interface import Listing
 from lapistrestle.wire import directory as wire
 from lapistrestle.wire.messages import Change, Entry, Hello, Run, Whole
 
@@ -188,3 +195,42 @@
     tape.snapshot(600, DRAINS, number=0, source="e2")
     tape.run(1_700)
     assert len(kept(tape)) == 1
+
+
+SHARDS = [[{"port": 1}, {"port": 2}], [{"port": 2}, {"port": 1}]]
+REPLACED = {"kind": "deploy", "at": "2 s", "lasts": "3 s", "share": 0.7}
+
+
+def directory_day(troubles):
+    script = day("slots", troubles, length="8 s", roster_lag="100 ms")
+    deployment = json5.loads((EXAMPLES / "slots.json5").read_text())
+    return script | {"deployment": deployment | {"directory": {"shards": SHARDS}}}
+
+
+def rules_broken(played):
+    return {breach.rule for breach in played.breaches()}
+
+
+def test_a_day_with_a_directory_keeps_all_rules_and_its_words_are_counted():
+    played = Played(directory_day([REPLACED]))
+    figures = directory_prompt(played.story).figures
+    assert rules_broken(played) == set() and figures["words of drains or ends"] > 20
+    assert 0 < figures["longest way to an edge, ms"] < 200
+
+
+def test_a_holder_that_sits_on_word_of_a_drain_is_caught(monkeypatch):
+    made = server.holder_settings
+    late = 15_000  # tenths of a millisecond
+    slow = lambda settings: replace(made(settings), urgent_delay=late, batch_delay=late)  # noqa: E731
+    monkeypatch.setattr(server, "holder_settings", slow)
+    assert rules_broken(Played(directory_day([REPLACED]))) == {"directory told in time"}
+
+
+def test_an_edge_that_does_not_listen_to_its_holders_is_caught():
+    def make(reactor, deployment, log):
+        edge = Edge(reactor, deployment, log)
+        facts = edge.following.facts
+        edge.following.facts = lambda known: replace(facts(known), listing=Listing.SERVING)
+        return edge
+
+    assert rules_broken(Played(directory_day([REPLACED]), make)) == {"3 drains kept"}
--- a/tests/test_directory_process.py
+++ b/tests/test_directory_process.py
@@ -7,10 +7,15 @@
 import time
 from pathlib import Path
 
+import json5
 import pytest
+from days import EXAMPLES, day
 from test_real import command
 
+from lapistrestle.checks.reading import NEVER, Story
+from lapistrestle.checks.rules import directory_prompt, judge
 from lapistrestle.standins.children import Child, free_tcp_ports
+from lapistrestle.standins.tape import read
 from lapistrestle.wire.directory import DIRECTORY
 
 PATIENCE = 20.0  # seconds; bounds a wait, and passes no test
@@ -274,3 +279,93 @@
     status = Path(f"/proc/{here.children[0].child.pid}/status").read_text()
     (resident,) = re.findall(r"VmRSS:\s*(\d+) kB", status)
     assert int(resident) < 150_000
+
+
+SHARDS = [
+    [{"port": 1, "zone": "north"}, {"port": 2, "zone": "middle"}],
+    [{"port": 2, "zone": "middle"}, {"port": 3, "zone": "south"}],
+    [{"port": 3, "zone": "south"}, {"port": 1, "zone": "north"}],
+]
+REPLACED = {"kind": "preempt", "at": "2 s", "lasts": "2 s", "share": 0.4}  # runners, while holders are away
+DEPLOYED = {"kind": "deploy", "at": "500 ms", "lasts": "2 s", "share": 0.5}
+
+
+def played(folder, troubles):
+    """The story of a day of processes: three edges, three holders of three shards, each shard held twice."""
+    deployment = json5.loads((EXAMPLES / "slots.json5").read_text())
+    deployment["listen"] = {"port": 0, "margin": "300 ms"}  # this machine may be busy
+    deployment["directory"] = {"shards": SHARDS}
+    script = day("slots", troubles, length="6 s", edges=3, traffic={"rate": 40, "functions": 24})
+    path, tape = folder / "day.json5", folder / "day.tape"
+    path.write_text(json.dumps(script | {"deployment": deployment, "roster_lag": "100 ms"}))
+    result = command("day", "run", path, "--tape", tape, "--verbose")
+    story = Story(read(tape))
+    breaches = [breach for rule in judge(story) for breach in rule.breaches]
+    assert breaches == []
+    assert result.returncode == 0, result.stdout + result.stderr
+    assert "Traceback" not in result.stderr and "module raised" not in result.stderr, result.stderr
+    return story
+
+
+def since(story, kind):
+    """When a trouble of this kind began, and ended; all edges were up before."""
+    ((at, lasts),) = [(at, lasts) for at, said, lasts in story.troubles if said == kind]
+    return at, at + lasts
+
+
+def share_ok(story, begin, end=NEVER):
+    """Of the first tries of clients between these times, the part that went well; there were some."""
+    calls = [call for call in story.calls if begin < call.at < end and not call.message.repeat]
+    assert len(calls) > 20
+    return sum(any(a.verdict == "ok" for _, _, a in call.answers) for call in calls) / len(calls)
+
+
+def unanswered(story):
+    """Calls without any answer whose client waited for it, at an edge that was not killed."""
+    waited = [c for c in story.calls if not c.answers and c.left >= c.deadline and c.deadline < story.end]
+    closing = 500  # milliseconds in which a client may still write to an edge that was killed
+    return [c.message.id for c in waited if not story.killed(c.edge, c.at - closing, c.deadline)]
+
+
+def told(story):
+    """How many words of drains and ends edges had from holders."""
+    return directory_prompt(story).figures["words of drains or ends"]
+
+
+def test_a_day_in_which_holders_are_killed_under_load(tmp_path):
+    killed = {"kind": "holder_kill", "at": "1 s", "lasts": "2 s", "share": 0.6}
+    story = played(tmp_path, [killed, REPLACED, DEPLOYED])
+    assert unanswered(story) == [] and told(story) > 0
+    assert sum(story.kills.get(f"holder-{n}", []) != [] for n in range(3)) == 2
+    assert share_ok(story, since(story, "holder_kill")[0]) > 0.6
+
+
+def test_a_day_in_which_holders_stand_still_and_wake_old(tmp_path):
+    still = {"kind": "holder_stall", "at": "1 s", "lasts": "3 s", "share": 0.6}
+    story = played(tmp_path, [still, REPLACED, DEPLOYED])
+    assert unanswered(story) == [] and told(story) > 0
+    assert sum(bool(story.stalls.get(f"holder-{n}")) for n in range(3)) == 2
+    assert share_ok(story, since(story, "holder_stall")[0]) > 0.6
+
+
+def test_a_day_in_which_edges_lose_every_holder(tmp_path):
+    cut = {"kind": "directory_cut", "at": "1500 ms", "lasts": "2500 ms", "share": 0.6}
+    story = played(tmp_path, [cut, REPLACED, DEPLOYED])
+    assert unanswered(story) == [] and len(story.cuts) == 2 * 3
+    begin, end = since(story, "directory_cut")
+    alone = {edge for edge, _ in story.cuts}
+    served = [c for c in story.calls if c.edge in alone and begin + 700 < c.at < end - 200 and c.answers]
+    assert any(c.answers[0][2].verdict == "ok" for c in served)  # what is known serves on
+    assert share_ok(story, begin) > 0.5
+
+
+def test_a_day_in_which_all_edges_are_back_at_once(tmp_path):
+    killed = {"kind": "edge_kill", "at": "1500 ms", "lasts": "500 ms", "share": 1.0}
+    story = played(tmp_path, [killed, DEPLOYED])
+    assert unanswered(story) == []
+    assert all(len(story.kills[f"edge-{n}"]) == 1 for n in range(3))
+    begin, end = since(story, "edge_kill")
+    back = [c for c in story.connections.values() if c.kind == "directory" and c.opened > end]
+    assert {c.edge for c in back} == {"edge-0", "edge-1", "edge-2"} and end > begin
+    last = [call for call in story.calls if call.at > back[-1].opened]
+    assert sum(any(a.verdict == "ok" for _, _, a in call.answers) for call in last) > 0
