--- /dev/null
+++ b/benchmarks/scale/roles/control_agreement.py
@@ -0,0 +1,259 @@
+"""Members of an agreed log: what one change costs, by changes a second and by length of the log.
+
+Members of `agreement.raft` stand in one process and virtual time; each word is encoded, since the package has
+no transport yet, and each `Save` counts the bytes that a disk would have to write before what follows. The
+leader is metered, and one follower apart.
+"""
+
+import statistics
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from benchmarks.scale.assumptions import Assumptions
+from benchmarks.scale.measuring import build_measured, processor_seconds
+from benchmarks.scale.roles import register
+from benchmarks.scale.roles.control_hollow import SECOND, Clock, Meter, Traffic
+from benchmarks.scale.samples import Budget, Dimension, Figure, Sample, Scene, Sweep
+from lapistrestle.agreement.raft import Member, Role
+from lapistrestle.agreement.words import Append, Commit, Disk, Effect, Entry, Message, Save, Send
+from lapistrestle.planner.keeper import Command, encode
+
+DELAY = 10  # tenths of a millisecond between two members of one region
+FAR = 500  # between two members of different regions
+SPAN = 20  # seconds
+LONG = 10_000  # entries of the log before it is measured by changes
+CHANGES_A_SECOND = 3_800 / 10 / 60  # a tenth of the day's within one minute
+PACK = msgspec.msgpack.Encoder()
+
+
+def change(number: int) -> str:
+    """An operator's order to begin a rollout, as the planner's journal holds it."""
+    command = Command(
+        at=SECOND * number, id=f"order-{number:08d}", what="start", fn=f"function-{number:06d}",
+        who="operator", why="release of the day", candidate=f"version-{number:06d}",
+    )  # fmt: skip
+    return encode(command).decode()
+
+
+class Agreed:
+    """Members in virtual time; `delay` one way, in tenths of a millisecond."""
+
+    def __init__(self, count: int, log: int, delay: int, seed: int) -> None:
+        self.clock, self.delay = Clock(), delay
+        self.names = [f"member-{i}" for i in range(count)]
+        entries = [Entry(1, change(i)) for i in range(log)]
+        self.members = {
+            name: Member(name, self.names, Disk(1, "", list(entries)), {}, seed * 10 + i, self.clock.now)
+            for i, name in enumerate(self.names)
+        }
+        self.meters = {name: Meter() for name in self.names}
+        self.traffic = {name: Traffic() for name in self.names}
+        self.saved_bytes = 0
+        self.proposed_at: dict[int, int] = {}
+        self.took: list[int] = []  # tenths of a millisecond from proposal to agreement, at the leader
+        for name in self.names:
+            self.wake(name)
+        self.clock.run(self.clock.now + 10 * SECOND)
+
+    @property
+    def leader(self) -> str:
+        return next(name for name, member in self.members.items() if member.role is Role.LEADER)
+
+    @property
+    def follower(self) -> str:
+        return next(name for name in self.names if name != self.leader)
+
+    def wake(self, name: str) -> None:
+        member = self.members[name]
+
+        def turn() -> None:
+            self.step(name, lambda: member.tick(self.clock.now))
+            self.wake(name)
+
+        self.clock.at(max(member.due, self.clock.now + 1), turn)
+
+    def step(self, name: str, event: Callable[[], Sequence[Effect]]) -> None:
+        made: list[Effect] = []
+        self.meters[name].run(lambda: made.extend(event()))
+        for effect in made:
+            self.do(name, effect)
+
+    def do(self, name: str, effect: Effect) -> None:
+        if isinstance(effect, Send):
+            self.post(name, effect.to, effect.message)
+        elif isinstance(effect, Save) and name == self.names[0]:
+            self.saved_bytes += len(PACK.encode(effect))
+        elif isinstance(effect, Commit) and effect.index in self.proposed_at and name == self.leader:
+            self.took.append(self.clock.now - self.proposed_at.pop(effect.index))
+
+    def post(self, sender: str, to: str, message: Message) -> None:
+        data: list[bytes] = []
+        self.meters[sender].run(lambda: data.append(PACK.encode(message)))
+        self.traffic[sender].sent(data[0])
+        self.traffic[to].received(data[0])
+        self.clock.at(self.clock.now + self.delay, self.deliver, sender, to, message)
+
+    def deliver(self, sender: str, to: str, message: Message) -> None:
+        self.step(to, lambda: self.members[to].heard(sender, message, self.clock.now))
+
+    def propose(self, number: int) -> None:
+        leader = self.leader
+        member = self.members[leader]
+        at = member.last + 1
+        self.proposed_at[at] = self.clock.now
+        self.step(leader, lambda: member.propose(change(number), self.clock.now)[1])
+
+    def load(self, changes: int, seconds: int) -> None:
+        """So many changes each second, evenly spread."""
+        start = self.clock.now
+        for i in range(changes * seconds):
+            self.clock.at(start + SECOND * i // changes, self.propose, i)
+        self.clock.run(start + seconds * SECOND)
+        self.clock.run(self.clock.now + 4 * self.delay + 1)
+
+    def begin_count(self) -> None:
+        for name in self.names:
+            self.meters[name].seconds, self.meters[name].steps, self.traffic[name] = 0.0, 0, Traffic()
+        self.saved_bytes, self.took = 0, []
+
+
+def by_changes(count: int, changes: int, delay: int, seed: int) -> Sample:
+    """The leader at so many changes a second."""
+    agreed = Agreed(count, LONG, delay, seed)
+    agreed.begin_count()
+    agreed.load(changes, SPAN)
+    leader, follower = agreed.leader, agreed.follower
+    traffic, meter = agreed.traffic[leader], agreed.meters[leader]
+    done = changes * SPAN
+    agreed_all = len(agreed.took)
+    cores, figures = meter.seconds / SPAN, {
+        "processor of a follower (cores)": agreed.meters[follower].seconds / SPAN,
+        "bytes sent a change": traffic.bytes_out / done,
+        "bytes to disk a change": agreed.saved_bytes / done,
+        "agreed of proposed": agreed_all / done,
+        "proposal to agreement (ms)": statistics.median(agreed.took) / 10,
+    }  # fmt: skip
+    messages = traffic.messages_in + traffic.messages_out
+    meter.counts_steps = True
+    agreed.load(changes, 1)
+    return Sample(
+        state_bytes=0.0, messages_in=traffic.messages_in / SPAN, messages_out=traffic.messages_out / SPAN,
+        bytes_in=traffic.bytes_in / SPAN, bytes_out=traffic.bytes_out / SPAN, processor=cores,
+        processor_low=cores, processor_high=cores, steps=meter.steps, messages=messages,
+        simulated_seconds=SPAN, figures=figures,
+    )  # fmt: skip
+
+
+class AgreementChanges:
+    """One log, by changes a second."""
+
+    budgets: tuple[Budget, ...] = (Budget("processor", 1.0, "a core of a control machine"),)
+    scenes: tuple[Scene, ...] = ()
+
+    def __init__(self, count: int, delay: int, where: str) -> None:
+        self.count, self.delay = count, delay
+        sizes, beyond = ((1, 4, 16, 64), 256) if delay == DELAY else ((1, 2, 4, 8), 16)
+        self.sweeps: tuple[Sweep, ...] = (Sweep(Dimension.CHANGES, sizes, beyond, CHANGES_A_SECOND),)
+        self.name = f"agreement-{count}-{where}"
+        self.text = (
+            f"the leader of {count} members of an agreed log, {delay / 10:g} ms apart, by changes a second"
+        )
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        return by_changes(self.count, size, self.delay, seed)
+
+
+def restart_seconds(entries: list[Entry]) -> float:
+    """Processor time of a member that starts again with that log and agrees on it anew."""
+
+    def restart() -> None:
+        member = Member("member-0", ["member-0"], Disk(1, "", list(entries)), {}, 1, 0)
+        member.tick(member.due)
+        assert member.commit >= len(entries)
+
+    return processor_seconds(restart, 3).median
+
+
+def answered(meter: Meter, member: Member, sender: str, message: Message, now: int) -> list[Effect]:
+    """What a member does with a word, metered."""
+    made: list[Effect] = []
+    meter.run(lambda: made.extend(member.heard(sender, message, now)))
+    return made
+
+
+def catch_up(entries: list[Entry]) -> tuple[float, float, float]:
+    """A follower that comes back without a log: processor seconds of both, bytes, and virtual seconds."""
+    clock, meter, traffic = Clock(), Meter(), Traffic()
+    names = ["member-0", "member-1", "member-2"]
+    leader = Member(names[0], names, Disk(1, "", list(entries)), {}, 1, clock.now)
+    follower = Member(names[1], names, Disk(), {}, 2, clock.now)
+    leader.ask(clock.now, pre=False)
+    leader.votes.add(names[2])
+    leader.count(clock.now)
+    outbox = [effect for effect in leader.done() if isinstance(effect, Send)]
+    start, last = clock.now, leader.last
+    while outbox and follower.last < last:
+        words = [effect for effect in outbox if effect.to == names[1] and isinstance(effect.message, Append)]
+        made: list[Effect] = []
+        for effect in words:
+            traffic.sent(PACK.encode(effect.message))
+            made += answered(meter, follower, names[0], effect.message, clock.now)
+        answers = [effect for effect in made if isinstance(effect, Send)]
+        clock.run(clock.now + 2 * DELAY)
+        back: list[Effect] = []
+        for answer in answers:
+            back += answered(meter, leader, names[1], answer.message, clock.now)
+        outbox = [effect for effect in back if isinstance(effect, Send)]
+    assert follower.last == last, "the follower did not catch up"
+    return meter.seconds, float(traffic.bytes_out), (clock.now - start) / SECOND
+
+
+class AgreementLog:
+    """One log without compaction, by its length; the length is what functions' changes leave behind."""
+
+    name = "agreement-log"
+    text = "one member's log without compaction, by entries (3,800 a day)"
+    sweeps: tuple[Sweep, ...] = (
+        Sweep(Dimension.FUNCTIONS, (2_000, 4_000, 8_000, 16_000), 32_000, 3_800 * 365),
+    )
+    budgets: tuple[Budget, ...] = (Budget("catch-up (s)", 4.0, "a change is in force within 4 s"),)
+
+    def __init__(self) -> None:
+        self.scenes: tuple[Scene, ...] = (
+            Scene("proposal", "one change at the target's worst minute, by members", self.proposal),
+        )
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        entries, held = build_measured(lambda: [Entry(1, change(i)) for i in range(size)])
+        processor, data, lasts = catch_up(entries)
+        return Sample(
+            state_bytes=held, bytes_out=data, figures={
+                "restart, processor (s)": restart_seconds(entries), "catch-up (s)": lasts,
+                "catch-up, processor (s)": processor,
+            },
+        )  # fmt: skip
+
+    def proposal(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        """At the changes of the worst minute, members of one region and of several."""
+        target = assumptions.target
+        rate = max(1, round(target.changes_per_day * assumptions.restarts.burst_changes_part / 60))
+        made = []
+        for count in (3, 5):
+            for where, delay in (("one region", DELAY), ("several regions", FAR)):
+                sample = by_changes(count, rate, delay, seed)
+                label = f"{count} members, {where}, {rate} changes a second"
+                made += [
+                    Figure(
+                        f"proposal to agreement, {label}", sample.figures["proposal to agreement (ms)"], "ms"
+                    ),
+                    Figure(f"processor of the leader, {label}", sample.processor, "cores", 1.0),
+                    Figure(f"bytes sent a change, {label}", sample.figures["bytes sent a change"], "bytes"),
+                ]
+        return made
+
+
+for members in (3, 5):
+    register(AgreementChanges(members, DELAY, "near"))
+register(AgreementChanges(5, FAR, "far"))
+register(AgreementLog())
--- /dev/null
+++ b/benchmarks/scale/roles/control_gossip.py
@@ -0,0 +1,429 @@
+"""Membership, digests and the door's look at them, by number of dispatchers.
+
+One member runs the program's own `Talk`, `Members`, `Digests` and `Door`; the other members are synthetic:
+they answer its pings, ping it, ask for pages and tell rows as often as real ones would on average, in real
+encoded datagrams. So a fleet of any size costs one process. `gossip-fleet` plays a whole fleet of real
+members and meters one of them; the scene `check` holds the two against each other.
+"""
+
+import random
+import statistics
+import time
+from functools import cached_property
+from typing import Any
+
+from benchmarks.scale.assumptions import Assumptions
+from benchmarks.scale.measuring import build_measured
+from benchmarks.scale.roles import register
+from benchmarks.scale.roles.control_hollow import (
+    QUICK_SPAN,
+    SECOND,
+    Clock,
+    Ground,
+    Meter,
+    Traffic,
+    module_facts,
+)
+from benchmarks.scale.samples import Budget, Dimension, Figure, Sample, Scene, Sweep
+from lapistrestle.fleet.members import Standing
+from lapistrestle.fleet.talk import Talk
+from lapistrestle.overload.door import LOOK, Door
+from lapistrestle.overload.probers import Verdicts
+from lapistrestle.standins.fleet import Cluster
+from lapistrestle.wire import fleet as wire
+from lapistrestle.wire.fleet import Claim, Datagram, Rank, Row
+
+FLEET = "region"
+BOOT = 1_790_000_000_000  # milliseconds, as a start's clock gives it
+CALLS = 141  # a second, counted by each dispatcher: 550,000 over 3,900
+UP = 100_000  # seconds that the counters have run
+DELAY = 10  # tenths of a millisecond between a datagram and its answer
+HEARD_ROWS = 4  # rows of each other that the member has heard before it is measured
+SPAN = 20  # simulated seconds that are metered
+PAGE_CLAIMS = 12
+# datagrams at one telling and tenths of a millisecond between two; the program's bounds are 10 and 5,000
+THINNED = ((10, 5_000), (5, 5_000), (2, 5_000), (1, 5_000), (1, 10_000), (1, 20_000))
+
+
+def counts_at(columns: int, seconds: float) -> tuple[int, ...]:
+    """Counters of a dispatcher after so many seconds."""
+    return tuple(int(CALLS * seconds * (i + 1) / columns) for i in range(columns))
+
+
+class LoneMember:
+    """One real member among synthetic others."""
+
+    def __init__(self, others: int, seed: int) -> None:
+        self.clock, self.meter, self.traffic = Clock(), Meter(), Traffic()
+        self.random = random.Random(seed)
+        self.claims = [claim_of(i) for i in range(others)]
+        self.turns: list[int] = []
+        self.began = self.clock.now
+        ground = Ground(self.clock, self.meter)
+        facts = {"fleet": FLEET, "port": 7_000}
+        self.talk = Talk(ground, facts, "dispatcher-99999", "zone-a", BOOT, seed, seed)
+        self.talk.transport = self
+        life = self.talk.members.me.life
+        self.door = Door(module_facts(others + 1), life, {}, seed, lambda text: None, self.clock.now)
+        self.talk.digests, self.talk.verdicts = self.door.digests, Verdicts("dispatcher-99999")
+        count_calls(self.door, UP)
+        self.door.digests.renew(self.clock.now)
+        self.know_all()
+
+    @property
+    def size(self) -> int:
+        return len(self.claims) + 1
+
+    def know_all(self) -> None:
+        """As after a long calm: all known, no news left, some rows of each."""
+        members, digests, now = self.talk.members, self.door.digests, self.clock.now
+        members.start(now)
+        members.heard(self.claims[0], wire.Ack(0), self.claims, now)
+        members.news.clear()
+        members.reading = None
+        for back in range(HEARD_ROWS, 0, -1):
+            for number in range(len(self.claims)):
+                digests.take(self.row(number, now - back * SECOND, 0), now)
+
+    def row(self, number: int, true_at: int, age: int) -> Row:
+        claim, digests = self.claims[number], self.door.digests
+        phase = SECOND * number // len(self.claims)
+        seq = (true_at + phase) // SECOND
+        at = seq * SECOND
+        counts = counts_at(len(digests.columns), UP + (at - self.began) / SECOND)
+        return Row(claim.name, claim.boot, claim.nonce, seq, at, age, counts)
+
+    # what the member sends: answered by whom it asks
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        self.traffic.sent(data)
+        word = wire.unpack(data, FLEET).word
+        if isinstance(word, wire.Ping):
+            self.hear_later(DELAY, self.by_port(address[1]), wire.Ack(word.seq))
+        elif isinstance(word, wire.PageAsk):
+            first = self.random.randrange(len(self.claims))
+            page = tuple(self.claims[first : first + PAGE_CLAIMS])
+            self.hear_later(DELAY, self.by_port(address[1]), wire.Page(word.after, False), page)
+
+    def by_port(self, port: int) -> Claim:
+        return self.claims[port - 10_000]
+
+    # what the member hears
+
+    def hear_later(
+        self, delay: int, sender: Claim, word: wire.AnyWord, claims: tuple[Claim, ...] = ()
+    ) -> None:
+        self.clock.at(self.clock.now + delay, self.hear, sender, word, claims)
+
+    def hear(self, sender: Claim, word: wire.AnyWord, claims: tuple[Claim, ...] = ()) -> None:
+        data = wire.pack(Datagram(FLEET, wire.VERSION, sender, word, claims))
+        self.traffic.received(data)
+        self.meter.run(self.talk.datagramReceived, data, ("127.0.0.1", sender.port))
+
+    def some(self) -> Claim:
+        return self.random.choice(self.claims)
+
+    @cached_property
+    def rows_fit(self) -> int:
+        own = wire.size(self.row(0, self.clock.now, 0))
+        return (wire.MOST - wire.HEAD) // own
+
+    @cached_property
+    def datagrams(self) -> int:
+        """Of rows, that each member sends at one telling; as many reach each on average."""
+        own = wire.size(self.row(0, self.clock.now, 0))
+        return min(len(self.claims), self.door.digests.datagrams(self.size, own))
+
+    def hear_rows(self, second: int) -> None:
+        """One datagram of rows: the sender's own, and others' as old as a fleet of this size tells them."""
+        rows_a_second = max(1, self.datagrams * 2 * self.rows_fit)
+        oldest = min(10 * SECOND, max(SECOND, SECOND * self.size // rows_a_second))
+        numbers = [self.next_row() for _ in range(min(len(self.claims), self.rows_fit))]
+        ages = [0, *(self.random.randrange(oldest) for _ in numbers[1:])]
+        rows = tuple(
+            self.row(number, self.clock.now - age, age) for number, age in zip(numbers, ages, strict=True)
+        )
+        self.hear(self.claims[numbers[0]], wire.Rows(self.door.digests.layout, rows))
+
+    def next_row(self) -> int:
+        """Whose row comes next: all in turn, in an order drawn anew each round, since what is passed on is
+        what was told least."""
+        if not self.turns:
+            self.turns = list(range(len(self.claims)))
+            self.random.shuffle(self.turns)
+        return self.turns.pop()
+
+    def second(self, index: int) -> None:
+        """Have all that reaches a member within one second reach it, spread over that second."""
+        start = self.clock.now
+        for i in range(2 * self.datagrams):
+            self.clock.at(start + SECOND * i // (2 * self.datagrams), self.hear_rows, index)
+        self.clock.at(start + self.random.randrange(SECOND), self.hear, self.some(), wire.Ping(index))
+        if index % 10 == 0:
+            self.clock.at(start + SECOND // 3, self.hear, self.some(), wire.PageAsk(self.some().name))
+        for half in range(2):
+            self.clock.at(start + half * LOOK, self.look)
+        self.own_calls()
+        self.clock.run(start + SECOND)
+
+    def look(self) -> None:
+        members = self.talk.members
+        self.meter.run(self.door.look, self.talk.present, members.size, self.clock.now)
+
+    def own_calls(self) -> None:
+        """What the member itself counts; no part of what is measured."""
+        count_calls(self.door, 1)
+
+    def run(self, seconds: int) -> None:
+        for index in range(seconds):
+            self.second(index)
+
+    def start(self) -> "LoneMember":
+        self.talk.wake()
+        self.run(3)
+        assert self.talk.members.standing is Standing.MEMBER and not self.talk.ground.passed  # type: ignore[attr-defined]
+        return self
+
+
+def count_calls(door: Door, seconds: float) -> None:
+    """Count so many seconds of the member's own calls."""
+    columns = door.digests.columns
+    for column, count in zip(columns, counts_at(len(columns), seconds), strict=True):
+        door.digests.add(column, count)
+
+
+def claim_of(number: int) -> Claim:
+    zone = f"zone-{number % 12}"
+    return Claim(
+        f"dispatcher-{number:05d}", BOOT, number + 1, 0, Rank.ALIVE, "127.0.0.1", 10_000 + number, zone
+    )
+
+
+def refill_seconds(member: LoneMember) -> float:
+    """Processor time of drawing the order of one whole round of probes; due once in as many periods."""
+    members = member.talk.members
+    here = members.here()
+    began = time.process_time()
+    members.some(here, len(here))
+    return time.process_time() - began
+
+
+def page_seconds(member: LoneMember, times: int = 5) -> float:
+    """Processor time of answering one ask for a page of the table."""
+    members = member.talk.members
+    asker = next(iter(members.members.values()))
+    began = time.process_time()
+    for _ in range(times):
+        members.tell_page(asker, "dispatcher-00001")
+    return (time.process_time() - began) / times
+
+
+def metered(member: LoneMember, spans: int, seconds: int) -> list[float]:
+    """Processor time a second, over some spans."""
+    made = []
+    for _ in range(spans):
+        member.meter.seconds = 0.0
+        member.run(seconds)
+        made.append(member.meter.seconds / seconds)
+    return made
+
+
+def steps_of(member: LoneMember) -> int:
+    member.meter.counts_steps = True
+    member.run(QUICK_SPAN)
+    member.meter.counts_steps = False
+    return member.meter.steps
+
+
+def measure_member(dispatchers: int, seed: int, spans: int = 3, seconds: int = SPAN) -> Sample:
+    """One member of a fleet of that many."""
+    member, held = build_measured(lambda: LoneMember(dispatchers - 1, seed))
+    member.start()
+    member.traffic = traffic = Traffic()
+    cores = metered(member, spans, seconds)
+    simulated = spans * seconds
+    messages = traffic.messages_in + traffic.messages_out
+    figures = {
+        "round refill (s)": refill_seconds(member),
+        "answer to a page ask (s)": page_seconds(member),
+        "rows heard a second": member.datagrams * 2.0 * member.rows_fit,
+    }
+    return Sample(
+        state_bytes=held, messages_in=traffic.messages_in / simulated,
+        messages_out=traffic.messages_out / simulated, bytes_in=traffic.bytes_in / simulated,
+        bytes_out=traffic.bytes_out / simulated, processor=statistics.median(cores),
+        processor_low=min(cores), processor_high=max(cores), steps=steps_of(member),
+        messages=messages, simulated_seconds=simulated, figures=figures,
+    )  # fmt: skip
+
+
+class GossipMember:
+    """A dispatcher's part in one fleet of all dispatchers of a fleet or region."""
+
+    name = "gossip"
+    text = "membership, digests and the look at them: one real member among synthetic others"
+    sweeps: tuple[Sweep, ...] = (
+        Sweep(Dimension.DISPATCHERS, (50, 100, 200, 400, 800), 1_600, 3_900, (50, 100, 200, 400), 800),
+    )
+    budgets: tuple[Budget, ...] = (
+        Budget("processor", 0.015, "1.5% of a core for all control"),
+        Budget("bytes_out", 8_000, "8 KB a second for all control"),
+        Budget("state_bytes", 64e6, "64 MB for all control"),
+    )
+
+    def __init__(self) -> None:
+        self.scenes: tuple[Scene, ...] = (
+            Scene("region-and-whole", "one fleet of 3,900 against fleets of a region's 780", self.sizes),
+            Scene("check", "a synthetic fleet against a whole one of real members", self.check),
+            Scene("coverage", "how much of the fleet a member's figures count", self.coverage),
+            Scene("join", "a member that starts, in a fleet of that size", self.join),
+        )
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        return measure_member(size, seed)
+
+    def sizes(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        target = assumptions.target
+        made = []
+        for size in (target.dispatchers_per_region, target.dispatchers):
+            sample = measure_member(size, seed, 1 if quick else 3, 10)
+            sent = sample.bytes_out
+            made += [
+                Figure(f"state, fleet of {size}", sample.state_bytes, "bytes", target.control_bytes),
+                Figure(f"sent, fleet of {size}", sent, "bytes/s", target.control_bytes_per_second),
+                Figure(f"received, fleet of {size}", sample.bytes_in, "bytes/s"),
+                Figure(f"processor, fleet of {size}", sample.processor, "cores", target.control_cores,
+                       sample.processor_low, sample.processor_high),
+            ]  # fmt: skip
+        return made
+
+    def check(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        size = 50 if quick else 200
+        lone, whole = measure_member(size, seed, 3, 10), measure_in_fleet(size, seed)
+        return [
+            Figure(f"steps, synthetic over whole, {size}", lone.steps / whole.steps, "ratio"),
+            Figure(f"processor, synthetic over whole, {size}", lone.processor / whole.processor, "ratio"),
+            Figure(f"bytes out, synthetic over whole, {size}", lone.bytes_out / whole.bytes_out, "ratio"),
+            Figure(f"bytes in, synthetic over whole, {size}", lone.bytes_in / whole.bytes_in, "ratio"),
+        ]
+
+    def coverage(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        """A fleet of 100 (quick: 50) that tells less, so that each member hears as many rows for each other
+        as in a larger fleet under the program's bounds."""
+        size, made = (50 if quick else 100), []
+        for most, tell in THINNED:
+            fleet = WholeFleet(size, seed, {"datagrams": most, "tell": tell})
+            fleet.run(25)
+            counted, age = fleet.coverage()
+            as_if = size * 10 // most * tell // (SECOND // 2)
+            made.append(Figure(f"counted of all, as in a fleet of {as_if}", counted, "part"))
+            made.append(Figure(f"age of the oldest counted, as in a fleet of {as_if}", age, "s"))
+        return made
+
+    def join(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        """By the number of pages that a new member reads, and what each costs the one that is asked."""
+        made = []
+        for size in (780, 3_900):
+            member = LoneMember(size - 1, seed)
+            pages = size / PAGE_CLAIMS
+            made.append(Figure(f"processor of the one asked, {size}", pages * page_seconds(member), "s"))
+        return made
+
+
+class WholeFleet:
+    """Real members in one process and virtual time, each with its door; the first is metered."""
+
+    def __init__(self, size: int, seed: int, told: dict[str, Any] | None = None) -> None:
+        self.cluster, self.meter = Cluster(seed), Meter()
+        self.talks = self.cluster.many(size)
+        joined = self.cluster.until(self.cluster.agreed, 120)
+        assert joined < 120, f"{size} members did not agree within 120 s"
+        self.doors = [self.fit(talk, size, told or {}) for talk in self.talks]
+        self.traffic = Traffic()
+        self.watch(self.talks[0])
+
+    def fit(self, talk: Talk, size: int, told: dict[str, Any]) -> Door:
+        life, now = talk.members.me.life, talk.ground.clock()
+        door = Door(module_facts(size), life, told, talk.seed, lambda text: None, now)
+        talk.digests, talk.verdicts = door.digests, Verdicts(talk.members.me.name)
+        count_calls(door, UP)
+        talk.wake()
+        return door
+
+    def watch(self, talk: Talk) -> None:
+        """Meter this member's own work, and count what it hears."""
+        received, turn = talk.datagramReceived, talk.turn
+
+        def hear(data: bytes, address: Any) -> None:
+            self.traffic.received(data)
+            self.meter.run(received, data, address)
+
+        def fire(argument: object = None) -> None:
+            self.meter.run(turn, argument)
+
+        talk.datagramReceived = hear  # type: ignore[method-assign, assignment]
+        talk.turn = fire  # type: ignore[method-assign, assignment]
+
+    def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            for door in self.doors:
+                count_calls(door, 1)
+            for _ in range(2):
+                self.cluster.run(0.5)
+                self.look()
+
+    def look(self) -> None:
+        talk, door = self.talks[0], self.doors[0]
+        self.meter.run(door.look, talk.present, talk.members.size, talk.ground.clock())
+
+    def coverage(self) -> tuple[float, float]:
+        """Of the fleet, the part that one member's figures count; and the age of the oldest, in seconds. The
+        median over some members."""
+        shares, ages = [], []
+        for talk, door in list(zip(self.talks, self.doors, strict=True))[:20]:
+            figures = door.digests.figures(talk.ground.clock(), talk.present, talk.members.size)
+            shares.append(figures.told / figures.size)
+            ages.append(figures.age / SECOND)
+        return statistics.median(shares), statistics.median(ages)
+
+
+def measure_in_fleet(size: int, seed: int, seconds: int = 10) -> Sample:
+    """One member of a whole fleet of real members."""
+    fleet = WholeFleet(size, seed)
+    fleet.run(15)
+    talk = fleet.talks[0]
+    fleet.meter.seconds, fleet.traffic = 0.0, Traffic()
+    sent, sent_bytes = talk.sent, talk.sent_bytes
+    fleet.run(seconds)
+    counted, age = fleet.coverage()
+    sent_all, cores = talk.sent - sent, fleet.meter.seconds / seconds
+    messages_in, bytes_in = fleet.traffic.messages_in, fleet.traffic.bytes_in
+    sent_bytes = talk.sent_bytes - sent_bytes
+    fleet.meter.counts_steps = True
+    fleet.run(QUICK_SPAN)
+    return Sample(
+        state_bytes=0.0, messages_in=messages_in / seconds, messages_out=sent_all / seconds,
+        bytes_in=bytes_in / seconds, bytes_out=sent_bytes / seconds, processor=cores, processor_low=cores,
+        processor_high=cores, steps=fleet.meter.steps, messages=messages_in + sent_all,
+        simulated_seconds=seconds,
+        figures={"counted of all": counted, "oldest counted (s)": age},
+    )  # fmt: skip
+
+
+class GossipFleet:
+    """The same from a whole fleet of real members, as far as one process can hold it."""
+
+    name = "gossip-fleet"
+    text = "membership and digests: a whole fleet of real members, one of them metered"
+    sweeps: tuple[Sweep, ...] = (
+        Sweep(Dimension.DISPATCHERS, (12, 25, 50, 100), 200, 3_900, (6, 12, 25, 50), 100),
+    )
+    budgets: tuple[Budget, ...] = GossipMember.budgets[:2]
+    scenes: tuple[Scene, ...] = ()
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        return measure_in_fleet(size, seed)
+
+
+register(GossipMember())
+register(GossipFleet())
--- /dev/null
+++ b/benchmarks/scale/roles/control_rollout.py
@@ -0,0 +1,440 @@
+"""The planner, its journal, its plans at a dispatcher, and what one change costs each of them.
+
+`planner`: the program's own `Planner` on a real journal, its edges real `PlannerSpeaker` ends whose
+transports only count. `keeper`: the planner's state alone, by functions that have had a rollout. `plans`:
+the edge's `PlannerSource` and `Routing`, by functions that the plan names.
+"""
+
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+from benchmarks.scale.assumptions import Assumptions
+from benchmarks.scale.measuring import build_measured, count_steps, processor_seconds
+from benchmarks.scale.roles import register
+from benchmarks.scale.roles.control_hollow import SECOND, Traffic, deployment
+from benchmarks.scale.samples import Budget, Dimension, Figure, Sample, Scene, Sweep
+from lapistrestle.edge.planning import PlannerSource
+from lapistrestle.planner.keeper import Command, Keeper, Reply, Report
+from lapistrestle.planner.program import Planner, PlannerSpeaker
+from lapistrestle.rollout.life import Input, Rollout
+from lapistrestle.rollout.routing import Routing
+from lapistrestle.rollout.versions import Split
+from lapistrestle.store.journal import Journal
+from lapistrestle.wire import messages as wire
+from lapistrestle.wire import plans
+from lapistrestle.wire.lines import LineBounds
+
+REMEMBERED = 0  # clients do not come back in these plays
+CHANGES_A_DAY = 3_800
+ONE_MINUTE = 60
+ENDED_FUNCTIONS = 200  # with a rollout behind them, where dispatchers are what grows
+CHANGES = 5  # that one figure is the median of
+BURST_CHANGES = 380 / 60  # a second: a tenth of the day's within one minute
+
+
+def function(number: int) -> str:
+    return f"function-{number:06d}"
+
+
+def start_of(number: int, at: int, version: str = "v2") -> Command:
+    return Command(
+        at=at, id=f"order-{number}-{version}", what="start", fn=function(number), who="operator",
+        why="release of the day", candidate=f"version-{version}", remembered=REMEMBERED,
+    )  # fmt: skip
+
+
+def keeper_of(functions: int) -> Keeper:
+    """A planner's state where each of these functions has had one rollout that is over. Put together
+    piece by piece, as taking every entry is quadratic (`planner-restart`)."""
+    keeper = Keeper()
+    for number in range(functions):
+        command = start_of(number, 0)
+        keeper.number += 1
+        rollout = Rollout(command.fn, "", command.candidate, command.steps, command.remembered)
+        rollout.tell(Input.START, 0, command.who, command.why)
+        rollout.tell(Input.BACK, 0, command.who)
+        rollout.tell(Input.FORGOTTEN, 0)
+        keeper.rollouts[command.fn] = rollout
+        keeper.changed[command.fn] = keeper.number
+        keeper.replies[command.id] = Reply("done", "none to v2", "warming", 0.0, keeper.number)
+    return keeper
+
+
+def replayed(functions: int) -> Keeper:
+    """The same by the entries themselves, as a planner that starts reads them from its journal."""
+    keeper = Keeper()
+    for number in range(functions):
+        keeper.take(keeper.number + 1, start_of(number, 0))
+    return keeper
+
+
+class CountingTransport:
+    """A transport that counts what it is given."""
+
+    disconnecting = False
+
+    def __init__(self, traffic: Traffic) -> None:
+        self.traffic = traffic
+
+    def write(self, data: bytes) -> None:
+        self.traffic.sent(data)
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None: ...
+
+    def unregisterProducer(self) -> None: ...
+
+    def loseConnection(self) -> None: ...
+
+    def abortConnection(self) -> None: ...
+
+
+class StillReactor:
+    """A reactor on which nothing is due by itself."""
+
+    def seconds(self) -> float:
+        return 1_000.0
+
+    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> None: ...
+
+
+class HollowPlanner:
+    """A planner with that many edges connected and that many functions behind it."""
+
+    def __init__(self, edges: int, functions: int, folder: Path) -> None:
+        self.traffic = Traffic()
+        self.planner = Planner(StillReactor(), Journal(folder / "journal"), lambda what, **figures: None)
+        self.planner.keeper = keeper_of(functions)
+        self.planner.journal.append([b"{}"] * self.planner.keeper.number)
+        self.speakers = [self.connect(number) for number in range(edges)]
+
+    def connect(self, number: int) -> PlannerSpeaker:
+        speaker = PlannerSpeaker(self.planner)
+        speaker.makeConnection(CountingTransport(self.traffic))  # type: ignore[no-untyped-call]
+        speaker.paused = False
+        hello = wire.Hello(plans.PLANNER, wire.VERSION, f"dispatcher-{number:05d}", start=f"start-{number}")
+        self.hear(speaker, hello)
+        return speaker
+
+    def hear(self, speaker: PlannerSpeaker, message: wire.Message) -> None:
+        speaker.dataReceived(wire.encode(message) + b"\n")  # type: ignore[no-untyped-call]
+
+    def order(self, number: int, candidate: str = "v3") -> None:
+        order = plans.Order(
+            id=f"burst-{candidate}-{number}", what="start", fn=function(number), who="operator",
+            why="release of the day", candidate=f"version-{candidate}", remembered=0.0,
+        )  # fmt: skip
+        self.planner.keeper.replies.pop(order.id, None)
+        self.hear(self.speakers[-1], order)
+
+    def counts(self, number: int) -> None:
+        """One edge's running counts of one function's rollout."""
+        count = plans.Counts(function(number), "version-v3", -1, 1, (10, 0, 1, 0))
+        self.hear(self.speakers[0], count)
+
+    def beat(self, number: int) -> None:
+        self.hear(self.speakers[number % len(self.speakers)], plans.Beat(1, 1))
+
+    def close(self) -> None:
+        self.planner.journal.close()
+
+
+def took(work: Callable[[int], None], times: int = CHANGES) -> list[float]:
+    """Processor time of each of some calls."""
+    made = []
+    for number in range(times):
+        began = time.process_time()
+        work(number)
+        made.append(time.process_time() - began)
+    return made
+
+
+def planner_sample(edges: int, functions: int) -> Sample:
+    """One change with all its words to edges; and what edges' counts and beats cost."""
+    with tempfile.TemporaryDirectory() as folder:
+        hollow, held = build_measured(lambda: HollowPlanner(edges, functions, Path(folder)))
+        hollow.traffic.bytes_out = hollow.traffic.messages_out = 0
+        changes = took(lambda number: hollow.order(2 * number))
+        sent, sent_bytes = hollow.traffic.messages_out, hollow.traffic.bytes_out
+        assert sent >= CHANGES * (edges + 1), "a change that not every edge was told"
+        counts, beats = took(hollow.counts, 10), took(hollow.beat, 50)
+        steps = count_steps(lambda: hollow.order(2 * CHANGES + 1)).instructions
+        hollow.close()
+    change, count, beat = map(statistics.median, (changes, counts, beats))
+    return Sample(
+        state_bytes=held, messages_out=sent / CHANGES * BURST_CHANGES,
+        bytes_out=sent_bytes / CHANGES * BURST_CHANGES, processor=change * BURST_CHANGES,
+        processor_low=min(changes) * BURST_CHANGES, processor_high=max(changes) * BURST_CHANGES,
+        steps=steps, messages=sent, figures={
+            "one change, processor (s)": change,
+            "bytes sent a change": sent_bytes / CHANGES,
+            "one report of counts, processor (s)": count,
+            "reports of one open rollout (cores)": count * edges,
+            "beats of all edges (cores)": beat * edges * 5,
+        },
+    )  # fmt: skip
+
+
+class PlannerRole:
+    """Whoever tells of configuration."""
+
+    name = "planner"
+    text = "the planner: one change with its journal and its words to all edges; rates at the worst minute"
+    sweeps: tuple[Sweep, ...] = (
+        Sweep(Dimension.DISPATCHERS, (50, 100, 200, 400), 800, 3_900),
+        Sweep(Dimension.FUNCTIONS, (500, 1_000, 2_000, 4_000), 8_000, 110_000),
+    )
+    budgets: tuple[Budget, ...] = (
+        Budget("processor", 1.0, "the planner decides on one core"),
+        Budget("one change, processor (s)", 4.0, "a change is in force within 4 s"),
+        Budget("reports of one open rollout (cores)", 1.0, "the planner decides on one core"),
+        Budget("beats of all edges (cores)", 1.0, "the planner decides on one core"),
+    )
+    scenes: tuple[Scene, ...] = ()
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        if dimension is Dimension.DISPATCHERS:
+            return planner_sample(size, ENDED_FUNCTIONS)
+        return planner_sample(20, size)
+
+
+class KeeperRole:
+    """The planner's state, by functions that have had a rollout."""
+
+    name = "keeper"
+    text = "the planner's state alone: one entry, one look, and what a restart reads"
+    sweeps: tuple[Sweep, ...] = (Sweep(Dimension.FUNCTIONS, (1_000, 2_000, 4_000, 8_000), 16_000, 110_000),)
+    budgets: tuple[Budget, ...] = (
+        Budget("one entry, processor (s)", 1 / BURST_CHANGES, "the worst minute's changes"),
+    )
+
+    def __init__(self) -> None:
+        self.scenes: tuple[Scene, ...] = (
+            Scene("at-target", "one entry and one edge's plan with all functions", self.at_target),
+        )
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        keeper, held = build_measured(lambda: keeper_of(size))
+        report = Report(
+            at=SECOND, edge="dispatcher-00001", start="start-1", fn=function(0), candidate="version-v2",
+            step=-1, minute=1, counts=(10, 0, 1, 0),
+        )  # fmt: skip
+        entry = processor_seconds(lambda: keeper.take(keeper.number + 1, report), 3)
+        whole = processor_seconds(lambda: keeper.plan(), 3)
+        steps = count_steps(lambda: keeper.take(keeper.number + 1, report)).instructions
+        return Sample(
+            state_bytes=held, processor=entry.median * BURST_CHANGES, processor_low=entry.low * BURST_CHANGES,
+            processor_high=entry.high * BURST_CHANGES, steps=steps,
+            figures={"one entry, processor (s)": entry.median, "one whole plan, processor (s)": whole.median},
+        )  # fmt: skip
+
+    def at_target(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        """Measured at the target's functions, and worked out for all dispatchers."""
+        target = assumptions.target
+        functions = target.functions // (10 if quick else 1)
+        keeper, held = build_measured(lambda: keeper_of(functions))
+        entry = processor_seconds(lambda: keeper.take(keeper.number + 1, start_of(0, 1, "v2")), 3).median
+        plan = processor_seconds(lambda: keeper.plan(keeper.number), 3).median
+        whole = processor_seconds(lambda: keeper.plan(), 3).median
+        return [
+            Figure(f"state of {functions} rollouts", held, "bytes"),
+            Figure(f"one entry, {functions} rollouts", entry, "s", 1 / BURST_CHANGES),
+            Figure(f"what changed, for one edge, {functions} rollouts", plan, "s"),
+            Figure(f"what changed, for {target.dispatchers} edges, worked out", plan * target.dispatchers,
+                   "s", target.change_within_seconds),
+            Figure(f"the whole plan, for one edge, {functions} rollouts", whole, "s"),
+            Figure(f"whole plans for the {target.dispatchers_per_zone} edges of a zone, worked out",
+                   whole * target.dispatchers_per_zone, "s"),
+        ]  # fmt: skip
+
+
+class PlannerRestartRole:
+    """A planner that starts: its journal's entries taken anew."""
+
+    name = "planner-restart"
+    text = "a planner's start: every entry of its journal taken anew, by functions with one rollout each"
+    sweeps: tuple[Sweep, ...] = (Sweep(Dimension.FUNCTIONS, (125, 250, 500, 1_000), 2_000, 110_000),)
+    budgets: tuple[Budget, ...] = (Budget("start, processor (s)", 4.0, "a change is in force within 4 s"),)
+    scenes: tuple[Scene, ...] = ()
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        start = processor_seconds(lambda: replayed(size), 1)
+        return Sample(state_bytes=0.0, figures={"start, processor (s)": start.median})
+
+
+# the edge's side
+
+
+class HollowPlannedEdge:
+    """As much of an edge as the source of plans looks at."""
+
+    def __init__(self, keep: str = "") -> None:
+        self.name = "dispatcher-00001"
+        self.deployment = deployment(3_900)
+        self.deployment.planner.keep = keep
+        self.facts = {"dial_time_out": SECOND, "may_order": True, "memory_by_kind": [], "idle_life": SECOND}
+        self.bounds = LineBounds()
+        self.routing = Routing()
+        self.now = 1_000 * SECOND
+        self.seats: dict[Any, None] = {}
+        self.host = SimpleNamespace(door=SimpleNamespace(fns={}), module=SimpleNamespace())
+
+    def clock(self) -> int:
+        return self.now
+
+    def after(self, delay: int, call: Any, argument: object) -> None: ...
+
+    def input(self) -> None: ...
+
+    def log(self, what: str, **figures: Any) -> None: ...
+
+
+def split_at(number: int, share: float = 0.25) -> Split:
+    """What the planner tells of a function under way."""
+    return Split(function(number), "version-v1", "version-v2", share, share, False, 1, 1.0)
+
+
+def settled_split(number: int) -> Split:
+    return Split(function(number), "version-v2")
+
+
+def whole_plan(functions: int) -> plans.Plan:
+    shares = [plans.shown(settled_split(number)) for number in range(functions)]
+    return plans.Plan(functions, 1, shares, True)
+
+
+def whole_line(functions: int) -> bytes:
+    return wire.encode(whole_plan(functions)) + b"\n"
+
+
+def source_with(functions: int, keep: str = "") -> PlannerSource:
+    source = PlannerSource(HollowPlannedEdge(keep), 1)
+    source.told(whole_plan(functions))
+    return source
+
+
+class PlansRole:
+    """A dispatcher's plans."""
+
+    name = "plans"
+    text = "plans at a dispatcher: the whole plan, one change of it, the kept file, by functions it names"
+    sweeps: tuple[Sweep, ...] = (
+        Sweep(Dimension.FUNCTIONS, (1_000, 2_000, 4_000, 8_000, 16_000), 32_000, 110_000),
+    )
+    budgets: tuple[Budget, ...] = (
+        Budget("whole plan (bytes)", LineBounds().line, "the longest line that an edge takes by default"),
+        Budget("state_bytes", 64e6, "64 MB for all control"),
+        Budget("processor", 0.015, "1.5% of a core for all control, at the worst minute"),
+    )
+
+    def __init__(self) -> None:
+        self.scenes: tuple[Scene, ...] = (
+            Scene("longest-line", "a whole plan over the default bound of a line", longest_line),
+            Scene("at-target", "plans of all functions at one dispatcher", plans_at_target),
+        )
+
+    def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
+        return plans_sample(size)
+
+
+def plans_sample(size: int) -> Sample:
+    """A dispatcher whose plan names so many functions."""
+    line = whole_line(size)
+    source, held = build_measured(lambda: source_with(size))
+    changes = took(lambda number: change_told(source, number))
+    steps = count_steps(lambda: change_told(source, CHANGES)).instructions
+    each_second = processor_seconds(lambda: source.tell(None), 3)
+    with tempfile.TemporaryDirectory() as folder:
+        keeping = source_with(size, f"{folder}/plan")
+        kept = took(lambda number: change_told(keeping, number))
+    whole = processor_seconds(lambda: source_heard(line), 3)
+    change, change_kept = statistics.median(changes), statistics.median(kept)
+    cores = change * BURST_CHANGES + each_second.median
+    return Sample(
+        state_bytes=held, processor=cores, processor_low=min(changes) * BURST_CHANGES,
+        processor_high=max(changes) * BURST_CHANGES + each_second.high, steps=steps, figures={
+            "whole plan (bytes)": float(len(line)),
+            "whole plan, processor (s)": whole.median,
+            "one change, processor (s)": change,
+            "one change with the kept file, processor (s)": change_kept,
+            "kept plans in the worst minute (cores)": change_kept * BURST_CHANGES,
+            "telling, processor a second (cores)": each_second.median,
+        },
+    )  # fmt: skip
+
+
+def change_told(source: PlannerSource, number: int) -> None:
+    """One change, as its line arrives."""
+    routing = source.routing
+    plan = plans.Plan(routing.number + 1, routing.epoch, [plans.shown(split_at(number))])
+    source.told(plans.Plan(plan.number, plan.epoch, plan.shares))
+
+
+def source_heard(line: bytes) -> None:
+    """A whole plan, from its line on."""
+    source = PlannerSource(HollowPlannedEdge(), 1)
+    speaker = source.speak()
+    message = speaker.decoder.decode(line)
+    source.told(message)
+
+
+def longest_line(seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+    """The most functions whose whole plan an edge takes; with one more the connection is cut."""
+    each = len(whole_line(2_000)) / 2_000
+    below, above = 1, int(2 * LineBounds().line / each)
+    while above - below > 1:
+        middle = (below + above) // 2
+        below, above = (middle, above) if takes(middle) else (below, middle)
+    return [
+        Figure("most functions in a whole plan", below, "functions", None),
+        Figure("bytes of each", each, "bytes"),
+        Figure("functions at the target", assumptions.target.functions, "functions", float(below)),
+    ]
+
+
+def plans_at_target(seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+    """Measured at the target's functions."""
+    target = assumptions.target
+    functions = target.functions // (10 if quick else 1)
+    sample = plans_sample(functions)
+    figures, label = sample.figures, f"{functions} functions"
+    change, kept = (
+        figures["one change, processor (s)"],
+        figures["one change with the kept file, processor (s)"],
+    )
+    return [
+        Figure(f"state, {label}", sample.state_bytes, "bytes", target.control_bytes),
+        Figure(f"whole plan, {label}", figures["whole plan (bytes)"], "bytes"),
+        Figure(f"whole plan at 8 KB a second, {label}",
+               figures["whole plan (bytes)"] / target.control_bytes_per_second, "s",
+               target.change_within_seconds),
+        Figure(f"whole plan, processor, {label}", figures["whole plan, processor (s)"], "s"),
+        Figure(f"one change, processor, {label}", change, "s"),
+        Figure(f"one change with the kept file, processor, {label}", kept, "s"),
+        Figure(f"the worst minute with the kept file, {label}", kept * BURST_CHANGES, "cores",
+               target.control_cores),
+        Figure(f"telling each second, {label}", figures["telling, processor a second (cores)"], "cores",
+               target.control_cores),
+    ]  # fmt: skip
+
+
+def takes(functions: int) -> bool:
+    """Whether an edge's speaker takes the whole plan of so many functions as it comes."""
+    edge = HollowPlannedEdge()
+    source = PlannerSource(edge, 1)
+    speaker = source.speak()
+    speaker.makeConnection(CountingTransport(Traffic()))  # type: ignore[no-untyped-call]
+    speaker.paused = False
+    hello = wire.Hello(plans.PLANNER, wire.VERSION, "planner")
+    speaker.dataReceived(wire.encode(hello) + b"\n" + whole_line(functions))  # type: ignore[no-untyped-call]
+    return not speaker.closed and len(edge.routing.splits) == functions
+
+
+register(PlannerRole())
+register(KeeperRole())
+register(PlannerRestartRole())
+register(PlansRole())
