--- a/benchmarks/scale/roles/control_allowance.py
+++ b/benchmarks/scale/roles/control_allowance.py
@@ -17,9 +17,9 @@
 from benchmarks.scale.samples import Budget, Dimension, Sample, Scene, Sweep
 from lapistrestle.deployment.shape import Fleet
 from lapistrestle.edge.together import Together
-from lapistrestle.fleet.allowance import Allowance
+from lapistrestle.fleet.allowance import Allowance, AllowanceSettings
 from lapistrestle.fleet.lending import Lending
-from lapistrestle.overload.door import LOOK
+from lapistrestle.overload.admission import UPDATE_EVERY
 from lapistrestle.overload.probers import probers
 from lapistrestle.state import Srv
 from lapistrestle.wire import fleet as wire
@@ -43,8 +43,8 @@
         self.claim = Claim(
             f"dispatcher-{number:05d}", 1, number + 1, 0, Rank.ALIVE, "127.0.0.1", 10_000 + number
         )
-        facts = {"settle": SETTLE, "lasts": 3 * SETTLE}
-        allowance = Allowance("loads", UNITS_EACH * of, of, number, facts, fleet.clock.now)
+        settings = AllowanceSettings(lasts=3 * SETTLE, settle=SETTLE)
+        allowance = Allowance("loads", UNITS_EACH * of, of, number, settings, fleet.clock.now)
         self.lending = Lending(allowance, self.used, self.send, seed + number)
         self.hot = number % HOT == 0
 
@@ -63,7 +63,8 @@
     def look(self, others: list[Claim]) -> None:
         if self.hot:
             self.lending.wish()
-        self.lending.look([claim for claim in others if claim is not self.claim], True, self.fleet.clock.now)
+        live = [claim for claim in others if claim is not self.claim]
+        self.lending.update(live, True, self.fleet.clock.now)
 
 
 class LendingFleet:
@@ -95,9 +96,9 @@
                 borrower.look(self.claims)
 
     def run(self, seconds: int) -> None:
-        for _ in range(seconds * SECOND // LOOK):
+        for _ in range(seconds * SECOND // UPDATE_EVERY):
             self.look()
-            self.clock.run(self.clock.now + LOOK)
+            self.clock.run(self.clock.now + UPDATE_EVERY)
 
     def had(self) -> list[int]:
         """Units that each hot dispatcher may use at this moment."""
@@ -159,7 +160,7 @@
     together = Together(edge, Fleet(name="region", port=7_000, loads=UNITS_EACH * dispatchers), 1, 1)
     others = [Claim(f"dispatcher-{i:05d}", 1, i + 1, 0, Rank.ALIVE, "127.0.0.1", 10_000 + i)
               for i in range(1, dispatchers)]  # fmt: skip
-    together.talk.members.heard(others[0], wire.Ack(0), others, edge.now)
+    together.endpoint.members.heard(others[0], wire.Ack(0), others, edge.now)
     return together
 
 
@@ -180,7 +181,7 @@
         together = together_of(instances, dispatchers)
         look = processor_seconds(together.share_trials)
         loads = processor_seconds(together.loading)
-        looks = SECOND / LOOK
+        looks = SECOND / UPDATE_EVERY
         steps = count_steps(together.share_trials).instructions
         figures = {"one count of own loads (s)": loads.median}
         if dimension is Dimension.DISPATCHERS:
--- a/benchmarks/scale/roles/control_gossip.py
+++ b/benchmarks/scale/roles/control_gossip.py
@@ -1,8 +1,8 @@
-"""Membership, digests and the door's look at them, by number of dispatchers.
+"""Membership, digests and what admission makes of them, by number of dispatchers.
 
-One member runs the program's own `Talk`, `Members`, `Digests` and `Door`; the other members are synthetic:
-they answer its pings, ping it, ask for pages and tell rows as often as real ones would on average, in real
-encoded datagrams. So a fleet of any size costs one process. `gossip-fleet` plays a whole fleet of real
+One member runs the program's own `FleetEndpoint`, `Members`, `Digests` and `AdmissionController`; the others
+are synthetic: they answer its pings, ping it, ask for pages and tell rows as often as real ones would on
+average, in real encoded datagrams. So a fleet of any size costs one process. `gossip-fleet` plays a whole fleet of real
 members and meters one of them; the scene `check` holds the two against each other.
 """
 
@@ -25,9 +25,11 @@
     module_facts,
 )
 from benchmarks.scale.samples import Budget, Dimension, Figure, Sample, Scene, Sweep
-from lapistrestle.fleet.members import Standing
-from lapistrestle.fleet.talk import Talk
-from lapistrestle.overload.door import LOOK, Door
+from lapistrestle.fleet.digests import DigestSettings
+from lapistrestle.fleet.endpoint import FleetEndpoint
+from lapistrestle.fleet.settings import FleetSettings
+from lapistrestle.fleet.table import SelfState
+from lapistrestle.overload.admission import UPDATE_EVERY, AdmissionController, AdmissionSettings
 from lapistrestle.overload.probers import Verdicts
 from lapistrestle.standins.fleet import Cluster
 from lapistrestle.wire import fleet as wire
@@ -59,15 +61,15 @@
         self.claims = [claim_of(i) for i in range(others)]
         self.turns: list[int] = []
         self.began = self.clock.now
-        ground = Ground(self.clock, self.meter)
-        facts = {"fleet": FLEET, "port": 7_000}
-        self.talk = Talk(ground, facts, "dispatcher-99999", "zone-a", BOOT, seed, seed)
-        self.talk.transport = self
-        life = self.talk.members.me.life
-        self.door = Door(module_facts(others + 1), life, {}, seed, lambda text: None, self.clock.now)
-        self.talk.digests, self.talk.verdicts = self.door.digests, Verdicts("dispatcher-99999")
-        count_calls(self.door, UP)
-        self.door.digests.renew(self.clock.now)
+        self.ground = Ground(self.clock, self.meter)
+        settings = FleetSettings(fleet=FLEET, port=7_000)
+        self.endpoint = FleetEndpoint(self.ground, settings, "dispatcher-99999", "zone-a", BOOT, seed, seed)
+        self.endpoint.transport = self
+        life = self.endpoint.members.me.life
+        self.admission = controller(others + 1, life, DigestSettings(), seed, self.clock.now)
+        self.endpoint.digests, self.endpoint.verdicts = self.admission.digests, Verdicts("dispatcher-99999")
+        count_calls(self.admission, UP)
+        self.admission.digests.renew(self.clock.now)
         self.know_all()
 
     @property
@@ -76,17 +78,17 @@
 
     def know_all(self) -> None:
         """As after a long calm: all known, no news left, some rows of each."""
-        members, digests, now = self.talk.members, self.door.digests, self.clock.now
+        members, digests, now = self.endpoint.members, self.admission.digests, self.clock.now
         members.start(now)
         members.heard(self.claims[0], wire.Ack(0), self.claims, now)
-        members.news.clear()
-        members.reading = None
+        members.table.news.clear()
+        members.sync.reading = None
         for back in range(HEARD_ROWS, 0, -1):
             for number in range(len(self.claims)):
-                digests.take(self.row(number, now - back * SECOND, 0), now)
+                digests.accept(self.row(number, now - back * SECOND, 0), now)
 
     def row(self, number: int, true_at: int, age: int) -> Row:
-        claim, digests = self.claims[number], self.door.digests
+        claim, digests = self.claims[number], self.admission.digests
         phase = SECOND * number // len(self.claims)
         seq = (true_at + phase) // SECOND
         at = seq * SECOND
@@ -118,7 +120,7 @@
     def hear(self, sender: Claim, word: wire.AnyWord, claims: tuple[Claim, ...] = ()) -> None:
         data = wire.pack(Datagram(FLEET, wire.VERSION, sender, word, claims))
         self.traffic.received(data)
-        self.meter.run(self.talk.datagramReceived, data, ("127.0.0.1", sender.port))
+        self.meter.run(self.endpoint.datagramReceived, data, ("127.0.0.1", sender.port))
 
     def some(self) -> Claim:
         return self.random.choice(self.claims)
@@ -132,7 +134,7 @@
     def datagrams(self) -> int:
         """Of rows, that each member sends at one telling; as many reach each on average."""
         own = wire.size(self.row(0, self.clock.now, 0))
-        return min(len(self.claims), self.door.digests.datagrams(self.size, own))
+        return min(len(self.claims), self.admission.digests.datagrams(self.size, own))
 
     def hear_rows(self, second: int) -> None:
         """One datagram of rows: the sender's own, and others' as old as a fleet of this size tells them."""
@@ -143,7 +145,7 @@
         rows = tuple(
             self.row(number, self.clock.now - age, age) for number, age in zip(numbers, ages, strict=True)
         )
-        self.hear(self.claims[numbers[0]], wire.Rows(self.door.digests.layout, rows))
+        self.hear(self.claims[numbers[0]], wire.Rows(self.admission.digests.layout, rows))
 
     def next_row(self) -> int:
         """Whose row comes next: all in turn, in an order drawn anew each round, since what is passed on is
@@ -162,34 +164,42 @@
         if index % 10 == 0:
             self.clock.at(start + SECOND // 3, self.hear, self.some(), wire.PageAsk(self.some().name))
         for half in range(2):
-            self.clock.at(start + half * LOOK, self.look)
+            self.clock.at(start + half * UPDATE_EVERY, self.update)
         self.own_calls()
         self.clock.run(start + SECOND)
 
-    def look(self) -> None:
-        members = self.talk.members
-        self.meter.run(self.door.look, self.talk.present, members.size, self.clock.now)
+    def update(self) -> None:
+        members = self.endpoint.members
+        self.meter.run(self.admission.update, self.endpoint.present, members.size, self.clock.now)
 
     def own_calls(self) -> None:
         """What the member itself counts; no part of what is measured."""
-        count_calls(self.door, 1)
+        count_calls(self.admission, 1)
 
     def run(self, seconds: int) -> None:
         for index in range(seconds):
             self.second(index)
 
     def start(self) -> "LoneMember":
-        self.talk.wake()
+        self.endpoint.wake()
         self.run(3)
-        assert self.talk.members.standing is Standing.MEMBER and not self.talk.ground.passed  # type: ignore[attr-defined]
+        assert self.endpoint.members.state is SelfState.MEMBER and not self.ground.passed
         return self
 
 
-def count_calls(door: Door, seconds: float) -> None:
+def controller(
+    size: int, life: tuple[str, int, int], told: DigestSettings, seed: int, now: int
+) -> AdmissionController:
+    """The admission controller of one dispatcher of so many."""
+    settings = AdmissionSettings.of(module_facts(size))
+    return AdmissionController(settings, life, told, seed, lambda text: None, now)
+
+
+def count_calls(admission: AdmissionController, seconds: float) -> None:
     """Count so many seconds of the member's own calls."""
-    columns = door.digests.columns
+    columns = admission.digests.columns
     for column, count in zip(columns, counts_at(len(columns), seconds), strict=True):
-        door.digests.add(column, count)
+        admission.digests.add(column, count)
 
 
 def claim_of(number: int) -> Claim:
@@ -201,20 +211,20 @@
 
 def refill_seconds(member: LoneMember) -> float:
     """Processor time of drawing the order of one whole round of probes; due once in as many periods."""
-    members = member.talk.members
-    here = members.here()
+    members = member.endpoint.members
+    live = members.live()
     began = time.process_time()
-    members.some(here, len(here))
+    members.draws.some(live, len(live))
     return time.process_time() - began
 
 
 def page_seconds(member: LoneMember, times: int = 5) -> float:
     """Processor time of answering one ask for a page of the table."""
-    members = member.talk.members
+    members = member.endpoint.members
     asker = next(iter(members.members.values()))
     began = time.process_time()
     for _ in range(times):
-        members.tell_page(asker, "dispatcher-00001")
+        members.sync.send_page(asker, "dispatcher-00001")
     return (time.process_time() - began) / times
 
 
@@ -312,7 +322,7 @@
         as in a larger fleet under the program's bounds."""
         size, made = (50 if quick else 100), []
         for most, tell in THINNED:
-            fleet = WholeFleet(size, seed, {"datagrams": most, "tell": tell})
+            fleet = WholeFleet(size, seed, DigestSettings(send_every=tell, max_datagrams=most))
             fleet.run(25)
             counted, age = fleet.coverage()
             as_if = size * 10 // most * tell // (SECOND // 2)
@@ -331,28 +341,28 @@
 
 
 class WholeFleet:
-    """Real members in one process and virtual time, each with its door; the first is metered."""
+    """Real members in one process and virtual time, each with its admission; the first is metered."""
 
-    def __init__(self, size: int, seed: int, told: dict[str, Any] | None = None) -> None:
+    def __init__(self, size: int, seed: int, told: DigestSettings | None = None) -> None:
         self.cluster, self.meter = Cluster(seed), Meter()
-        self.talks = self.cluster.many(size)
+        self.endpoints = self.cluster.many(size)
         joined = self.cluster.until(self.cluster.agreed, 120)
         assert joined < 120, f"{size} members did not agree within 120 s"
-        self.doors = [self.fit(talk, size, told or {}) for talk in self.talks]
+        self.controllers = [self.fit(endpoint, size, told or DigestSettings()) for endpoint in self.endpoints]
         self.traffic = Traffic()
-        self.watch(self.talks[0])
+        self.watch(self.endpoints[0])
 
-    def fit(self, talk: Talk, size: int, told: dict[str, Any]) -> Door:
-        life, now = talk.members.me.life, talk.ground.clock()
-        door = Door(module_facts(size), life, told, talk.seed, lambda text: None, now)
-        talk.digests, talk.verdicts = door.digests, Verdicts(talk.members.me.name)
-        count_calls(door, UP)
-        talk.wake()
-        return door
+    def fit(self, endpoint: FleetEndpoint, size: int, told: DigestSettings) -> AdmissionController:
+        life, now = endpoint.members.me.life, endpoint.runtime.clock()
+        admission = controller(size, life, told, endpoint.seed, now)
+        endpoint.digests, endpoint.verdicts = admission.digests, Verdicts(endpoint.members.me.name)
+        count_calls(admission, UP)
+        endpoint.wake()
+        return admission
 
-    def watch(self, talk: Talk) -> None:
+    def watch(self, endpoint: FleetEndpoint) -> None:
         """Meter this member's own work, and count what it hears."""
-        received, turn = talk.datagramReceived, talk.turn
+        received, turn = endpoint.datagramReceived, endpoint.turn
 
         def hear(data: bytes, address: Any) -> None:
             self.traffic.received(data)
@@ -361,28 +371,30 @@
         def fire(argument: object = None) -> None:
             self.meter.run(turn, argument)
 
-        talk.datagramReceived = hear  # type: ignore[method-assign, assignment]
-        talk.turn = fire  # type: ignore[method-assign, assignment]
+        endpoint.datagramReceived = hear  # type: ignore[method-assign, assignment]
+        endpoint.turn = fire  # type: ignore[method-assign, assignment]
 
     def run(self, seconds: int) -> None:
         for _ in range(seconds):
-            for door in self.doors:
-                count_calls(door, 1)
+            for admission in self.controllers:
+                count_calls(admission, 1)
             for _ in range(2):
                 self.cluster.run(0.5)
-                self.look()
+                self.update()
 
-    def look(self) -> None:
-        talk, door = self.talks[0], self.doors[0]
-        self.meter.run(door.look, talk.present, talk.members.size, talk.ground.clock())
+    def update(self) -> None:
+        endpoint, admission = self.endpoints[0], self.controllers[0]
+        self.meter.run(admission.update, endpoint.present, endpoint.members.size, endpoint.runtime.clock())
 
     def coverage(self) -> tuple[float, float]:
         """Of the fleet, the part that one member's figures count; and the age of the oldest, in seconds. The
         median over some members."""
         shares, ages = [], []
-        for talk, door in list(zip(self.talks, self.doors, strict=True))[:20]:
-            figures = door.digests.figures(talk.ground.clock(), talk.present, talk.members.size)
-            shares.append(figures.told / figures.size)
+        for endpoint, admission in list(zip(self.endpoints, self.controllers, strict=True))[:20]:
+            figures = admission.digests.figures(
+                endpoint.runtime.clock(), endpoint.present, endpoint.members.size
+            )
+            shares.append(figures.counted / figures.size)
             ages.append(figures.age / SECOND)
         return statistics.median(shares), statistics.median(ages)
 
@@ -391,14 +403,14 @@
     """One member of a whole fleet of real members."""
     fleet = WholeFleet(size, seed)
     fleet.run(15)
-    talk = fleet.talks[0]
+    endpoint = fleet.endpoints[0]
     fleet.meter.seconds, fleet.traffic = 0.0, Traffic()
-    sent, sent_bytes = talk.sent, talk.sent_bytes
+    sent, sent_bytes = endpoint.sent, endpoint.sent_bytes
     fleet.run(seconds)
     counted, age = fleet.coverage()
-    sent_all, cores = talk.sent - sent, fleet.meter.seconds / seconds
+    sent_all, cores = endpoint.sent - sent, fleet.meter.seconds / seconds
     messages_in, bytes_in = fleet.traffic.messages_in, fleet.traffic.bytes_in
-    sent_bytes = talk.sent_bytes - sent_bytes
+    sent_bytes = endpoint.sent_bytes - sent_bytes
     fleet.meter.counts_steps = True
     fleet.run(QUICK_SPAN)
     return Sample(
--- a/benchmarks/scale/roles/control_rollout.py
+++ b/benchmarks/scale/roles/control_rollout.py
@@ -281,7 +281,7 @@
         self.routing = Routing()
         self.now = 1_000 * SECOND
         self.seats: dict[Any, None] = {}
-        self.host = SimpleNamespace(door=SimpleNamespace(fns={}), module=SimpleNamespace())
+        self.host = SimpleNamespace(registry=SimpleNamespace(fns={}), module=SimpleNamespace())
 
     def clock(self) -> int:
         return self.now
