--- a/benchmarks/scale/roles/control_gossip.py
+++ b/benchmarks/scale/roles/control_gossip.py
@@ -2,8 +2,8 @@
 
 One member runs the program's own `FleetEndpoint`, `Members`, `Digests` and `AdmissionController`; the others
 are synthetic: they answer its pings, ping it, ask for pages and tell rows as often as real ones would on
-average, in real encoded datagrams. So a fleet of any size costs one process. `gossip-fleet` plays a whole fleet of real
-members and meters one of them; the scene `check` holds the two against each other.
+average, in real encoded datagrams. So a fleet of any size costs one process. `gossip-fleet` plays a whole
+fleet of real members and meters one of them; the scene `check` holds the two against each other.
 """
 
 import random
