--- a/benchmarks/scale/roles/control_gossip.py
+++ b/benchmarks/scale/roles/control_gossip.py
@@ -345,7 +345,10 @@
 
     def __init__(self, size: int, seed: int, told: DigestSettings | None = None) -> None:
         self.cluster, self.meter = Cluster(seed), Meter()
-        self.endpoints = self.cluster.many(size)
+        names = [f"dispatcher-{number:05d}" for number in range(size)]
+        self.endpoints = [
+            self.cluster.add(name, tuple(names[: min(2, i)]), BOOT + i) for i, name in enumerate(names)
+        ]
         joined = self.cluster.until(self.cluster.agreed, 120)
         assert joined < 120, f"{size} members did not agree within 120 s"
         self.controllers = [self.fit(endpoint, size, told or DigestSettings()) for endpoint in self.endpoints]
