--- a/benchmarks/scale/roles/control_gossip.py
+++ b/benchmarks/scale/roles/control_gossip.py
@@ -28,7 +28,7 @@
 from lapistrestle.fleet.digests import DigestSettings
 from lapistrestle.fleet.endpoint import FleetEndpoint
 from lapistrestle.fleet.settings import FleetSettings
-from lapistrestle.fleet.table import SelfState
+from lapistrestle.fleet.table import CONFIRMATIONS, SelfState
 from lapistrestle.overload.admission import UPDATE_EVERY, AdmissionController, AdmissionSettings
 from lapistrestle.overload.probers import Verdicts
 from lapistrestle.standins.fleet import Cluster
@@ -425,6 +425,20 @@
     )  # fmt: skip
 
 
+def death(seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+    """Seconds from a suspicion to its end, with enough accusers and with a single one."""
+    made = []
+    for size in (assumptions.target.dispatchers_per_region, assumptions.target.dispatchers):
+        for accusers in (1, CONFIRMATIONS + 1):
+            members = LoneMember(size - 1, seed).start().endpoint.members
+            victim = members.live()[0]
+            for accuser in members.live()[1 : 1 + accusers]:
+                members.apply(wire.replace(victim.claim, rank=Rank.SUSPECT, by=accuser.name))
+            lasts = (members.suspicion_ends(victim) - members.now) / SECOND
+            made.append(Figure(f"a suspicion lasts, {accusers} accusers, fleet of {size}", lasts, "s"))
+    return made
+
+
 class GossipFleet:
     """The same from a whole fleet of real members, as far as one process can hold it."""
 
@@ -434,7 +448,11 @@
         Sweep(Dimension.DISPATCHERS, (12, 25, 50, 100), 200, 3_900, (6, 12, 25, 50), 100),
     )
     budgets: tuple[Budget, ...] = GossipMember.budgets[:2]
-    scenes: tuple[Scene, ...] = ()
+
+    def __init__(self) -> None:
+        self.scenes: tuple[Scene, ...] = (
+            Scene("death", "how long one that is suspected still counts as there", death),
+        )
 
     def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
         return measure_in_fleet(size, seed)
