Agreed log: fifteen members, three in each region, at the worst minute

With a region cut off and one machine down in each other, five members in five regions may all be gone; fifteen leave eight.

--- a/benchmarks/scale/roles/control_agreement.py
+++ b/benchmarks/scale/roles/control_agreement.py
@@ -239,7 +239,7 @@
         target = assumptions.target
         rate = max(1, round(target.changes_per_day * assumptions.restarts.burst_changes_part / 60))
         made = []
-        for count in (3, 5):
+        for count in (3, 5, 15):  # fifteen: three in each region
             for where, delay in (("one region", DELAY), ("several regions", FAR)):
                 sample = by_changes(count, rate, delay, seed)
                 label = f"{count} members, {where}, {rate} changes a second"
