--- a/benchmarks/scale/assumptions.py
+++ b/benchmarks/scale/assumptions.py
@@ -83,6 +83,7 @@
     cores: Count
     memory_bytes: Positive
     instances: Count  # of functions on it
+    rack: Count  # machines of a rack, behind one switch
 
 
 class Restarts(Table, frozen=True, forbid_unknown_fields=True):
--- a/benchmarks/scale/roles/control_agreement.py
+++ b/benchmarks/scale/roles/control_agreement.py
@@ -1,7 +1,7 @@
 """Members of an agreed log: what one change costs, by changes a second and by length of the log.
 
 Members of `agreement.raft` stand in one process and virtual time; each word is encoded, since the package has
-no transport yet, and each `Save` counts the bytes that a disk would have to write before what follows. The
+no transport yet, and each `Persist` counts the bytes that a disk would have to write before what follows. The
 leader is metered, and one follower apart.
 """
 
@@ -15,9 +15,18 @@
 from benchmarks.scale.roles import register
 from benchmarks.scale.roles.control_hollow import SECOND, Clock, Meter, Traffic
 from benchmarks.scale.samples import Budget, Dimension, Figure, Sample, Scene, Sweep
-from lapistrestle.agreement.raft import Member, Role
-from lapistrestle.agreement.words import Append, Commit, Disk, Effect, Entry, Message, Save, Send
-from lapistrestle.planner.keeper import Command, encode
+from lapistrestle.agreement.messages import (
+    AppendEntries,
+    Commit,
+    Effect,
+    LogEntry,
+    Message,
+    Persist,
+    PersistentState,
+    Send,
+)
+from lapistrestle.agreement.raft import RaftNode, RaftSettings, Role
+from lapistrestle.planner.state import Command, encode
 
 DELAY = 10  # tenths of a millisecond between two members of one region
 FAR = 500  # between two members of different regions
@@ -36,15 +45,27 @@
     return encode(command).decode()
 
 
+def node(name: str, names: Sequence[str], entries: Sequence[LogEntry], seed: int, now: int) -> RaftNode:
+    """A member whose disk holds these entries."""
+    return RaftNode(name, names, PersistentState(1, "", list(entries)), RaftSettings(), seed, now)
+
+
 class Agreed:
     """Members in virtual time; `delay` one way, in tenths of a millisecond."""
 
     def __init__(self, count: int, log: int, delay: int, seed: int) -> None:
         self.clock, self.delay = Clock(), delay
         self.names = [f"member-{i}" for i in range(count)]
-        entries = [Entry(1, change(i)) for i in range(log)]
+        entries = [LogEntry(1, change(i)) for i in range(log)]
         self.members = {
-            name: Member(name, self.names, Disk(1, "", list(entries)), {}, seed * 10 + i, self.clock.now)
+            name: RaftNode(
+                name,
+                self.names,
+                PersistentState(1, "", list(entries)),
+                RaftSettings(),
+                seed * 10 + i,
+                self.clock.now,
+            )
             for i, name in enumerate(self.names)
         }
         self.meters = {name: Meter() for name in self.names}
@@ -82,7 +103,7 @@
     def do(self, name: str, effect: Effect) -> None:
         if isinstance(effect, Send):
             self.post(name, effect.to, effect.message)
-        elif isinstance(effect, Save) and name == self.names[0]:
+        elif isinstance(effect, Persist) and name == self.names[0]:
             self.saved_bytes += len(PACK.encode(effect))
         elif isinstance(effect, Commit) and effect.index in self.proposed_at and name == self.leader:
             self.took.append(self.clock.now - self.proposed_at.pop(effect.index))
@@ -100,7 +121,7 @@
     def propose(self, number: int) -> None:
         leader = self.leader
         member = self.members[leader]
-        at = member.last + 1
+        at = member.last_index + 1
         self.proposed_at[at] = self.clock.now
         self.step(leader, lambda: member.propose(change(number), self.clock.now)[1])
 
@@ -164,37 +185,41 @@
         return by_changes(self.count, size, self.delay, seed)
 
 
-def restart_seconds(entries: list[Entry]) -> float:
+def restart_seconds(entries: list[LogEntry]) -> float:
     """Processor time of a member that starts again with that log and agrees on it anew."""
 
     def restart() -> None:
-        member = Member("member-0", ["member-0"], Disk(1, "", list(entries)), {}, 1, 0)
+        member = RaftNode(
+            "member-0", ["member-0"], PersistentState(1, "", list(entries)), RaftSettings(), 1, 0
+        )
         member.tick(member.due)
-        assert member.commit >= len(entries)
+        assert member.commit_index >= len(entries)
 
     return processor_seconds(restart, 3).median
 
 
-def answered(meter: Meter, member: Member, sender: str, message: Message, now: int) -> list[Effect]:
+def answered(meter: Meter, member: RaftNode, sender: str, message: Message, now: int) -> list[Effect]:
     """What a member does with a word, metered."""
     made: list[Effect] = []
     meter.run(lambda: made.extend(member.heard(sender, message, now)))
     return made
 
 
-def catch_up(entries: list[Entry]) -> tuple[float, float, float]:
+def catch_up(entries: list[LogEntry]) -> tuple[float, float, float]:
     """A follower that comes back without a log: processor seconds of both, bytes, and virtual seconds."""
     clock, meter, traffic = Clock(), Meter(), Traffic()
     names = ["member-0", "member-1", "member-2"]
-    leader = Member(names[0], names, Disk(1, "", list(entries)), {}, 1, clock.now)
-    follower = Member(names[1], names, Disk(), {}, 2, clock.now)
-    leader.ask(clock.now, pre=False)
+    leader = node(names[0], names, entries, 1, clock.now)
+    follower = node(names[1], names, (), 2, clock.now)
+    leader.start_election(clock.now, pre=False)
     leader.votes.add(names[2])
-    leader.count(clock.now)
-    outbox = [effect for effect in leader.done() if isinstance(effect, Send)]
-    start, last = clock.now, leader.last
-    while outbox and follower.last < last:
-        words = [effect for effect in outbox if effect.to == names[1] and isinstance(effect.message, Append)]
+    leader.count_votes(clock.now)
+    outbox = [effect for effect in leader.take_effects() if isinstance(effect, Send)]
+    start, last = clock.now, leader.last_index
+    while outbox and follower.last_index < last:
+        words = [
+            effect for effect in outbox if effect.to == names[1] and isinstance(effect.message, AppendEntries)
+        ]
         made: list[Effect] = []
         for effect in words:
             traffic.sent(PACK.encode(effect.message))
@@ -205,7 +230,7 @@
         for answer in answers:
             back += answered(meter, leader, names[1], answer.message, clock.now)
         outbox = [effect for effect in back if isinstance(effect, Send)]
-    assert follower.last == last, "the follower did not catch up"
+    assert follower.last_index == last, "the follower did not catch up"
     return meter.seconds, float(traffic.bytes_out), (clock.now - start) / SECOND
 
 
@@ -225,7 +250,7 @@
         )
 
     def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
-        entries, held = build_measured(lambda: [Entry(1, change(i)) for i in range(size)])
+        entries, held = build_measured(lambda: [LogEntry(1, change(i)) for i in range(size)])
         processor, data, lasts = catch_up(entries)
         return Sample(
             state_bytes=held, bytes_out=data, figures={
--- a/benchmarks/scale/roles/control_rollout.py
+++ b/benchmarks/scale/roles/control_rollout.py
@@ -19,8 +19,8 @@
 from benchmarks.scale.roles.control_hollow import SECOND, Traffic, deployment
 from benchmarks.scale.samples import Budget, Dimension, Figure, Sample, Scene, Sweep
 from lapistrestle.edge.planning import PlannerSource
-from lapistrestle.planner.keeper import Command, Keeper, Reply, Report
 from lapistrestle.planner.program import Planner, PlannerSpeaker
+from lapistrestle.planner.state import Command, PlannerState, Reply, Report
 from lapistrestle.rollout.life import Input, Rollout
 from lapistrestle.rollout.routing import Routing
 from lapistrestle.rollout.versions import Split
@@ -47,29 +47,29 @@
     )  # fmt: skip
 
 
-def keeper_of(functions: int) -> Keeper:
+def keeper_of(functions: int) -> PlannerState:
     """A planner's state where each of these functions has had one rollout that is over. Put together
     piece by piece, as taking every entry is quadratic (`planner-restart`)."""
-    keeper = Keeper()
+    state = PlannerState()
     for number in range(functions):
         command = start_of(number, 0)
-        keeper.number += 1
+        state.number += 1
         rollout = Rollout(command.fn, "", command.candidate, command.steps, command.remembered)
         rollout.tell(Input.START, 0, command.who, command.why)
         rollout.tell(Input.BACK, 0, command.who)
         rollout.tell(Input.FORGOTTEN, 0)
-        keeper.rollouts[command.fn] = rollout
-        keeper.changed[command.fn] = keeper.number
-        keeper.replies[command.id] = Reply("done", "none to v2", "warming", 0.0, keeper.number)
-    return keeper
+        state.rollouts[command.fn] = rollout
+        state.changed[command.fn] = state.number
+        state.replies[command.id] = Reply("done", "none to v2", "warming", 0.0, state.number)
+    return state
 
 
-def replayed(functions: int) -> Keeper:
+def replayed(functions: int) -> PlannerState:
     """The same by the entries themselves, as a planner that starts reads them from its journal."""
-    keeper = Keeper()
+    state = PlannerState()
     for number in range(functions):
-        keeper.take(keeper.number + 1, start_of(number, 0))
-    return keeper
+        state.apply(state.number + 1, start_of(number, 0))
+    return state
 
 
 class CountingTransport:
@@ -126,8 +126,8 @@
     def __init__(self, edges: int, functions: int, folder: Path) -> None:
         self.traffic = Traffic()
         self.planner = Planner(StillReactor(), Journal(folder / "journal"), lambda what, **figures: None)
-        self.planner.keeper = keeper_of(functions)
-        self.planner.journal.append([b"{}"] * self.planner.keeper.number)
+        self.planner.state = keeper_of(functions)
+        self.planner.journal.append([b"{}"] * self.planner.state.number)
         self.speakers = [self.connect(number) for number in range(edges)]
 
     def connect(self, number: int) -> PlannerSpeaker:
@@ -146,7 +146,7 @@
             id=f"burst-{candidate}-{number}", what="start", fn=function(number), who="operator",
             why="release of the day", candidate=f"version-{candidate}", remembered=0.0,
         )  # fmt: skip
-        self.planner.keeper.replies.pop(order.id, None)
+        self.planner.state.replies.pop(order.id, None)
         self.hear(self.speakers[-1], order)
 
     def counts(self, number: int) -> None:
@@ -236,14 +236,14 @@
         )
 
     def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
-        keeper, held = build_measured(lambda: keeper_of(size))
+        state, held = build_measured(lambda: keeper_of(size))
         report = Report(
             at=SECOND, edge="dispatcher-00001", start="start-1", fn=function(0), candidate="version-v2",
             step=-1, minute=1, counts=(10, 0, 1, 0),
         )  # fmt: skip
-        entry = processor_seconds(lambda: keeper.take(keeper.number + 1, report), 3)
-        whole = processor_seconds(lambda: keeper.plan(), 3)
-        steps = count_steps(lambda: keeper.take(keeper.number + 1, report)).instructions
+        entry = processor_seconds(lambda: state.apply(state.number + 1, report), 3)
+        whole = processor_seconds(lambda: state.plan(), 3)
+        steps = count_steps(lambda: state.apply(state.number + 1, report)).instructions
         return Sample(
             state_bytes=held, processor=entry.median * BURST_CHANGES, processor_low=entry.low * BURST_CHANGES,
             processor_high=entry.high * BURST_CHANGES, steps=steps,
@@ -254,10 +254,10 @@
         """Measured at the target's functions, and worked out for all dispatchers."""
         target = assumptions.target
         functions = target.functions // (10 if quick else 1)
-        keeper, held = build_measured(lambda: keeper_of(functions))
-        entry = processor_seconds(lambda: keeper.take(keeper.number + 1, start_of(0, 1, "v2")), 3).median
-        plan = processor_seconds(lambda: keeper.plan(keeper.number), 3).median
-        whole = processor_seconds(lambda: keeper.plan(), 3).median
+        state, held = build_measured(lambda: keeper_of(functions))
+        entry = processor_seconds(lambda: state.apply(state.number + 1, start_of(0, 1, "v2")), 3).median
+        plan = processor_seconds(lambda: state.plan(state.number), 3).median
+        whole = processor_seconds(lambda: state.plan(), 3).median
         return [
             Figure(f"state of {functions} rollouts", held, "bytes"),
             Figure(f"one entry, {functions} rollouts", entry, "s", 1 / BURST_CHANGES),
@@ -447,7 +447,7 @@
 
 def is_sent(functions: int, each: float) -> bool:
     """Whether a planner's end goes on after a line of that many functions of `each` bytes."""
-    speaker = PlannerSpeaker(SimpleNamespace(keeper=Keeper()))  # type: ignore[arg-type]
+    speaker = PlannerSpeaker(SimpleNamespace(state=PlannerState()))  # type: ignore[arg-type]
     speaker.makeConnection(PausingTransport(Traffic()))  # type: ignore[no-untyped-call]
     speaker.paused = False
     speaker.say_line(bytes(int(functions * each)))
--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -14,9 +14,9 @@
     control_roster,
 )
 from benchmarks.scale.samples import Dimension
-from lapistrestle.agreement.raft import Member
+from lapistrestle.agreement.raft import RaftNode
 from lapistrestle.choice import Dispatcher
-from lapistrestle.edge.following import Following
+from lapistrestle.edge.following import KnownWorkers
 from lapistrestle.fleet.table import MemberTable
 from lapistrestle.wire.lines import LineBounds
 
@@ -111,13 +111,13 @@
 
 
 def test_a_planted_scan_of_the_log_is_caught(monkeypatch):
-    append = Member.append
+    append = RaftNode.append
 
     def scanned(member, entries):
         assert all(entry.term >= 0 for entry in member.entries)
         append(member, entries)
 
-    monkeypatch.setattr(Member, "append", scanned)
+    monkeypatch.setattr(RaftNode, "append", scanned)
     assert kind(LOGS, change_steps) is Kind.LINEAR
 
 
@@ -146,9 +146,9 @@
     """The page tells that they grow at all: every entry looks at every rollout."""
 
     def entry(functions):
-        keeper = control_rollout.keeper_of(functions)
+        state = control_rollout.keeper_of(functions)
         command = control_rollout.start_of(0, 1, "v3")
-        return count_steps(lambda: keeper.take(keeper.number + 1, command)).instructions
+        return count_steps(lambda: state.apply(state.number + 1, command)).instructions
 
     def change(functions):
         source = control_rollout.source_with(functions)
@@ -182,13 +182,13 @@
 
 
 def test_a_planted_scan_of_the_list_is_caught(monkeypatch):
-    facts = Following.facts
+    facts = KnownWorkers.facts
 
     def scanned(following, known):
         assert sum(other is known for other in following.known.values()) == 1
         return facts(following, known)
 
-    monkeypatch.setattr(Following, "facts", scanned)
+    monkeypatch.setattr(KnownWorkers, "facts", scanned)
     assert kind(CHANGED, list_change_steps) is Kind.LINEAR
 
 
