--- a/benchmarks/scale/roles/control_agreement.py
+++ b/benchmarks/scale/roles/control_agreement.py
@@ -32,6 +32,7 @@
 FAR = 500  # between two members of different regions
 SPAN = 20  # seconds
 LONG = 10_000  # entries of the log before it is measured by changes
+CROWDED = 64  # changes a second: ten times those of the worst minute
 CHANGES_A_SECOND = 3_800 / 10 / 60  # a tenth of the day's within one minute
 PACK = msgspec.msgpack.Encoder()
 
@@ -170,10 +171,11 @@
     """One log, by changes a second."""
 
     budgets: tuple[Budget, ...] = (Budget("processor", 1.0, "a core of a control machine"),)
-    scenes: tuple[Scene, ...] = ()
 
     def __init__(self, count: int, delay: int, where: str) -> None:
         self.count, self.delay = count, delay
+        scene = Scene("several in a round trip", "ten times the changes of the worst minute", self.crowded)
+        self.scenes: tuple[Scene, ...] = (scene,)
         sizes, beyond = ((1, 4, 16, 64), 256) if delay == DELAY else ((1, 2, 4, 8), 16)
         self.sweeps: tuple[Sweep, ...] = (Sweep(Dimension.CHANGES, sizes, beyond, CHANGES_A_SECOND),)
         self.name = f"agreement-{count}-{where}"
@@ -184,6 +186,17 @@
     def measure(self, dimension: Dimension, size: int, seed: int, assumptions: Assumptions) -> Sample:
         return by_changes(self.count, size, self.delay, seed)
 
+    def crowded(self, seed: int, assumptions: Assumptions, quick: bool) -> list[Figure]:
+        """Where members are far apart, several changes are under way at once."""
+        rate = 16 if quick else CROWDED
+        sample = by_changes(self.count, rate, self.delay, seed)
+        bytes_each = sample.figures["bytes sent a change"]
+        return [
+            Figure(f"bytes sent a change, {rate} a second", bytes_each, "bytes"),
+            Figure(f"messages of the leader, {rate} a second", sample.messages_out, "messages/s"),
+            Figure(f"processor of the leader, {rate} a second", sample.processor, "cores", 1.0),
+        ]
+
 
 def restart_seconds(entries: list[LogEntry]) -> float:
     """Processor time of a member that starts again with that log and agrees on it anew."""
