--- a/benchmarks/scale/directory_fleet.py
+++ b/benchmarks/scale/directory_fleet.py
@@ -47,10 +47,16 @@
     """A holder's process: one queue, one core."""
 
     def __init__(
-        self, reactor: VirtualReactor, copy: Copy, settings: HolderSettings, seed: int, one_way: int
+        self,
+        reactor: VirtualReactor,
+        copy: Copy,
+        settings: HolderSettings,
+        seed: int,
+        one_way: int,
+        timed: bool = True,
     ) -> None:
-        """`one_way`: microseconds to a watcher."""
-        self.reactor, self.copy, self.one_way = reactor, copy, one_way
+        """`one_way`: microseconds to a watcher. Not `timed`: work takes no virtual time."""
+        self.reactor, self.copy, self.one_way, self.timed = reactor, copy, one_way, timed
         self.holder = ShardHolder(settings, seed, tenths(reactor))
         self.inbox: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self.sessions: dict[int, tuple[WatcherNode, int]] = {}
@@ -139,7 +145,7 @@
         lines = self.lines_of(self.holder.take())
         took = time.process_time() - began
         self.processor += took
-        delay = int(took * MILLION)
+        delay = int(took * MILLION) if self.timed else 0
         self.busy_until = self.reactor.now + delay
         for session, line in lines:
             self.send(session, line, delay)
@@ -211,6 +217,7 @@
         self.messages_in = self.messages_out = self.bytes_in = self.bytes_out = 0
         self.timer: DelayedCall | None = None
         self.held: list[tuple[int, bytes]] | None = None
+        self.held_renewals = False
         self.stopped = False
 
     def after(self, delay: int, call: Callable[..., None], *args: Any) -> None:
@@ -250,7 +257,7 @@
         if self.stopped or connection not in self.links:
             return
         if self.held is not None:
-            if b'"renewed"' not in line:
+            if self.held_renewals or b'"renewed"' not in line:
                 self.held.append((connection, line))
             return
         self.messages_in += 1
@@ -260,10 +267,10 @@
         self.act(began)
 
     @contextmanager
-    def holding(self) -> Iterator[list[tuple[int, bytes]]]:
-        """What arrives meanwhile is held instead of read, renewals' answers left out."""
+    def holding(self, renewals: bool = False) -> Iterator[list[tuple[int, bytes]]]:
+        """What arrives meanwhile is held instead of read; answers to `renewals` are left out, or held too."""
         held: list[tuple[int, bytes]] = []
-        self.held = held
+        self.held, self.held_renewals = held, renewals
         yield held
         self.held = None
 
@@ -345,6 +352,7 @@
         one_way: int,
         zones: tuple[str, ...] = ("a", "b", "c"),
         watcher_settings: WatcherSettings | None = None,
+        timed: bool = True,
         **holder_settings: Any,
     ) -> None:
         self.reactor = VirtualReactor()
@@ -354,7 +362,8 @@
         self.watcher_settings = watcher_settings or WatcherSettings()
         settings = HolderSettings(shards=frozenset(range(shards)), shard_count=shards, **holder_settings)
         self.holders = {
-            copy: HolderNode(self.reactor, copy, settings, seed + n, one_way) for n, copy in enumerate(copies)
+            copy: HolderNode(self.reactor, copy, settings, seed + n, one_way, timed)
+            for n, copy in enumerate(copies)
         }
         self.listed = {entry.name: entry for entry in entries}
         for node in self.holders.values():
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -277,3 +277,7 @@
 
 def entries(count: int, region: int = 0) -> list[wire.Entry]:
     return [entry(number, region=region) for number in range(count)]
+
+
+def drained(told: wire.Entry) -> wire.Entry:
+    return msgspec.structs.replace(told, listing="draining")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from benchmarks.scale import assumptions, fitting, measuring, page, roles, running, tables
+from benchmarks.scale import assumptions, control_work, fitting, measuring, page, roles, running, tables
 from benchmarks.scale.fitting import Kind
 from benchmarks.scale.samples import Dimension, Sample, Sweep
 
@@ -144,3 +144,35 @@
 
 def test_the_page_has_the_tables_of_the_result_files():
     assert page.check() == []
+
+
+FLEETS = (250, 500, 1_000, 2_000)
+VARIANTS = {
+    "whole list": (control_work.with_list, Kind.LINEAR),
+    "directory": (control_work.with_directory, Kind.FLAT),
+}
+
+
+def scan(names):
+    """The work that is planted: a look at every instance."""
+    return sum(name.endswith("7") for name in names)
+
+
+@pytest.mark.parametrize("variant", VARIANTS)
+def test_how_control_grows_with_instances_that_a_dispatcher_never_calls(variant):
+    """With the whole list it is known to grow; with the directory it does not, within a tenth."""
+    work, kind = VARIANTS[variant]
+    counted = [work(instances) for instances in FLEETS]
+    assert fitting.kind_of(FLEETS, [one.instructions for one in counted]) is kind
+    assert len({one.messages for one in counted}) == 1
+    assert fitting.kind_of(FLEETS, [one.bytes for one in counted]) is Kind.FLAT
+
+
+def test_a_linear_scan_planted_in_the_dispatcher_with_the_directory_is_caught():
+    counted = [control_work.with_directory(instances, scan).instructions for instances in FLEETS]
+    assert fitting.kind_of(FLEETS, counted) is Kind.LINEAR
+
+
+def test_what_is_counted_is_the_same_every_time():
+    assert control_work.with_directory(500) == control_work.with_directory(500)
+    assert control_work.with_list(250) == control_work.with_list(250)
