--- a/benchmarks/scale/directory_edge.py
+++ b/benchmarks/scale/directory_edge.py
@@ -69,6 +69,23 @@
         copies = [{"port": copy.port, "zone": copy.zone} for copy in region.holders]
         settings = {"epoch": 1, "shards": [copies] * len(region.assignment.shards), **directory}
         super().__init__([], seed, of, number, region.reactor, ports, directory=settings, roster={"port": 0})
+        self.looked_up: list[float] = []  # seconds that calls waited for their function's prefix
+        self.time_look_ups(self.edge.directory)
+
+    def time_look_ups(self, directory: Any) -> None:
+        wait, left, since = directory.wait, directory.left, dict[Any, float]()
+
+        def waits(pending: Any) -> None:
+            since[pending] = self.reactor.seconds()
+            wait(pending)
+
+        def leaves(pending: Any) -> bool:
+            was_waiting: bool = left(pending)
+            if was_waiting:
+                self.looked_up.append(self.reactor.seconds() - since.pop(pending))
+            return was_waiting
+
+        directory.wait, directory.left = waits, leaves
 
     def dialled_by(self, holder: HolderNode) -> Callable[[Any], None]:
         """What takes a dial of the edge to this holder."""
--- a/benchmarks/scale/running.py
+++ b/benchmarks/scale/running.py
@@ -8,7 +8,9 @@
 import traceback
 from collections.abc import Callable, Iterator
 from datetime import UTC, datetime
+from functools import partial
 from multiprocessing.connection import Connection
+from typing import TypeVar
 
 from msgspec import Struct
 
@@ -21,6 +23,7 @@
 QUICK_LIMIT = 240.0
 REPEATS = 3  # seeds for each size
 QUICK_REPEATS = 1
+Measured = TypeVar("Measured")
 STOP_WITHIN = 5.0  # seconds for a process to end once it is told to
 
 
@@ -96,12 +99,26 @@
     to_parent.close()
 
 
-def measure_role(role: Role, plan: Plan) -> Result:
+def timed(what: str, measure: Callable[[], Measured], log: Callable[[str], None]) -> Measured:
+    began, spent = time.monotonic(), time.process_time()
+    measured = measure()
+    log(f"  {what}: {time.monotonic() - began:.1f} s, {time.process_time() - spent:.1f} s of processor time")
+    return measured
+
+
+def say(text: str) -> None:
+    print(text, flush=True)
+
+
+def measure_role(role: Role, plan: Plan, log: Callable[[str], None] = say) -> Result:
     """Every sweep and every scene of a role, in this process."""
     date, load, began = datetime.now(UTC).isoformat("T", "seconds"), os.getloadavg()[0], time.monotonic()
     given, commit = assumptions.load(), results.commit()
-    series = tuple(measure_sweep(role, sweep, plan, given) for sweep in role.sweeps)
-    scenes = tuple(play_scene(scene, plan, given) for scene in role.scenes)
+    series = tuple(
+        timed(f"by {sweep.dimension}", partial(measure_sweep, role, sweep, plan, given), log)
+        for sweep in role.sweeps
+    )
+    scenes = tuple(timed(scene.name, partial(play_scene, scene, plan, given), log) for scene in role.scenes)
     took = round(time.monotonic() - began, 1)
     origin = results.origin(commit, plan.command, date, round(load, 1), took, plan.quick)
     return Result(role.name, role.text, origin, role.budgets, series, scenes)
