A scale run that is told to end takes its role's process with it

Cause: a run ended by SIGTERM left the process of the role at hand behind, which went on measuring. Change: SIGTERM leaves by the same way as an exception, through the stop of the child. Measured: seen once on a run that was ended by hand; the child then went on for 34 s.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -4,6 +4,7 @@
 python -m benchmarks.scale page [--check]
 """
 
+import signal
 import sys
 from pathlib import Path
 
@@ -27,6 +28,7 @@
     known = roles.all_roles()
     if unknown := [name for name in names if name not in known]:
         raise click.ClickException(f"no role {', '.join(unknown)}; there are {', '.join(known)}")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that the role's process ends with this one
     command = " ".join(["python -m benchmarks.scale", *sys.argv[1:]])
     folder = out or (None if quick else results.RESULTS)
     failed = 0
