Doc comments on the public items of fleet, node, overload and planner that had none

Change: one line each, with units where there are any; two words of the project's own go from comments. No code is changed but for one local name in probers.

--- a/lapistrestle/agreement/raft.py
+++ b/lapistrestle/agreement/raft.py
@@ -135,7 +135,7 @@
         self.out.append(Persist(self.term, self.voted_for, since, tuple(entries)))
 
     def commit_to(self, index: int) -> None:
-        """Up to there all is agreed. Told in order; after a restart from the start again."""
+        """Commit up to there, in order; after a restart from the start again."""
         while self.commit_index < min(index, self.last_index):
             self.commit_index += 1
             self.out.append(Commit(self.commit_index, self.entries[self.commit_index - 1]))
@@ -243,7 +243,7 @@
             self.count_votes(now)
 
     def on_append_entries(self, sender: str, word: AppendEntries, now: int) -> None:
-        """Entries of a leader: taken up where they follow on, else it is told how far to go back."""
+        """Entries of a leader: taken up where they follow on, else the leader is told how far to go back."""
         if word.term < self.term:
             return self.out.append(Send(sender, AppendReply(self.term, False, 0, word.round)))
         if self.role is not Role.FOLLOWER or self.leader != sender:
--- a/lapistrestle/fleet/allowance.py
+++ b/lapistrestle/fleet/allowance.py
@@ -1,6 +1,6 @@
 """Parts of one whole whose sum never passes it, at any moment, free of I/O (docs/fleet.md).
 
-The whole is cut by number: each dispatcher owns its cut, and no other ever reckons with it. A cut follows
+The whole is cut by number: each dispatcher owns its cut, and no other ever counts on it. A cut follows
 need by loans. The lender uses less before it says that it lends, and more again only when the loan is over by
 its own clock, counted from when it was asked; the borrower counts the loan from when *it* asked, and both
 leave room for clocks that run wrong. So nothing that is lost, late or doubled, no death and no standstill
@@ -103,7 +103,7 @@
 
     def lent(self, lender: Life, word: Lent, now: int) -> None:
         """An answer. It counts once, and from when we asked. One to the process before us, under a number of
-        ours, is told by when that asked."""
+        ours, is told apart by when that one asked."""
         waited = self.open.get(word.number)
         if waited != (lender, word.asked) or word.allowance != self.name:
             return
--- a/lapistrestle/fleet/digests.py
+++ b/lapistrestle/fleet/digests.py
@@ -208,9 +208,11 @@
         return self.named(self.own_rates(), self.counts, 1, 1, 0)
 
     def own_rates(self) -> np.ndarray:
+        """Of oneself; 0 while there is one row."""
         rates = self.reporters[self.life[0]].rates
         return np.zeros(len(self.columns)) if rates is None else rates
 
     def named(self, rates: np.ndarray, totals: Sequence[int], counted: int, size: int, age: int) -> Figures:
+        """Figures by the names of columns."""
         by_name = dict(zip(self.columns, rates.tolist(), strict=True))
         return Figures(by_name, dict(zip(self.columns, totals, strict=True)), counted, size, age)
--- a/lapistrestle/fleet/endpoint.py
+++ b/lapistrestle/fleet/endpoint.py
@@ -22,8 +22,11 @@
 class Verdicts(Protocol):
     """What passes on what was found of workers (`overload.probers`)."""
 
-    def heard(self, verdicts: Iterable[wire.Verdict], now: int) -> None: ...
-    def to_send(self, now: int, most: int) -> tuple[wire.Verdict, ...]: ...
+    def heard(self, verdicts: Iterable[wire.Verdict], now: int) -> None:
+        """Findings of others came."""
+
+    def to_send(self, now: int, most: int) -> tuple[wire.Verdict, ...]:
+        """Those that are news, so many at the most."""
 
 
 class Runtime(Protocol):
@@ -31,11 +34,20 @@
 
     reactor: Any
 
-    def clock(self) -> int: ...
-    def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Any: ...
-    def input(self) -> None: ...
-    def passed_over(self, name: str, why: str) -> None: ...
-    def log(self, what: str, **figures: Any) -> None: ...
+    def clock(self) -> int:
+        """Now."""
+
+    def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Any:
+        """Call once, after so long; the timer has `stop`."""
+
+    def input(self) -> None:
+        """Something came from a socket."""
+
+    def passed_over(self, name: str, why: str) -> None:
+        """What came under that name can not be used."""
+
+    def log(self, what: str, **figures: Any) -> None:
+        """One log line."""
 
 
 class FleetEndpoint(DatagramProtocol):
@@ -78,6 +90,7 @@
         self.members.leave(self.runtime.clock())
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:
+        """A datagram came; one that can not be read is counted and passed over."""
         self.runtime.input()
         self.came += 1
         try:
@@ -108,6 +121,7 @@
         self.timer = self.runtime.after(max(1, due - self.runtime.clock()), self.turn, None)
 
     def turn(self, _: object = None) -> None:
+        """Do what is due: probes, and rows to others."""
         self.timer = None
         now = self.runtime.clock()
         if now >= self.members.due:
@@ -132,6 +146,7 @@
     # what membership asks (dissemination.MembershipTransport)
 
     def send(self, host: str, port: int, word: wire.AnyWord, claims: tuple[Claim, ...]) -> None:
+        """Send one datagram."""
         data = wire.pack(Datagram(self.settings.fleet, wire.VERSION, self.members.me, word, claims))
         if self.transport is not None:
             self.sent += 1
@@ -143,6 +158,7 @@
         self.send(to.host, to.port, word, ())
 
     def changed(self, member: Member) -> None:
+        """Counters of one that is known no more are dropped."""
         if self.digests is not None and not member.known:
             self.digests.forget(member.name)
 
@@ -152,4 +168,5 @@
         return member is not None and member.live
 
     def log(self, text: str) -> None:
+        """One log line of membership."""
         self.runtime.log("fleet", figures=text)
--- a/lapistrestle/fleet/members.py
+++ b/lapistrestle/fleet/members.py
@@ -47,6 +47,7 @@
 
     @property
     def state(self) -> SelfState:
+        """Whether oneself is a member."""
         return self.table.state
 
     @property
@@ -99,6 +100,7 @@
             self.transport.log(f"fleet {state.name.lower()}: {why}, {figures}")
 
     def nobody_left(self) -> None:
+        """There is nobody to probe: join anew."""
         if self.state is SelfState.MEMBER:
             self.enter(SelfState.JOINING, "nobody else is there")
 
--- a/lapistrestle/fleet/suspicion.py
+++ b/lapistrestle/fleet/suspicion.py
@@ -16,9 +16,11 @@
         self.score = 0
 
     def improve(self) -> None:
+        """Something speaks for us."""
         self.score = max(0, self.score - 1)
 
     def worsen(self) -> None:
+        """Something speaks for a fault of our own."""
         self.score = min(MAX_SCORE, self.score + 1)
 
     def stretch(self, span: int) -> int:
--- a/lapistrestle/fleet/table.py
+++ b/lapistrestle/fleet/table.py
@@ -27,10 +27,12 @@
 
     @property
     def name(self) -> str:
+        """The same in all its lives."""
         return self.claim.name
 
     @property
     def rank(self) -> Rank:
+        """What is believed of it."""
         return self.claim.rank
 
     @property
@@ -80,6 +82,7 @@
         self.changed(member)
 
     def insert(self, claim: Claim, now: int) -> Member:
+        """One of whom nothing was known."""
         member = self.members[claim.name] = Member(claim, now)
         self.live_by_name = None
         if claim.rank >= Rank.DEAD:
@@ -87,6 +90,7 @@
         return member
 
     def replace(self, member: Member, claim: Claim, now: int) -> None:
+        """A greater claim holds."""
         held = member.claim
         if claim.rank != held.rank or claim.life != held.life:
             member.since, self.live_by_name = now, None
--- a/lapistrestle/hosting/events.py
+++ b/lapistrestle/hosting/events.py
@@ -74,6 +74,7 @@
         self.transport.wake()
 
     def deliver_one(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
+        """Call one method of the module."""
         if event == "arrived" and pending is not None and pending.final:
             return  # its client left before anything was begun for it
         self.module.now = self.clock()
--- a/lapistrestle/hosting/tasks.py
+++ b/lapistrestle/hosting/tasks.py
@@ -39,6 +39,7 @@
         self.transport.probe(task)
 
     def track(self, task: WorkerTask, time_out: int) -> None:
+        """Keep a task until it has ended, for `time_out` at the longest."""
         self.open[task.number] = task
         task.timer = self.timers.at(task.sent + max(1, time_out), self.timed_out, task)
 
--- a/lapistrestle/node/connection.py
+++ b/lapistrestle/node/connection.py
@@ -30,18 +30,23 @@
         self.connection = connection
 
     def made(self) -> None:
+        """The connection is up."""
         self.connection.linking.step(Input.GREETED)
 
     def pieces(self) -> int:
+        """How many reads are made of it at once."""
         return self.connection.core.pieces()
 
     def received(self, data: bytes) -> None:
+        """Bytes came."""
         self.connection.received(data)
 
     def drained(self) -> None:
+        """All that waited to be written is."""
         self.connection.linking.step(Input.EASED)
 
     def lost(self, why: str) -> None:
+        """It is gone."""
         self.connection.lost()
 
 
@@ -202,6 +207,7 @@
     # what the linking asks (Rim)
 
     def dial(self) -> None:
+        """Begin to connect."""
         try:
             self.stream = Socket(self, dial(*split(self.runner.address[0])))
         except OSError:
@@ -217,6 +223,7 @@
         self.release()
 
     def write(self, line: bytes, number: int = 0) -> bool:
+        """Write a line; False if none of it left. What waits after it slows the link down."""
         if self.stream is None:
             return False
         left = self.stream.offer(line, number)
@@ -225,6 +232,7 @@
         return left
 
     def close(self) -> None:
+        """Close it: it is no longer needed."""
         stream, self.stream = self.stream, None
         self.runner.remove(self)
         if stream is not None:
@@ -234,10 +242,12 @@
     def ask(self, delay: int) -> None: ...  # a lost connection is not dialled anew: another is, when needed
 
     def never_left(self, numbers: list[int]) -> None:
+        """The connection did not come up."""
         for number in numbers:
             self.lose(number, Outcome.UNREACHABLE)
 
     def not_sent(self, numbers: list[int]) -> None:
+        """The link was closed, or the runner drains."""
         for number in numbers:
             self.lose(number, Outcome.MOOT)
 
@@ -247,5 +257,6 @@
             self.lose(number, Outcome.UNREACHABLE if number in self.unsent else Outcome.RESET)
 
     def lose(self, number: int, outcome: Outcome) -> None:
+        """End an attempt or a task without a reply."""
         self.forget(number)
         self.core.host.ended_without_reply(number, outcome)
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -56,6 +56,7 @@
 
 
 def number_of(fields: dict[bytes, bytes], name: bytes, most: float) -> float | None:
+    """A decimal number of a header, None where it is missing. Raises Unfit."""
     said = fields.get(name)
     if said is None:
         return None
@@ -68,6 +69,7 @@
 
 
 def attrs_of(said: bytes) -> dict[bytes, bytes]:
+    """Names and values of `X-Attrs`. Raises Unfit."""
     found = {}
     for entry in said.split(b";"):
         name, colon, value = entry.partition(b":")
@@ -91,9 +93,11 @@
         self.half, self.half_since = 0, 0  # the first request that has not come whole, and since when
 
     def pieces(self) -> int:
+        """How many reads are made of it at once."""
         return self.front.core.pieces()
 
     def received(self, data: bytes) -> None:
+        """Bytes came: whole requests go to the front."""
         self.front.core.input()
         for event in self.reader.feed(data):
             if self.dead:
@@ -125,6 +129,7 @@
             self.half, self.half_since = half, self.front.core.clock()
 
     def aborted(self, number: int) -> None:
+        """The client has aborted a request."""
         pending = self.requests.pop(number, None)
         self.reader.ended(number)
         self.send(records.end_record(number))
@@ -133,6 +138,7 @@
             self.rested()
 
     def reply(self, number: int, status: int, body: bytes = b"", come_back: int = 0) -> None:
+        """Write an answer. `come_back`: of Retry-After, in tenths of a millisecond; 0: none."""
         head = HEADS[status]
         if come_back:
             head = b"Retry-After: %d\r\n" % max(1, -(-come_back // 10_000)) + head
@@ -155,12 +161,14 @@
             self.close()
 
     def rested(self) -> None:
+        """Without an open request it idles from now on."""
         if not self.requests and not self.dead:
             self.since = self.front.core.clock()
             self.front.idle[self] = None
             self.front.idle.move_to_end(self)
 
     def lost(self, why: str) -> None:
+        """The connection is gone, and with it whoever waited."""
         self.front.core.input()
         self.front.seats.pop(self, None)
         self.front.held, self.held = self.front.held - self.held, 0
@@ -200,6 +208,7 @@
     # core.Front
 
     def listen(self) -> int:
+        """Listen. Returns the port."""
         self.listener = Listener(self.core.reactor, *self.host_port, self.taken, self.shed)
         self.core.after(SWEEP, self.sweep, None)
         port: int = self.listener.sock.getsockname()[1]
@@ -219,15 +228,18 @@
         return any(seat.unsent for seat in self.seats)
 
     def open(self) -> list[PendingRequest]:
+        """All requests without a final answer."""
         return [t for seat in self.seats for t in seat.requests.values()]
 
     def end(self) -> None:
+        """Close every connection at once."""
         for seat in list(self.seats):
             seat.drop("the dispatcher ends")
 
     # connections
 
     def taken(self, sock: socket.socket) -> None:
+        """A client has connected."""
         if len(self.seats) >= self.most and not self.shed():
             self.core.counts["turned away"] += 1
             return sock.close()
@@ -257,6 +269,7 @@
         return not seat.dead and not seat.requests and (seat.half, seat.asked) == (half, asked)
 
     def sweep(self, _: object) -> None:
+        """Close what is silent or idles, now and again."""
         now = self.core.clock()
         for seat in list(self.seats):
             if seat.half and now - seat.half_since > SILENT:
@@ -286,6 +299,7 @@
     # requests
 
     def request(self, seat: Seat, request: records.Request) -> None:
+        """A whole request came: the health check, or a call."""
         fields = request.fields
         path = fields.get(b"SCRIPT_NAME", b"")
         if path == b"/_health":
--- a/lapistrestle/overload/probers.py
+++ b/lapistrestle/overload/probers.py
@@ -71,12 +71,12 @@
 
     def to_send(self, now: int, most: int, times: int = TRANSMISSIONS) -> tuple[Verdict, ...]:
         """What is news, a few times each."""
-        told = list[Verdict]()
+        chosen = list[Verdict]()
         for worker, found in self.findings.items():
-            if len(told) < most and now - found.at < STALE and self.transmissions.get(worker, 0) < times:
+            if len(chosen) < most and now - found.at < STALE and self.transmissions.get(worker, 0) < times:
                 self.transmissions[worker] = self.transmissions.get(worker, 0) + 1
-                told.append(Verdict(worker, found.fit, max(0, now - found.at), found.by))
-        return tuple(told)
+                chosen.append(Verdict(worker, found.fit, max(0, now - found.at), found.by))
+        return tuple(chosen)
 
     def keep(self, workers: Iterable[str]) -> None:
         """Only these are still on the list."""
--- a/lapistrestle/overload/retry_after.py
+++ b/lapistrestle/overload/retry_after.py
@@ -39,10 +39,12 @@
         return 0
 
     def drop_past(self, now: int) -> None:
+        """Slots that are over."""
         while self.first < now // SLOT:
             if self.booked:
                 self.booked.popleft()
             self.first += 1
 
     def span(self, now: int, slot: int, chance: float) -> int:
+        """From now to that part of a slot."""
         return max(1, (self.first + slot) * SLOT + int(chance * SLOT) - now)
--- a/lapistrestle/overload/unused.py
+++ b/lapistrestle/overload/unused.py
@@ -42,6 +42,7 @@
         return max(1.0, self.rate * BURST / SECOND)
 
     def refill(self, now: int) -> None:
+        """Add what the rate gave since the last time."""
         if self.rate < inf:
             self.tokens = min(self.most, self.tokens + self.rate * (now - self.at) / SECOND)
         self.at = now
--- a/lapistrestle/planner/program.py
+++ b/lapistrestle/planner/program.py
@@ -85,6 +85,7 @@
             self.stopped()
 
     def tick(self) -> None:
+        """Let rollouts move, now and again, while any runs."""
         if not self.over:
             self.reactor.callLater(TICK_EVERY, self.tick)
             if self.state.running():
@@ -119,6 +120,7 @@
         )
 
     def rollout_status(self, fn: str) -> plans.RolloutStatus:
+        """One rollout, for operators."""
         rollout = self.state.rollouts[fn]
         found, total = rollout.evidence.findings(), [0, 0, 0, 0]
         for tally in rollout.evidence.minutes().values():
@@ -152,9 +154,11 @@
         self.sent = -1  # and the newest that was sent to it
 
     def greeting(self) -> wire.Hello:
+        """What this end says first."""
         return wire.Hello(self.protocol, wire.VERSION, f"planner epoch {self.planner.journal.epoch}")
 
     def met(self, hello: wire.Hello) -> None:
+        """The other end has greeted: an edge names its start, an operator does not."""
         self.name, self.start_name = hello.name, hello.start
         if hello.start:
             self.planner.edges[self] = None
@@ -167,6 +171,7 @@
             self.sent = self.planner.state.number
 
     def heard(self, message: Any) -> None:
+        """A message came."""
         planner = self.planner
         match message:
             case plans.Beat():
@@ -208,15 +213,19 @@
         )
 
     def unreadable(self, line: bytes, why: str) -> None:
+        """A line could not be read."""
         self.say(wire.Fault(why))
 
     def lost(self) -> None:
+        """The connection is gone."""
         self.planner.edges.pop(self, None)
         if not any(speaker.name == self.name for speaker in self.planner.edges):
             self.planner.readiness.gone(self.name)
 
 
 class Speakers(ServerFactory):
+    """Makes the planner's end of each connection."""
+
     noisy = False
 
     def __init__(self, planner: Planner) -> None:
--- a/lapistrestle/standins/troubles/kinds.py
+++ b/lapistrestle/standins/troubles/kinds.py
@@ -29,6 +29,7 @@
 
 
 def finish(world: World, trouble: Trouble, end: End) -> None:
+    """End it."""
     end()
     world.tape.put("day", "trouble ends", kind=trouble.kind)
 
--- a/lapistrestle/wire/fleet.py
+++ b/lapistrestle/wire/fleet.py
@@ -77,10 +77,14 @@
 
 
 class Ping(Word, tag=1, frozen=True):
+    """Answer me."""
+
     seq: Whole
 
 
 class Ack(Word, tag=2, frozen=True):
+    """An answer to the ping of that number; 0: to none."""
+
     seq: Whole
 
 
