Node: the front divided into connections, checked invocations and the front itself

Cause: node/front.py held connections (Seat), the checks of headers in one function of 55 lines, and the front, with values passed as bare tuples. Change: client.py (ClientConnection), invocation.py (Parser, Method, Invocation as typed values), front.py (Front, RunRequest); parts of limits are named constants. Answers, statuses and their order stay.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -149,7 +149,7 @@
     stage.hand.until(lambda: not client.dialling)
     if known:
         stage.hand.addReader(listener)
-        stage.hand.until(lambda: stage.node.front.seats)
+        stage.hand.until(lambda: stage.node.front.connections)
     stage.hand.addReader(listener)
     client.ask(method="bill")
     if how == "aborts":
@@ -173,9 +173,9 @@
     line, said = got[0]
     line.say("503", said["rid"])
     client.drop("gone")
-    seat = next(seat for seat in stage.node.front.seats if seat.requests)
-    stage.hand.readers.pop(seat)
-    stage.hand.readers[seat] = None  # its close is met last in the look that brings both
+    connection = next(connection for connection in stage.node.front.connections if connection.requests)
+    stage.hand.readers.pop(connection)
+    stage.hand.readers[connection] = None  # its close is met last in the look that brings both
     assert other.closed == "" and len(stage.runs()) == 1
     still(stage, 0.3)
     stage.hand.quiet()
@@ -282,15 +282,15 @@
     """It ended as soon as no call was open, with answers still in its hands."""
     client = stage.client()
     client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    stage.hand.until(lambda: stage.node.front.seats)
-    (seat,) = stage.node.front.seats
-    seat.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    stage.hand.until(lambda: stage.node.front.connections)
+    (connection,) = stage.node.front.connections
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     stage.hand.removeReader(client)  # it reads nothing for a while
     body = bytes(16_384)
     for count in range(1, 21):
         client.ask(body=body)
         stage.hand.until(lambda count=count: stage.host.counts["ok"] == count)
-    assert seat.unsent
+    assert connection.unsent
     stopped = leaving(stage)
     stage.hand.run(1.0)
     assert not stopped
@@ -483,7 +483,7 @@
     sock, listener.sock = listener.sock, Full()
     listener.doRead()
     assert len(tries) == 1 and listener not in stage.hand.readers and client in stage.ends
-    assert not stage.node.front.seats  # the idle one
+    assert not stage.node.front.connections  # the idle one
     listener.sock = sock
     stage.hand.run(0.11)
     again = stage.client()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -298,7 +298,7 @@
     client = stage.client()
     client.send(junk)
     stage.hand.until(lambda: client.closed)
-    assert not stage.node.front.seats
+    assert not stage.node.front.connections
 
 
 def test_a_body_too_long_is_refused_without_reading_it_all(stage):
@@ -307,7 +307,7 @@
     for _ in range(8):
         client.send(records.record(records.STDIN, number, b"x" * 60_000))
     stage.hand.until(lambda: client.closed)
-    assert not stage.runs() and not stage.node.front.seats
+    assert not stage.runs() and not stage.node.front.connections
 
 
 def test_half_requests_of_a_crowd_are_bounded_together(stages):
@@ -344,7 +344,7 @@
     stage.hand.run(0.6)
     crowd = [stage.client() for _ in range(60)]
     stage.hand.run(0.1)
-    assert len(stage.node.front.seats) <= stage.node.front.most
+    assert len(stage.node.front.connections) <= stage.node.front.most
     if usual.closed:  # an idle one may be closed: it comes again
         usual = stage.client()
     number = usual.ask(id="9b1f03aa5c7e2d41")
