Hosting: the parts of a host share one context

Cause: attempts and tasks each took the same six arguments and kept them alike. Change: HostContext (transport, settings, clock, timers, counters), handed to events, answers, attempts and tasks; doc comments on what the module asks for. Behaviour is unchanged.

--- a/lapistrestle/hosting/answers.py
+++ b/lapistrestle/hosting/answers.py
@@ -3,43 +3,39 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from lapistrestle.hosting.context import HostContext
 from lapistrestle.hosting.events import EventQueue
 from lapistrestle.hosting.requests import ABORTED, GUARDED, LEFT, MOVED, TAKEN, PendingRequest
-from lapistrestle.hosting.timers import Timers
-from lapistrestle.hosting.transport import Transport
 
 
 class FinalAnswers:
     """Requests that are open, and how they end. `slack` is how long past a deadline the guard waits for the
     module's own answer, in tenths of a millisecond."""
 
-    def __init__(
-        self, transport: Transport, timers: Timers, events: EventQueue, counts: dict[str, int], slack: int
-    ) -> None:
-        self.transport, self.timers, self.events, self.counts = transport, timers, events, counts
-        self.slack = slack
+    def __init__(self, context: HostContext, events: EventQueue, slack: int) -> None:
+        self.context, self.events, self.slack = context, events, slack
         self.open = 0  # requests taken and not yet finally answered
         self.cancel_unsent: Callable[[PendingRequest], None] = lambda pending: None
 
     def take(self, pending: PendingRequest) -> None:
         """A request has come; the module is told of it by whoever calls this."""
         self.open += 1
-        self.counts[TAKEN] += 1
-        pending.guard = self.timers.at(pending.deadline + self.slack, self.overdue, pending)
+        self.context.counts[TAKEN] += 1
+        pending.guard = self.context.timers.at(pending.deadline + self.slack, self.overdue, pending)
 
     def finish(self, pending: PendingRequest, verdict: str, come_back: int = 0, body: Any = None) -> None:
         """Answer, unless an answer is out already."""
         if pending.final:
             return
         self.close(pending, verdict)
-        self.transport.answer(pending, verdict, come_back, body)
+        self.context.transport.answer(pending, verdict, come_back, body)
 
     def close(self, pending: PendingRequest, how: str) -> None:
         """The request is over; its attempts may still be under way."""
         pending.final = True
         self.open -= 1
-        self.counts[how] += 1
-        self.transport.closed(pending, how)
+        self.context.counts[how] += 1
+        self.context.transport.closed(pending, how)
         if pending.guard is not None:
             pending.guard.stop()
         if pending.in_flight:
@@ -69,7 +65,7 @@
     def overdue(self, pending: PendingRequest) -> None:
         """Guards rule 1 where the module let a deadline pass, by error or in an unforeseen state."""
         if not pending.final:
-            self.counts[GUARDED] += 1
-            self.transport.log("deadline guarded", rpc=pending.tag, state=str(pending.state))
+            self.context.counts[GUARDED] += 1
+            self.context.transport.log("deadline guarded", rpc=pending.tag, state=str(pending.state))
             self.finish(pending, ABORTED)
             self.events.post(pending, "left", pending)
--- a/lapistrestle/hosting/attempts.py
+++ b/lapistrestle/hosting/attempts.py
@@ -1,38 +1,27 @@
 """Attempts under way at workers: sent within the rules, timed, and reported to the module once each."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from lapistrestle.hosting.answers import FinalAnswers
+from lapistrestle.hosting.context import HostContext
 from lapistrestle.hosting.events import EventQueue
 from lapistrestle.hosting.requests import ABORTED, NO_REPORT, OK, UNMATCHED, Attempt, PendingRequest
-from lapistrestle.hosting.timers import Timers
-from lapistrestle.hosting.transport import Transport
-from lapistrestle.interface import Answer, CallOut, Facts, Outcome, Warmth
+from lapistrestle.interface import Answer, CallOut, Outcome, Warmth
 
 
 class Attempts:
     """Bookkeeping of attempts, by number and by the module's call-out. Numbers are shared with tasks."""
 
-    def __init__(
-        self,
-        transport: Transport,
-        facts: Facts,
-        clock: Callable[[], int],
-        timers: Timers,
-        events: EventQueue,
-        counts: dict[str, int],
-        answers: FinalAnswers,
-    ) -> None:
-        self.transport, self.facts, self.clock, self.timers = transport, facts, clock, timers
-        self.events, self.counts, self.answers = events, counts, answers
+    def __init__(self, context: HostContext, events: EventQueue, answers: FinalAnswers) -> None:
+        self.context, self.events, self.answers = context, events, answers
         self.open: dict[int, Attempt] = {}
         self.by_call_out: dict[CallOut, Attempt] = {}
 
     def send(self, number: int, call_out: CallOut, time_out: int) -> None:
         """Send, unless the request is over, an attempt is under way already where only one may be, or the
         limit of attempts is reached. A `time_out` of 0 stands for the request's deadline."""
-        pending, now = call_out.rpc, self.clock()
+        pending, now = call_out.rpc, self.context.clock()
         left = pending.deadline - now
         within = min(time_out, left) if time_out else left
         allowed = self.allowed(pending)
@@ -41,24 +30,24 @@
         pending.in_flight += 1
         if not allowed:
             tries, out = len(pending.call_outs), pending.in_flight
-            self.transport.log("not sent", rpc=pending.tag, tries=tries, out=out)
+            self.context.transport.log("not sent", rpc=pending.tag, tries=tries, out=out)
             return self.ended(number, Outcome.MOOT)
         if within <= 0:
             return self.ended(number, Outcome.MOOT)
-        attempt.timer = self.timers.at(now + within, self.timed_out, attempt)
-        self.transport.run(attempt)
+        attempt.timer = self.context.timers.at(now + within, self.timed_out, attempt)
+        self.context.transport.run(attempt)
 
     def allowed(self, pending: PendingRequest) -> bool:
         """Whether one more attempt may be sent; it is listed among the request's call-outs already."""
         if pending.final or pending.stream:
             return False
-        parallel = self.facts["may_parallel"] or not pending.in_flight
-        return bool(parallel and pending.attempt_count() <= self.facts["try_limit"])
+        parallel = self.context.facts["may_parallel"] or not pending.in_flight
+        return bool(parallel and pending.attempt_count() <= self.context.facts["try_limit"])
 
     def begin_by(self, pending: PendingRequest) -> int | None:
         """Rule 2 binds at the socket: a repeat is dropped by its token only within its window, which may end
         while it waits for a connection."""
-        method = self.facts["methods"][pending.method]
+        method = self.context.facts["methods"][pending.method]
         repeat = pending.ran_on is not None and method["kind"] == "tokened"
         return pending.ran_at + method["repeat_window"] if repeat else None
 
@@ -66,16 +55,16 @@
         """The worker's answer has begun to stream. From then on the request has no deadline."""
         attempt = self.open.get(number)
         if attempt is None:
-            self.counts[UNMATCHED] += 1
+            self.context.counts[UNMATCHED] += 1
             return
         pending = attempt.pending
-        if not self.facts["methods"][pending.method]["streamed"] or pending.final or pending.stream:
+        if not self.context.facts["methods"][pending.method]["streamed"] or pending.final or pending.stream:
             return
         pending.stream = attempt
         for timer in (attempt.timer, pending.guard):
             if timer is not None:
                 timer.stop()
-        self.transport.stream(pending)
+        self.context.transport.stream(pending)
         self.events.post(pending, "begun", attempt.call_out)
 
     def ended(
@@ -90,9 +79,9 @@
         """An attempt has ended. One that is not under way is only counted: it was reported before."""
         attempt = self.open.pop(number, None)
         if attempt is None:
-            self.counts[UNMATCHED] += 1
+            self.context.counts[UNMATCHED] += 1
             return
-        pending, now = attempt.pending, self.clock()
+        pending, now = attempt.pending, self.context.clock()
         del self.by_call_out[attempt.call_out]
         pending.in_flight -= 1
         pending.unsent += outcome is Outcome.MOOT
@@ -110,14 +99,14 @@
     def timed_out(self, attempt: Attempt) -> None:
         """No answer in time. What still waited for a connection never left, so it has not run."""
         if attempt.number in self.open:
-            unsent = self.transport.withdraw(attempt, self.facts["may_cancel"])
+            unsent = self.context.transport.withdraw(attempt, self.context.facts["may_cancel"])
             self.ended(attempt.number, Outcome.UNREACHABLE if unsent else Outcome.TIMED_OUT)
 
     def cancel(self, call_out: CallOut) -> None:
         """The module wants no more of this attempt."""
         attempt = self.by_call_out.get(call_out)
-        if attempt is not None and self.facts["may_cancel"]:
-            unsent = self.transport.withdraw(attempt, True)
+        if attempt is not None and self.context.facts["may_cancel"]:
+            unsent = self.context.transport.withdraw(attempt, True)
             self.ended(attempt.number, Outcome.MOOT if unsent else Outcome.CANCELLED)
 
     def cancel_unsent(self, pending: PendingRequest) -> None:
@@ -125,5 +114,5 @@
         nobody waits for, begun as long after as a dial lasts."""
         for call_out in list(pending.call_outs):
             attempt = self.by_call_out.get(call_out)
-            if attempt is not None and self.transport.cancel_unsent(attempt):
+            if attempt is not None and self.context.transport.cancel_unsent(attempt):
                 self.ended(attempt.number, Outcome.MOOT)
--- a/lapistrestle/hosting/events.py
+++ b/lapistrestle/hosting/events.py
@@ -6,8 +6,8 @@
 from contextlib import contextmanager
 from typing import Any
 
+from lapistrestle.hosting.context import HostContext
 from lapistrestle.hosting.requests import FAULTS, PendingRequest
-from lapistrestle.hosting.transport import Transport
 
 SHOWN = 80  # characters of an argument in the log line of a fault
 FRAMES = 4  # innermost frames of its traceback
@@ -20,14 +20,8 @@
     seconds by which `module_seconds` is measured.
     """
 
-    def __init__(
-        self,
-        transport: Transport,
-        clock: Callable[[], int],
-        counts: dict[str, int],
-        on_fault: Callable[[PendingRequest], None],
-    ) -> None:
-        self.transport, self.clock, self.counts, self.on_fault = transport, clock, counts, on_fault
+    def __init__(self, context: HostContext, on_fault: Callable[[PendingRequest], None]) -> None:
+        self.context, self.on_fault = context, on_fault
         self.module: Any = None
         self.queue: deque[tuple[PendingRequest | None, str, tuple[Any, ...]]] = deque()
         self.busy = False
@@ -71,13 +65,13 @@
         self.finished.clear()
         if self.stopwatch:
             self.module_seconds += self.stopwatch() - began
-        self.transport.wake()
+        self.context.transport.wake()
 
     def deliver_one(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
         """Call one method of the module."""
         if event == "arrived" and pending is not None and pending.final:
             return  # its client left before anything was begun for it
-        self.module.now = self.clock()
+        self.module.now = self.context.clock()
         try:
             getattr(self.module, event)(*args)
         except Exception:
@@ -85,10 +79,10 @@
 
     def fault(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
         """The module raised: the request at hand is answered at once, and the program goes on."""
-        self.counts[FAULTS] += 1
+        self.context.counts[FAULTS] += 1
         told = " ".join(str(getattr(a, "tag", getattr(a, "name", a)))[:SHOWN] for a in args)
         trace = traceback.format_exc(limit=-FRAMES)
-        self.transport.log("module raised", input=event, told=told, trace=trace)
+        self.context.transport.log("module raised", input=event, told=told, trace=trace)
         if pending is not None and not pending.final:
             pending.state, pending.over = type(pending.state).OVER, True
             self.on_fault(pending)
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -12,6 +12,7 @@
 from lapistrestle.choice import Dispatcher
 from lapistrestle.hosting.answers import FinalAnswers
 from lapistrestle.hosting.attempts import Attempts
+from lapistrestle.hosting.context import HostContext
 from lapistrestle.hosting.events import EventQueue
 from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.hosting.requests import (
@@ -53,12 +54,13 @@
     ) -> None:
         self.transport, self.facts, self.clock = transport, facts, clock
         self.registry, self.timers = ObjectRegistry(most_fns), Timers()
-        counts = self.counts = dict.fromkeys(COUNTERS, 0)
-        self.events = EventQueue(transport, clock, counts, self.aborted_by_fault)
-        self.answers = FinalAnswers(transport, self.timers, self.events, counts, slack)
-        self.calls = Attempts(transport, facts, clock, self.timers, self.events, counts, self.answers)
+        self.counts = dict.fromkeys(COUNTERS, 0)
+        context = HostContext(transport, facts, clock, self.timers, self.counts)
+        self.events = EventQueue(context, self.aborted_by_fault)
+        self.answers = FinalAnswers(context, self.events, slack)
+        self.calls = Attempts(context, self.events, self.answers)
         self.answers.cancel_unsent = self.calls.cancel_unsent
-        self.orders = WorkerTasks(transport, facts, clock, self.timers, self.events, counts)
+        self.orders = WorkerTasks(context, self.events)
         self.last_number = 0
         self.module = self.events.module = make(self, facts, seed, clock())
 
@@ -126,6 +128,7 @@
         self.answers.abort_all(requests)
 
     def aborted_by_fault(self, pending: PendingRequest) -> None:
+        """The module raised over it."""
         self.answers.finish(pending, ABORTED)
 
     # what the transport reports: workers
@@ -200,35 +203,44 @@
         return self.last_number
 
     def call_out(self, call_out: CallOut, time_out: int) -> None:
+        """Send an attempt."""
         self.calls.send(self.next_number(), call_out, time_out)
 
     def deny(self, rpc: RpcFacts, come_back: int) -> None:
+        """Answer that it did not run; `come_back` as in `Transport.answer`."""
         assert isinstance(rpc, PendingRequest)
         self.answers.finish(rpc, DENIED, come_back)
 
     def abort(self, rpc: RpcFacts) -> None:
+        """Answer that it may have run."""
         assert isinstance(rpc, PendingRequest)
         self.answers.finish(rpc, ABORTED)
 
     def cancel(self, call_out: CallOut) -> None:
+        """Want no more of an attempt."""
         self.calls.cancel(call_out)
 
     def order(self, srv: SrvFacts, fn: FnFacts, count: int) -> None:
+        """Have a worker hold copies."""
         assert isinstance(srv, Srv) and isinstance(fn, Fn)
         self.orders.order(self.next_number(), srv, fn, count)
 
     def probe(self, srv: SrvFacts) -> None:
+        """Ask a worker for its report."""
         assert isinstance(srv, Srv)
         self.orders.probe(self.next_number(), srv)
 
     def unload(self, srv: SrvFacts, fn: FnFacts) -> None:
+        """Have a worker drop a function."""
         self.transport.unload(srv, fn)
 
     def tell_peer(self, peer: int | None, text: str) -> None:
+        """Send text to another dispatcher, where settings allow it."""
         if self.facts["may_tell_peers"]:
             self.transport.tell_peer(peer, text[:PEER_TEXT])
 
     def wake_me(self, delay: int, token: object) -> None:
+        """Give the token back after so long, as `woken`."""
         self.timers.at(self.clock() + max(1, delay), self.woken, token)
 
     def woken(self, token: object) -> None:
@@ -236,10 +248,13 @@
         self.events.post(token if isinstance(token, PendingRequest) else None, "woken", token)
 
     def follow_list(self) -> None:
+        """Ask for updates of the list of workers."""
         self.transport.follow_list()
 
     def more(self, fn: FnFacts) -> None:
+        """Ask for a longer prefix of a function's order."""
         self.transport.more(fn)
 
     def log(self, text: str) -> None:
+        """One log line of a change of mode."""
         self.transport.log("mode", figures=text)
--- a/lapistrestle/hosting/tasks.py
+++ b/lapistrestle/hosting/tasks.py
@@ -1,73 +1,63 @@
 """Orders and probes under way at workers: sent, timed, and reported to the module once each."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
+from lapistrestle.hosting.context import HostContext
 from lapistrestle.hosting.events import EventQueue
 from lapistrestle.hosting.requests import NO_REPORT, UNMATCHED, WorkerTask
-from lapistrestle.hosting.timers import Timers
-from lapistrestle.hosting.transport import Transport
-from lapistrestle.interface import Facts, Outcome
+from lapistrestle.interface import Outcome
 from lapistrestle.state import Fn, Srv
 
 
 class WorkerTasks:
     """Bookkeeping of orders and probes, by number. Numbers are shared with attempts."""
 
-    def __init__(
-        self,
-        transport: Transport,
-        facts: Facts,
-        clock: Callable[[], int],
-        timers: Timers,
-        events: EventQueue,
-        counts: dict[str, int],
-    ) -> None:
-        self.transport, self.facts, self.clock, self.timers = transport, facts, clock, timers
-        self.events, self.counts = events, counts
+    def __init__(self, context: HostContext, events: EventQueue) -> None:
+        self.context, self.events = context, events
         self.open: dict[int, WorkerTask] = {}
 
     def order(self, number: int, srv: Srv, fn: Fn, count: int) -> None:
         """Have a worker hold `count` copies of a function."""
-        task = WorkerTask(number, srv, fn, count, self.clock())
-        self.track(task, self.facts["order_time_out"])
-        self.transport.hold(task)
+        task = WorkerTask(number, srv, fn, count, self.context.clock())
+        self.track(task, self.context.facts["order_time_out"])
+        self.context.transport.hold(task)
 
     def probe(self, number: int, srv: Srv) -> None:
         """Ask a worker for its report."""
-        task = WorkerTask(number, srv, None, 0, self.clock())
-        self.track(task, self.facts["dial_time_out"])
-        self.transport.probe(task)
+        task = WorkerTask(number, srv, None, 0, self.context.clock())
+        self.track(task, self.context.facts["dial_time_out"])
+        self.context.transport.probe(task)
 
     def track(self, task: WorkerTask, time_out: int) -> None:
         """Keep a task until it has ended, for `time_out` at the longest."""
         self.open[task.number] = task
-        task.timer = self.timers.at(task.sent + max(1, time_out), self.timed_out, task)
+        task.timer = self.context.timers.at(task.sent + max(1, time_out), self.timed_out, task)
 
     def ordered(self, number: int, outcome: Outcome, count: int) -> None:
         """An order has ended, with `count` copies held. One that is not under way is only counted."""
         task = self.open.pop(number, None)
         if task is None or task.fn is None:
-            self.counts[UNMATCHED] += 1
+            self.context.counts[UNMATCHED] += 1
             return
         if task.timer is not None:
             task.timer.stop()
-        took = self.clock() - task.sent
+        took = self.context.clock() - task.sent
         self.events.post(None, "ordered", task.srv, task.fn, outcome, count, took)
 
     def probed(self, number: int, outcome: Outcome, report: Mapping[str, float]) -> None:
         """A probe has ended. One that is not under way is only counted."""
         task = self.open.pop(number, None)
         if task is None or task.fn is not None:
-            self.counts[UNMATCHED] += 1
+            self.context.counts[UNMATCHED] += 1
             return
         if task.timer is not None:
             task.timer.stop()
-        self.events.post(None, "probed", task.srv, outcome, self.clock() - task.sent, report)
+        self.events.post(None, "probed", task.srv, outcome, self.context.clock() - task.sent, report)
 
     def timed_out(self, task: WorkerTask) -> None:
         """No reply in time. What still waited for a connection never left."""
         if task.number in self.open:
-            unsent = self.transport.withdraw(task, False)
+            unsent = self.context.transport.withdraw(task, False)
             self.ended(task.number, Outcome.UNREACHABLE if unsent else Outcome.TIMED_OUT)
 
     def ended(self, number: int, outcome: Outcome) -> None:
