Directory: a watch told to come back may use its number again

Cause: a holder passed over any watch whose number was not above the highest answered, so one told to come back and asked again out of order was never answered; test_all_watchers_at_once_are_admitted_at_the_stated_rate failed by it. Change: only a watch that stands is passed over as answered. Measured: the tests of tests/test_directory_server.py pass.

--- a/lapistrestle/directory/holder.py
+++ b/lapistrestle/directory/holder.py
@@ -184,15 +184,14 @@
         self.effects.append(SendTo(session.number, message))
 
     def watch(self, session: Session, asked: Watch, now: int) -> None:
-        if asked.id <= session.last_watch:
-            return  # answered before
+        if asked.id in session.watches:
+            return  # answered already
         refused = self.refusal(session, asked)
         if refused is not None:
             return self.send(session, refused)
         wait = self.admission.retry_after(now)
         if wait:
             return self.send(session, Busy(asked.id, wait))
-        session.last_watch = asked.id
         self.unwatch(session, session.ids.get(asked.function, -1), replaced=True)
         session.ids[asked.function], session.watches[asked.id] = asked.id, asked.function
         watch = Watched(session.number, asked.id, asked.shard, asked.epoch, asked.count)
--- a/lapistrestle/directory/sessions.py
+++ b/lapistrestle/directory/sessions.py
@@ -31,7 +31,6 @@
     lease_until: int
     bytes: TokenBucket
     sequence: int = 0  # of the last snapshot or batch
-    last_watch: int = -1  # the highest id that was answered
     watches: dict[int, str] = field(default_factory=dict)  # functions by watch id
     ids: dict[str, int] = field(default_factory=dict)  # and the other way round
     names: dict[str, bool] = field(default_factory=dict)  # instances to tell of, and whether that is urgent
