--- a/tests/test_edge_directory.py
+++ b/tests/test_edge_directory.py
@@ -12,8 +12,8 @@
 from lapistrestle.edge.program import Edge
 from lapistrestle.interface import Listing
 from lapistrestle.standins.virtual import Process, VirtualReactor
-from lapistrestle.wire.directory import compact
-from lapistrestle.wire.messages import Entry
+from lapistrestle.wire import directory as wire
+from lapistrestle.wire.messages import Entry, encode
 
 HELLO = {"is": "hello", "protocol": "lapistrestle.directory", "version": 1, "name": "holder"}
 LEASE = 30_000  # tenths of a millisecond
@@ -21,11 +21,6 @@
 SECONDS_UP = 3_600
 
 
-def rows(entries):
-    """Entries as they cross the wire: arrays of their fields."""
-    return [msgspec.to_builtins(compact(msgspec.convert(entry, Entry))) for entry in entries]
-
-
 class DirectoryStage(Stage):
     """An edge, two copies of its directory's one shard, and runners; the test plays all but the edge."""
 
@@ -56,8 +51,8 @@
         return [peer for made in self.copies for peer in made if not peer.closed]
 
     def entry(self, name, **more):
-        return {"name": name, "port": self.ports[name], "zone": "", "start": f"{name}#0",
-                "up_for": SECONDS_UP * 1000, **more}  # fmt: skip
+        told = {"port": self.ports[name], "start": f"{name}#0", "up_for": SECONDS_UP * 1000.0, **more}
+        return wire.compact(Entry(name, **told))
 
     def greet_holders(self):
         for peer in self.holders:
@@ -71,29 +66,32 @@
         return [(peer, watch) for peer in self.holders for watch in peer.heard("watch")]
 
     def revision(self):
-        return {"source": "e1", "number": self.number}
+        return wire.Revision("e1", self.number)
 
     def next_sequence(self, peer):
         self.sequence[peer] += 1
         return self.sequence[peer]
 
-    def snapshot(self, peer, watch, *entries, **more):
-        message = {"id": watch["id"], "epoch": 1, "revision": self.revision(), "complete": True}
-        message |= {"sequence": self.next_sequence(peer), "entries": rows(entries), "lease": LEASE}
-        peer.say(**{"is": "snapshot"}, **message | more)
+    def tell(self, peer, message):
+        peer.raw(encode(message) + b"\n")
+
+    def snapshot(self, peer, watch, *entries, complete=True):
+        sequence = self.next_sequence(peer)
+        made = wire.Snapshot(watch["id"], 1, self.revision(), sequence, list(entries), complete, LEASE)
+        self.tell(peer, made)
 
     def update(self, peer, *entries, gone=(), changes=()):
         self.number += 1
-        peer.say(**{"is": "update"}, sequence=self.next_sequence(peer), revision=self.revision(),
-                 entries=rows(entries), gone=list(gone), changes=list(changes))  # fmt: skip
+        sequence = self.next_sequence(peer)
+        made = wire.Update(sequence, self.revision(), list(entries), list(gone), list(changes))
+        self.tell(peer, made)
 
     def renewed(self, peer, **sums):
         """Answer the latest renewal."""
-        asked = peer.heard("renew")
-        if asked:
-            told = {"sums": sums} if sums else {}
-            peer.say(**{"is": "renewed"}, asked=asked[-1]["asked"], lease=LEASE,
-                     sequence=self.sequence[peer], revision=self.revision(), **told)  # fmt: skip
+        if asked := peer.heard("renew"):
+            told = wire.RegionSums(**sums) if sums else None
+            sequence = self.sequence[peer]
+            self.tell(peer, wire.Renewed(asked[-1]["asked"], LEASE, sequence, self.revision(), sums=told))
 
     def call(self, client, id="1", **more):
         client.say(**CALL | {"id": id, **more})
@@ -225,7 +223,7 @@
     client = stage.client()
     peer = stage.look_up(client, "r0", "r1")
     ((runner, run),) = stage.runs()
-    stage.update(peer, gone=["r0"], changes=[{"id": 1, "length": 1, "removed": ["r0"]}])
+    stage.update(peer, gone=["r0"], changes=[wire.PrefixChange(1, 1, ["r0"])])
     stage.run(0.002)
     assert "r0" not in stage.edge.following.known
     end(runner, run)
@@ -298,15 +296,15 @@
     stage.run(0.002)
     cold = stage.edge.host.registry.srvs["r1"]
     cold.sends.append((stage.edge.clock(), 5.0))
-    stage.update(peer, changes=[{"id": 1, "length": 1, "removed": ["r1"]}])
+    stage.update(peer, changes=[wire.PrefixChange(1, 1, ["r1"])])
     stage.run(0.002)
     assert "r1" not in stage.edge.following.known and "r1" not in stage.edge.runners
     assert cold.listing is Listing.DRAINING
-    changes = [{"id": 1, "length": 2, "inserted": [{"position": 1, "name": "r1"}]}]
+    changes = [wire.PrefixChange(1, 2, inserted=[wire.Placed(1, "r1")])]
     stage.update(peer, stage.entry("r1", up_for=20), changes=changes)
     stage.run(0.002)
     assert stage.edge.host.registry.srvs["r1"] is cold and cold.sends and cold.listing is Listing.SERVING
-    stage.update(peer, changes=[{"id": 1, "length": 1, "removed": ["r1"]}])
+    stage.update(peer, changes=[wire.PrefixChange(1, 1, ["r1"])])
     for _ in range(ramp // 1_000 + 2):
         stage.run(0.1)
         stage.renewed(peer)
