The registry of workers is searched for departed ones only when there may be some

It was searched at every word of the list, 1,700 workers at each look-up of an edge with a directory; and not while events wait, when the module may not have heard yet who is back, which also holds for two lists in one poll.

--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -62,6 +62,7 @@
         self.answers.cancel_unsent = self.calls.cancel_unsent
         self.orders = WorkerTasks(context, self.events)
         self.last_number = 0
+        self.departures = False  # the registry may have workers that the list names no more
         self.module = self.events.module = make(self, facts, seed, clock())
 
     @property
@@ -172,12 +173,18 @@
     def listed(self, entries: Sequence[SrvFacts], whole: bool) -> None:
         """Entries of the list of workers; `whole` if it names them all."""
         self.events.post(None, "listed", [(self.registry.srv(e.name), e) for e in entries], whole)
+        self.departures = self.departures or whole or any(e.listing is Listing.GONE for e in entries)
+        if self.departures and not self.events.busy:  # else the module may not have heard yet who is back
+            self.drop_departed()
+
+    def drop_departed(self) -> None:
+        """Without this a long life keeps every worker that ever served."""
         held = {task.srv for task in self.tasks.values()}
-        back = {e.name for e in entries if e.listing is not Listing.GONE}  # the module may not have heard yet
-        left = [s for s in self.registry.srvs.values() if s.listing is Listing.GONE and not s.out]
-        gone = [s for s in left if s not in held and s.name not in back]
-        for srv in gone:  # without this a long life keeps every worker that ever served
+        left = [s for s in self.registry.srvs.values() if s.listing is Listing.GONE]
+        gone = [s for s in left if not s.out and s not in held]
+        for srv in gone:
             del self.registry.srvs[srv.name]
+        self.departures = len(gone) < len(left)
 
     def ranked(self, fn: Fn, names: Sequence[str]) -> None:
         """The first workers of a function's order; each was listed before."""
