--- a/benchmarks/hunt.py
+++ b/benchmarks/hunt.py
@@ -1,11 +1,11 @@
 """Plays random days of overlapping troubles in virtual time and reports each that breaks a rule.
 
-    python benchmarks/hunt.py [--days 300] [--first 0] [--rollouts] [--fleet] [--processes 8]
+    python benchmarks/hunt.py [--days 300] [--first 0] [--rollouts] [--fleet] [--directory] [--processes 8]
 
 With --rollouts each day also has a rollout that an operator takes back, and the planner may be killed or
-stand still at any moment. With --fleet two to twelve edges are one, and what they say is broken too. A day
-is drawn from its number alone, so one that is found is played again by
---first N --days 1.
+stand still at any moment. With --fleet two to twelve edges are one, and what they say is broken too. With
+--directory edges are told of workers by holders, which fail too, in short prefixes or longer ones. A day is
+drawn from its number alone, so one that is found is played again by --first N --days 1.
 """
 
 import io
@@ -46,7 +46,27 @@
     script["troubles"].append({"kind": kind, "at": at, "lasts": lasts, "share": share})
 
 
-def drawn(number: int, rollouts: bool, fleet: bool = False) -> dict[str, Any]:
+def directory_of(script: dict[str, Any], chance: random.Random) -> None:
+    """Have holders tell the day's edges of workers, with one or two troubles of theirs."""
+    deployment = script["deployment"]
+    if isinstance(deployment, str):
+        deployment, _ = read_json5(EXAMPLES / deployment)
+    zones = deployment["zones"]
+    copies = chance.choice((1, 2, 3))
+    shards = [
+        [{"port": 1 + copies * n + c, "zone": zones[c % len(zones)]} for c in range(copies)]
+        for n in range(chance.choice((1, 2)))
+    ]
+    directory = {"shards": shards, "first_count": chance.choice((1, 2, 8)), "idle": "4 s"}
+    script["deployment"] = deployment | {"directory": directory}
+    for _ in range(chance.choice((1, 2))):
+        kind = chance.choice(("holder_stall", "holder_kill", "directory_cut"))
+        at, lasts = f"{chance.uniform(0.2, 10):.2f} s", f"{chance.choice((0.4, 1, 3, 6))} s"
+        share = chance.choice((0.3, 0.6, 1.0))
+        script["troubles"].append({"kind": kind, "at": at, "lasts": lasts, "share": share})
+
+
+def drawn(number: int, rollouts: bool, fleet: bool = False, directory: bool = False) -> dict[str, Any]:
     """The script of one day."""
     chance = random.Random(number)
     troubles = []
@@ -90,12 +110,14 @@
         if kind:
             at = max(0.1, back + chance.choice((0.0, 0.0002, 0.0006, 0.3, -0.4, -2.0)))
             troubles.append({"kind": kind, "at": f"{at:.4f} s", "lasts": f"{chance.uniform(0.3, 3):.2f} s"})
+    if directory:
+        directory_of(script, chance)
     return script
 
 
-def played(task: tuple[int, bool, bool]) -> tuple[int, list[str], float]:
+def played(task: tuple[int, bool, bool, bool]) -> tuple[int, list[str], float]:
     """Number, what was broken, service."""
-    number, rollouts, fleet = task
+    number, rollouts, fleet, directory = task
     logs: list[str] = []
 
     def log(what: str, **figures: Any) -> None:
@@ -103,7 +125,7 @@
             logs.append(f"{what}: {figures}"[:300])
 
     try:
-        day, deployment = make_day(drawn(number, rollouts, fleet), path=EXAMPLES / "day.json5")
+        day, deployment = make_day(drawn(number, rollouts, fleet, directory), path=EXAMPLES / "day.json5")
         sink = io.BytesIO()
         world = play_virtual(day, deployment, sink, log)
         decode = msgspec.json.Decoder(dict[str, Any]).decode
@@ -121,10 +143,11 @@
 @click.option("--first", default=0, show_default=True)
 @click.option("--rollouts", is_flag=True)
 @click.option("--fleet", is_flag=True)
+@click.option("--directory", is_flag=True)
 @click.option("--processes", default=8, show_default=True)
-def main(days: int, first: int, rollouts: bool, fleet: bool, processes: int) -> None:
+def main(days: int, first: int, rollouts: bool, fleet: bool, directory: bool, processes: int) -> None:
     """Hunt."""
-    tasks = [(number, rollouts, fleet) for number in range(first, first + days)]
+    tasks = [(number, rollouts, fleet, directory) for number in range(first, first + days)]
     found, service = 0, 0.0
     with multiprocessing.Pool(processes) as pool:
         for number, broken, total in pool.imap_unordered(played, tasks):
--- a/lapistrestle/standins/directories.py
+++ b/lapistrestle/standins/directories.py
@@ -49,6 +49,7 @@
     handle: HolderHandle
     starts: int = 0
     still: int = 0  # by how many troubles it stands still
+    down: bool = False  # killed, and not started anew yet
     links: dict[str, Link] = field(default_factory=dict)  # by edge
 
     @property
@@ -125,6 +126,10 @@
                 place.handle.resume()
 
     def kill(self, place: HolderPlace) -> None:
+        """Of two kills that overlap the second meets nobody."""
+        if place.down:
+            return
+        place.down = True
         if place.still:
             place.still = 0
             self.tape.put(place.name, "resumed")
@@ -132,7 +137,10 @@
         place.handle.kill()
 
     def restart(self, place: HolderPlace) -> None:
-        """The same name and port, another process that knows nothing."""
+        """The same name and port, another process that knows nothing; unless it is back already."""
+        if not place.down:
+            return
+        place.down = False
         place.starts += 1
         place.handle = self.holders.make(place.settings, place.starts)
         place.handle.start()
