Workers that left are dropped also where every list comes in a poll of the sockets

On real sockets every list waits in a poll, so a search for departed workers that is put off while events wait never comes: 200 that came and went stayed 200.

--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -63,6 +63,7 @@
         self.orders = WorkerTasks(context, self.events)
         self.last_number = 0
         self.departures = False  # the registry may have workers that the list names no more
+        self.unheard: set[str] = set()  # named as there by lists that the module may not have heard yet
         self.module = self.events.module = make(self, facts, seed, clock())
 
     @property
@@ -172,19 +173,23 @@
 
     def listed(self, entries: Sequence[SrvFacts], whole: bool) -> None:
         """Entries of the list of workers; `whole` if it names them all."""
+        if not self.events.queue:
+            self.unheard.clear()
+        self.unheard.update(e.name for e in entries if e.listing is not Listing.GONE)
         self.events.post(None, "listed", [(self.registry.srv(e.name), e) for e in entries], whole)
         self.departures = self.departures or whole or any(e.listing is Listing.GONE for e in entries)
-        if self.departures and not self.events.busy:  # else the module may not have heard yet who is back
+        if self.departures:
             self.drop_departed()
 
     def drop_departed(self) -> None:
-        """Without this a long life keeps every worker that ever served."""
+        """Without this a long life keeps every worker that ever served. One that is back, of which the module
+        has not heard yet, still counts as gone there and stays."""
         held = {task.srv for task in self.tasks.values()}
         left = [s for s in self.registry.srvs.values() if s.listing is Listing.GONE]
-        gone = [s for s in left if not s.out and s not in held]
+        gone = [s for s in left if not s.out and s not in held and s.name not in self.unheard]
         for srv in gone:
             del self.registry.srvs[srv.name]
-        self.departures = len(gone) < len(left)
+        self.departures = self.events.busy or len(gone) < len(left)
 
     def ranked(self, fn: Fn, names: Sequence[str]) -> None:
         """The first workers of a function's order; each was listed before."""
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -257,3 +257,22 @@
     assert hosting.registry.fns["f"].prefix == [srv]
     ask(hosting)
     assert not [act for act in hosting.transport.of("log") if act[0] == "module raised"]
+
+
+def test_one_that_is_back_is_kept_also_where_a_second_list_follows_in_the_same_poll(hosting):
+    hosting.listed([SrvFacts("w1", listing=Listing.GONE)], whole=False)
+    with hosting.batched():
+        hosting.listed([SrvFacts("w1", booted=7)], whole=False)
+        hosting.listed([SrvFacts("w9")], whole=False)
+        hosting.ranked(hosting.registry.fn("f", 0, 100.0, 1), ["w1"])
+    (srv,) = (s for s in hosting.module.srvs if s.name == "w1" and s.listing is Listing.SERVING)
+    assert hosting.registry.srv("w1") is srv
+
+
+def test_who_left_is_dropped_also_where_every_list_comes_in_a_poll(hosting):
+    for number in range(200):
+        with hosting.batched():
+            hosting.listed([SrvFacts(f"once-{number}")], whole=False)
+        with hosting.batched():
+            hosting.listed([SrvFacts(f"once-{number}", listing=Listing.GONE)], whole=False)
+    assert len(hosting.registry.srvs) <= 5  # the three there, and who left last
