--- a/benchmarks/scale/roles/control_rollout.py
+++ b/benchmarks/scale/roles/control_rollout.py
@@ -139,7 +139,7 @@
         return speaker
 
     def hear(self, speaker: PlannerSpeaker, message: wire.Message) -> None:
-        speaker.dataReceived(wire.encode(message) + b"\n")  # type: ignore[no-untyped-call]
+        speaker.dataReceived(wire.encode(message) + b"\n")
 
     def order(self, number: int, candidate: str = "v3") -> None:
         order = plans.Order(
@@ -462,7 +462,7 @@
     speaker.makeConnection(CountingTransport(Traffic()))  # type: ignore[no-untyped-call]
     speaker.paused = False
     hello = wire.Hello(plans.PLANNER, wire.VERSION, "planner")
-    speaker.dataReceived(wire.encode(hello) + b"\n" + whole_line(functions))  # type: ignore[no-untyped-call]
+    speaker.dataReceived(wire.encode(hello) + b"\n" + whole_line(functions))
     return not speaker.closed and len(edge.routing.splits) == functions
 
 
--- a/benchmarks/scale/roles/control_roster.py
+++ b/benchmarks/scale/roles/control_roster.py
@@ -171,7 +171,7 @@
     speaker.makeConnection(CountingTransport(Traffic()))  # type: ignore[no-untyped-call]
     speaker.paused = False
     hello = wire.Hello(wire.ROSTER, wire.VERSION, "roster")
-    speaker.dataReceived(wire.encode(hello) + b"\n" + whole_line(instances))  # type: ignore[no-untyped-call]
+    speaker.dataReceived(wire.encode(hello) + b"\n" + whole_line(instances))
     return source.instances == instances
 
 
