--- a/benchmarks/scale/directory_edge.py
+++ b/benchmarks/scale/directory_edge.py
@@ -1,6 +1,7 @@
 """The program's edge with a directory, hollow: its holders are those of `directory_fleet`."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from benchmarks.scale import hollow
@@ -41,7 +42,10 @@
 
     def arrive(self, connection: int, line: bytes) -> None:
         self.dispatcher.directory.came(line)
-        self.read(line)
+        if self.dispatcher.held is None:
+            self.read(line)
+        else:
+            self.dispatcher.held.append((self, line))
 
     def read(self, line: bytes) -> None:
         if self.transport is not None and not self.transport.closed:
@@ -69,9 +73,21 @@
         copies = [{"port": copy.port, "zone": copy.zone} for copy in region.holders]
         settings = {"epoch": 1, "shards": [copies] * len(region.assignment.shards), **directory}
         super().__init__([], seed, of, number, region.reactor, ports, directory=settings, roster={"port": 0})
+        self.held: list[tuple[Session, bytes]] | None = None
         self.looked_up: list[float] = []  # seconds that calls waited for their function's prefix
         self.time_look_ups(self.edge.directory)
 
+    @contextmanager
+    def holding(self) -> Iterator[list[tuple[Session, bytes]]]:
+        """What holders say meanwhile is held instead of read."""
+        held = self.held = list[tuple[Session, bytes]]()
+        yield held
+        self.held = None
+
+    def take_in(self, held: list[tuple[Session, bytes]]) -> None:
+        for session, line in held:
+            session.read(line)
+
     def time_look_ups(self, directory: Any) -> None:
         wait, left, since = directory.wait, directory.left, dict[Any, float]()
 
