How calls spread decides what a dispatcher has in view: a table, and callers that few reach

Change: the input table gives functions in view and first calls for three spreads, where calls reach all dispatchers of a region and where they reach eight; the scene at the target plays both.

--- a/benchmarks/scale/assumptions.py
+++ b/benchmarks/scale/assumptions.py
@@ -1,6 +1,7 @@
 """The input table of the scale tests: target figures and assumptions, typed and checked."""
 
 import math
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated
 
@@ -11,6 +12,7 @@
 FILE = Path(__file__).with_name("assumptions.json5")
 
 DAY = 86_400.0  # seconds
+MINUTE = 60.0  # seconds
 CHANGES_OF_A_LIFE = 3  # of an instance: it begins, drains, is gone
 
 Count = Annotated[int, Meta(ge=1)]
@@ -142,18 +144,36 @@
     )
     prefix: Count  # instances of one function that a dispatcher asks for at first
 
-    def functions_in_view(self, idle_seconds: float, spread: Spread | None = None) -> float:
-        """Functions that one dispatcher has called within `idle_seconds`, where the calls of each reach all
-        dispatchers of a region alike: the most that there can be."""
-        each = self.target.calls_per_second / self.target.dispatchers
-        rates = (spread or self.spread).rates(self.target.functions, each)
-        return sum(1 - math.exp(-rate * idle_seconds) for rate in rates)
-
-    def first_calls_per_second(self, idle_seconds: float, spread: Spread | None = None) -> float:
+    def functions_in_view(
+        self, idle_seconds: float, spread: Spread | None = None, reach: int | None = None
+    ) -> float:
+        """Functions that one dispatcher has called within `idle_seconds`, on the average."""
+        return sum(
+            part * (1 - math.exp(-rate * idle_seconds)) for part, rate in self.calls_at_one(spread, reach)
+        )
+
+    def first_calls_per_second(
+        self, idle_seconds: float, spread: Spread | None = None, reach: int | None = None
+    ) -> float:
         """Calls at one dispatcher to a function that it has not called within `idle_seconds`."""
-        each = self.target.calls_per_second / self.target.dispatchers
-        rates = (spread or self.spread).rates(self.target.functions, each)
-        return sum(rate * math.exp(-rate * idle_seconds) for rate in rates)
+        return sum(
+            part * rate * math.exp(-rate * idle_seconds) for part, rate in self.calls_at_one(spread, reach)
+        )
+
+    def calls_at_one(self, spread: Spread | None, reach: int | None) -> Iterator[tuple[float, float]]:
+        """For each function the part of a region's dispatchers that its calls reach, and its calls a second
+        at one of those. They reach `reach` dispatchers, more where it is called more than once a second for
+        each of them; all dispatchers where `reach` is not given."""
+        in_region = self.target.calls_per_second / self.target.regions
+        all_ = self.target.dispatchers_per_region
+        for rate in (spread or self.spread).rates(self.target.functions, in_region):
+            reached = all_ if reach is None else min(all_, max(reach, math.ceil(rate)))
+            yield reached / all_, rate / reached
+
+    def seldom_called(self, spread: Spread | None = None) -> float:
+        """The part of the functions that are called less than once a minute, in all regions together."""
+        rates = (spread or self.spread).rates(self.target.functions, self.target.calls_per_second)
+        return sum(rate < 1 / MINUTE for rate in rates) / len(rates)
 
     def instance_changes_per_second(self, instances: int) -> float:
         """How often a list of so many instances changes: each begins, drains and goes once in its life, and
--- a/benchmarks/scale/calls.py
+++ b/benchmarks/scale/calls.py
@@ -5,22 +5,35 @@
 from collections.abc import Iterator
 from functools import cache
 from itertools import accumulate
+from zlib import crc32
 
 from benchmarks.scale.assumptions import Assumptions, Spread
 
 
 @cache
-def cumulated(spread: Spread, functions: int) -> tuple[float, ...]:
-    return tuple(accumulate(spread.rates(functions, 1.0)))
+def cumulated(given: Assumptions, spread: Spread, reach: int | None, seed: int) -> tuple[float, ...]:
+    """Running sum over functions of their calls a second at one dispatcher; with `reach` the seed draws which
+    functions it is one of those for."""
+    rates = []
+    for rank, (part, rate) in enumerate(given.calls_at_one(spread, reach)):
+        here = part >= 1 or crc32(f"{seed}:{rank}".encode()) < part * 2**32
+        rates.append(rate if here else 0.0)
+    return tuple(accumulate(rates))
 
 
 class Caller:
     """The calls of one dispatcher."""
 
     def __init__(
-        self, given: Assumptions, seed: int, spread: Spread | None = None, rate: float | None = None
+        self,
+        given: Assumptions,
+        seed: int,
+        spread: Spread | None = None,
+        rate: float | None = None,
+        reach: int | None = None,
     ) -> None:
-        self.weights = cumulated(spread or given.spread, given.target.functions)
+        """`rate`: calls a second, those of the target unless given; `reach`: as `Assumptions.calls_at_one`."""
+        self.weights = cumulated(given, spread or given.spread, reach, seed if reach else 0)
         self.rate = given.target.calls_per_dispatcher if rate is None else rate
         self.random = random.Random(seed)
 
--- a/benchmarks/scale/roles/before_after.py
+++ b/benchmarks/scale/roles/before_after.py
@@ -78,12 +78,15 @@
     return measuring.processor_seconds(second, 3).median / len(functions)
 
 
-def with_directory(instances: int, life_seconds: float, seed: int, given: Assumptions) -> Costs:
+def with_directory(
+    instances: int, life_seconds: float, seed: int, given: Assumptions, reach: int | None = None
+) -> Costs:
     target = given.target
     region = region_of(instances, 1, seed, given)
     idle, count = f"{given.directory.watch_idle_seconds:g} s", given.prefix
     made = DirectoryDispatcher(region, seed, target.dispatchers_per_region, 0, idle=idle, first_count=count)
-    caller, life, rate = Caller(given, seed), lives(instances), given.instance_changes_per_second(instances)
+    caller, life = Caller(given, seed, reach=reach), lives(instances)
+    rate = given.instance_changes_per_second(instances)
     play(made, region.change, caller, life, rate, life_seconds)
     (holder,) = region.holders.values()
     made.looked_up.clear()
@@ -172,9 +175,14 @@
 
 
 def lived(seed: int, given: Assumptions, quick: bool) -> list[Figure]:
-    """The directory at a region's size, once functions are let go of as fast as others are looked up."""
+    """The directory at a region's size, once functions are let go of as fast as others are looked up; where
+    calls of a function reach all dispatchers of the region alike, and where they reach few."""
     instances, seconds = (1_000, 4.0) if quick else (given.target.instances_per_region, LIFE)
-    return figures(f"{instances:,} instances", with_directory(instances, seconds, seed, given), given)
+    few = given.dispatchers_per_function
+    made = []
+    for label, reach in [("calls reach all", None), (f"calls reach {few}", few)]:
+        made += figures(label, with_directory(instances, seconds, seed, given, reach), given)
+    return made
 
 
 class BeforeAndAfter:
--- a/benchmarks/scale/tables.py
+++ b/benchmarks/scale/tables.py
@@ -12,6 +12,7 @@
 from benchmarks.scale.samples import UNITS, Budget
 
 Results = Mapping[str, Result]
+MODULE_IDLE = 9.0  # seconds without a call until the module forgets a function, by the settings of `hollow`
 SMALL = -4  # powers of ten below this are written with an exponent
 
 
@@ -199,8 +200,37 @@
     return table(["assumed", "figure"], rows)
 
 
+def sensitivity_table(given: Assumptions) -> str:
+    """What one dispatcher has in view, by how calls spread and how many dispatchers a function's reach."""
+    rows = []
+    for spread in (given.spread, *given.sensitivity):
+        for reach in (None, given.dispatchers_per_function):
+            for idle in (MODULE_IDLE, given.directory.watch_idle_seconds):
+                in_view = given.functions_in_view(idle, spread, reach)
+                first = given.first_calls_per_second(idle, spread, reach)
+                part = first / given.target.calls_per_dispatcher
+                seldom = f"{given.seldom_called(spread):.0%}"
+                reached = "all" if reach is None else str(reach)
+                row = [
+                    spread.name,
+                    seldom,
+                    reached,
+                    f"{idle:g}",
+                    number(in_view),
+                    number(first),
+                    f"{part:.1%}",
+                ]
+                rows.append(row)
+    head = ["spread", "under one call a minute", "dispatchers reached", "idle, s", "functions in view"]
+    return table([*head, "first calls a second", "of all calls"], rows)
+
+
 WHOLE: dict[str, Callable[[Results], str]] = {"ranking": ranking_table, "runs": origin_table}
-GIVEN: dict[str, Callable[[Assumptions], str]] = {"target": target_table, "assumptions": assumption_table}
+GIVEN: dict[str, Callable[[Assumptions], str]] = {
+    "target": target_table,
+    "assumptions": assumption_table,
+    "sensitivity": sensitivity_table,
+}
 OF_ROLE: dict[str, Callable[[Result], str]] = {
     "growth": growth_table,
     "prediction": prediction_table,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -96,7 +96,16 @@
     given = assumptions.load()
     rates = given.spread.rates(given.target.functions, given.target.calls_per_second)
     assert sum(rates) == pytest.approx(given.target.calls_per_second)
-    assert sum(rate < 1 / 60 for rate in rates) > given.target.functions / 2
+    assert given.seldom_called() > 0.5
+
+
+def test_fewer_dispatchers_for_a_seldom_called_function_mean_fewer_first_calls():
+    given = assumptions.load()
+    apart, together = given.first_calls_per_second(120.0), given.first_calls_per_second(120.0, reach=8)
+    assert together < apart < given.target.calls_per_dispatcher
+    assert sum(part * rate for part, rate in given.calls_at_one(None, 8)) == pytest.approx(
+        given.target.calls_per_dispatcher
+    )
 
 
 class Toy:
