--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -114,17 +114,17 @@
         others = [d for d in Watched.living if d.facts["me"] != self.facts["me"]]
         Watched.living = (*others, self)
 
-    def note(self):
+    def note_loads(self):
         Watched.most = max(Watched.most, sum(srv.loads for d in Watched.living for srv in d.srvs))
 
     def send(self, rpc, spot):
         sent = super().send(rpc, spot)
-        self.note()
+        self.note_loads()
         return sent
 
     def order(self, spot, count, part=1.0):
         ordered = super().order(spot, count, part)
-        self.note()
+        self.note_loads()
         return ordered
 
 
