Edge: its part in a fleet and its links' callbacks by standard terms

Cause: Together, Rim, Way and speech were names of this project alone. Change: edge/fleet_member.py (FleetMember, with admit and update), LinkCallbacks beneath Linking, RunnerHandle and make_runner in the core. Behaviour is unchanged.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -448,9 +448,9 @@
 
     def told(second: int) -> None:
         """A second's rows of all, in datagrams as they come."""
-        together = made.together
-        assert together is not None
-        digests = together.admission.digests
+        member = made.fleet_member
+        assert member is not None
+        digests = member.admission.digests
         counts = (10 * second,) * len(digests.counts)
         rows = [Row(name, 1, 1, second + 1, 10_000 * (second + 1), 0, counts) for name in others]
         for first in range(0, len(rows), 10):  # each passes on what it has heard of others
@@ -459,7 +459,7 @@
             news = () if second else claims[first : first + 10]
             data = pack(Datagram("measured", 1, claim, word, news))
             when = first / len(others)
-            reactor.callLater(when, together.endpoint.datagramReceived, data, ("127.0.0.1", 1))
+            reactor.callLater(when, member.endpoint.datagramReceived, data, ("127.0.0.1", 1))
         reactor.callLater(1.0, told, second + 1)
 
     def begin() -> int:
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -55,7 +55,7 @@
                 self.say(wire.Fault("a greeting or a call was expected"))
 
     def show(self, what: str) -> None:
-        shown = {"fleet": self.edge.together, "directory": self.edge.directory}[what]
+        shown = {"fleet": self.edge.fleet_member, "directory": self.edge.directory}[what]
         if shown is None:
             return self.say(wire.Fault(NOT_SHOWN[what]))
         self.say(wire.Shown(msgspec.Raw(msgspec.json.encode(shown.show()))))
@@ -82,9 +82,9 @@
             edge.counts["turned away"] += 1
             return self.say(wire.Answer(call.id, ABORTED))
         stay = None
-        if edge.together is not None:
+        if edge.fleet_member is not None:
             key = key_of(call.key, call.token, f"{self.name}/{call.id}")
-            stay = edge.together.gate(method, customer, call.repeat, key)
+            stay = edge.fleet_member.admit(method, customer, call.repeat, key)
         if stay is not None:  # nothing of it has left this edge
             edge.counts["turned away"] += 1
             return self.say(wire.Answer(call.id, DENIED, stay / 10))
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -31,7 +31,7 @@
     def end(self) -> None: ...  # leave every connection
 
 
-class Way(Protocol):
+class RunnerHandle(Protocol):
     """How one runner is spoken to. `address` tells it from another process under its name. What it is asked
     to do takes as its `connection` whoever can withdraw it."""
 
@@ -73,7 +73,7 @@
         self.heard = 0  # inputs so far
         self.turns, self.next_turn, self.turn_at = Turns(), None, -1
         self.front: Front
-        self.speech: Callable[[str, Any, str], Way]
+        self.make_runner: Callable[[str, Any, str], RunnerHandle]
         self.sources: list[ListSource] = []
         self.host = ModuleHost(self, self.facts, seed, self.clock, slack, make)
         if hasattr(reactor, "around"):
@@ -142,7 +142,7 @@
             runner.dropped()
             runner = None
         if runner is None and address and not self.stopping:
-            runner = self.runners[name] = self.speech(name, address, start)
+            runner = self.runners[name] = self.make_runner(name, address, start)
             runner.named()
 
     def held_back(self, told: Sequence[SrvFacts]) -> None:
--- a/lapistrestle/edge/together.py
+++ b/lapistrestle/edge/fleet_member.py
@@ -14,8 +14,9 @@
 from lapistrestle.state import Srv
 
 
-class Together:
-    """Made only where the deployment names a fleet. `boot` grows with each start, `nonce` differs at each."""
+class FleetMember:
+    """One edge as a member of its fleet, made only where the deployment names one. `boot` grows with each
+    start, `nonce` differs at each."""
 
     def __init__(self, edge: Any, fleet: Fleet, boot: int, nonce: int) -> None:
         self.edge, self.fleet = edge, fleet
@@ -40,9 +41,9 @@
             edge.clock(),
         )
         self.verdicts = Verdicts(place.name)
-        self.triers: dict[str, list[str]] = {}  # by worker: who tries it while it is suspect
-        self.those: list[str] = []  # of whom they were drawn
-        self.doubted: set[Srv] = set()  # of whom we told that they are suspect
+        self.probers_of: dict[str, list[str]] = {}  # by worker: who probes it while it is suspect
+        self.drawn_from: list[str] = []  # the members from whom they were drawn
+        self.announced: set[Srv] = set()  # those of whom others were told that they are suspect
         if fleet.shed:
             self.endpoint.digests, self.endpoint.verdicts = self.admission.digests, self.verdicts
 
@@ -68,10 +69,12 @@
         return sum(srv.loads for srv in self.edge.host.module.srvs)
 
     def start(self) -> None:
+        """Join the fleet."""
         self.endpoint.start()
-        self.look()
+        self.update()
 
-    def look(self, _: object = None) -> None:
+    def update(self, _: object = None) -> None:
+        """Read the fleet's figures, and hand the module what follows, now and again."""
         if self.edge.stopping:
             return
         if self.endpoint.lending is not None:
@@ -83,41 +86,42 @@
             self.edge.facts["shedding"] = self.admission.sheds  # the module's map is the edge's
             self.edge.facts["further"] = self.admission.further
             self.share_trials()
-        self.edge.after(UPDATE_EVERY, self.look, None)
+        self.edge.after(UPDATE_EVERY, self.update, None)
 
     def share_trials(self) -> None:
         """Tell others what the module found of workers, and the module what others found."""
         now, me, found = self.edge.clock(), self.verdicts.me, self.verdicts.findings
         members = self.endpoint.members
-        those = [me, *(m.name for m in members.live())] if members.size else [me]
-        if those != self.those:
-            self.those, self.triers = those, {}
+        members_by_name = [me, *(m.name for m in members.live())] if members.size else [me]
+        if members_by_name != self.drawn_from:
+            self.drawn_from, self.probers_of = members_by_name, {}
         srvs = self.edge.host.module.serving
         self.verdicts.keep(srv.name for srv in srvs)
         for srv in srvs:
             told = found.get(srv.name)
             if srv.suspect and told is not None and told.fit and told.by != me:
                 self.edge.host.vouched(srv, told.at)
-            if srv.suspect and srv not in self.doubted:
+            if srv.suspect and srv not in self.announced:
                 self.verdicts.record(srv.name, False, now)
-                self.doubted.add(srv)
-            elif not srv.suspect and srv in self.doubted:
-                self.doubted.discard(srv)
+                self.announced.add(srv)
+            elif not srv.suspect and srv in self.announced:
+                self.announced.discard(srv)
                 if told is not None and told.by == me:  # else it was others that found it fit
                     self.verdicts.record(srv.name, True, now)
             if srv.suspect:
-                names = self.triers.get(srv.name) or probers(srv.name, those)
-                self.triers[srv.name] = names
+                names = self.probers_of.get(srv.name) or probers(srv.name, members_by_name)
+                self.probers_of[srv.name] = names
                 srv.trial = me in names
-        self.doubted &= set(srvs)
+        self.announced &= set(srvs)
 
-    def gate(self, method: int, customer: int, repeat: bool, key: str) -> int | None:
+    def admit(self, method: int, customer: int, repeat: bool, key: str) -> int | None:
         """As `AdmissionController.admit`."""
         if not self.fleet.shed:
             return None
         return self.admission.admit(method, customer, repeat, key, self.edge.clock())
 
     def loads_shown(self, now: int) -> dict[str, int] | None:
+        """For operators; None where the fleet shares no loads."""
         if self.endpoint.lending is None:
             return None
         of = self.endpoint.lending.allowance
@@ -126,6 +130,7 @@
                 "under way": self.loading()}  # fmt: skip
 
     def show(self) -> dict[str, Any]:
+        """For operators (`lapistrestle fleet show --json`)."""
         endpoint, members, now = self.endpoint, self.endpoint.members, self.edge.clock()
         return {
             "name": members.me.name, "fleet": self.fleet.name, "standing": members.state.name.lower(),
--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -19,7 +19,7 @@
 PROMPT = 50  # tenths of a millisecond that an order may wait: later it counts in another window (rule 5)
 
 
-class Rim:
+class LinkCallbacks:
     """What the transport does: dial, write a line, close; `ask` is a request to be told DUE after a delay."""
 
     def dial(self) -> None: ...
@@ -39,7 +39,7 @@
     """One runner's connection. Numbers are the host's, of call-outs, orders and probes."""
 
     name: str
-    rim: Rim
+    callbacks: LinkCallbacks
     log: Callable[[str], None]
     clock: Callable[[], int]
     state: Link = Link.IDLE
@@ -82,7 +82,7 @@
         breaks under the write ends it with the others."""
         if number:
             self.out[number] = None
-        if self.rim.write(line, number):
+        if self.callbacks.write(line, number):
             return True
         self.out.pop(number, None)
         return False
@@ -112,7 +112,7 @@
     # effects
 
     def dial(self) -> None:
-        self.rim.dial()
+        self.callbacks.dial()
 
     def flush(self) -> None:
         """Nothing of one turn is lost if the connection slows down half way: the rest goes on waiting."""
@@ -125,7 +125,7 @@
                 self.waiting.appendleft(item)
                 break
         if stale:
-            self.rim.not_sent(stale)
+            self.callbacks.not_sent(stale)
 
     def kept(self) -> list[int]:
         """The numbers of what waits, which waits no longer."""
@@ -136,26 +136,26 @@
     def give_back(self) -> None:
         """What waits has never left, and is not sat on."""
         if numbers := self.kept():
-            self.rim.never_left(numbers)
+            self.callbacks.never_left(numbers)
 
     def hold_back(self) -> None:
         """The runner drains: what waits is not sent, though it could be."""
         if numbers := self.kept():
-            self.rim.not_sent(numbers)
+            self.callbacks.not_sent(numbers)
 
     def break_off(self) -> None:
         numbers, self.out = list(self.out), {}
         if numbers:
-            self.rim.broke(numbers)
+            self.callbacks.broke(numbers)
 
     def rest(self) -> None:
         """Pauses double; chance spreads front ends that lost the same runner together."""
         longest = min(LONGEST_REST, FIRST_REST << min(self.rests, 5))
         self.rests += 1
-        self.rim.ask(longest // 2 + crc32(f"{self.name}:{self.rests}".encode()) % (longest // 2 + 1))
+        self.callbacks.ask(longest // 2 + crc32(f"{self.name}:{self.rests}".encode()) % (longest // 2 + 1))
 
     def close(self) -> None:
-        self.rim.close()
+        self.callbacks.close()
 
     def close_if_done(self) -> None:
         """Named as gone: what runs there may still end, so the connection stays until it has."""
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -60,7 +60,7 @@
         super().__init__(reactor, place.name, told, log, seed, self.margin // 2, make)
         clients = Clients(self)
         self.front, self.seats = clients, clients.seats
-        self.speech = lambda name, port, start: Runner(self, name, port, start)
+        self.make_runner = lambda name, port, start: Runner(self, name, port, start)
         if deployment.directory.shards:
             from lapistrestle.edge.directory import EdgeDirectory
 
@@ -77,21 +77,21 @@
         self.keeping = Keeping(self, place.keep) if place.keep else None
         fleet = deployment.fleet
         boot = round(reactor.seconds() * 1000) if boot is None else boot
-        self.together: Any = None
+        self.fleet_member: Any = None
         if fleet.name:  # an edge by itself does not pay for what a fleet needs
-            from lapistrestle.edge.together import Together
+            from lapistrestle.edge.fleet_member import FleetMember
 
-            self.together = Together(self, fleet, boot, nonce)
+            self.fleet_member = FleetMember(self, fleet, boot, nonce)
 
     def start(self) -> int:
         port = super().start()
-        if self.together is not None:
-            self.together.start()
+        if self.fleet_member is not None:
+            self.fleet_member.start()
         return port
 
     def stop(self, stopped: Callable[[], None]) -> None:
-        if self.together is not None:
-            self.together.endpoint.leave()
+        if self.fleet_member is not None:
+            self.fleet_member.endpoint.leave()
         super().stop(stopped)
 
     # the list and the runners
@@ -169,19 +169,19 @@
         call, attempts = pending.message, pending.attempt_count()
         route = self.routing.moved(pending.fn.name, key_of(call.key, call.token, pending.tag))
         left = pending.deadline - self.clock()
-        if self.together is not None:
-            self.together.admission.count_restart()
+        if self.fleet_member is not None:
+            self.fleet_member.admission.count_restart()
         self.take(pending.client, call, pending.method, pending.customer, left, route, True, attempts)
 
     def closed(self, pending: PendingRequest, how: str) -> None:
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
         waited = self.directory is not None and self.directory.left(pending)
-        if self.together is not None:
+        if self.fleet_member is not None:
             late = self.late(pending)
             if how in (DENIED, ABORTED) and cost_before(pending) and not late:
-                self.together.admission.count_further_attempt()
-            self.together.admission.ended(how, late, bool(pending.call_outs), faulty(pending))
+                self.fleet_member.admission.count_further_attempt()
+            self.fleet_member.admission.ended(how, late, bool(pending.call_outs), faulty(pending))
         if pending.route is not None and pending.route.candidate and how != "moved":
             if how != "ok" and (waited or self.barred(pending.fn.name)):
                 return
@@ -213,8 +213,8 @@
     def run(self, attempt: Attempt) -> None:
         if self.barred(attempt.pending.fn.name):
             return self.host.ended(attempt.number, Outcome.MOOT)
-        if self.together is not None and cost_before(attempt.pending):
-            self.together.admission.count_further_attempt()
+        if self.fleet_member is not None and cost_before(attempt.pending):
+            self.fleet_member.admission.count_further_attempt()
         if self.directory is not None:
             self.directory.used(attempt)
         super().run(attempt)
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -5,7 +5,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from lapistrestle.edge.linking import Input, Link, Linking, Rim
+from lapistrestle.edge.linking import Input, Link, LinkCallbacks, Linking
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.requests import NO_REPORT, Attempt, WorkerTask
 from lapistrestle.interface import Outcome, Warmth
@@ -116,7 +116,7 @@
     def clientConnectionLost(self, connector: Any, reason: Failure) -> None: ...
 
 
-class Runner(Rim):
+class Runner(LinkCallbacks):
     """One runner at one address; a start elsewhere makes another."""
 
     def __init__(self, edge: Any, name: str, port: int, start: str) -> None:
@@ -220,7 +220,7 @@
         else:
             self.host.unmatched_reply()
 
-    # what the linking asks (Rim)
+    # what the linking asks (LinkCallbacks)
 
     def dial(self) -> None:
         dial = self.dialling = Dial(self)
--- a/lapistrestle/node/connection.py
+++ b/lapistrestle/node/connection.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lapistrestle.edge.core import Core
-from lapistrestle.edge.linking import Input, Link, Linking, Rim
+from lapistrestle.edge.linking import Input, Link, LinkCallbacks, Linking
 from lapistrestle.hosting.requests import NO_REPORT
 from lapistrestle.interface import Outcome
 from lapistrestle.node.place import split
@@ -19,7 +19,7 @@
 
 LINE = 131_072  # bytes of the longest line taken: a body of 16 KiB in base64 several times over
 PROMPT = 300  # tenths of a millisecond that an order may wait for its connection; its window is seconds
-NO_RIM = Rim()
+NO_CALLBACKS = LinkCallbacks()
 
 
 class Socket(Stream):
@@ -50,7 +50,7 @@
         self.connection.lost()
 
 
-class RunnerConnection(Rim):
+class RunnerConnection(LinkCallbacks):
     """One connection to a runner."""
 
     def __init__(self, runner: "Runner") -> None:
@@ -202,9 +202,9 @@
     def release(self) -> None:
         """It and its linking point to each other, and the collector hardly ever runs: guards a long life
         against growth with every connection."""
-        self.linking.rim = NO_RIM
+        self.linking.callbacks = NO_CALLBACKS
 
-    # what the linking asks (Rim)
+    # what the linking asks (LinkCallbacks)
 
     def dial(self) -> None:
         """Begin to connect."""
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -29,7 +29,7 @@
         self.pools, self.board = RunnerPools(self.core, place), Board(self.core, place)
         self.front = Front(self.core, place)
         self.front.ready = self.board.ready
-        self.core.front, self.core.speech, self.core.sources = self.front, self.pools, [self.board]
+        self.core.front, self.core.make_runner, self.core.sources = self.front, self.pools, [self.board]
         self.leaving, self.readings = False, 0
 
     def start(self) -> int:
--- a/tests/test_linking.py
+++ b/tests/test_linking.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from lapistrestle.edge.linking import LIFE, MOST_WAITING, PROMPT, Input, Link, Linking, Rim
+from lapistrestle.edge.linking import LIFE, MOST_WAITING, PROMPT, Input, Link, LinkCallbacks, Linking
 
 
-class Recorder(Rim):
+class Recorder(LinkCallbacks):
     def __init__(self):
         self.acts = []
 
@@ -45,22 +45,22 @@
 def open_link(link):
     link.step(Input.NAMED)
     link.step(Input.GREETED)
-    link.rim.acts.clear()
+    link.callbacks.acts.clear()
     return link
 
 
 def test_lines_wait_for_the_greeting_and_then_go_in_order(link):
     assert link.send(1, b"a") and link.send(2, b"b")
-    assert link.rim.acts == ["dial"] and link.state is Link.DIALING
+    assert link.callbacks.acts == ["dial"] and link.state is Link.DIALING
     link.step(Input.GREETED)
-    assert link.rim.acts == ["dial", b"a", b"b"] and list(link.out) == [1, 2]
+    assert link.callbacks.acts == ["dial", b"a", b"b"] and list(link.out) == [1, 2]
 
 
 @pytest.mark.parametrize("why", [Input.FAILED, Input.BROKE])
 def test_what_waits_for_a_connection_that_fails_never_left(link, why):
     link.send(1, b"a")
     link.step(why)
-    assert ("never left", [1]) in link.rim.acts and not link.out and link.state is Link.RESTING
+    assert ("never left", [1]) in link.callbacks.acts and not link.out and link.state is Link.RESTING
 
 
 def test_what_was_written_may_have_run_when_the_connection_breaks(open_link):
@@ -68,7 +68,7 @@
     open_link.step(Input.SLOWED)
     open_link.send(2, b"b")
     open_link.step(Input.BROKE)
-    assert [a for a in open_link.rim.acts if a[0] in ("never left", "broke")] == [
+    assert [a for a in open_link.callbacks.acts if a[0] in ("never left", "broke")] == [
         ("never left", [2]),
         ("broke", [1]),
     ]
@@ -77,9 +77,9 @@
 def test_a_runner_that_is_gone_keeps_its_connection_until_its_calls_end(open_link):
     open_link.send(1, b"a")
     open_link.step(Input.DROPPED)
-    assert open_link.state is Link.ENDING and "close" not in open_link.rim.acts
+    assert open_link.state is Link.ENDING and "close" not in open_link.callbacks.acts
     assert not open_link.send(2, b"b")
-    assert open_link.ended(1) and open_link.state is Link.ENDED and open_link.rim.acts[-1] == "close"
+    assert open_link.ended(1) and open_link.state is Link.ENDED and open_link.callbacks.acts[-1] == "close"
     assert not open_link.ended(1)
 
 
@@ -88,7 +88,7 @@
     link.send(2, b"b")
     assert link.withdraw(1) and not link.withdraw(1)
     link.step(Input.GREETED)
-    assert link.rim.acts == ["dial", b"b"]
+    assert link.callbacks.acts == ["dial", b"b"]
     assert not link.withdraw(2) and not link.out
 
 
@@ -102,7 +102,7 @@
     rests = []
     for _ in range(9):
         link.step(Input.FAILED)
-        rests.append(link.rim.acts[-1][1])
+        rests.append(link.callbacks.acts[-1][1])
         link.step(Input.DUE)
     assert rests[0] <= 1_000 and max(rests) <= 20_000 and max(rests) > 8_000
     link.step(Input.FAILED)
@@ -114,14 +114,14 @@
     link.send(1, b"call")
     link.send(2, b"order", prompt=True)
     link.step(Input.GREETED)
-    assert link.rim.acts == ["dial", b"call", b"order"]
+    assert link.callbacks.acts == ["dial", b"call", b"order"]
     link.step(Input.BROKE)
     link.send(3, b"call")
     link.send(4, b"order", prompt=True)
     link_clock[0] += PROMPT + 1
-    link.rim.acts.clear()
+    link.callbacks.acts.clear()
     link.step(Input.GREETED)
-    assert link.rim.acts == [b"call", ("not sent", [4])] and list(link.out) == [3]
+    assert link.callbacks.acts == [b"call", ("not sent", [4])] and list(link.out) == [3]
     link.step(Input.SLOWED)
     assert not link.send(5, b"order", prompt=True) and link.send(6, b"call")
 
@@ -134,9 +134,9 @@
 
 def test_a_connection_that_breaks_under_the_write_ends_that_line_with_the_others(open_link):
     """It had been counted as out only after the write, when nobody would tell its end any more."""
-    open_link.rim.write = lambda line, number=0: open_link.step(Input.BROKE) is None
+    open_link.callbacks.write = lambda line, number=0: open_link.step(Input.BROKE) is None
     open_link.send(1, b"a")
-    assert ("broke", [1]) in open_link.rim.acts and not open_link.out
+    assert ("broke", [1]) in open_link.callbacks.acts and not open_link.out
 
 
 def test_a_line_of_which_nothing_left_waits_and_can_be_taken_back(open_link):
@@ -146,12 +146,12 @@
         open_link.step(Input.SLOWED)
         return False
 
-    open_link.rim.write, wrote = full, open_link.rim.write
+    open_link.callbacks.write, wrote = full, open_link.callbacks.write
     assert open_link.send(1, b"a") and open_link.send(2, b"b")
     assert not open_link.out and open_link.cancel_unsent(1) and not open_link.cancel_unsent(1)
-    open_link.rim.write = wrote
+    open_link.callbacks.write = wrote
     open_link.step(Input.EASED)
-    assert open_link.rim.acts == [b"b"] and list(open_link.out) == [2]
+    assert open_link.callbacks.acts == [b"b"] and list(open_link.out) == [2]
 
 
 def test_a_line_that_may_not_begin_after_a_moment_is_not_sent_then(link):
@@ -159,4 +159,4 @@
     link.send(2, b"first")
     link_clock[0] += 501
     link.step(Input.GREETED)
-    assert link.rim.acts == ["dial", b"first", ("not sent", [1])]
+    assert link.callbacks.acts == ["dial", b"first", ("not sent", [1])]
