--- a/benchmarks/scale/roles/control_allowance.py
+++ b/benchmarks/scale/roles/control_allowance.py
@@ -2,7 +2,7 @@
 
 `lending`: a whole of units over all dispatchers, a tenth of which want more than their cut; each runs the
 program's own `Lending` and `Allowance`, words are encoded as they cross. `together`: the look that an edge
-takes twice a second at its workers (`Together.share_trials`, `Together.loading`), by number of instances.
+takes twice a second at its workers (`FleetMember.share_trials` and `loading`), by number of instances.
 """
 
 import random
@@ -16,7 +16,7 @@
 from benchmarks.scale.roles.control_hollow import SECOND, Clock, Meter, Traffic, deployment, module_facts
 from benchmarks.scale.samples import Budget, Dimension, Sample, Scene, Sweep
 from lapistrestle.deployment.shape import Fleet
-from lapistrestle.edge.together import Together
+from lapistrestle.edge.fleet_member import FleetMember
 from lapistrestle.fleet.allowance import Allowance, AllowanceSettings
 from lapistrestle.fleet.lending import Lending
 from lapistrestle.overload.admission import UPDATE_EVERY
@@ -154,10 +154,10 @@
     def log(self, what: str, **figures: Any) -> None: ...
 
 
-def together_of(instances: int, dispatchers: int) -> Together:
+def together_of(instances: int, dispatchers: int) -> FleetMember:
     """An edge's part in a fleet of that many, with nobody suspect."""
     edge = HollowEdge(instances, dispatchers)
-    together = Together(edge, Fleet(name="region", port=7_000, loads=UNITS_EACH * dispatchers), 1, 1)
+    together = FleetMember(edge, Fleet(name="region", port=7_000, loads=UNITS_EACH * dispatchers), 1, 1)
     others = [Claim(f"dispatcher-{i:05d}", 1, i + 1, 0, Rank.ALIVE, "127.0.0.1", 10_000 + i)
               for i in range(1, dispatchers)]  # fmt: skip
     together.endpoint.members.heard(others[0], wire.Ack(0), others, edge.now)
@@ -192,9 +192,9 @@
         )  # fmt: skip
 
 
-def trial_seconds(together: Together) -> float:
+def trial_seconds(together: FleetMember) -> float:
     """Processor time of drawing who tries one suspect worker; drawn anew when a member comes or goes."""
-    names = together.those
+    names = together.drawn_from
     return (
         processor_seconds(lambda: [probers(f"runner-{i}", names) for i in range(SUSPECTS)]).median / SUSPECTS
     )
