--- a/benchmarks/scale/calls.py
+++ b/benchmarks/scale/calls.py
@@ -32,7 +32,7 @@
         rate: float | None = None,
         reach: int | None = None,
     ) -> None:
-        """`rate`: calls a second, those of the target unless given; `reach`: as `Assumptions.calls_at_one`."""
+        """`rate`: calls a second, the target's unless given; `reach`: as `Assumptions.calls_at_one`."""
         self.weights = cumulated(given, spread or given.spread, reach, seed if reach else 0)
         self.rate = given.target.calls_per_dispatcher if rate is None else rate
         self.random = random.Random(seed)
