--- a/tests/test_edge_directory.py
+++ b/tests/test_edge_directory.py
@@ -390,3 +390,21 @@
         timeout=60,
     )
     assert done.returncode == 0, done.stderr
+
+
+def test_what_waited_counts_from_when_it_came(stage):
+    """For its soft deadline, and in the budget of orders (rule 5), where one placed at once came later."""
+    client, module = stage.client(), stage.edge.host.module
+    stage.look_up(client, fn="known")
+    module.taken.clear()
+    came = stage.edge.clock()
+    stage.call(client, id="2", fn="f")
+    stage.run(0.2)
+    stage.call(client, id="3", fn="known")
+    peer, watch = stage.watches()[-1]
+    stage.snapshot(peer, watch, stage.entry("r0"))
+    stage.run(0.002)
+    first, second = module.taken
+    assert came <= first < came + 20 and second - first >= 1_900
+    (waited,) = [p for p in stage.edge.front.open() if p.fn.name == "f"]
+    assert waited.began == first and waited.call_outs
