--- a/lapistrestle/checks/reading.py
+++ b/lapistrestle/checks/reading.py
@@ -167,6 +167,7 @@
         # by version: not in force before, in force at the latest, share
         self.shares: dict[str, list[tuple[float, float, float]]] = {}
         self.troubles: list[tuple[float, str, float]] = []
+        self.began = 0.0  # when clients began to want something
         self.end = 0.0
         lines = iter(tape)
         self.header = next(lines, {})
@@ -228,6 +229,8 @@
             case "share":
                 told = self.shares.setdefault(event["version"], [])
                 told.append((event["since"] / 1000, at, event["share"]))
+            case "begins":
+                self.began = at
             case "trouble":
                 self.troubles.append((at, event["kind"], event["lasts"]))
 
--- a/lapistrestle/deployment/shape.py
+++ b/lapistrestle/deployment/shape.py
@@ -167,7 +167,7 @@
     bytes_per_second: Annotated[int, Meta(ge=1_024)] = 4_194_304  # to all dispatchers; drains aren't held up
     connections: Count = 8_192  # of dispatchers at once; a further one is closed
     oldest_epoch: Annotated[int, Meta(ge=0, lt=2**53)] = 0  # still served besides `epoch`; 0: none
-    unsent: Annotated[int, Meta(ge=4096)] = 8_388_608  # bytes waiting towards a slow dispatcher
+    unsent: Annotated[int, Meta(ge=4096)] = 1_048_576  # bytes waiting towards a slow dispatcher
 
 
 class HolderDeployment(Shape):
--- a/lapistrestle/model/world.py
+++ b/lapistrestle/model/world.py
@@ -192,6 +192,7 @@
     def play(self) -> Outcome:
         """The whole day, and on until the last wish is over."""
         self.start()
+        self.begin_traffic()
         schedule(self)
         self.reactor.run(self.day.length / SECOND)
         self.over = True
--- a/lapistrestle/standins/world.py
+++ b/lapistrestle/standins/world.py
@@ -250,10 +250,18 @@
         for edge in self.edges:
             edge.start()
         self.crowd.lines = self.lines()
+
+    def begin_traffic(self) -> None:
+        """Clients want something from now on, and rollouts are ordered at their times."""
         self.reactor.callLater(0.5, self.next_wish)
         if self.planner is not None:
             self.roll_out()
 
+    def up(self) -> bool:
+        """Whether every edge takes calls, and every holder listens."""
+        lines = all(line.up is not None for line in self.crowd.lines)
+        return lines and (self.directory is None or self.directory.up())
+
     def lines(self) -> list[Line]:
         return [Line(self.crowd, e.name, e.port) for e in self.edges]
 
