Tests of holder processes read entries as the arrays that they are on the wire

Cause: since directory entries are arrays on the wire, the scripted watcher of test_directory_process read names from lists; three tests failed by a TypeError or waited out their patience. Change: the watcher gives rows their field names. Assertions are unchanged.

--- a/tests/test_directory_process.py
+++ b/tests/test_directory_process.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import json5
+import msgspec
 import pytest
 from days import EXAMPLES, Played, day
 from test_real import command
@@ -17,8 +18,10 @@
 from lapistrestle.standins.children import Child, free_tcp_ports
 from lapistrestle.standins.tape import read
 from lapistrestle.wire.directory import DIRECTORY
+from lapistrestle.wire.messages import Entry
 
 PATIENCE = 20.0  # seconds; bounds a wait, and passes no test
+ENTRY_FIELDS = tuple(field.name for field in msgspec.structs.fields(Entry))
 
 
 class Watcher:
@@ -41,8 +44,11 @@
         line = self.lines.readline()
         if not line:
             raise EOFError(self.heard[-1:])
-        self.heard.append(json.loads(line))
-        return self.heard[-1]
+        message = json.loads(line)
+        if "entries" in message:  # an array each, on this wire
+            message["entries"] = [dict(zip(ENTRY_FIELDS, row, strict=False)) for row in message["entries"]]
+        self.heard.append(message)
+        return message
 
     def until(self, kind, holds=lambda message: True):
         """The next message of that kind for which it holds, all others read and kept."""
