--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -6,7 +6,6 @@
 """
 
 from bisect import bisect_right, insort
-from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from hashlib import blake2b
 from math import ceil, exp, inf, log, sqrt
@@ -54,7 +53,7 @@
         self.under_way: dict[CallOut, None] = {}  # those, the oldest first
         self.asked = [Sum(LONG, now) for _ in facts["customers"]]
         self.loading, self.load_limit = 0, 0.0  # own loads under way, and how many there should be at most
-        self.orders, self.taken = list[int](), deque[int]()  # answered orders: when each may have crossed
+        self.orders, self.taken = list[int](), list[int]()  # answered orders: when each may have crossed
         self.pending, self.load_took = 0, Mean(LONG)  # orders without answer, and how long loads take
         # what shows that nothing stands there any more; where a miss would tell, one reset is no death
         self.died = {Outcome.UNREACHABLE, *(() if facts["absent_misses"] else (Outcome.RESET,))}
@@ -144,8 +143,7 @@
             asked.add(self.now, self.weight(rpc.method) * rpc.scale)
         if not rpc.moved:
             insort(self.taken, self.now if rpc.came is None else rpc.came)
-        while self.taken and self.taken[0] <= self.now - self.facts["order_window"]:
-            self.taken.popleft()  # where nothing is ever ordered it would grow without end
+        del self.taken[: bisect_right(self.taken, self.now - self.facts["order_window"])]
         self.drive(rpc, Input.ARRIVED)
 
     def left(self, rpc: Rpc) -> None:
@@ -530,21 +528,18 @@
         share, window = self.warmth_of(srv), self.facts["fall_time"]
         if share >= 1:
             return True
-        while srv.sends and srv.sends[0][0] <= self.now - window:
-            srv.sends.popleft()
         taken = self.rate(self.ok_weight) * srv.size * (max(srv.booted or 0, self.now - window) >= self.start)
         budget = CAUTION * self.facts["fall_multiple"] * share * window * taken
         weight, all_ = self.heft(rpc), self.facts["dispatchers"]
         turn = (self.facts["me"] + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
-        return sum(w for _, w in srv.sends) + weight * (turn % 1) <= max(budget, weight / all_)
+        return srv.sent_since(self.now - window) + weight * (turn % 1) <= max(budget, weight / all_)
 
     def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
         """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders. What
         counts is where they cross: one without answer may be about to, and RPCs are older there by then."""
         window, lag = self.facts["order_window"], self.facts["order_lag"]
         del self.orders[: bisect_right(self.orders, self.now - window - lag)]
-        while self.taken and self.taken[0] <= self.now - window + lag:
-            self.taken.popleft()
+        del self.taken[: bisect_right(self.taken, self.now - window + lag)]
         most = part * (self.facts["orders_free"] + self.facts["orders_share"] * len(self.taken))
         room = self.facts["may_order"] and (not window or len(self.orders) + self.pending + 1 <= most)
         load = count > self.believed(spot)
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -92,6 +92,12 @@
                 took, alone = took + now - call_out.sent, alone + call_out.usual
         return took, alone
 
+    def sent_since(self, then: int) -> float:
+        """The weight of what was sent after `then`; what was sent earlier is forgotten."""
+        while self.sends and self.sends[0][0] <= then:
+            self.sends.popleft()
+        return sum(weight for _, weight in self.sends)
+
     def remember(self, life: int) -> None:
         for total in (self.took, self.iso, self.good, self.bad, self.served):
             total.life = life
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -24,10 +24,10 @@
     return dispatcher
 
 
-def sent_to_the_cold_one(of, skew, pace, seed, restart, late):
+def sent_to_the_cold_one(of, skew, pace, seed, restart, late, uneven):
     """When call-outs went to a worker that starts at BOOT, if every RPC would go there. `pace`: RPCs that a
     warm worker takes in a second; `restart`: seconds into the ramp at which all dispatchers restart; `late`:
-    seconds over which they hear of the start."""
+    seconds over which they hear of the start; `uneven`: variation of the work that hints tell."""
     chance, sends, work = random.Random(seed), [], 800
     weights = [1 / (i + 1) ** skew for i in range(of)]
     all_ = [made(i, of, seed, 0) for i in range(of)]
@@ -45,7 +45,8 @@
         if cold is None and now >= hears[i]:
             cold = Srv("cold")
             dispatcher.listed([(cold, SrvFacts("cold", booted=BOOT))], whole=False)
-        rpc = Rpc("r", fn, 0, 0, now + 3 * SECOND)
+        scale = chance.gammavariate(uneven**-2, uneven**2) if uneven else 1.0
+        rpc = Rpc("r", fn, 0, 0, now + 3 * SECOND, scale=max(0.2, scale))
         if cold is not None and dispatcher.cold_room(cold, rpc):
             cold.sends.append((now, dispatcher.heft(rpc)))
             sends.append(now)
@@ -64,15 +65,18 @@
     seed=st.integers(1, 1000),
     restart=st.one_of(st.none(), st.floats(0.1, 4.0)),
     late=st.sampled_from([0.0, 0.5, 2.0]),
+    uneven=st.sampled_from([0.0, 0.6, 1.2]),
 )
-@example(of=1, skew=0.0, pace=20.0, seed=1, restart=1.0, late=0.0)
-@example(of=3, skew=1.0, pace=20.0, seed=2, restart=1.0, late=0.0)
-@example(of=30, skew=0.0, pace=20.0, seed=1, restart=1.0, late=0.0)
-@example(of=200, skew=1.0, pace=20.0, seed=1, restart=None, late=0.0)
-def test_the_sum_of_all_keeps_to_the_budget_of_a_cold_worker(of, skew, pace, seed, restart, late):
+@example(of=1, skew=0.0, pace=20.0, seed=1, restart=1.0, late=0.0, uneven=0.0)
+@example(of=3, skew=1.0, pace=20.0, seed=2, restart=1.0, late=0.0, uneven=0.0)
+@example(of=30, skew=0.0, pace=20.0, seed=1, restart=1.0, late=0.0, uneven=0.0)
+@example(of=200, skew=1.0, pace=20.0, seed=1, restart=None, late=0.0, uneven=0.0)
+@example(of=6, skew=1.0, pace=20.0, seed=1, restart=None, late=0.0, uneven=1.2)
+@example(of=300, skew=0.5, pace=8.0, seed=3, restart=None, late=0.5, uneven=1.2)
+def test_the_sum_of_all_keeps_to_the_budget_of_a_cold_worker(of, skew, pace, seed, restart, late, uneven):
     """Beyond the budget of N only 2 x root of N + 2 are chance. N is reckoned from what warm workers take,
     which is under what they could. Dispatchers that restarted had spent their part a second time."""
-    facts, sends = sent_to_the_cold_one(of, skew, pace, seed, restart, late)
+    facts, sends = sent_to_the_cold_one(of, skew, pace, seed, restart, late, uneven)
     window, cold = facts["fall_time"], facts["cold_share"]
     assert sends or of > 10  # of many that see little, hardly one asks in its turn
     for number, first in enumerate(sends):
