A request that lay unread while the program stood still keeps its client's deadline

Cause: Front.arrived counts the patience from when the request is read, so an answer at the deadline is late by the standstill. Shown by a stopped process: patience 1 s, SIGSTOP for 0.3 s, silent runner: answered after 1.372 s. Change: where no look at the sockets was taken for 20 ms, the kernel's time since the last bytes came (TCP_INFO) is taken off the patience, at most the time since the look before. Ruled out: the time of the look before alone, which is 5 to 200 ms old on an idle dispatcher. The test fails without the mend.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -3,6 +3,7 @@
 It is given a front (clients), a way to speak to runners and sources of the list; each set is one protocol.
 """
 
+import socket
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
@@ -88,6 +89,14 @@
         looked = getattr(self.reactor, "looked", None)
         return self.clock() if looked is None else int(looked[0] * TENTHS)
 
+    def unread_for(self, sock: socket.socket) -> int:
+        """How long what is read now lay in its socket, in tenths of a millisecond, as far as the kernel
+        tells: a client counts its time from when it sent, also while the program stood still."""
+        age, longest = getattr(self.reactor, "unread_for", None), self.clock() - self.came()
+        if age is None or longest <= LATE:
+            return 0
+        return min(longest, int(age(sock) * TENTHS))
+
     def pieces(self) -> int:
         """How many pieces of one connection are read at once: all that there are, within bounds, after a
         standstill. One that ends, and what it brought before, are then met in the same look."""
--- a/lapistrestle/edge/running.py
+++ b/lapistrestle/edge/running.py
@@ -2,18 +2,33 @@
 
 import gc
 import signal
+import socket
+import struct
 import time
 from collections.abc import Callable, Mapping
 from contextlib import nullcontext
 from typing import Any
 
 SETTLE = 0.02  # seconds between the reactor's first turn and the program's beginning
+LAST_RECEIVED = struct.Struct("=52xI")  # of the kernel's tcp_info: milliseconds since the last bytes came
+
+
+def unread_for(sock: socket.socket) -> float:
+    """Seconds since the last bytes reached this TCP socket, read or not, to the kernel's some milliseconds; 0
+    where the kernel does not tell."""
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size)
+    except OSError:
+        return 0.0
+    milliseconds: int = LAST_RECEIVED.unpack(told)[0] if len(told) == LAST_RECEIVED.size else 0
+    return milliseconds / 1000
 
 
 def reactor_of_now() -> Any:
     """Twisted's reactor on the monotonic clock: the machine's time may be set while we run. `looked`: when it
     last turned to its sockets before this time, and this time; what is read now came after the former.
-    `around` is entered for each such look, by whoever sets it."""
+    `around` is entered for each such look, by whoever sets it. `unread_for`: how long ago a socket's last
+    bytes came."""
     from twisted.internet import reactor
 
     made: Any = reactor
@@ -25,7 +40,7 @@
         with made.around():
             iterate(delay)
 
-    made.doIteration = look
+    made.doIteration, made.unread_for = look, unread_for
     return made
 
 
--- a/lapistrestle/node/client.py
+++ b/lapistrestle/node/client.py
@@ -36,6 +36,7 @@
         self.last = False  # it ends with the last of its open requests
         self.since = front.core.clock()  # connected, or without an open request
         self.held = 0  # bytes of what has not come whole
+        self.unread = 0  # tenths of a millisecond for which what is read now lay in the socket
         self.half, self.half_since = 0, 0  # the first request that has not come whole, and since when
 
     def pieces(self) -> int:
@@ -45,6 +46,7 @@
     def received(self, data: bytes) -> None:
         """Bytes came: whole requests go to the front."""
         self.front.core.input()
+        self.unread = self.front.core.unread_for(self.sock)
         for event in self.reader.feed(data):
             if self.dead:
                 return
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -179,7 +179,7 @@
         tag = call.id.decode()
         if tag in self.lingering:
             raise Unfit(409, "X-Call-Id is in use")
-        left = int(call.patience * 10) - MARGIN
+        left = int(call.patience * 10) - MARGIN - connection.unread
         if self.core.stopping or left <= 0 or self.core.host.open >= self.most_open or not self.ready():
             self.core.counts["turned away"] += 1
             return connection.reply(request.number, 503)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -276,6 +276,23 @@
     assert stage.module.now - 8_001 <= stage.module.taken[0] <= stage.module.now - 7_999
 
 
+@pytest.mark.parametrize(("still", "told", "left"), [(0.8, 0.3, 0.7), (0.1, 5.0, 0.9), (0.01, 0.3, 1.0)])
+def test_the_time_for_which_a_request_lay_unread_counts_towards_its_patience(stage, still, told, left):
+    """Bounded by how long the program did not look, and not asked for where it has only just looked."""
+    for runner in stage.runners:
+        runner.on_run = lambda line, said: None
+    stage.hand.unread_for = lambda sock: told
+    client = stage.client()
+    number = client.ask(patience="1000")
+    stage.hand.rightNow += still
+    stage.hand.quiet()
+    read = stage.hand.rightNow
+    while client.status(number) is None and stage.hand.rightNow < read + 2:
+        stage.hand.run(0.001)
+    assert client.status(number) is not None
+    assert left - 0.02 <= stage.hand.rightNow - read <= left + 0.01
+
+
 def test_two_requests_under_one_number_end_that_connection_alone(stage):
     for runner in stage.runners:
         runner.on_run = lambda line, said: None
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -237,3 +237,19 @@
     assert not set(HEAVY) & {name.split(".")[0] for name in loaded}
     off = ("planner", "rollout", "command", "standins", "edge.program")
     assert not [name for name in loaded if name.startswith(tuple(f"lapistrestle.{part}" for part in off))]
+
+
+def test_the_kernel_tells_how_long_bytes_lay_unread():
+    listener = socket.create_server(("127.0.0.1", 0))
+    sender = socket.create_connection(listener.getsockname())
+    receiver, _ = listener.accept()
+    sent = time.monotonic()
+    sender.sendall(b"x")
+    receiver.recv(1, socket.MSG_PEEK)
+    while running.unread_for(receiver) < 0.05:
+        assert time.monotonic() < sent + 20
+    assert running.unread_for(receiver) <= time.monotonic() - sent + 0.02
+    one, other = socket.socketpair()
+    assert running.unread_for(one) == 0.0
+    for end in (listener, sender, receiver, one, other):
+        end.close()
