--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,1055 @@
+"""The directory: what holders send and what watchers believe, each rule by itself and in random days."""
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from lapistrestle.directory import effects as directory
+from lapistrestle.directory.assignment import Assignment, Copy
+from lapistrestle.directory.effects import MILLISECOND, SECOND, HolderSettings, WatcherSettings
+from lapistrestle.directory.holder import ShardHolder
+from lapistrestle.directory.instances import Instances
+from lapistrestle.directory.links import Connection
+from lapistrestle.directory.order import InstanceRing
+from lapistrestle.directory.pacing import Admission, Jitter
+from lapistrestle.directory.prefixes import LostChange
+from lapistrestle.directory.revisions import REVERSAL, Revisions
+from lapistrestle.directory.sessions import Batches, line_bytes
+from lapistrestle.directory.watched import WatchedFunctions
+from lapistrestle.directory.watcher import DirectoryWatcher, Prefix
+from lapistrestle.standins.directory_checks import true_prefix
+from lapistrestle.standins.directory_world import CALM, Plan, World, play, random_day
+from lapistrestle.wire import directory as wire
+from lapistrestle.wire.messages import Entry, encode
+
+COPIES = (Copy("127.0.0.1", 7_001), Copy("127.0.0.1", 7_002))
+EPOCH = 3
+
+
+def entry(number, start="1", listing="serving", size=1.0):
+    return Entry(f"w{number}", 9_000 + number, "z", size=size, listing=listing, start=start, up_for=1_000.0)
+
+
+class Directory:
+    """A holder with sessions, driven by hand."""
+
+    def __init__(self, instances=20, **settings):
+        self.now = 0
+        self.holder = ShardHolder(HolderSettings(epoch=EPOCH, oldest_epoch=EPOCH, **settings), 1, 0)
+        self.number = 0
+        self.sent = []
+        self.closed = {}
+        self.asked = 0
+        self.last_id = 0
+        self.tell([entry(i) for i in range(instances)], whole=True)
+
+    def tell(self, entries, whole=False, source="e1", number=None):
+        self.number = self.number + 1 if number is None else number
+        revision = wire.Revision(source, self.number)
+        self.holder.instances_changed(entries, whole, revision, self.now)
+        self.collect()
+
+    def collect(self):
+        for effect in self.holder.take():
+            if isinstance(effect, directory.SendTo):
+                self.sent.append((self.now, effect.session, effect.message))
+            elif isinstance(effect, directory.CloseSession):
+                self.closed[effect.session] = self.now
+            else:
+                self.asked += 1
+
+    def watch(self, session, function, count=4, epoch=EPOCH, shard=0):
+        self.last_id += 1
+        self.say(session, wire.Watch(self.last_id, shard, epoch, function, count))
+        return self.last_id
+
+    def connect(self, session):
+        self.holder.connected(session, self.now)
+
+    def say(self, session, message):
+        self.holder.heard(session, message, self.now)
+        self.collect()
+
+    def run(self, length, renew=()):
+        until = self.now + length
+        renewed = self.now
+        while self.holder.next_due() <= until:
+            self.now = max(self.now, self.holder.next_due())
+            self.holder.tick(self.now)
+            self.collect()
+            if self.now - renewed >= SECOND // 2:
+                renewed = self.now
+                for session in renew:
+                    self.say(session, wire.Renew(self.now))
+        self.now = until
+
+    def of(self, kind, session=None):
+        return [m for _, s, m in self.sent if isinstance(m, kind) and session in (None, s)]
+
+
+def test_a_watch_is_answered_by_the_true_prefix():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", 4)
+    (snapshot,) = made.of(wire.Snapshot)
+    truth = Instances()
+    truth.apply([entry(i) for i in range(20)], True, 0)
+    assert tuple(e.name for e in snapshot.entries) == true_prefix(truth, "f", 4).names
+    assert (snapshot.sequence, snapshot.complete, snapshot.revision) == (1, False, wire.Revision("e1", 1))
+
+
+def test_instances_that_drain_stay_in_their_place_and_the_prefix_grows_by_others():
+    made = Directory()
+    made.connect(1)
+    watch = made.watch(1, "f", 4)
+    before = [e.name for e in made.of(wire.Snapshot)[0].entries]
+    made.tell([entry(int(before[1][1:]), listing="draining")])
+    made.run(SECOND)
+    updates = made.of(wire.Update)
+    assert [e.listing for e in updates[0].entries if e.name == before[1]] == ["draining"]
+    (change,) = [change for update in updates for change in update.changes]
+    assert (change.id, change.removed, change.length) == (watch, [], 5)
+    assert [placed.position for placed in change.inserted] == [4]
+
+
+def test_a_drain_and_a_departure_are_sent_within_a_tenth_of_a_second_other_changes_in_batches():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", 4)
+    names = [int(e.name[1:]) for e in made.of(wire.Snapshot)[0].entries]
+    made.run(SECOND, renew=[1])
+    began = made.now
+    made.tell([entry(names[0], size=2.0)])
+    made.run(100 * MILLISECOND)
+    assert not made.of(wire.Update)
+    made.tell([entry(names[1], listing="draining"), entry(names[2], listing="gone")])
+    made.run(100 * MILLISECOND)
+    (update,) = made.of(wire.Update)
+    assert {e.name: e.listing for e in update.entries}[f"w{names[1]}"] == "draining"
+    assert update.gone == [f"w{names[2]}"]
+    made.run(SECOND)
+    assert made.sent[-1][0] - began <= SECOND
+
+
+def test_an_instance_that_flaps_is_told_of_at_most_once_a_batch():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", 4)
+    name = int(made.of(wire.Snapshot)[0].entries[0].name[1:])
+    for i in range(200):  # twenty seconds
+        made.tell([entry(name, listing="draining" if i % 2 else "serving")])
+        made.run(SECOND // 10, renew=[1] if i % 10 == 0 else [])
+        made.say(1, wire.Renew(made.now))
+    told = [u for u in made.of(wire.Update) if any(e.name == f"w{name}" for e in u.entries)]
+    assert 10 <= len(told) <= 20 * SECOND // made.holder.settings.batch_delay + 2
+
+
+def test_word_of_a_flapping_instances_drain_still_comes_within_the_second():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", 4)
+    name = int(made.of(wire.Snapshot)[0].entries[0].name[1:])
+    made.tell([entry(name, listing="draining")])
+    made.run(60 * MILLISECOND)
+    made.tell([entry(name, listing="serving")])
+    made.tell([entry(name, listing="draining")])
+    began = made.now
+    made.tell([entry(name, listing="draining", start="2")])
+    made.run(SECOND)
+    at, _, update = [x for x in made.sent if isinstance(x[2], wire.Update)][-1]
+    assert at - began < SECOND and update.entries[0].start == "2"
+
+
+def test_changes_of_instances_outside_a_prefix_cost_its_watchers_nothing():
+    made = Directory(200)
+    made.connect(1)
+    made.watch(1, "f", 4)
+    watched = {e.name for e in made.of(wire.Snapshot)[0].entries}
+    others = [i for i in range(200) if f"w{i}" not in watched]
+    before = made.holder.watched.recomputed
+    made.tell([entry(i, listing="draining") for i in others[:100]])
+    made.tell([entry(i, listing="gone") for i in others[:50]])
+    made.run(SECOND)
+    assert made.holder.watched.recomputed == before and not made.of(wire.Update)
+
+
+def work_of_one_change(instances, ring=InstanceRing):
+    """Prefixes computed and steps on the ring for a hundred instances that go and come back, one by one."""
+    made = Directory(instances, snapshot_burst=10_000)
+    made.connect(1)
+    for i in range(200):
+        made.watch(1, f"f{i}", 4)
+    watched = made.holder.watched
+    before = watched.recomputed, made.holder.instances.ring.steps + watched.positions.steps
+    for i in range(100):
+        made.tell([entry(i, listing="gone")])
+        made.tell([entry(i, start="2")])
+    steps = made.holder.instances.ring.steps + watched.positions.steps
+    return watched.recomputed - before[0], steps - before[1]
+
+
+def test_the_work_of_a_change_is_in_proportion_to_the_prefixes_that_it_touches():
+    """200 functions of 4 instances: with ten times the instances a change touches a tenth of the prefixes,
+    and the steps that remain, 16 points to be placed twice, don't grow."""
+    small, large = work_of_one_change(400), work_of_one_change(4_000)
+    assert large[0] < small[0] / 4
+    assert large[1] < 1.5 * small[1]
+
+
+def test_the_measure_of_a_changes_work_catches_a_scan_over_all_watches(monkeypatch):
+    monkeypatch.setattr(WatchedFunctions, "touched", lambda self, changes: set(self.functions))
+    small, large = work_of_one_change(400), work_of_one_change(1_000)
+    assert large[0] >= small[0] / 4
+
+
+def test_prefixes_follow_every_change_as_if_made_anew():
+    made = Directory(30, snapshot_burst=10_000)
+    made.connect(1)
+    for i in range(30):
+        made.watch(1, f"f{i}", 1 + i % 6)
+    jitter = Jitter(5)
+    truth = Instances()
+    truth.apply([entry(i) for i in range(30)], True, 0)
+    for step in range(400):
+        number, what = jitter.below(40), jitter.below(4)
+        listing = ("serving", "draining", "gone", "serving")[what]
+        changed = entry(number, str(step), listing, (0.5, 1.0, 3.0)[jitter.below(3)])
+        made.tell([changed])
+        truth.apply([changed], False, 0)
+        made.say(1, wire.Renew(made.now))
+        for name, known in made.holder.watched.functions.items():
+            for count, prefix in known.prefixes.items():
+                assert prefix == true_prefix(truth, name, count)
+
+
+def test_bytes_a_second_are_bounded_but_for_what_is_urgent():
+    made = Directory(300, session_bytes=1_000, snapshot_burst=10_000)
+    made.connect(1)
+    for i in range(60):
+        made.watch(1, f"f{i}", 4)
+    made.sent.clear()
+    for step in range(300):  # thirty seconds, ten changes each tenth of one
+        made.tell([entry(i, size=1.0 + step % 7 / 10) for i in range(step % 30 * 10, step % 30 * 10 + 10)])
+        made.say(1, wire.Renew(made.now))
+        made.run(SECOND // 10)
+    sent = sum(len(encode(update)) for update in made.of(wire.Update))
+    assert 20_000 < sent < 1.25 * 1_000 * (30 + 4)
+    made.sent.clear()
+    made.tell([entry(i, listing="draining") for i in range(300)])
+    made.run(150 * MILLISECOND)
+    told = {e.name for update in made.of(wire.Update) for e in update.entries if e.listing == "draining"}
+    mine = {
+        name
+        for known in made.holder.watched.functions.values()
+        for p in known.prefixes.values()
+        for name in p.names
+    }
+    assert len(mine) > 100 and len(told) > 100
+
+
+def test_the_estimate_of_bytes_is_near_the_encoded_length():
+    made = Directory(100, snapshot_burst=1_000)
+    made.connect(1)
+    for i in range(20):
+        made.watch(1, f"f{i}", 8)
+    made.tell(
+        [entry(i, listing="gone") for i in range(0, 100, 7)] + [entry(i, "2") for i in range(3, 100, 7)]
+    )
+    made.run(SECOND)
+    messages = made.of(wire.Snapshot) + made.of(wire.Update)
+    assert len(messages) > 20
+    encoded, estimated = sum(len(encode(m)) for m in messages), sum(map(line_bytes, messages))
+    assert encoded == pytest.approx(estimated, rel=0.25)
+
+
+def test_a_batch_has_bounded_entries_and_nothing_is_lost_by_that(monkeypatch):
+    monkeypatch.setattr("lapistrestle.directory.sessions.MOST_IN_A_BATCH", 10)
+    made = Directory(200, snapshot_burst=1_000, session_bytes=10**7)
+    made.connect(1)
+    ids = {made.watch(1, f"f{i}", 4): f"f{i}" for i in range(50)}
+    names = {s.id: tuple(e.name for e in s.entries) for s in made.of(wire.Snapshot)}
+    made.tell([entry(i, listing="gone") for i in range(60)])
+    made.run(2 * SECOND)
+    for update in made.of(wire.Update):
+        assert len(update.entries) + len(update.gone) <= 30
+        for change in update.changes:
+            names[change.id] = directory_changed(names[change.id], change)
+    for watch, function in ids.items():
+        assert names[watch] == made.holder.watched.functions[function].prefixes[4].names
+
+
+def directory_changed(names, change):
+    from lapistrestle.directory.prefixes import changed
+
+    return changed(names, change)
+
+
+def test_snapshots_are_admitted_at_a_rate_and_the_others_told_times_that_are_spread():
+    admission = Admission(1_000, 100, 2 * SECOND, 0, Jitter(1))
+    waits = [admission.retry_after(0) for _ in range(5_000)]
+    assert waits.count(0) == 100
+    told = sorted(wait for wait in waits if wait)
+    assert told[-1] <= 2 * SECOND
+    for tenth in range(1, 10):  # of the second after the burst: a hundred each, as many as are admitted
+        assert 90 <= sum(tenth * 1_000 <= wait < (tenth + 1) * 1_000 for wait in told) <= 110
+    in_half = sum(wait < 15_000 for wait in told if wait > SECOND)
+    assert 0.3 < in_half / sum(wait > SECOND for wait in told) < 0.7
+
+
+def test_a_busy_holder_says_when_to_ask_again_and_keeps_the_earlier_watch():
+    made = Directory(snapshot_burst=1, snapshot_rate=10)
+    made.connect(1)
+    first = made.watch(1, "f", 2)
+    second = made.watch(1, "f", 8)
+    (busy,) = made.of(wire.Busy)
+    assert busy.id == second and 0 < busy.retry_after <= 2 * SECOND
+    assert made.holder.watched.functions["f"].watches[1].id == first
+
+
+def test_a_watch_that_is_not_renewed_lapses_with_its_session():
+    made = Directory()
+    for session in (1, 2):
+        made.connect(session)
+        made.watch(session, "f", 4)
+    made.run(5 * SECOND, renew=[2])
+    assert list(made.closed) == [1] and made.closed[1] <= 3 * SECOND + 1_000
+    assert list(made.holder.watched.functions["f"].watches) == [2]
+    made.holder.disconnected(2, made.now)
+    assert not made.holder.watched.functions and not made.holder.watched.having
+    assert not len(made.holder.watched.positions) and not made.holder.watched.by_length
+
+
+def test_a_connection_that_says_nothing_is_closed_after_a_lease():
+    made = Directory()
+    made.connect(1)
+    made.run(4 * SECOND)
+    assert 1 in made.closed and not made.holder.sessions.all
+
+
+@pytest.mark.parametrize(
+    ("epoch", "shard", "why"), [(2, 0, "old epoch"), (4, 0, "new epoch"), (EPOCH, 5, "shard")]
+)
+def test_a_watch_of_another_epoch_or_shard_is_refused(epoch, shard, why):
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", epoch=epoch, shard=shard)
+    assert [(m.why, m.epoch) for m in made.of(wire.Refused)] == [(why, EPOCH)] and not made.of(wire.Snapshot)
+
+
+def test_an_older_epoch_is_served_while_assignments_are_replaced_and_refused_after():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", epoch=EPOCH)
+    newer = replace(made.holder.settings, epoch=EPOCH + 1)
+    made.holder.configure(newer, made.now)
+    made.watch(1, "g", epoch=EPOCH)
+    made.watch(1, "h", epoch=EPOCH + 1)
+    assert [m.epoch for m in made.of(wire.Snapshot)] == [EPOCH, EPOCH, EPOCH + 1]
+    made.holder.configure(replace(newer, oldest_epoch=EPOCH + 1), made.now)
+    made.collect()
+    assert 1 in made.closed
+    made.holder.configure(replace(newer, epoch=EPOCH), made.now)
+    assert made.holder.settings.epoch == EPOCH + 1
+
+
+def test_a_holder_that_stood_still_answers_nothing_before_it_has_heard_its_roster():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f")
+    made.run(SECOND, renew=[1])
+    made.sent.clear()
+    made.now += 2 * SECOND
+    made.say(1, wire.Renew(made.now))
+    made.watch(1, "g")
+    assert made.asked == 1
+    assert not made.of(wire.Renewed) and not made.of(wire.Snapshot)
+    assert [m.why for m in made.of(wire.Refused)] == ["stale"]
+    made.tell([entry(0, listing="draining")])
+    made.watch(1, "g")
+    assert not made.of(wire.Snapshot)
+    made.tell([entry(i) for i in range(20)], whole=True)
+    made.watch(1, "g")
+    made.say(1, wire.Renew(made.now))
+    assert made.of(wire.Snapshot) and made.of(wire.Renewed)
+
+
+def test_a_list_that_was_under_way_before_a_standstill_is_not_the_answer_after_it():
+    made = Directory()
+    made.connect(1)
+    made.holder.roster_asked(made.now)
+    made.now += 2 * SECOND
+    made.tell([entry(i) for i in range(20)], whole=True)
+    made.watch(1, "f")
+    assert made.asked == 1 and not made.of(wire.Snapshot)
+    made.tell([entry(i) for i in range(20)], whole=True)
+    made.watch(1, "f")
+    assert made.of(wire.Snapshot)
+
+
+def test_a_holder_without_its_roster_says_how_old_its_knowledge_is():
+    made = Directory()
+    made.connect(1)
+    made.run(SECOND, renew=[1])
+    made.holder.roster_lost(made.now)
+    made.run(SECOND // 2, renew=[1])
+    made.watch(1, "f")
+    assert made.of(wire.Snapshot)[-1].age == SECOND // 2
+    made.tell([entry(i) for i in range(20)], whole=True)
+    made.watch(1, "g")
+    assert made.of(wire.Snapshot)[-1].age == 0
+
+
+def test_a_silent_roster_is_asked_and_counts_as_lost_without_an_answer():
+    made = Directory()
+    made.connect(1)
+    made.run(6 * SECOND, renew=[1])
+    assert made.asked == 1
+    made.run(2 * SECOND, renew=[1])
+    made.say(1, wire.Renew(made.now))
+    assert made.of(wire.Renewed)[-1].age >= 7 * SECOND
+
+
+def test_reading_a_long_list_is_no_standstill():
+    made = Directory()
+    made.run(SECOND)
+    many = [entry(i) for i in range(60_000)]
+    made.now += 3_200  # a third of a second, as long as reading so many may take
+    made.tell(many, whole=True)
+    assert made.asked == 0
+    made.now += 30_000
+    made.tell([entry(0, listing="draining")])
+    assert made.asked == 0
+    made.now += 30_000
+    made.tell([entry(1, listing="draining")])
+    assert made.asked == 1
+
+
+def test_numbers_that_go_back_under_one_epoch_close_all_sessions():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f")
+    made.tell([entry(1)], whole=True, number=0)
+    assert 1 in made.closed and made.holder.revision.number == 0
+
+
+def test_sums_of_the_region_follow_each_change():
+    made = Directory(10, ramp_time=10 * SECOND, cold_share=0.2)
+    assert made.holder.instances.sums(0) == wire.RegionSums(10.0, pytest.approx(2.8, abs=0.9), 10, 10)
+    made.tell([entry(0, listing="draining"), entry(1, size=3.0), entry(2, listing="gone")])
+    sums = made.holder.instances.sums(60 * SECOND)
+    assert (sums.size, sums.warm, sums.serving, sums.instances) == (10.0, 10.0, 8, 9)
+    made.connect(1)
+    for _ in range(20):
+        made.say(1, wire.Renew(made.now))
+        made.run(SECOND // 10)
+    assert sum(m.sums is not None for m in made.of(wire.Renewed)) == 2
+
+
+def test_show_tells_a_functions_order_and_the_holders_figures():
+    made = Directory()
+    made.connect(1)
+    made.watch(1, "f", 4)
+    made.say(1, wire.Show("f"))
+    shown = msgspec.json.decode(made.of(wire.Shown)[0].body)
+    names = [e.name for e in made.of(wire.Snapshot)[0].entries]
+    assert [e["name"] for e in shown["order"]][:4] == names and shown["watchers"] == 1
+    assert made.holder.show()["watches"] == 1
+
+
+# the watcher
+
+
+class Dispatcher:
+    """A watcher whose holders are played by hand."""
+
+    def __init__(self, copies=COPIES, **settings):
+        self.now = 0
+        self.watcher = DirectoryWatcher(
+            "d", "", Assignment(EPOCH, (copies,)), WatcherSettings(**settings), 1, 0, self.note
+        )
+        self.effects, self.logs = [], []
+        self.sequence = {}
+
+    def note(self, text):
+        self.logs.append(text)
+
+    def collect(self):
+        self.effects += [(self.now, effect) for effect in self.watcher.take()]
+
+    def of(self, kind):
+        return [effect for _, effect in self.effects if isinstance(effect, kind)]
+
+    def sent(self, kind):
+        return [send.message for send in self.of(directory.Send) if isinstance(send.message, kind)]
+
+    def run(self, length):
+        until = self.now + length
+        while self.watcher.next_due() <= until:
+            self.now = max(self.now + 1, self.watcher.next_due())
+            self.watcher.tick(self.now)
+            self.collect()
+        self.now = until
+
+    def wanted(self, function="f"):
+        prefix = self.watcher.wanted(function, "m", self.now)
+        self.collect()
+        return prefix
+
+    def connect(self):
+        number = self.of(directory.Dial)[-1].connection
+        self.watcher.connected(number, self.now)
+        self.sequence[number] = 0
+        self.collect()
+        return number
+
+    def hear(self, connection, message):
+        self.watcher.heard(connection, message, self.now)
+        self.collect()
+
+    def snapshot(self, connection, names, number=1, source="e1", start="1", id=None, epoch=EPOCH, **more):
+        id = self.sent(wire.Watch)[-1].id if id is None else id
+        self.sequence[connection] += 1
+        entries = [wire.compact(entry(n, start)) for n in names]
+        revision = wire.Revision(source, number)
+        more = {"lease": 3 * SECOND, **more}
+        self.hear(connection, wire.Snapshot(id, epoch, revision, self.sequence[connection], entries, **more))
+
+    def update(self, connection, number, entries=(), gone=(), changes=(), skip=0):
+        self.sequence[connection] += 1 + skip
+        entries = [wire.compact(e) for e in entries]
+        revision = wire.Revision("e1", number)
+        self.hear(
+            connection, wire.Update(self.sequence[connection], revision, entries, list(gone), list(changes))
+        )
+
+    def answer_renewals(self, connection, lease=3 * SECOND, **more):
+        asked = self.sent(wire.Renew)[-1].asked
+        revision = wire.Revision("e1", 1)
+        self.hear(connection, wire.Renewed(asked, lease, self.sequence[connection], revision, **more))
+
+
+def ready(dispatcher):
+    """A watcher that knows f."""
+    assert dispatcher.wanted() is None
+    connection = dispatcher.connect()
+    dispatcher.snapshot(connection, [1, 2, 3])
+    return connection
+
+
+def test_a_first_call_dials_asks_and_is_told_its_prefix():
+    made = Dispatcher()
+    ready(made)
+    assert made.of(directory.PrefixReady) == [directory.PrefixReady("f", ("w1", "w2", "w3"), False)]
+    kinds = [type(effect) for _, effect in made.effects]
+    assert kinds.index(directory.InstancesChanged) < kinds.index(directory.PrefixReady)
+    assert made.wanted() == Prefix(("w1", "w2", "w3"), False)
+    (watch,) = made.sent(wire.Watch)
+    assert (watch.function, watch.count, watch.epoch, watch.method) == ("f", 8, EPOCH, "m")
+
+
+def test_a_look_up_without_answer_fails_once_and_in_time():
+    made = Dispatcher()
+    made.wanted()
+    made.connect()
+    made.wanted()
+    made.run(SECOND // 2)
+    failed = [(at, e) for at, e in made.effects if isinstance(e, directory.LookupFailed)]
+    assert len(failed) == 1 and 2_500 <= failed[0][0] <= 2_510 and failed[0][1].retry_after > 0
+
+
+def test_with_no_holder_what_is_known_serves_on_and_other_look_ups_fail_at_once():
+    made = Dispatcher()
+    connection = ready(made)
+    made.watcher.disconnected(connection, made.now)
+    made.collect()
+    for _ in range(2):
+        made.run(SECOND // 2)
+        made.watcher.refused(made.of(directory.Dial)[-1].connection, made.now)
+        made.collect()
+    assert made.wanted("f") == Prefix(("w1", "w2", "w3"), False)
+    before = len(made.of(directory.LookupFailed))
+    assert made.wanted("g") is None
+    assert [e.function for e in made.of(directory.LookupFailed)[before:]] == ["g"]
+    made.run(3 * SECOND)
+    back = made.connect()
+    ids = {watch.function: watch.id for watch in made.sent(wire.Watch)}
+    made.snapshot(back, [4, 5], id=ids["g"])
+    assert made.wanted("g") == Prefix(("w4", "w5"), False)
+
+
+def test_dials_in_vain_grow_apart_and_differ_between_watchers():
+    times = []
+    for seed in range(2):
+        made = Dispatcher()
+        made.watcher.jitter = Jitter(seed)
+        made.wanted()
+        for _ in range(12):
+            made.watcher.refused(made.of(directory.Dial)[-1].connection, made.now)
+            made.run(3 * SECOND)
+        dials = [at for at, e in made.effects if isinstance(e, directory.Dial)]
+        assert len(dials) < 40 and {e.copy for e in made.of(directory.Dial)} == set(COPIES)
+        times.append(dials)
+    assert times[0] != times[1]
+
+
+def test_the_lease_counts_from_before_the_question():
+    made = Dispatcher(heartbeat=SECOND // 5, silence=10 * SECOND)
+    connection = ready(made)
+    asked = made.sent(wire.Renew)[-1].asked
+    made.now += SECOND // 4
+    made.hear(connection, wire.Renewed(asked, 3 * SECOND, 1, wire.Revision("e1", 1)))
+    assert made.watcher.connections[connection].lease_until == asked + 3 * SECOND
+
+
+def test_an_answer_that_comes_after_its_lease_renews_nothing():
+    made = Dispatcher(silence=10 * SECOND)
+    connection = ready(made)
+    asked = made.sent(wire.Renew)[-1].asked
+    made.run(29_000)
+    made.now += 2_000
+    made.hear(connection, wire.Renewed(asked, 3 * SECOND, 1, wire.Revision("e1", 1)))
+    made.run(10)
+    assert made.watcher.connections.get(connection) is None and "the lease is over" in made.logs[-1]
+
+
+def test_a_silent_holder_is_left_within_the_second_for_the_next_copy():
+    made = Dispatcher()
+    connection = ready(made)
+    made.answer_renewals(connection)
+    silent = made.now
+    made.run(SECOND)
+    dials = [(at, e) for at, e in made.effects if isinstance(e, directory.Dial)]
+    assert dials[1][0] - silent < 9_000 and dials[1][1].copy != dials[0][1].copy
+    other = made.connect()
+    made.snapshot(other, [1, 2, 3], number=2)
+    assert made.of(directory.PrefixReady) == [directory.PrefixReady("f", ("w1", "w2", "w3"), False)]
+
+
+def test_an_older_epoch_is_not_taken():
+    made = Dispatcher()
+    made.wanted()
+    connection = made.connect()
+    made.snapshot(connection, [1], epoch=EPOCH - 1)
+    assert not made.of(directory.PrefixReady) and made.of(directory.HangUp)
+
+
+def test_once_an_epoch_was_heard_of_those_before_it_are_not_taken():
+    made = Dispatcher()
+    made.wanted()
+    connection = made.connect()
+    made.hear(connection, wire.Refused(made.sent(wire.Watch)[-1].id, "old epoch", EPOCH + 1))
+    made.run(SECOND // 5)
+    other = made.connect()
+    made.snapshot(other, [1])
+    assert not made.of(directory.PrefixReady)
+    made.watcher.assign(Assignment(EPOCH + 1, (COPIES,)), made.now)
+    made.collect()
+    third = made.connect()
+    made.snapshot(third, [1], epoch=EPOCH + 1)
+    assert made.of(directory.PrefixReady)
+    made.watcher.assign(Assignment(EPOCH, ((),)), made.now)
+    assert made.watcher.assignment.epoch == EPOCH + 1
+
+
+def test_an_older_revision_is_not_taken_from_another_copy():
+    made = Dispatcher()
+    connection = ready(made)
+    made.update(connection, 9, [entry(1, start="2")])
+    made.watcher.disconnected(connection, made.now)
+    made.run(SECOND // 10)
+    other = made.connect()
+    made.snapshot(other, [1, 4], number=8)
+    assert made.wanted() == Prefix(("w1", "w2", "w3"), False)
+    made.run(SECOND // 5)
+    made.snapshot(other, [1, 4], number=9, start="2")
+    assert made.wanted() == Prefix(("w1", "w4"), False)
+
+
+def test_a_copy_that_stays_behind_is_left():
+    made = Dispatcher()
+    connection = ready(made)
+    made.update(connection, 9)
+    made.watcher.disconnected(connection, made.now)
+    made.run(SECOND // 10)
+    other = made.connect()
+    for _ in range(3):
+        made.snapshot(other, [1, 4], number=8)
+        made.answer_renewals(other)
+        made.run(SECOND // 8)
+    assert made.watcher.connections.get(other) is None
+
+
+def test_a_superseded_source_is_not_taken_again():
+    made = Dispatcher()
+    connection = ready(made)
+    made.watcher.disconnected(connection, made.now)
+    made.run(SECOND // 10)
+    second = made.connect()
+    made.snapshot(second, [5, 6], number=1, source="e2")
+    made.watcher.disconnected(second, made.now)
+    made.run(SECOND // 10)
+    third = made.connect()
+    made.snapshot(third, [1, 2, 3], number=100, source="e1")
+    assert made.wanted() == Prefix(("w5", "w6"), False)
+
+
+def test_a_gap_leads_to_fresh_snapshots_and_its_batch_is_not_applied():
+    made = Dispatcher()
+    connection = ready(made)
+    watch = made.sent(wire.Watch)[-1].id
+    change = wire.PrefixChange(watch, 2, ["w3"], [])
+    made.update(connection, 2, changes=[change], skip=1)
+    assert made.wanted() == Prefix(("w1", "w2", "w3"), False)
+    assert made.sent(wire.Watch)[-1].id > watch
+    made.update(connection, 3, changes=[change])
+    assert made.wanted() == Prefix(("w1", "w2", "w3"), False)
+    made.snapshot(connection, [1, 2], number=3)
+    assert made.wanted() == Prefix(("w1", "w2"), False)
+
+
+def test_a_batch_is_applied_once():
+    made = Dispatcher()
+    connection = ready(made)
+    watch = made.sent(wire.Watch)[-1].id
+    inserted = wire.PrefixChange(watch, 4, [], [wire.Placed(0, "w9")])
+    message = wire.Update(2, wire.Revision("e1", 2), [wire.compact(entry(9))], [], [inserted])
+    made.hear(connection, message)
+    made.hear(connection, message)
+    assert made.wanted() == Prefix(("w9", "w1", "w2", "w3"), False)
+
+
+def test_a_lost_last_batch_shows_at_the_next_renewal():
+    made = Dispatcher()
+    connection = ready(made)
+    made.sequence[connection] += 1
+    made.answer_renewals(connection)
+    assert len(made.sent(wire.Watch)) == 2
+
+
+def test_a_change_that_does_not_fit_has_its_function_asked_for_anew():
+    made = Dispatcher()
+    connection = ready(made)
+    change = wire.PrefixChange(made.sent(wire.Watch)[-1].id, 3, ["w7"], [])
+    made.update(connection, 2, changes=[change])
+    assert len(made.sent(wire.Watch)) == 2 and made.wanted() == Prefix(("w1", "w2", "w3"), False)
+
+
+def test_gone_is_told_at_once_and_an_older_word_does_not_bring_it_back():
+    made = Dispatcher()
+    connection = ready(made)
+    made.wanted("g")
+    made.update(connection, 9, gone=["w2"])
+    assert made.of(directory.InstancesGone) == [directory.InstancesGone(("w2",))]
+    assert made.wanted() == Prefix(("w1", "w3"), False)
+    second = DirectoryWatcher("d", "", Assignment(EPOCH, (COPIES, COPIES)), WatcherSettings(), 1, 0)
+    second.instances.told(entry(2), wire.Revision("e1", 3), 0)
+    second.instances.used_by("f", (), ("w2",), wire.Revision("e1", 3), 0)
+    second.instances.told_gone("w2", wire.Revision("e1", 9))
+    second.instances.told(entry(2), wire.Revision("e1", 8), 0)
+    assert second.instances.usable(["w2"]) == ()
+    second.instances.told(entry(2, "2"), wire.Revision("e1", 10), 0)
+    assert second.instances.usable(["w2"]) == ("w2",)
+
+
+def test_an_instance_replaced_at_its_address_is_told_as_another():
+    made = Dispatcher()
+    connection = ready(made)
+    made.update(connection, 2, [entry(2, "2")])
+    last = made.of(directory.InstancesChanged)[-1].entries
+    assert [(e.name, e.start) for e in last] == [("w2", "2")]
+
+
+def test_word_that_changes_nothing_is_not_told_again():
+    made = Dispatcher()
+    connection = ready(made)
+    before = len(made.effects)
+    made.update(connection, 2, [entry(2)])
+    assert len(made.effects) == before
+
+
+def test_use_near_the_end_asks_for_twice_as_many_and_a_complete_prefix_for_no_more():
+    made = Dispatcher(first_count=4)
+    assert made.wanted() is None
+    connection = made.connect()
+    made.snapshot(connection, [1, 2, 3, 4])
+    made.watcher.used("f", 1, made.now)
+    made.collect()
+    assert len(made.sent(wire.Watch)) == 1
+    made.watcher.used("f", 3, made.now)
+    made.collect()
+    assert made.sent(wire.Watch)[-1].count == 8
+    assert made.watcher.more("f", made.now)
+    made.collect()
+    assert len(made.sent(wire.Watch)) == 2
+    made.snapshot(connection, [1, 2, 3, 4, 5], complete=True)
+    assert made.of(directory.PrefixReady)[-1].complete
+    assert not made.watcher.more("f", made.now)
+
+
+def test_a_function_unused_for_the_idle_time_is_watched_no_more():
+    made = Dispatcher(idle=5 * SECOND)
+    connection = ready(made)
+    while made.now < 6 * SECOND:
+        made.run(SECOND // 10)
+        if made.watcher.connections:
+            made.answer_renewals(connection)
+    assert made.sent(wire.Unwatch) and made.of(directory.HangUp)
+    assert made.of(directory.InstancesForgotten)[-1].names == ("w1", "w2", "w3")
+    assert not made.watcher.functions and not made.watcher.instances.known
+
+
+def test_what_is_remembered_is_bounded():
+    made = Dispatcher(most_retired=3, most_functions=5, most_pending=2)
+    connection = ready(made)
+    for i in range(10):
+        made.wanted(f"g{i}")
+    assert len(made.watcher.functions) == 5 and len(made.watcher.pending) <= 2
+    assert len(made.of(directory.LookupFailed)) == 8
+    watch = made.sent(wire.Watch)[0].id
+    for i in range(20):
+        insert = wire.PrefixChange(watch, 3, [f"w{3 + i}"], [wire.Placed(2, f"w{4 + i}")])
+        made.update(connection, 10 + i, [entry(4 + i)], changes=[insert])
+    assert len(made.watcher.instances.retired) == 3
+    assert made.watcher.instances.floor == wire.Revision("e1", 25)
+
+
+def test_busy_fails_a_look_up_that_can_not_wait_so_long_and_asks_again():
+    made = Dispatcher()
+    made.wanted()
+    connection = made.connect()
+    made.hear(connection, wire.Busy(made.sent(wire.Watch)[-1].id, SECOND))
+    assert made.of(directory.LookupFailed)[-1].retry_after >= SECOND
+    for _ in range(11):
+        made.run(SECOND // 10)
+        made.answer_renewals(connection)
+    assert len(made.sent(wire.Watch)) == 2
+    made.snapshot(connection, [1])
+    assert made.wanted() == Prefix(("w1",), False)
+
+
+def test_a_holder_without_its_roster_is_left_for_a_copy_that_may_be_fresher_but_not_to_and_fro():
+    made = Dispatcher()
+    connection = ready(made)
+    made.answer_renewals(connection, age=2 * SECOND)
+    assert [d.copy for d in made.of(directory.Dial)] == list(made.watcher.shards[0].copies)
+    other = made.connect()
+    made.snapshot(other, [1, 2, 3], age=2 * SECOND)
+    for _ in range(20):
+        made.run(SECOND // 10)
+        made.answer_renewals(other, age=3 * SECOND)
+    assert len(made.of(directory.Dial)) == 2
+
+
+def test_a_dispatcher_that_stood_still_counts_no_silence_of_others():
+    made = Dispatcher()
+    connection = ready(made)
+    made.answer_renewals(connection)
+    made.run(SECOND // 4)
+    made.now += 2 * SECOND
+    made.watcher.tick(made.now)
+    made.collect()
+    assert connection in made.watcher.connections
+    made.answer_renewals(connection)
+    made.run(SECOND // 2)
+    made.answer_renewals(connection)
+    assert connection in made.watcher.connections
+
+
+def test_sums_are_told_when_they_change():
+    made = Dispatcher()
+    connection = ready(made)
+    sums = wire.RegionSums(10.0, 9.0, 8, 11)
+    made.answer_renewals(connection, sums=sums)
+    made.run(SECOND // 5)
+    made.answer_renewals(connection, sums=sums)
+    assert made.of(directory.SumsChanged) == [directory.SumsChanged(sums)]
+
+
+def test_sources_are_ordered_by_what_holders_saw():
+    known = Revisions()
+    known.seen("e1", 0)
+    known.seen("e3", 0)
+    known.superseded(["e1", "e2"], "e3", 0)
+    assert known.order == ["e1", "e2", "e3"]
+    assert not known.acceptable("e2", 0, 100) and known.acceptable("e3", 900, 100)
+    assert known.acceptable("e4", 0, 100) and not known.acceptable("e4", 900, 100)
+    late = Revisions()  # met the new source first
+    late.seen("e2", 0)
+    late.seen("e1", 0)
+    assert late.older(wire.Revision("e2", 9), wire.Revision("e1", 1))
+    late.superseded(["e1"], "e2", 0)
+    assert late.older(wire.Revision("e1", 1), wire.Revision("e2", 9))
+    assert not late.acceptable("e1", 0, REVERSAL - 1) and late.acceptable("e1", 0, REVERSAL)
+
+
+# whole regions in virtual time
+
+
+def drained(world, name):
+    """Drain an instance; the watchers whose prefixes have it."""
+    world.roster.note(msgspec.structs.replace(world.roster.entries[name], listing="draining"))
+    return [w for w in world.watchers if any(name in f.names for f in w.decisions.functions.values())]
+
+
+@pytest.mark.parametrize("trouble", ["none", "stall", "kill", "cut", "cut from roster"])
+@pytest.mark.parametrize("seed", range(4))
+def test_word_of_a_drain_reaches_its_watchers_within_the_second_though_a_holder_fails(trouble, seed):
+    world = World(seed, Plan(copies=2), CALM)
+    world.weather = replace(CALM, calls=8.0, changes=0)
+    world.day(4)
+    holder = list(world.holders.values())[seed % 2]
+    if trouble == "stall":
+        holder.stall(5 * SECOND)
+    elif trouble == "kill":
+        holder.kill()
+    elif trouble == "cut":
+        for watcher in world.watchers:
+            world.cut_pairs.add((watcher.name, holder.copy))
+            for connection in watcher.connections.values():
+                if connection.holder is holder:
+                    connection.cut(True)
+    elif trouble == "cut from roster":
+        world.roster.break_off(holder)
+        world.cut_from_roster.add(holder.copy)
+        world.day(2.5)  # it says so, and watchers go over to the other copy
+    name = next(iter(world.watchers[0].decisions.functions.values())).names[0]
+    started = world.time.now
+    watching = drained(world, name)
+    world.day(1)
+    assert watching
+    for watcher in watching:
+        told = watcher.view.told_of[name, int(world.roster.entries[name].start), "draining"]
+        assert told - started < SECOND
+    assert not world.breaches.found
+
+
+def test_all_dispatchers_of_a_zone_at_once_are_answered_in_turn_by_both_copies():
+    """325 start within a tenth of a second, with 6 functions each; a copy sends 1,000 snapshots a second."""
+    holder = HolderSettings(snapshot_rate=1_000, snapshot_burst=100)
+    world = World(1, Plan(watchers=325, copies=2, shards=1, functions=12, holder=holder), CALM)
+    world.weather = replace(CALM, calls=0, changes=0)
+    for watcher in world.watchers:
+        when = world.chance.randrange(SECOND // 10)
+        for function in world.used[watcher.name]:
+            world.time.at(when, lambda w=watcher, f=function: (w.call(f"f{f}"), w.after_event()))
+    world.day(4)
+    assert all(f.known for w in world.watchers for f in w.decisions.functions.values())
+    assert all(len(w.decisions.functions) == 6 for w in world.watchers)
+    connected = [len(h.decisions.sessions.all) for h in world.holders.values()]
+    assert min(connected) > 100 and sum(connected) == 325
+    assert not world.breaches.found
+    lookups = sorted(length for w in world.watchers for length in w.view.lookups)
+    failed = sum(w.view.failed for w in world.watchers)
+    assert len(lookups) + failed == 325 * 6 and lookups[-1] <= 2_500
+
+
+def test_what_a_watcher_holds_does_not_grow_with_instances_or_with_functions_of_others():
+    def held(instances, functions):
+        plan = Plan(watchers=2, instances=instances, functions=functions)
+        world = World(3, plan, CALM)
+        world.used = {w.name: range(4) if w.name == "d0" else range(functions) for w in world.watchers}
+        world.weather = replace(CALM, calls=10.0, changes=0)
+        world.day(3)
+        decisions = world.watchers[0].decisions
+        return len(decisions.functions), len(decisions.instances.known), len(decisions.instances.retired)
+
+    small, large = held(100, 8), held(1_600, 32)
+    assert large[0] == small[0] == 4
+    assert large[1] <= 1.5 * small[1] + 4 and large[2] <= small[2] + 4
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_random_days_end_with_the_truth_and_without_a_breach(seed):
+    world = play(seed, rough=8, calm=18)
+    assert world.breaches.found == []
+    assert sum(world.counts.values()) >= 10
+
+
+def breaches_of(seeds):
+    return [breach for seed in seeds for breach in play(seed, rough=8, calm=18).breaches.found]
+
+
+def test_a_lost_change_is_caught(monkeypatch):
+    made = Batches.all
+
+    def lose(self, session, revision, now):
+        update = made(self, session, revision, now)
+        if update is not None and update.sequence % 7 == 3:
+            update.changes = update.changes[1:]
+        return update
+
+    monkeypatch.setattr(Batches, "all", lose)
+    assert any(" after batch " in breach or " ends as " in breach for breach in breaches_of(range(3)))
+
+
+def test_a_lease_that_counts_from_the_answer_is_caught(monkeypatch):
+    """Cuts hold answers back for longer than it takes the holder's lease to lapse."""
+    world_now = []
+
+    def leased(self, asked, lease):
+        self.lease_until = max(world_now[0].time.now + lease, 0)
+
+    monkeypatch.setattr(Connection, "leased", leased)
+    found = []
+    for seed in range(6):
+        world = random_day(seed)
+        for watcher in world.watchers:
+            watcher.decisions.settings = replace(watcher.settings, silence=10 * SECOND)
+        world_now[:] = [world]
+        world.day(8)
+        found += world.breaches.found
+    assert any("lease that lapsed" in breach for breach in found)
+
+
+def test_an_older_epoch_that_is_taken_is_caught(monkeypatch):
+    made = DirectoryWatcher.snapshot
+    ask = DirectoryWatcher.ask
+
+    def snapshot(self, connection, message, now):
+        self.epoch_seen = 0
+        made(self, connection, message, now)
+
+    def asked(self, connection, function, now):
+        epoch = 1 if connection.copy.port == 6_999 else self.assignment.epoch
+        kept, self.assignment = self.assignment, replace(self.assignment, epoch=epoch)
+        ask(self, connection, function, now)
+        self.assignment = kept
+
+    monkeypatch.setattr(DirectoryWatcher, "snapshot", snapshot)
+    monkeypatch.setattr(DirectoryWatcher, "ask", asked)
+    assert any("older epoch" in breach for breach in breaches_of(range(0, 9, 3)))
+
+
+def test_a_batch_taken_out_of_turn_is_caught(monkeypatch):
+    def in_turn(self, connection, sequence, now):
+        connection.sequence = sequence
+        return True
+
+    def changed(names, change):
+        kept = [name for name in names if name not in change.removed]
+        for placed in change.inserted:
+            kept.insert(placed.position, placed.name)
+        return tuple(dict.fromkeys(kept))
+
+    monkeypatch.setattr(DirectoryWatcher, "in_turn", in_turn)
+    monkeypatch.setattr("lapistrestle.directory.watcher.changed_names", changed)
+    assert any(" after batch " in breach or " ends as " in breach for breach in breaches_of(range(4)))
+
+
+def test_a_holder_that_answers_at_once_after_a_standstill_is_caught(monkeypatch):
+    monkeypatch.setattr(
+        "lapistrestle.directory.knowledge.Knowledge.called", lambda self, now, entries=0: None
+    )
+    assert any("before it stood still" in breach for breach in breaches_of(range(3)))
+
+
+def test_word_of_an_older_revision_that_is_taken_is_caught(monkeypatch):
+    monkeypatch.setattr(Revisions, "older", lambda self, one, other: False)
+    monkeypatch.setattr(Revisions, "acceptable", lambda self, source, age, now: True)
+    assert any(" goes back " in breach for breach in breaches_of(range(6)))
+
+
+def test_a_lost_change_shows_in_the_length_of_the_prefix():
+    with pytest.raises(LostChange):
+        directory_changed(("a", "b"), wire.PrefixChange(1, 3, ["a"], [wire.Placed(0, "c")]))
