Directory: the planted answer after a standstill ends, and is caught

The test's first form kept the holder's clock of calls still, so that its tick was due for ever and virtual time stood; it hung for twenty minutes. It now plants only the fault: no standstill is noticed.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,6 +10,7 @@
 from lapistrestle.directory.effects import MILLISECOND, SECOND, HolderSettings, WatcherSettings
 from lapistrestle.directory.holder import ShardHolder
 from lapistrestle.directory.instances import Instances
+from lapistrestle.directory.knowledge import Knowledge
 from lapistrestle.directory.order import InstanceRing
 from lapistrestle.directory.pacing import Admission, Jitter
 from lapistrestle.directory.prefixes import LostChange, changed
@@ -1058,9 +1059,10 @@
 
 
 def test_a_holder_that_answers_at_once_after_a_standstill_is_caught(monkeypatch):
-    monkeypatch.setattr(
-        "lapistrestle.directory.knowledge.Knowledge.called", lambda self, now, entries=0: None
-    )
+    def called(self, now, entries=0):
+        self.called_at = now
+
+    monkeypatch.setattr(Knowledge, "called", called)
     assert any("before it stood still" in breach for breach in breaches_of(range(3)))
 
 
