--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -20,6 +20,7 @@
     ("kind", "shape"),
     [
         (Kind.FLAT, lambda n: 7.0 + 0.0001 * n),
+        (Kind.FLAT, lambda n: 9.0 - 0.005 * n),
         (Kind.LOG, lambda n: 3 + 2 * math.log2(n)),
         (Kind.LINEAR, lambda n: 50 + 3 * n),
         (Kind.LINEAR, lambda n: 3_000 + 3 * n),
