An edge with a directory needs no roster, and says what it holds: directory watched

'lapistrestle edge' refused the example deployment of a directory, which names no roster, as none is followed.

--- a/lapistrestle/command/directories.py
+++ b/lapistrestle/command/directories.py
@@ -67,6 +67,29 @@
         show_holder(shown)
 
 
+@directory.command("watched")
+@click.option("--port", default=7100, show_default=True, help="Where the dispatcher answers clients.")
+@as_json
+def show_watched(port: int, json_: bool) -> None:
+    """What one dispatcher holds of its directory."""
+    from lapistrestle.wire import messages
+
+    none = f"no answer from an edge at port {port}"
+    answer = asked(port, messages.CLIENT, messages.ToClient, messages.Look("directory"), none)
+    shown = msgspec.json.decode(answer.body, type=dict[str, Any])
+    if json_:
+        return click.echo(msgspec.json.encode(shown).decode())
+    reached = f"{shown['shards reached']} of {shown['shards']} shards reached"
+    click.echo(f"{shown['name']}, epoch {shown['epoch']}; {reached}, {shown['connections']} connections")
+    held = f"{shown['instances']} instances of {shown['functions']} functions"
+    click.echo(f"{held}; {shown['waiting']} requests wait for a look-up")
+    counts = ", ".join(f"{count} {what}" for what, count in shown["look-ups"].items())
+    click.echo(f"look-ups so far: {counts}")
+    if region := shown["region"]:
+        sums = f"{region['instances']} instances, size {region['size']:g}, warm {region['warm']:g}"
+        click.echo(f"region: {sums}, told {region['told ms ago']:.0f} ms ago")
+
+
 def show_holder(shown: dict[str, Any]) -> None:
     """Figures of the whole, for people."""
     click.echo(heading(shown))
--- a/lapistrestle/command/programs.py
+++ b/lapistrestle/command/programs.py
@@ -79,7 +79,7 @@
         made.roster.port = roster_port
     if planner_port is not None:
         made.planner.port = planner_port
-    if not made.roster.port:
+    if not made.roster.port and not made.directory.shards:
         raise Wrong(f"{deployment}: roster.port: is missing; an edge needs one (or --roster-port)")
     reactor = reactor_of_now()
     try:
--- a/tests/test_directory_process.py
+++ b/tests/test_directory_process.py
@@ -185,6 +185,30 @@
     assert none.returncode == 1 and "no answer from a holder" in none.stderr
 
 
+def test_an_edge_tells_what_it_holds_of_the_directory(directory, tmp_path):
+    here = directory(holders=2)
+    made = json5.loads((EXAMPLES / "slots.json5").read_text())
+    copies = [{"port": port} for port in here.ports]
+    made |= {"listen": {"port": 0}, "directory": {"shards": [copies]}}
+    del made["roster"]
+    file = tmp_path / "edge.json5"
+    file.write_text(json.dumps(made))
+    edge = Child(tmp_path, "edge-0", "edge", str(file), "--json")
+    edge.start()
+    try:
+        port = edge.wait_port()
+        call = ("--port", port, "--fn", "f", "--method", "check-slot", "--customer", "yard")
+        command("call", *call)  # no runner listens; it is denied, and its function is watched
+        said = command("directory", "watched", "--port", port)
+        assert said.returncode == 0 and "edge-0, epoch 1; 1 of 1 shards reached" in said.stdout
+        assert "8 instances of 1 functions; 0 requests wait" in said.stdout and "1 looked up" in said.stdout
+        shown = json.loads(command("directory", "watched", "--port", port, "--json").stdout)
+        assert shown["region"]["instances"] == 12 and shown["instances"] == 8
+        assert sum(here.show(number)["watches"] for number in range(2)) == 1
+    finally:
+        edge.kill()
+
+
 def test_what_a_holder_cannot_be_started_with_is_said(directory, tmp_path):
     here = directory()
     taken = command("directory", "serve", here.settings(0))
