--- a/lapistrestle/checks/rules.py
+++ b/lapistrestle/checks/rules.py
@@ -209,11 +209,13 @@
 
 def _due(story: Story, held: Held, since: float) -> float:
     """When word of what the holder was told then must have reached the edge."""
-    due = since + DIRECTORY_TIME
+    due, counted = since + DIRECTORY_TIME, since
     away = story.stalls.get(held.holder, []) + story.cuts.get((held.edge, held.holder), [])
     for begin, end in sorted(away):
-        if begin < due and end > since:
-            due += end - max(begin, since)
+        begin = max(begin, counted)  # times that overlap count once
+        if begin < min(due, end):
+            due += end - begin
+            counted = end
     return due
 
 
--- a/tests/test_directory_checks.py
+++ b/tests/test_directory_checks.py
@@ -119,6 +119,18 @@
         assert len(prompt(tape)[0]) == late, away
 
 
+def test_a_cut_while_the_holder_stands_still_gives_its_time_back_once():
+    tape = Tape()
+    tape.snapshot(10, W)
+    tape.put(1_200, HOLDER, "stalled")
+    tape.put(1_300, "day", "cut", edge=EDGE, holder=HOLDER)
+    tape.put(1_700, HOLDER, "resumed")
+    tape.put(1_800, "day", "healed", edge=EDGE, holder=HOLDER)
+    tape.roster(1_000, DRAINS)
+    tape.update(2_700, DRAINS)  # due at 2,600
+    assert len(prompt(tape)[0]) == 1
+
+
 def test_a_holder_that_tells_what_it_knows_to_be_old_is_caught():
     tape = Tape()
     tape.roster(1_000, DRAINS)
