--- a/tests/test_directory_process.py
+++ b/tests/test_directory_process.py
@@ -113,6 +113,7 @@
         if number in self.children:
             self.old.append(self.children[number])
         self.children[number] = child
+        self.until(lambda: self.show(number)["knowledge"] == "fresh")  # before that it refuses every watch
 
     def watcher(self, number=0):
         return Watcher(self.ports[number])
@@ -235,7 +236,6 @@
     here.change(names[0], gone=True)
     assert other.until("update", lambda update: names[0] in update.get("gone", []))
     here.start(0)
-    here.until(lambda: here.show(0)["knowledge"] == "fresh")
     again = here.watcher(0)
     again.watch()
     snapshot = again.until("snapshot")
