Move the estimate of the region's warm size to directory/region.py

Region decides what the module may count on and needs no connection, so it belongs beside the watcher; edge/directory.py keeps connections and what they hand over.

--- a/lapistrestle/edge/directory.py
+++ b/lapistrestle/edge/directory.py
@@ -5,9 +5,8 @@
 are whole tenths of a millisecond on the edge's clock. Imported only where a deployment names a directory.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
-from math import inf
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
@@ -28,6 +27,7 @@
     WatcherEffect,
     WatcherSettings,
 )
+from lapistrestle.directory.region import Region
 from lapistrestle.directory.watcher import NEAR_THE_END, DirectoryWatcher
 from lapistrestle.edge.following import Address, Known
 from lapistrestle.hosting.requests import Attempt, PendingRequest
@@ -43,46 +43,6 @@
 TENTHS = 10_000  # tenths of a millisecond in a second
 
 
-class Region:
-    """Sums over all instances of the region, for the module, whose list is a part of them (fact `region`)."""
-
-    def __init__(self, clock: Callable[[], int], cold_share: float, ramp_time: int) -> None:
-        """`cold_share` and `ramp_time`: how the capacity of an instance grows after its start."""
-        self.clock, self.cold_share, self.ramp_time = clock, cold_share, ramp_time
-        self.sums: wire.RegionSums | None = None
-        self.since = 0  # when the sums were true at the latest
-
-    def told(self, sums: wire.RegionSums, since: int) -> None:
-        """What a holder says, true `since` then. One that has only just started knows of none."""
-        if sums.serving:
-            self.sums, self.since = sums, since
-
-    @property
-    def size(self) -> float:
-        """Of all that serve; 0 until it is told."""
-        return self.sums.size if self.sums is not None else 0.0
-
-    @property
-    def count(self) -> int:
-        """Instances, those that drain among them; 0 until it is told."""
-        return self.sums.instances if self.sums is not None else 0
-
-    @property
-    def warm_size(self) -> float:
-        """By now at most, of all that serve, each times its warmth; infinite until it is told.
-
-        A cold instance is allowed what warm ones answer for each unit of this size, so a sum that is too
-        small would let all dispatchers together send it too much. Since the sum was asked for each instance
-        has warmed up by so much at most, and none beyond its size.
-        """
-        if self.sums is None:
-            return inf
-        if not self.ramp_time:
-            return self.sums.size
-        warmed = (1 - self.cold_share) * (self.clock() - self.since) / self.ramp_time
-        return min(self.sums.size, self.sums.warm + self.sums.size * warmed)
-
-
 def assignment_of(settings: Directory) -> Assignment:
     """The copies of each shard that the settings name."""
     shards = [tuple(Copy(c.host, c.port, c.zone) for c in copies) for copies in settings.shards]
--- a/tests/test_ramp_of_parts.py
+++ b/tests/test_ramp_of_parts.py
@@ -11,7 +11,7 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment import words
-from lapistrestle.edge.directory import Region
+from lapistrestle.directory.region import Region
 from lapistrestle.interface import SrvFacts
 from lapistrestle.state import Fn, Rpc, Srv
 from lapistrestle.wire.directory import RegionSums
