A departure costs a dispatcher the same however many workers and functions it knows

A call also computed the next due time of each shard's connection anew. Change: the host keeps the names that left, a worker keeps its spots by function, and a call acts on the watcher only where that decided something.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -72,14 +72,14 @@
 
     def forget(self) -> None:
         """Workers that left, once nothing is out there: a long life would grow; one back is learnt anew."""
-        gone = {srv for srv in self.leaving if not srv.out}
-        if not gone:
-            return
-        gone -= {x.srv for fn in self.fns for x in fn.spots.values() if x.ordered or x.waiters}
+        gone = [srv for srv in self.leaving if not srv.out and not srv.awaited]
         for srv in gone:
             del self.known[srv], self.leaving[srv]
-        for fn in self.fns:
-            fn.drop(gone)
+            for fn in list(srv.spots):
+                fn.drop(srv)
+        for fn in self.fns if gone and not self.partial else ():  # else no order is drawn here
+            for srv in gone:
+                fn.marks.pop(srv, None)
 
     def ranked(self, fn: Fn, prefix: list[Srv]) -> None:
         """The host knows the first workers of the function's order, and none of the others."""
@@ -597,7 +597,7 @@
         for spot in list(fn.spots.values()):
             spot.peak, in_use = spot.out, spot.out or spot.ordered or spot.waiters or self.believed(spot)
             if not in_use and self.now > max(spot.until, spot.missing + self.facts["idle_life"]):
-                del fn.spots[spot.srv]
+                fn.drop(spot.srv)
         if not fn.spots:  # what it takes alone is kept, what stands where is learnt anew
             del self.fns[fn]
             fn.marks, fn.order, fn.version = {}, [], -1
--- a/lapistrestle/edge/directory.py
+++ b/lapistrestle/edge/directory.py
@@ -205,7 +205,8 @@
             last = max(0, int(NEAR_THE_END * len(prefix)) - 1)
             place = min(prefix.index(attempt.srv), last)
             self.watcher.used(attempt.pending.fn.name, place, self.edge.clock())
-            self.act()
+            if self.watcher.effects:  # else nothing is due earlier than it was
+                self.act()
 
     def more(self, fn: str) -> None:
         """The prefix was not enough. What a longer one brings must show before a yet longer one is asked for:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -62,7 +62,7 @@
         self.answers.cancel_unsent = self.calls.cancel_unsent
         self.orders = WorkerTasks(context, self.events)
         self.last_number = 0
-        self.departures = False  # the registry may have workers that the list names no more
+        self.departing: dict[str, None] = {}  # that the list names no more, and that the registry may have
         self.unheard: set[str] = set()  # named as there by lists that the module may not have heard yet
         self.module = self.events.module = make(self, facts, seed, clock())
 
@@ -177,19 +177,24 @@
             self.unheard.clear()
         self.unheard.update(e.name for e in entries if e.listing is not Listing.GONE)
         self.events.post(None, "listed", [(self.registry.srv(e.name), e) for e in entries], whole)
-        self.departures = self.departures or whole or any(e.listing is Listing.GONE for e in entries)
-        if self.departures:
+        if whole:
+            self.departing = dict.fromkeys(self.registry.srvs)
+        self.departing.update((e.name, None) for e in entries if e.listing is Listing.GONE)
+        if self.departing:
             self.drop_departed()
 
     def drop_departed(self) -> None:
         """Without this a long life keeps every worker that ever served. One that is back, of which the module
         has not heard yet, still counts as gone there and stays."""
         held = {task.srv for task in self.tasks.values()}
-        left = [s for s in self.registry.srvs.values() if s.listing is Listing.GONE]
-        gone = [s for s in left if not s.out and s not in held and s.name not in self.unheard]
-        for srv in gone:
-            del self.registry.srvs[srv.name]
-        self.departures = self.events.busy or len(gone) < len(left)
+        srvs = self.registry.srvs
+        left = [srvs[name] for name in self.departing if name in srvs and srvs[name].listing is Listing.GONE]
+        stay = {s.name: None for s in left if s.out or s in held or s.name in self.unheard}
+        for srv in left:
+            if srv.name not in stay:
+                del srvs[srv.name]
+        if not self.events.busy:  # else the module may not have heard yet that they are gone
+            self.departing = stay
 
     def ranked(self, fn: Fn, names: Sequence[str]) -> None:
         """The first workers of a function's order; each was listed before."""
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -72,6 +72,7 @@
     held_back: dict[int, int] = field(default_factory=dict)  # customer: until when
     emptied: int = -1  # nothing loaded before this moment still stands
     sends: deque[tuple[int, float]] = field(default_factory=deque)  # while cold: when and what weight
+    spots: dict["Fn", "Spot"] = field(default_factory=dict, repr=False)  # those of the functions, by function
 
     def begin_anew(self, life: int, pause: int, booted: int | None) -> None:
         """First heard of, or another process under the name: nothing is known of it. `life` of the sums."""
@@ -84,6 +85,11 @@
         self.zone, self.cell, self.kind, self.size = facts.zone, facts.cell, facts.kind, facts.size
         self.listing, self.booted = facts.listing, facts.booted
 
+    @property
+    def awaited(self) -> bool:
+        """An order is without answer, or an RPC waits for a load there."""
+        return any(spot.ordered or spot.waiters for spot in self.spots.values())
+
     def took_so_far(self, now: int, most: int) -> tuple[float, float]:
         """What its call-outs took and would have taken alone; of the oldest `most` also late ones count."""
         took, alone = self.took.read(now), self.iso.read(now)
@@ -172,15 +178,14 @@
     version: int = -1  # of the list that `order` was made from
     prefix: list[Srv] | None = None  # the first workers of the order, where a directory tells them
 
-    def drop(self, gone: set[Srv]) -> None:
-        """Forget what was known of it on these workers."""
-        for srv in gone:
-            self.spots.pop(srv, None)
-            self.marks.pop(srv, None)
+    def drop(self, srv: Srv) -> None:
+        """Forget what was known of it on this worker."""
+        if self.spots.pop(srv, None) is not None:
+            del srv.spots[self]
 
     def spot(self, srv: Srv) -> Spot:
         if srv not in self.spots:
-            self.spots[srv] = Spot(srv, self)
+            self.spots[srv] = srv.spots[self] = Spot(srv, self)
         return self.spots[srv]
 
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,8 +3,10 @@
 import pytest
 from helpers import SETTINGS
 
+from benchmarks.scale.measuring import count_steps
 from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment import words
+from lapistrestle.directory.region import Region
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.interface import Listing, Outcome, SrvFacts
@@ -276,3 +278,29 @@
         with hosting.batched():
             hosting.listed([SrvFacts(f"once-{number}", listing=Listing.GONE)], whole=False)
     assert len(hosting.registry.srvs) <= 5  # the three there, and who left last
+
+
+def with_region(clock, workers):
+    """A host that is told a part of the region, with as many functions in use as workers."""
+    facts = words.facts(SETTINGS)
+    region = Region(clock, facts["cold_share"], facts["ramp_time"])
+    made = ModuleHost(Recorder(), {**facts, "region": region}, 7, clock)
+    made.listed([SrvFacts(f"w{i}") for i in range(workers)], whole=False)
+    for i in range(workers):
+        made.ranked(made.registry.fn(f"f{i}", 0, 100.0, 1), [f"w{i}"])
+        ask(made, fn=f"f{i}")
+    for number in out(made):
+        made.ended(number, Outcome.OK)
+    return made
+
+
+def test_a_departure_costs_the_same_however_many_workers_and_functions_are_known(clock):
+    """As it was: all workers and all functions were looked at for each worker that left."""
+    counted = []
+    for workers in (100, 400):
+        made = with_region(clock, workers)
+        left = [SrvFacts("w7", listing=Listing.GONE)]
+        counted.append(count_steps(lambda made=made, left=left: made.listed(left, whole=False)).instructions)
+        assert "w7" not in made.registry.srvs and len(made.module.srvs) == workers - 1
+        assert not made.registry.fns["f7"].spots and made.registry.fns["f8"].spots
+    assert counted[1] < 1.1 * counted[0]
