A fault of the module over a list is logged whatever state it left the workers in

Cause: the log line of a fault showed its arguments by str(); in listed these are workers whose sums the module has not set up yet, whose repr raises AttributeError, and that left the event queue. Change: described() shows names, at most three items of a list, and the type where str() raises. tests/test_hosting.py passes (23); its new test fails with AttributeError without the change.

--- a/lapistrestle/hosting/events.py
+++ b/lapistrestle/hosting/events.py
@@ -10,6 +10,7 @@
 from lapistrestle.hosting.requests import FAULTS, PendingRequest
 
 SHOWN = 80  # characters of an argument in the log line of a fault
+LISTED = 3  # items of an argument that are shown there
 FRAMES = 4  # innermost frames of its traceback
 
 
@@ -80,9 +81,20 @@
     def fault(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
         """The module raised: the request at hand is answered at once, and the program goes on."""
         self.context.counts[FAULTS] += 1
-        told = " ".join(str(getattr(a, "tag", getattr(a, "name", a)))[:SHOWN] for a in args)
+        told = " ".join(described(argument) for argument in args)
         trace = traceback.format_exc(limit=-FRAMES)
         self.context.transport.log("module raised", input=event, told=told, trace=trace)
         if pending is not None and not pending.final:
             pending.state, pending.over = type(pending.state).OVER, True
             self.on_fault(pending)
+
+
+def described(argument: object) -> str:
+    """An argument of the module for a log line, whatever state the fault has left it in; never raises."""
+    if isinstance(argument, list | tuple):
+        more = " ..." if len(argument) > LISTED else ""
+        return f"({', '.join(described(item) for item in argument[:LISTED])}{more})"
+    try:
+        return str(getattr(argument, "tag", getattr(argument, "name", argument)))[:SHOWN]
+    except Exception:
+        return type(argument).__name__
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -7,9 +7,11 @@
 from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment import words
 from lapistrestle.directory.region import Region
+from lapistrestle.hosting.events import described
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.interface import Listing, Outcome, SrvFacts
+from lapistrestle.state import Srv
 
 
 class Recorder:
@@ -124,6 +126,34 @@
         super().learn(*args)
 
 
+class BrokenAtList(Dispatcher):
+    """Raises before it has set up the workers that it hears of."""
+
+    def note(self, *args):
+        raise RuntimeError("in note")
+
+
+def test_a_module_that_raises_over_a_list_is_logged_and_the_program_goes_on(clock):
+    """As it was: the log line showed a worker whose sums were not set up yet, and that raised in turn."""
+    hosting = ModuleHost(Recorder(), words.facts(SETTINGS), 7, clock, make=BrokenAtList)
+    hosting.listed([SrvFacts(f"w{i}") for i in range(9)], whole=True)
+    assert hosting.counts["faults"] == 1
+    assert [act[0] for act in hosting.transport.of("log")] == ["module raised"]
+    ask(hosting)
+    assert answers(hosting) == [("c1/r", "denied")]
+
+
+class Unshowable:
+    def __str__(self):
+        raise AttributeError("not set up yet")
+
+
+def test_an_argument_is_described_in_any_state():
+    assert described(Unshowable()) == "Unshowable"
+    assert described([(Srv("w1"), SrvFacts("w1"))] * 4) == "((w1, w1), (w1, w1), (w1, w1) ...)"
+    assert len(described("x" * 500)) == 80
+
+
 @pytest.mark.parametrize("at", ["arrived", "learn"])
 def test_a_module_that_raises_costs_its_rpc_alone(clock, at):
     hosting = ModuleHost(Recorder(), words.facts(SETTINGS), 7, clock, make=Broken)
