With a directory, a worker is dialled when something is first sent there

Cause: every worker of every known prefix was dialled when it was told, so a function called once cost seven connections, of which one was used; 11,700 connections stood at one dispatcher at the target. Change: with a directory the connection is made with the first line for that worker, whose greeting says whether it drains before the line leaves; with the whole list nothing changes. Decaying sums have slots.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -69,6 +69,7 @@
         self.runners: dict[str, Any] = {}
         self.counts = dict.fromkeys(("turned away", "unreadable", "passed over"), 0)
         self.stopping = False
+        self.dials_when_used = False  # runners only when something is sent there, else when they are listed
         self.stopped: Callable[[], None] | None = None
         self.patience: int | None = None  # once cut short: until when answers may still leave
         self.heard = 0  # inputs so far
@@ -150,10 +151,14 @@
             del self.runners[name]
             runner.dropped()
             runner = None
-        if runner is None and address and not self.stopping:
+        if runner is None and address and not self.stopping and not self.dials_when_used:
             runner = self.runners[name] = self.make_runner(name, address, start)
             runner.named()
 
+    def runner(self, name: str) -> Any:
+        """The runner that something is to be sent to; `None` if it is not there."""
+        return self.runners.get(name)
+
     def held_back(self, told: Sequence[SrvFacts]) -> None:
         """Lines that wait for a runner that drains are not sent later: rule 3 binds at the socket."""
         for facts_ in told:
@@ -175,7 +180,7 @@
     def stream(self, pending: PendingRequest) -> None: ...
 
     def run(self, attempt: Attempt) -> None:
-        runner = self.runners.get(attempt.srv.name)
+        runner = self.runner(attempt.srv.name)
         if runner is None:
             return self.host.ended(attempt.number, Outcome.UNREACHABLE)
         runner.run(attempt)
@@ -187,17 +192,17 @@
         return attempt.connection is not None and attempt.connection.cancel_unsent(attempt.number)
 
     def hold(self, task: WorkerTask) -> None:
-        runner = self.runners.get(task.srv.name)
+        runner = self.runner(task.srv.name)
         if runner is None:
             return self.host.ordered(task.number, Outcome.UNREACHABLE, 0)
         runner.hold(task)
 
     def unload(self, srv: SrvFacts, fn: FnFacts) -> None:
-        if runner := self.runners.get(srv.name):
+        if runner := self.runner(srv.name):
             runner.unload(fn.name)
 
     def probe(self, task: WorkerTask) -> None:
-        runner = self.runners.get(task.srv.name)
+        runner = self.runner(task.srv.name)
         if runner is None:
             return self.host.probed(task.number, Outcome.UNREACHABLE, {})
         runner.probe(task)
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -65,6 +65,7 @@
             from lapistrestle.edge.directory import EdgeDirectory
 
             self.directory = EdgeDirectory(self, deployment.directory)
+            self.dials_when_used = True
             self.sources.append(self.directory)
         elif deployment.roster.port:
             self.source = RosterSource(self, deployment.roster.port)
@@ -116,6 +117,14 @@
         if self.following.step(news) is Do.TELL_FAILED:
             self.host.list_failed()
 
+    def runner(self, name: str) -> Any:
+        """With a directory most of the workers that are known are never sent anything: one is dialled when
+        the first line is for it, and its greeting says whether it drains before that line leaves."""
+        runner, known = self.runners.get(name), self.following.known.get(name)
+        if runner is None and known is not None and self.dials_when_used and not self.stopping:
+            runner = self.runners[name] = self.make_runner(name, known.entry.port, known.start)
+        return runner
+
     def runner_met(self, name: str, hello: wire.Hello) -> None:
         told = self.following.met(name, hello.start, hello.up_for, hello.draining, self.clock())
         if told:
--- a/lapistrestle/state.py
+++ b/lapistrestle/state.py
@@ -16,7 +16,7 @@
 Zone = IntEnum("Zone", "SAFE PREWARNING WARNING UNSAFE")  # of a function on a worker
 
 
-@dataclass
+@dataclass(slots=True)
 class Sum:
     """A decaying sum, brought up to date when read."""
 
--- a/tests/test_edge_directory.py
+++ b/tests/test_edge_directory.py
@@ -193,7 +193,7 @@
     client.transport.loseConnection()
     other.say(**{"is": "leave", "id": "2"})
     stage.run(0.002)
-    assert sum(map(len, stage.edge.directory.waiting.values())) == 1
+    assert len(stage.edge.directory.waiting) == 1
     stage.answer_watch()
     stage.run(0.01)
     for name in stage.runners:
@@ -326,6 +326,64 @@
     assert [srv.name for srv in fn.prefix] == list(stage.runners)
 
 
+def test_a_worker_is_dialled_once_something_is_sent_there_and_left_with_its_prefix(stage):
+    """As it was: every worker of every prefix was dialled, seven for each function that is called once."""
+    client = stage.client()
+    peer = stage.look_up(client, "r0", "r1", "r2")
+    ((_, run),) = stage.runs()
+    (used,) = (name for name, connections in stage.runners.items() if connections)
+    assert set(stage.edge.runners) == {used} and len(stage.edge.following.known) == 3
+    end(stage.runs()[0][0], run)
+    stage.run()
+    assert verdicts(client) == [("1", "ok")]
+    stage.update(peer, changes=[wire.PrefixChange(1, 2, [used])])
+    stage.run()
+    assert not stage.edge.runners and stage.runners[used][-1].closed
+
+
+def test_a_worker_that_drains_says_so_before_the_line_that_it_was_dialled_for(stage):
+    client = stage.client()
+    stage.call(client)
+    stage.answer_watch()
+    (first,) = (name for name, connections in stage.runners.items() if connections)
+    hello = {"is": "hello", "protocol": "lapistrestle.runner", "version": 1, "name": first}
+    stage.runners[first][-1].say(**hello, start=f"{first}#0", up_for=SECONDS_UP * 1000.0, draining=True)
+    stage.run(0.002)
+    assert not stage.runs()
+    (other,) = (name for name, peers in stage.runners.items() if peers and name != first)
+    stage.greet(other)
+    stage.run(0.002)
+    ((peer, run),) = stage.runs()
+    assert peer is stage.runners[other][-1]
+    end(peer, run)
+    stage.run()
+    assert verdicts(client) == [("1", "ok")] and stage.clean()
+
+
+def test_a_yet_longer_prefix_waits_for_what_the_last_one_brings(stage):
+    client = stage.client()
+    stage.call(client)
+    stage.answer_watch("r0", complete=False)
+    fn = stage.edge.host.registry.fns["f"]
+
+    def ask_for_more():
+        stage.edge.more(fn)
+        stage.run(0.01)
+        peer, watch = stage.watches()[-1]
+        return peer, watch
+
+    peer, watch = ask_for_more()
+    stage.snapshot(peer, watch, stage.entry("r0"), stage.entry("r1"), complete=False)
+    stage.run(0.01)
+    assert ask_for_more()[1] == watch  # 0.02 s after the first
+    stage.run(0.2)
+    stage.renewed(peer)
+    stage.run(0.2)
+    stage.renewed(peer)
+    stage.run(0.1)
+    assert ask_for_more()[1]["count"] == 2 * watch["count"]
+
+
 def test_the_module_is_told_the_region_s_sums(stage):
     client = stage.client()
     peer = stage.look_up(client, "r0")
