edge/directory.py divided by job; the pause between extensions is the watcher's

Cause: one file of 443 lines held connections to holders, RPCs that wait, the hand-over to the module, and the pause between two extensions of a prefix, which is a decision. It now counts from the last extension that was asked for, not from a request that changed nothing.

--- a/benchmarks/scale/directory_edge.py
+++ b/benchmarks/scale/directory_edge.py
@@ -75,7 +75,7 @@
         super().__init__([], seed, of, number, region.reactor, ports, directory=settings, roster={"port": 0})
         self.held: list[tuple[Session, bytes]] | None = None
         self.looked_up: list[float] = []  # seconds that calls waited for their function's prefix
-        self.time_look_ups(self.edge.directory)
+        self.time_look_ups(self.edge.directory.waiting)
 
     @contextmanager
     def holding(self) -> Iterator[list[tuple[Session, bytes]]]:
@@ -88,8 +88,8 @@
         for session, line in held:
             session.read(line)
 
-    def time_look_ups(self, directory: Any) -> None:
-        wait, left, since = directory.wait, directory.left, dict[Any, float]()
+    def time_look_ups(self, waiting: Any) -> None:
+        wait, left, since = waiting.add, waiting.leave, dict[Any, float]()
 
         def waits(pending: Any) -> None:
             since[pending] = self.reactor.seconds()
@@ -101,7 +101,7 @@
                 self.looked_up.append(self.reactor.seconds() - since.pop(pending))
             return was_waiting
 
-        directory.wait, directory.left = waits, leaves
+        waiting.add, waiting.leave = waits, leaves
 
     def dialled_by(self, holder: HolderNode) -> Callable[[Any], None]:
         """What takes a dial of the edge to this holder."""
--- a/lapistrestle/directory/effects.py
+++ b/lapistrestle/directory/effects.py
@@ -167,6 +167,7 @@
     stale: int = 1 * SECOND  # age of a holder's knowledge at which another copy is looked for
     dial_time_out: int = 300 * MILLISECOND
     idle: int = 120 * SECOND  # a function unused for so long is watched no more
+    extension_pause: int = 500 * MILLISECOND  # between two extensions of one prefix
     rebalance: int = 300 * SECOND  # about so long with another copy, then the first choice is tried again
     first_pause: int = 50 * MILLISECOND  # at the most, before the next copy is dialled; doubles
     longest_pause: int = 2 * SECOND
--- a/lapistrestle/directory/links.py
+++ b/lapistrestle/directory/links.py
@@ -28,6 +28,7 @@
     retry_at: int = NEVER  # when it is asked for again
     deadline: int = NEVER  # of the look-up that calls wait for
     reach: int = 0  # the furthest position used since the last look at it
+    extended_at: int = -NEVER  # when a longer prefix was asked for last
 
 
 @dataclass(eq=False, slots=True)
--- a/lapistrestle/directory/watcher.py
+++ b/lapistrestle/directory/watcher.py
@@ -168,7 +168,11 @@
             self.more(function, now)
 
     def more(self, function: str, now: int) -> bool:
-        """The prefix was not enough for a call; whether a longer one is (already) asked for."""
+        """The prefix was not enough for a call; whether a longer one is (already) asked for.
+
+        What a longer one brings must show before a yet longer one is asked for: else each jam would have the
+        whole fleet listed within a few round trips.
+        """
         self.called(now)
         known = self.functions.get(function)
         if known is None or (known.known and known.complete):
@@ -177,7 +181,9 @@
             return True
         if known.count >= LONGEST_PREFIX or known.watch < 0:
             return False
-        known.count = min(LONGEST_PREFIX, known.count * 2)
+        if now - known.extended_at < self.settings.extension_pause:
+            return False
+        known.count, known.extended_at = min(LONGEST_PREFIX, known.count * 2), now
         self.ask_if_up(known, now)
         return True
 
--- /dev/null
+++ b/lapistrestle/edge/holders.py
@@ -0,0 +1,142 @@
+"""An edge's connections to holders of the directory, numbered by the watcher that has them made."""
+
+from typing import Any, Protocol
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from lapistrestle.directory.effects import Dial, Send
+from lapistrestle.wire import directory as wire
+from lapistrestle.wire.lines import LineBounds, Speaker, union
+from lapistrestle.wire.messages import VERSION, Fault, Hello
+
+TENTHS = 10_000  # tenths of a millisecond in a second
+
+
+class Listener(Protocol):
+    """Who is told what becomes of the connections, by their numbers."""
+
+    def connected(self, connection: int) -> None: ...  # both ends have greeted
+    def refused(self, connection: int) -> None: ...  # it ended before that
+    def disconnected(self, connection: int) -> None: ...
+    def heard(self, connection: int, message: Any) -> None: ...
+
+
+class HolderSpeaker(Speaker):
+    """The edge's end of one connection to a holder."""
+
+    protocol = wire.DIRECTORY
+    decoder = union(wire.FromHolder)
+
+    def __init__(self, dial: "HolderDial") -> None:
+        super().__init__(LineBounds())
+        self.dial = dial
+
+    def greeting(self) -> Hello:
+        return Hello(self.protocol, VERSION, self.dial.connections.edge.name)
+
+    def met(self, hello: Hello) -> None:
+        self.dial.connections.connected(self.dial)
+
+    def heard(self, message: Any) -> None:
+        self.dial.connections.heard(self.dial, message)
+
+    def unreadable(self, line: bytes, why: str) -> None:
+        """A line lost may have told of a drain: the watches begin anew on another connection."""
+        self.dial.connections.edge.passed_over("holder", why)
+        super().unreadable(line, why)
+
+    def lost(self) -> None:
+        self.dial.connections.lost(self.dial, self.greeted)
+
+
+class HolderDial(ClientFactory):
+    """One connection to a copy of a shard, as the watcher numbers it."""
+
+    noisy = False
+
+    def __init__(self, connections: "HolderConnections", number: int) -> None:
+        self.connections, self.number = connections, number
+        self.speaker: HolderSpeaker | None = None
+        self.connector: Any = None
+
+    def buildProtocol(self, addr: Any) -> HolderSpeaker:
+        self.speaker = HolderSpeaker(self)
+        return self.speaker
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.connections.lost(self, greeted=False)
+
+    def leave(self) -> None:
+        """What is under way on it is of no use any more, also where the holder does not read."""
+        if self.speaker is None:
+            self.connector.disconnect()
+        elif not self.speaker.closed:
+            self.speaker.closed = True
+            self.speaker.transport.unregisterProducer()
+            self.speaker.transport.abortConnection()
+
+
+class HolderConnections:
+    """All of them. What a connection still says after it was hung up is passed over."""
+
+    def __init__(self, edge: Any, listener: Listener) -> None:
+        self.edge, self.listener = edge, listener
+        self.dials: dict[int, HolderDial] = {}
+
+    def __len__(self) -> int:
+        """Connections that stand or are being made."""
+        return len(self.dials)
+
+    # what the watcher asks
+
+    def dial(self, effect: Dial) -> None:
+        """Open a connection."""
+        dial = self.dials[effect.connection] = HolderDial(self, effect.connection)
+        time_out = self.edge.facts["dial_time_out"] / TENTHS
+        copy = effect.copy
+        dial.connector = self.edge.reactor.connectTCP(copy.host, copy.port, dial, timeout=time_out)
+
+    def hang_up(self, connection: int) -> None:
+        """Close one; nothing is told of it any more."""
+        if (dial := self.dials.pop(connection, None)) is not None:
+            dial.leave()
+
+    def send(self, effect: Send) -> None:
+        """Send a message, where its connection still stands."""
+        dial = self.dials.get(effect.connection)
+        if dial is not None and dial.speaker is not None:
+            dial.speaker.say(effect.message)
+
+    def close(self) -> None:
+        """Leave all."""
+        for dial in self.dials.values():
+            dial.leave()
+        self.dials.clear()
+
+    # what the connections tell
+
+    def connected(self, dial: HolderDial) -> None:
+        """A holder greeted."""
+        if dial.number in self.dials:
+            self.edge.input()
+            self.listener.connected(dial.number)
+
+    def lost(self, dial: HolderDial, greeted: bool) -> None:
+        """A connection ended, or was never made."""
+        if self.dials.pop(dial.number, None) is None:
+            return
+        self.edge.input()
+        if greeted:
+            self.listener.disconnected(dial.number)
+        else:
+            self.listener.refused(dial.number)
+
+    def heard(self, dial: HolderDial, message: Any) -> None:
+        """A holder says something."""
+        if dial.number not in self.dials:
+            return
+        self.edge.input()
+        if isinstance(message, Fault):
+            return self.edge.passed_over("holder", f"it could not take a line: {message.why}")
+        self.listener.heard(dial.number, message)
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -185,7 +185,7 @@
     def closed(self, pending: PendingRequest, how: str) -> None:
         """How an RPC ended is evidence for or against its version; not where this edge may not send there
         now, as what ends badly then is no fault of the version. It is a figure of the fleet's, too."""
-        waited = self.directory is not None and self.directory.left(pending)
+        waited = self.directory is not None and self.directory.waiting.leave(pending)
         if self.fleet_member is not None:
             late = self.late(pending)
             if how in (DENIED, ABORTED) and cost_before(pending) and not late:
--- a/tests/test_directory_days.py
+++ b/tests/test_directory_days.py
@@ -147,7 +147,9 @@
     first = [c for c in played.story.calls if c.at < 1_500]
     assert first and all(len(c.answers) == 1 for c in first)
     assert all(isinstance(a, wire.Answer) for c in first for _, _, a in c.answers)
-    assert sum(e.edge.directory.counts["waited"] for e in played.world.edges) >= len(played.world.edges)
+    assert sum(e.edge.directory.waiting.counts["waited"] for e in played.world.edges) >= len(
+        played.world.edges
+    )
 
 
 def test_a_version_is_loaded_first_and_settles_where_its_prefix_was_looked_up(tmp_path):
