What the list says of a worker is made once, not made and then replaced

Cause: following.facts built SrvFacts and had dataclasses.replace build it again, for every entry told. Change: built once.

--- a/lapistrestle/edge/following.py
+++ b/lapistrestle/edge/following.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 
 from lapistrestle.interface import Listing, SrvFacts
@@ -172,8 +172,7 @@
         if listing is Listing.SERVING and known.drains and known.drains == known.start:
             listing = Listing.DRAINING
         zone, kind = self.zones.get(entry.zone, 0), self.kinds.get(entry.kind, 0)
-        facts = SrvFacts(entry.name, zone, entry.cell, kind, entry.size)
-        return replace(facts, listing=listing, booted=known.booted)
+        return SrvFacts(entry.name, zone, entry.cell, kind, entry.size, listing, known.booted)
 
 
 class Following(NumberedList, KnownWorkers):
