Directory: the holder's own questions to the roster are counted, so no earlier list ends a standstill

Cause: the program asked for the whole list on connecting and after a gap without telling the decisions, so a list under way while it stood still passed for the answer to the question on waking. Change: roster_asked is called for both; a whole list that is passed over has another one asked for; an unreadable line of the roster begins the connection anew, as it may have been an answer.

--- a/lapistrestle/directory/holder.py
+++ b/lapistrestle/directory/holder.py
@@ -101,6 +101,11 @@
         self.knowledge.called(now)
         self.knowledge.asked(now)
 
+    def list_passed(self, now: int) -> None:
+        """A whole list has come that is not taken; it is no answer that the holder can go by."""
+        self.knowledge.called(now)
+        self.knowledge.passed(now)
+
     def roster_lost(self, now: int) -> None:
         """The connection to the roster is gone, or the roster says that it can't answer.
 
--- a/lapistrestle/directory/knowledge.py
+++ b/lapistrestle/directory/knowledge.py
@@ -93,6 +93,14 @@
             if not self.unanswered:
                 self.step(Event.CURRENT_LIST, now, now)
 
+    def passed(self, now: int) -> None:
+        """A whole list was not taken: one question is answered by it, and the last one is asked again."""
+        if not self.unanswered:
+            return
+        self.unanswered -= 1
+        if not self.unanswered:
+            self.ask(now)
+
     def lost(self, now: int) -> None:
         """The connection to the roster is over, and every question on it."""
         self.unanswered, self.connected = 0, False
--- a/lapistrestle/directory/server.py
+++ b/lapistrestle/directory/server.py
@@ -21,7 +21,7 @@
 )
 from lapistrestle.directory.holder import ShardHolder
 from lapistrestle.edge.following import Do, News, NumberedList
-from lapistrestle.edge.rosters import RosterSource
+from lapistrestle.edge.rosters import RosterSource, RosterSpeaker
 from lapistrestle.wire import directory as wire
 from lapistrestle.wire.lines import LineBounds, Speaker, union
 from lapistrestle.wire.messages import VERSION, Change, Entry, Hello, Message, Whole, encode
@@ -115,7 +115,7 @@
         self.list = Instances(lambda text: log("roster", figures=text))
         self.bounds = LineBounds(line=ROSTER_LINE)  # of the connection to the roster
         self.facts = {"dial_time_out": ROSTER_DIAL, "list_asked": False}
-        self.source = RosterSource(self, settings.roster.port)
+        self.source = HolderRosterSource(self, settings.roster.port)
         self.sessions: dict[int, WatcherSpeaker] = {}
         self.count = 0  # of sessions so far: no number is used twice
         self.counts = dict.fromkeys(("turned away", "cut as slow", "passed over"), 0)
@@ -149,15 +149,23 @@
     def input(self) -> None: ...
 
     def list_told(self, message: Whole | Change) -> Do:
-        do = self.list.accept(message)
+        do, whole = self.list.accept(message), isinstance(message, Whole)
         if do is Do.TAKE:
-            whole = isinstance(message, Whole)
             self.list.take(message.workers, whole)
             revision = wire.Revision(message.epoch, message.number)
             self.holder.instances_changed(message.workers, whole, revision, self.clock())
-            self.act()
+        elif do is Do.ASK and not whole:  # a whole list has answered a question: as many are open as before
+            self.holder.roster_asked(self.clock())
+        elif do is Do.PASS and whole:
+            self.holder.list_passed(self.clock())
+        self.act()
         return do
 
+    def list_followed(self) -> None:
+        """The connection to the roster stands, and the whole list was asked for."""
+        self.holder.roster_asked(self.clock())
+        self.act()
+
     def list_news(self, news: News) -> None:
         if self.stopping:
             return
@@ -292,6 +300,30 @@
             stopped()
 
 
+class HolderRosterSpeaker(RosterSpeaker):
+    """The holder's end of the connection to the roster."""
+
+    source: "HolderRosterSource"
+
+    def met(self, hello: Hello) -> None:
+        super().met(hello)
+        self.source.edge.list_followed()
+
+    def unreadable(self, line: bytes, why: str) -> None:
+        """What can't be read may have answered a question: only a new connection has none open."""
+        self.source.edge.passed_over("roster", why)
+        self.cut(f"unreadable line: {why}")
+
+
+class HolderRosterSource(RosterSource):
+    """Follows the roster, and has the decisions told whenever a whole list is asked for."""
+
+    edge: HolderProgram
+
+    def speak(self) -> HolderRosterSpeaker:
+        return HolderRosterSpeaker(self)
+
+
 class WatcherSpeaker(Speaker):
     """The holder's end of a connection, of a dispatcher or an operator."""
 
--- a/tests/test_directory_server.py
+++ b/tests/test_directory_server.py
@@ -17,7 +17,7 @@
 from lapistrestle.standins.virtual import Process, VirtualReactor
 from lapistrestle.wire import directory as wire
 from lapistrestle.wire.lines import LineBounds, Speaker, union
-from lapistrestle.wire.messages import Entry, Hello, encode
+from lapistrestle.wire.messages import ROSTER, Change, Entry, Hello, Whole, encode
 
 PORT = 7200
 
@@ -355,3 +355,55 @@
     for at in range(0, span * 10_000, 1_000):
         meter.add(100, at)
     assert meter.rates(span * 10_000) == (1_000.0, 1_000) and meter.total == span * 1_000
+
+
+def whole_of(program):
+    return Whole(program.list.number, [entry(f"w{number}") for number in range(12)], program.list.epoch)
+
+
+def standstill(program):
+    """The next event comes a second late."""
+    program.holder.heard(0, wire.Renew(0), program.clock() + 10_000)
+    program.act()
+
+
+def test_a_list_that_the_program_asked_for_before_a_standstill_does_not_end_it():
+    program = Rig().program
+    program.source.heard(Change(program.list.number + 2, [], program.list.epoch))  # a gap: it is asked for
+    standstill(program)  # the holder asks on its own
+    program.source.heard(whole_of(program))  # the answer to the first question
+    assert not program.holder.knowledge.may_answer
+    program.source.heard(whole_of(program))
+    assert program.holder.knowledge.may_answer
+
+
+def test_a_list_asked_for_on_connecting_does_not_end_a_standstill_after_it():
+    program = Rig().program
+    program.holder.roster_lost(program.clock())
+    program.source.speaker.met(Hello(ROSTER, 1, "roster"))  # the connection stands: the list is asked for
+    standstill(program)
+    program.source.heard(whole_of(program))
+    assert not program.holder.knowledge.may_answer
+    program.source.heard(whole_of(program))
+    assert program.holder.knowledge.may_answer
+
+
+def test_a_list_that_is_passed_over_has_another_one_asked_for():
+    program = Rig().program
+    standstill(program)
+    before = program.list.number
+    program.source.heard(Whole(before - 1, [], program.list.epoch))  # goes back: the same must be said twice
+    program.source.heard(Whole(before - 2, [], program.list.epoch))  # passed over
+    assert program.holder.knowledge.unanswered == 1
+    program.source.heard(whole_of(program))
+    assert program.holder.knowledge.may_answer
+
+
+def test_an_unreadable_line_of_the_roster_has_the_connection_begin_anew():
+    rig = Rig()
+    first = rig.program.source.speaker
+    first.unreadable(b"{", "cut off")
+    rig.run(2.0)
+    assert rig.program.source.speaker is not first
+    assert rig.program.counts["passed over"] == 1
+    assert rig.program.holder.knowledge.age(rig.program.clock()) == 0
