Stand-ins: programs in virtual time share how they stand still and are killed

Cause: play.py wrote the same process around an edge, a planner and a holder three times. Change: VirtualProgram has it once; behaviour is unchanged.

--- a/lapistrestle/standins/play.py
+++ b/lapistrestle/standins/play.py
@@ -29,19 +29,19 @@
     """A log that keeps nothing."""
 
 
-class VirtualEdge:
-    """An edge as an object, in a process that can stand still or be killed."""
+class VirtualProgram:
+    """A program as an object, in a process that can stand still or be killed. A subclass gives `start`."""
 
-    def __init__(self, reactor: VirtualReactor, deployment: Deployment, log: Log, make: EdgeMaker) -> None:
-        self.name = deployment.dispatcher.name
-        self.process = Process(reactor, self.name)
-        self.edge = make(self.process, deployment, log)
+    def __init__(self, reactor: VirtualReactor, name: str) -> None:
+        self.name = name
+        self.process = Process(reactor, name)
         self.listens = 0
 
     def start(self) -> None:
-        self.listens = self.edge.start()
+        raise NotImplementedError
 
     def port(self) -> int:
+        """Where it listens; 0 once it is dead."""
         return 0 if self.process.dead else self.listens
 
     def stall(self) -> None:
@@ -54,6 +54,17 @@
         self.process.kill()
 
 
+class VirtualEdge(VirtualProgram):
+    """An edge in virtual time."""
+
+    def __init__(self, reactor: VirtualReactor, deployment: Deployment, log: Log, make: EdgeMaker) -> None:
+        super().__init__(reactor, deployment.dispatcher.name)
+        self.edge = make(self.process, deployment, log)
+
+    def start(self) -> None:
+        self.listens = self.edge.start()
+
+
 def play_virtual(
     day: Day, deployment: Deployment, sink: BinaryIO, log: Log = quiet, make: EdgeMaker = Edge,
     prepare: Callable[[VirtualReactor], None] | None = None, begun: Callable[[World], None] | None = None,
@@ -102,27 +113,23 @@
         line.stopped = True
 
 
-class VirtualPlanner:
-    """A planner as an object, in a process that can stand still or be killed."""
+class VirtualPlanner(VirtualProgram):
+    """A planner in virtual time, at the same port at each start."""
 
     def __init__(self, reactor: VirtualReactor, port: int, journal: Path, log: Log) -> None:
-        self.name, self.process, self.at = "planner", Process(reactor, "planner"), port
+        super().__init__(reactor, "planner")
+        self.at = port
         self.planner = Planner(self.process, Journal(journal), log)
 
     def start(self) -> None:
         self.planner.start(self.at)
 
     def port(self) -> int:
+        """Also while it is dead: edges go on dialling there."""
         return self.at
 
-    def stall(self) -> None:
-        self.process.stall()
-
-    def resume(self) -> None:
-        self.process.resume()
-
     def kill(self) -> None:
-        self.process.kill()
+        super().kill()
         self.planner.journal.close()
 
 
@@ -131,32 +138,18 @@
     return lambda: VirtualPlanner(reactor, port, journal, log)
 
 
-class VirtualHolder:
-    """A holder of the directory as an object, in a process that can stand still or be killed."""
+class VirtualHolder(VirtualProgram):
+    """A holder of the directory in virtual time."""
 
     def __init__(self, reactor: VirtualReactor, settings: HolderDeployment, log: Log, seed: int) -> None:
         from lapistrestle.directory.server import HolderProgram  # a day without a directory needs none
 
-        self.name = settings.serve.name
-        self.process = Process(reactor, self.name)
+        super().__init__(reactor, settings.serve.name)
         self.program = HolderProgram(self.process, settings, log, seed)
-        self.listens = 0
 
     def start(self) -> None:
         self.listens = self.program.start()
 
-    def port(self) -> int:
-        return 0 if self.process.dead else self.listens
-
-    def stall(self) -> None:
-        self.process.stall()
-
-    def resume(self) -> None:
-        self.process.resume()
-
-    def kill(self) -> None:
-        self.process.kill()
-
 
 class VirtualHolders:
     """Makes holders in virtual time."""
