Directory: moves between stale copies back off; the story of lines knows Unchanged

Cause: with the roster cut, each dispatcher went over to another copy every ten seconds and asked for all watches anew. Change: after a round of all copies in vain, each further move waits 10 to 20 s, then 20 to 40, then 40 to 80, drawn by crc32 and said once; a copy that hears its roster ends that. The checks of recorded lines take Unchanged for the prefix told last. A first form of the test answered with age 0, which ends the pauses, and failed for that.

--- a/lapistrestle/checks/directory.py
+++ b/lapistrestle/checks/directory.py
@@ -69,6 +69,8 @@
         self.epochs, self.lists, self.tell = epochs, lists, tell
         self.watching: dict[str, Watching] = {}
         self.words: dict[tuple[str, str], tuple[int, int]] = {}  # age of the last word, by edge and name
+        self.prefixes: dict[tuple[str, str], dict[str, None]] = {}  # names last told, by edge and function
+        self.entries: dict[tuple[str, str], wire.Instance] = {}  # the newest word, by edge and name
         self.holds: list[Held] = []
         self.number, self.at = 0, 0.0  # of the line that is read
 
@@ -99,14 +101,28 @@
                 watching.lease = message.lease / TENTHS
             case wire.Snapshot():
                 self.snapshot(watching, message)
+            case wire.Unchanged():
+                self.unchanged(watching, message)
             case wire.Update():
                 self.update(watching, message)
 
+    def unchanged(self, watching: Watching, message: wire.Unchanged) -> None:
+        """The edge has the prefix already: as a snapshot of what it was told last, over any connection."""
+        function = watching.functions.get(message.id, "")
+        names = self.prefixes.get((watching.edge, function), {})
+        known = (self.entries.get((watching.edge, name)) for name in names)
+        entries = [entry for entry in known if entry is not None]
+        snapshot = wire.Snapshot(message.id, message.epoch, message.revision, message.sequence, entries)
+        snapshot.lease = message.lease
+        self.snapshot(watching, snapshot)
+
     def snapshot(self, watching: Watching, message: wire.Snapshot) -> None:
         watching.lease = message.lease / TENTHS
         function = watching.functions.get(message.id)
         before = [id_ for id_, name in watching.functions.items() if name == function and id_ < message.id]
         watching.prefixes[message.id] = {entry.name: None for entry in message.entries}
+        if function is not None:
+            self.prefixes[watching.edge, function] = watching.prefixes[message.id]
         for id_ in before:
             self.forget(watching, id_)
         age = self.epochs.age(message.revision)
@@ -150,6 +166,7 @@
             watching.serving.pop(entry.name, None)
         if not self.newest(watching.edge, entry.name, age):
             return
+        self.entries[watching.edge, entry.name] = wire.compact(entry)
         known = self.lists.setdefault(watching.edge, {})
         before = known.get(entry.name, entry.start)
         if before != entry.start:
@@ -164,6 +181,7 @@
             self.over(watching, name, self.at, told=True)
         watching.serving.pop(name, None)
         if self.newest(watching.edge, name, age):
+            self.entries.pop((watching.edge, name), None)
             start = self.lists.get(watching.edge, {}).pop(name, None)
             if start is not None:
                 self.tell(self.number, self.at, watching.edge, start, True)
--- a/lapistrestle/directory/links.py
+++ b/lapistrestle/directory/links.py
@@ -97,6 +97,8 @@
     functions: dict[str, Function] = field(default_factory=dict)
     dial_at: int = NEVER
     failures: int = 0  # in a row
+    moves: int = 0  # to another copy for the sake of freshness, in a row and in vain
+    stay_until: int = 0  # before then no further one
     floor: Revision | None = None  # of the latest word taken; nothing older is
     avoided: dict[Copy, int] = field(
         default_factory=dict
--- a/lapistrestle/directory/watcher.py
+++ b/lapistrestle/directory/watcher.py
@@ -59,6 +59,7 @@
 AVOIDED_FOR = (
     10 * SECOND
 )  # a copy found stale or unreachable is not changed over to for the sake of freshness
+MOST_DOUBLINGS = 2  # of the pause between two such changes where all copies are as stale
 STANDSTILL_BEATS = 2  # heartbeats without a call: the dispatcher itself stood still
 
 
@@ -475,15 +476,32 @@
 
     def weigh_age(self, connection: Connection, age: int, now: int) -> None:
         """The holder may not hear its roster: another copy is tried, if none was lately found no better."""
+        shard = self.shards[connection.shard]
+        if not age:
+            shard.moves = shard.stay_until = 0
         if age < self.settings.stale:
             return
-        shard = self.shards[connection.shard]
         shard.avoided[connection.copy] = now
+        if now < shard.stay_until:
+            return
         for step in range(1, len(shard.copies)):
             at = (shard.at + step) % len(shard.copies)
             if now - shard.avoided.get(shard.copies[at], -NEVER) >= AVOIDED_FOR:
+                self.moved(shard, now)
                 return self.change_over(shard, at, f"knowledge {age / 10:.0f} ms old", now)
 
+    def moved(self, shard: Shard, now: int) -> None:
+        """After a round of all copies in vain each further move waits for about twice as long."""
+        shard.moves += 1
+        rounds = shard.moves - len(shard.copies) + 1
+        if rounds < 0:
+            return
+        pause = AVOIDED_FOR << min(rounds, MOST_DOUBLINGS)
+        shard.stay_until = now + pause + self.jitter.below(pause)
+        if not rounds:
+            text = f"the last of {len(shard.copies)} copies is tried for fresher knowledge, then no more for"
+            self.log(f"shard {shard.number}: {text} {(shard.stay_until - now) / SECOND:.0f} s")
+
     def busy(self, connection: Connection, busy: Busy, now: int) -> None:
         """The holder has more to send than it may: again later, and calls that can't wait so long fail."""
         question = connection.questions.pop(busy.id, None)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,6 +1,7 @@
 """The directory: what holders send and what watchers believe, each rule by itself and in random days."""
 
 from dataclasses import replace
+from itertools import pairwise
 
 import msgspec
 import pytest
@@ -981,6 +982,43 @@
     assert len(made.of(directory.Dial)) == 2
 
 
+def stale_days(made, connection, seconds):
+    """All copies are cut off from the roster; when the watcher moves, in tenths of a millisecond."""
+    moves, began = [], made.now
+    while made.now - began < seconds * SECOND:
+        made.run(SECOND // 10)
+        age = 2 * SECOND + made.now - began
+        made.answer_renewals(connection, age=age)
+        if connection not in made.watcher.connections:
+            moves.append(made.now)
+            connection = made.connect()
+            unchanged(made, connection, age=age)
+    return moves, connection
+
+
+def test_where_all_copies_are_as_stale_the_pauses_between_moves_grow_and_it_is_said_once():
+    made = Dispatcher(idle=1_000 * SECOND, rebalance=1_000 * SECOND)
+    moves, _ = stale_days(made, ready(made), 400)
+    gaps = [after - before for before, after in pairwise(moves)]
+    assert moves[0] <= SECOND // 5  # a copy that may be fresher is tried at once
+    assert 10 * SECOND <= gaps[0] <= 20.1 * SECOND <= 2 * gaps[1] + SECOND
+    assert all(40 * SECOND <= gap <= 80.1 * SECOND for gap in gaps[2:]) and len(moves) <= 10
+    assert sum("no more for" in line for line in made.logs) == 1
+    assert made.wanted() == Prefix(("w1", "w2", "w3"), False)
+
+
+def test_after_a_copy_that_hears_its_roster_the_next_stale_one_is_left_at_once():
+    made = Dispatcher()
+    _, connection = stale_days(made, ready(made), 60)
+    made.answer_renewals(connection)
+    made.run(SECOND // 10)
+    for _ in range(120):
+        made.answer_renewals(connection)
+        made.run(SECOND // 10)
+    made.answer_renewals(connection, age=2 * SECOND)
+    assert connection not in made.watcher.connections
+
+
 def test_a_dispatcher_that_stood_still_counts_no_silence_of_others():
     made = Dispatcher()
     connection = ready(made)
@@ -1218,6 +1256,12 @@
     assert any(" goes back " in breach for breach in breaches_of(range(6)))
 
 
+def test_that_nothing_has_changed_said_of_what_has_changed_is_caught(monkeypatch):
+    for module in ("watched", "watcher"):
+        monkeypatch.setattr(f"lapistrestle.directory.{module}.digest_of", lambda entries, complete: "same")
+    assert any(" after batch " in breach for breach in breaches_of(range(6)))
+
+
 def test_a_lost_change_shows_in_the_length_of_the_prefix():
     with pytest.raises(LostChange):
         changed(("a", "b"), wire.PrefixChange(1, 3, ["a"], [wire.Placed(0, "c")]))
--- a/tests/test_directory_checks.py
+++ b/tests/test_directory_checks.py
@@ -131,6 +131,24 @@
     assert len(prompt(tape)[0]) == 1
 
 
+@pytest.mark.parametrize("told", [True, False])
+def test_who_is_told_that_nothing_has_changed_relies_on_the_new_connection_too(told):
+    tape = Tape(renewals=False)
+    tape.snapshot(10, W)
+    tape.put(400, "link", "close")
+    tape.open("other", HOLDER)
+    tape.say(500, "other", "<", wire.Watch(7, 0, 1, "f", 8, "", "digest", True))
+    tape.say(510, "other", ">", wire.Unchanged(7, 1, wire.Revision("e1", 1), 1, LEASE))
+    for at in range(600, 3_000, 100):
+        tape.say(at, "other", "<", wire.Renew(at))
+    tape.roster(1_000, DRAINS)
+    if told:
+        tape.update(1_400, DRAINS, link="other")
+    breaches, _ = prompt(tape)
+    late = [f"{EDGE} holds {RUNNER} by word of {HOLDER}" in breach for breach in breaches]
+    assert late == [] if told else late == [True]
+
+
 def test_a_holder_that_tells_what_it_knows_to_be_old_is_caught():
     tape = Tape()
     tape.roster(1_000, DRAINS)
