--- a/benchmarks/scale/roles/directory_failures.py
+++ b/benchmarks/scale/roles/directory_failures.py
@@ -108,8 +108,8 @@
     region = region_of(given.target.instances_per_region // (20 if quick else 1), holders, seed, given)
     nodes = [region.watcher(number) for number in range(dispatchers)]
     watch_all(region, nodes, functions)
-    dead = next(iter(region.holders.values()))
-    moved = sum(len(connection.watches) for n in nodes for connection in of_holder(n, dead))
+    dead = max(region.holders.values(), key=lambda holder: watches_at(nodes, holder))
+    moved = watches_at(nodes, dead)
     died = region.reactor.seconds()
     dead.kill()
     for node in nodes:
@@ -151,6 +151,11 @@
     settle(region, nodes, SETTLED)
 
 
+def watches_at(nodes: list[WatcherNode], holder: HolderNode) -> int:
+    """Of all these dispatchers together."""
+    return sum(len(connection.watches) for node in nodes for connection in of_holder(node, holder))
+
+
 def of_holder(node: WatcherNode, holder: HolderNode) -> list[Connection]:
     linked = [number for number, (at, _) in node.links.items() if at is holder]
     return [node.watcher.connections[number] for number in linked if number in node.watcher.connections]
