Directory: entries without their age are made in one place; the wire's type is called that

Cause: instances.py and digests.py each had undated(), alike line by line, and instances.py called the wire's Instance Told. Change: digests.undated is used by both; the alias is WireInstance. Behaviour is unchanged. Measured: ruff, mypy clean; test_directory, test_directory_order, test_directory_server, test_edge_directory: 191 pass.

--- a/lapistrestle/directory/instances.py
+++ b/lapistrestle/directory/instances.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from lapistrestle.directory.digests import undated
 from lapistrestle.directory.order import InstanceRing
-from lapistrestle.wire.directory import Instance as Told
+from lapistrestle.wire.directory import Instance as WireInstance
 from lapistrestle.wire.directory import RegionSums
 from lapistrestle.wire.messages import Entry
 
@@ -20,20 +21,20 @@
 class Instance:
     """One instance. `entry` has no `up_for`: that is counted from `booted`, on the holder's clock."""
 
-    entry: Told
+    entry: WireInstance
     booted: int | None
     urgent_at: int = -(10**15)  # when word of it was urgent last
     dated_at: int = -1
-    dated: Told | None = None
+    dated: WireInstance | None = None
 
-    def entry_at(self, now: int) -> Told:
+    def entry_at(self, now: int) -> WireInstance:
         """The entry as it is sent at this moment."""
         if self.booted is None:
             return self.entry
         if self.dated is None or self.dated_at != now:
             e = self.entry
             up_for = min(LONGEST_UP_FOR, max(0, now - self.booted) / PER_MILLISECOND)
-            self.dated = Told(
+            self.dated = WireInstance(
                 e.name, e.port, e.zone, e.cell, e.kind, e.size, e.listing, e.start, up_for
             )  # fmt: skip
             self.dated_at = now
@@ -148,12 +149,6 @@
         changes.left.append(name)
 
 
-def undated(entry: Entry) -> Told:
-    return Told(
-        entry.name, entry.port, entry.zone, entry.cell, entry.kind, entry.size, entry.listing, entry.start
-    )
-
-
 def booted_at(entry: Entry, now: int) -> int | None:
     """When it started, on the clock of `now`; `None`: not told."""
     return None if entry.up_for is None else now - int(entry.up_for * PER_MILLISECOND)
