--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -90,6 +90,8 @@
             return self.say(wire.Answer(call.id, DENIED, stay / 10))
         edge.take(self, call, method, customer, left, route)
 
+    def read_now(self) -> None: ...  # the reactor's look was heard whole before anything was begun
+
     def answer(self, pending: PendingRequest, verdict: Any, come_back: int, body: Any) -> None:
         call = pending.message
         self.open.pop(call.id, None)
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -18,7 +18,9 @@
 Log = Callable[..., None]
 TENTHS = 10_000  # of a millisecond in a second
 LATE = 200  # tenths of a millisecond since the look before: a close may lie behind what is read
-PIECES = 4  # a whole request with the longest body, and what follows it
+PIECES = 64  # all requests that a connection may have open, with the longest bodies, and what follows them
+NOT_BEGUN = "not begun"  # the log line and counter of what the list or its client forbade
+MOST_LOGGED = 100  # lines of one kind
 LAST = 300  # tenths of a millisecond: for answers to leave once all is cut short
 
 
@@ -54,6 +56,8 @@
     def start(self) -> None: ...
     def follow(self) -> None: ...
     def stop(self) -> None: ...
+    def read_now(self) -> None: ...  # what lies unread of it
+    def is_current(self) -> bool: ...  # whether new work may still begin by what it told last
 
 
 class Core:
@@ -67,7 +71,9 @@
         self.reactor, self.name, self.log = reactor, name, log
         self.facts: dict[str, Any] = {**facts, "order_lag": prompt}
         self.runners: dict[str, Any] = {}
-        self.counts = dict.fromkeys(("turned away", "unreadable", "passed over"), 0)
+        self.listings: dict[str, Listing] = {}  # of the workers that lists name, as last read
+        self.lists_read_at = -LATE - 1  # when what lay unread of the lists was last read
+        self.counts = dict.fromkeys(("turned away", "unreadable", "passed over", NOT_BEGUN), 0)
         self.stopping = False
         self.dials_when_used = False  # runners only when something is sent there, else when they are listed
         self.stopped: Callable[[], None] | None = None
@@ -93,11 +99,16 @@
     def unread_for(self, sock: socket.socket) -> int:
         """How long what is read now lay in its socket, in tenths of a millisecond, as far as the kernel
         tells: a client counts its time from when it sent, also while the program stood still."""
-        age, longest = getattr(self.reactor, "unread_for", None), self.clock() - self.came()
-        if age is None or longest <= LATE:
+        age, longest = getattr(self.reactor, "unread_for", None), self.since_look()
+        if age is None or not longest:
             return 0
         return min(longest, int(age(sock) * TENTHS))
 
+    def since_look(self) -> int:
+        """How long what is read now may have lain unread at the most; 0 unless the program stood still."""
+        longest = self.clock() - self.came()
+        return longest if longest > LATE else 0
+
     def pieces(self) -> int:
         """How many pieces of one connection are read at once: all that there are, within bounds, after a
         standstill. One that ends, and what it brought before, are then met in the same look."""
@@ -142,8 +153,57 @@
             self.host.fire_timers()
         self.wake()
 
+    # what may begin
+
+    def may_begin(self, work: Attempt | WorkerTask, runner: RunnerHandle) -> bool:
+        """Asked just before the first byte of an attempt or of an order to load leaves for a runner: rule 3
+        binds there, whatever the module had heard when it decided, and so does what its client did since."""
+        self.read_lists()
+        name = work.srv.name
+        serves = self.runners.get(name) is runner and self.serves(name)
+        if serves and (isinstance(work, WorkerTask) or self.is_wanted(work)):
+            return True
+        self.refused(work)
+        return False
+
+    def read_lists(self) -> None:
+        """Read what lies unread of the lists, unless that was done within LATE: after a standstill a drain
+        that counts as told may lie there. One system call in LATE is all that a calm day pays."""
+        now = self.clock()
+        if now - self.lists_read_at <= LATE:
+            return
+        self.lists_read_at = now
+        for source in self.sources:
+            source.read_now()
+
+    def serves(self, name: str) -> bool:
+        """Whether the list as last read has a worker take new work, and is recent enough to go by."""
+        return self.listings.get(name) is Listing.SERVING and all(s.is_current() for s in self.sources)
+
+    def is_wanted(self, attempt: Attempt) -> bool:
+        """Whether a client still waits for an attempt that has not begun, with time left for it."""
+        pending = attempt.pending
+        if not pending.final:
+            pending.client.read_now()
+        return not pending.final and attempt.ends_by > self.clock()
+
+    def refused(self, work: Attempt | WorkerTask) -> None:
+        """Count what was not begun, and log the first ones with what the list says."""
+        self.counts[NOT_BEGUN] += 1
+        if self.counts[NOT_BEGUN] <= MOST_LOGGED:
+            listing = self.listings.get(work.srv.name, Listing.GONE).name.lower()
+            self.log(NOT_BEGUN, runner=work.srv.name, listing=listing, number=work.number)
+
     # the list and the runners
 
+    def listed(self, told: Sequence[SrvFacts], whole: bool) -> None:
+        """A list or a change of it was read. Nothing new begins against it from now on; the module hears of
+        it before whatever else waits to be told."""
+        if whole:
+            self.listings.clear()
+        self.listings.update((facts_.name, facts_.listing) for facts_ in told)
+        self.host.listed(told, whole)
+
     def address(self, name: str, address: Any, start: str = "") -> None:
         """A runner listens here now. At another address it is another process; the old way ends its calls."""
         runner = self.runners.get(name)
@@ -167,7 +227,7 @@
 
     def passed_over(self, name: str, why: str) -> None:
         self.counts["passed over"] += 1
-        if self.counts["passed over"] <= 100:
+        if self.counts["passed over"] <= MOST_LOGGED:
             self.log("passed over", peer=name, why=why[:200])
 
     # what the host asks (hosting.transport)
@@ -180,6 +240,10 @@
     def stream(self, pending: PendingRequest) -> None: ...
 
     def run(self, attempt: Attempt) -> None:
+        self.read_lists()
+        if not self.serves(attempt.srv.name):
+            self.refused(attempt)
+            return self.host.ended(attempt.number, Outcome.MOOT)
         runner = self.runner(attempt.srv.name)
         if runner is None:
             return self.host.ended(attempt.number, Outcome.UNREACHABLE)
@@ -192,6 +256,10 @@
         return attempt.connection is not None and attempt.connection.cancel_unsent(attempt.number)
 
     def hold(self, task: WorkerTask) -> None:
+        self.read_lists()
+        if task.count and not self.serves(task.srv.name):
+            self.refused(task)
+            return self.host.ordered(task.number, Outcome.MOOT, 0)
         runner = self.runner(task.srv.name)
         if runner is None:
             return self.host.ordered(task.number, Outcome.UNREACHABLE, 0)
--- a/lapistrestle/edge/directory.py
+++ b/lapistrestle/edge/directory.py
@@ -84,6 +84,12 @@
 
     def follow(self) -> None: ...
 
+    def read_now(self) -> None: ...  # the reactor reads it
+
+    def is_current(self) -> bool:
+        """How old a prefix may be is the watcher's to know, which tells what it can no longer vouch for."""
+        return True
+
     def stop(self) -> None:
         if self.timer is not None:
             self.timer.stop()
--- a/lapistrestle/edge/linking.py
+++ b/lapistrestle/edge/linking.py
@@ -8,13 +8,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 from zlib import crc32
 
 Link = Enum("Link", "IDLE DIALING OPEN SLOW RESTING ENDING ENDED")
 Input = Enum("Input", "NAMED WANTED GREETED FAILED BROKE SLOWED EASED DUE DROPPED LAST_ENDED")
+Begun = Enum("Begun", "WRITTEN REFUSED FULL")  # what became of a line that was to begin
 Effect = Callable[["Linking"], None]
 
 FIRST_REST, LONGEST_REST = 1_000, 20_000  # tenths of a millisecond between dials that nobody waits for
+CLOSED = (Link.ENDING, Link.ENDED)
 MOST_WAITING = 512  # lines; further ones are turned away, since a runner that far behind is as good as full
 PROMPT = 50  # tenths of a millisecond that an order may wait: later it counts in another window (rule 5)
 
@@ -23,6 +26,11 @@
     """What the transport does: dial, write a line, close; `ask` is a request to be told DUE after a delay."""
 
     def dial(self) -> None: ...
+    def may_begin(self, work: Any) -> bool:
+        """Asked once, just before the first byte of what begins new work at the runner. What may not begin
+        now is not sent later either."""
+        return True
+
     def write(self, line: bytes, number: int = 0) -> bool:
         """False: none of it has left, nor does; SLOWED was told, and EASED follows."""
         return True
@@ -34,6 +42,20 @@
     def broke(self, numbers: list[int]) -> None: ...
 
 
+@dataclass(eq=False)
+class Line:
+    """A line for a runner."""
+
+    number: int  # the host's; 0: no end of it is waited for
+    encode: Callable[[], bytes]  # called when it is written: a time that it tells is of that moment
+    until: int | None = None  # it may not begin later
+    work: Any = None  # what it has the runner begin, an attempt or an order to load; None: nothing
+
+    def is_due(self, now: int) -> bool:
+        """Whether it may still begin, as far as time goes."""
+        return self.until is None or now <= self.until
+
+
 @dataclass
 class Linking:
     """One runner's connection. Numbers are the host's, of call-outs, orders and probes."""
@@ -44,7 +66,7 @@
     clock: Callable[[], int]
     state: Link = Link.IDLE
     prompt: int = PROMPT
-    waiting: deque[tuple[int, bytes, int | None]] = field(default_factory=deque)  # number or 0, line, until
+    waiting: deque[Line] = field(default_factory=deque)
     out: dict[int, None] = field(default_factory=dict)  # written, without an end yet
     rests: int = 0  # dials that failed in a row
 
@@ -61,37 +83,48 @@
 
     # what is sent
 
-    def send(
-        self, number: int, line: bytes, owed: bool = True, prompt: bool = False, until: int | None = None
-    ) -> bool:
-        """Write or keep a line; False if it was turned away. `owed`: an end of `number` will follow;
-        `prompt`: it must go now, or as soon as the connection is made; `until`: it may not begin later."""
-        if self.state in (Link.ENDING, Link.ENDED) or len(self.waiting) >= MOST_WAITING:
+    def send(self, line: Line, prompt: bool = False) -> bool:
+        """Write or keep a line; False if it was turned away. `prompt`: it must go now, or as soon as the
+        connection is made. One that may not begin is told as not sent."""
+        if self.state in CLOSED or len(self.waiting) >= MOST_WAITING:
             return False
-        number = number if owed else 0
-        if self.state is Link.OPEN and self.put(number, line):
-            return True
-        if prompt and self.state is Link.SLOW:
+        if self.state is Link.OPEN:
+            callbacks, begun = self.callbacks, self.begin(line)
+            if begun is Begun.REFUSED:
+                callbacks.not_sent([line.number])
+            if begun is not Begun.FULL:
+                return True
+        if self.state in CLOSED or (prompt and self.state is Link.SLOW):
             return False
-        self.waiting.append((number, line, self.clock() + self.prompt if prompt else until))
+        if prompt:
+            line.until = self.clock() + self.prompt
+        self.waiting.append(line)
         self.step(Input.WANTED)
         return True
 
-    def put(self, number: int, line: bytes) -> bool:
+    def begin(self, line: Line) -> Begun:
+        """Write a line, if it may begin now. The list that is asked for that may end this connection."""
+        if not line.is_due(self.clock()):
+            return Begun.REFUSED
+        if line.work is not None and not self.callbacks.may_begin(line.work):
+            return Begun.REFUSED
+        return Begun.WRITTEN if self.state is Link.OPEN and self.put(line) else Begun.FULL
+
+    def put(self, line: Line) -> bool:
         """Write a line; False if none of it left. It counts as out before it is written: a connection that
         breaks under the write ends it with the others."""
-        if number:
-            self.out[number] = None
-        if self.callbacks.write(line, number):
+        if line.number:
+            self.out[line.number] = None
+        if self.callbacks.write(line.encode(), line.number):
             return True
-        self.out.pop(number, None)
+        self.out.pop(line.number, None)
         return False
 
     def cancel_unsent(self, number: int) -> bool:
         """Take back a line that has not left; False if it has."""
-        for item in self.waiting:
-            if item[0] == number:
-                self.waiting.remove(item)
+        for line in self.waiting:
+            if line.number == number:
+                self.waiting.remove(line)
                 return True
         return False
 
@@ -116,20 +149,23 @@
 
     def flush(self) -> None:
         """Nothing of one turn is lost if the connection slows down half way: the rest goes on waiting."""
-        self.rests, now, stale = 0, self.clock(), list[int]()
+        self.rests, callbacks, refused = 0, self.callbacks, list[int]()
         while self.waiting and self.state is Link.OPEN:
-            number, line, until = item = self.waiting.popleft()
-            if until is not None and now > until:
-                stale.append(number)
-            elif not self.put(number, line):
-                self.waiting.appendleft(item)
+            line = self.waiting.popleft()
+            begun = self.begin(line)
+            if begun is Begun.REFUSED:
+                refused.append(line.number)
+            elif begun is Begun.FULL:
+                self.waiting.appendleft(line)
                 break
-        if stale:
-            self.callbacks.not_sent(stale)
+        if self.state in CLOSED:  # by the list that was read before a line
+            refused += self.kept()
+        if refused:
+            callbacks.not_sent(refused)
 
     def kept(self) -> list[int]:
         """The numbers of what waits, which waits no longer."""
-        numbers = [number for number, _, _ in self.waiting if number]
+        numbers = [line.number for line in self.waiting if line.number]
         self.waiting.clear()
         return numbers
 
@@ -175,7 +211,7 @@
     (Link.DIALING, Input.DROPPED): (Link.ENDED, (_.give_back, _.close)),
     (Link.OPEN, Input.SLOWED): (Link.SLOW, ()),
     (Link.OPEN, Input.BROKE): (Link.RESTING, (_.give_back, _.break_off, _.rest)),
-    (Link.OPEN, Input.DROPPED): (Link.ENDING, (_.close_if_done,)),
+    (Link.OPEN, Input.DROPPED): (Link.ENDING, (_.hold_back, _.close_if_done)),  # lines wait amid a flush
     (Link.SLOW, Input.EASED): (Link.OPEN, (_.flush,)),
     (Link.SLOW, Input.BROKE): (Link.RESTING, (_.give_back, _.break_off, _.rest)),
     (Link.SLOW, Input.DROPPED): (Link.ENDING, (_.give_back, _.close_if_done)),
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -107,7 +107,7 @@
         self, told: Sequence[SrvFacts], addresses: Sequence[Address], whole: bool = False
     ) -> None:
         """Workers that are new or have changed, and where they listen now."""
-        self.host.listed(told, whole)
+        self.listed(told, whole)
         for name, port, start in addresses:
             self.address(name, port, start)
         self.held_back(told)
@@ -128,13 +128,13 @@
     def runner_met(self, name: str, hello: wire.Hello) -> None:
         told = self.following.met(name, hello.start, hello.up_for, hello.draining, self.clock())
         if told:
-            self.host.listed(told, whole=False)
+            self.listed(told, whole=False)
             self.held_back(told)
 
     def runner_drains(self, name: str, start: str) -> None:
         told = self.following.drains(name, start)
         if told:
-            self.host.listed(told, whole=False)
+            self.listed(told, whole=False)
             self.held_back(told)
 
     # versions
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -5,7 +5,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from lapistrestle.edge.linking import Input, Link, LinkCallbacks, Linking
+from lapistrestle.edge.linking import Input, Line, Link, LinkCallbacks, Linking
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.requests import NO_REPORT, Attempt, WorkerTask
 from lapistrestle.interface import Outcome, Warmth
@@ -22,11 +22,12 @@
 }  # fmt: skip
 
 
-def run_of(attempt: Attempt) -> wire.Run:
-    """A call-out as the runner is told of it."""
+def run_of(attempt: Attempt, now: int) -> wire.Run:
+    """An attempt as the runner is told of it, if that is written `now`."""
     pending, asked = attempt.pending, attempt.pending.message
+    left = max(1, attempt.ends_by - now) / 10
     return wire.Run(
-        attempt.number, pending.tag, pending.fn.name, asked.method, attempt.time_out / 10, asked.customer,
+        attempt.number, pending.tag, pending.fn.name, asked.method, left, asked.customer,
         asked.memory, asked.lanes, asked.token, asked.key, asked.body,
     )  # fmt: skip
 
@@ -37,6 +38,11 @@
     return wire.Hold(task.number, fn.name, task.count, fn.memory, fn.lanes)
 
 
+def encoded(message: wire.Message) -> bytes:
+    """A message as a line."""
+    return wire.encode(message) + b"\n"
+
+
 def tell(host: ModuleHost, said: wire.Ended | wire.Held | wire.Probed) -> None:
     """How what the host asked for ended, as the runner says."""
     match said:
@@ -145,10 +151,13 @@
 
     def run(self, attempt: Attempt) -> None:
         attempt.connection = self
-        line = wire.encode(run_of(attempt)) + b"\n"
-        if not self.linking.send(attempt.number, line, until=attempt.begin_by):
+        number, until = attempt.number, attempt.begin_by
+        if not self.linking.send(Line(number, lambda: self.run_line(attempt), until, work=attempt)):
             self.host.ended(attempt.number, Outcome.FULL)
 
+    def run_line(self, attempt: Attempt) -> bytes:
+        return encoded(run_of(attempt, self.edge.clock()))
+
     def cancel_unsent(self, number: int) -> bool:
         return self.linking.cancel_unsent(number)
 
@@ -162,16 +171,17 @@
 
     def hold(self, task: WorkerTask) -> None:
         task.connection = self
-        line = wire.encode(hold_of(task)) + b"\n"
-        if not self.linking.send(task.number, line, prompt=task.count > 0):
+        work = task if task.count else None
+        line = Line(task.number, lambda: encoded(hold_of(task)), work=work)
+        if not self.linking.send(line, prompt=task.count > 0):
             self.host.ordered(task.number, Outcome.FULL, 0)
 
     def unload(self, fn: str) -> None:
-        self.linking.send(0, wire.encode(wire.Unload(fn)) + b"\n", owed=False)
+        self.linking.send(Line(0, lambda: encoded(wire.Unload(fn))))
 
     def probe(self, task: WorkerTask) -> None:
         task.connection = self
-        if not self.linking.send(task.number, wire.encode(wire.Probe(task.number)) + b"\n"):
+        if not self.linking.send(Line(task.number, lambda: encoded(wire.Probe(task.number)))):
             self.host.probed(task.number, Outcome.FULL, NO_REPORT)
 
     # what the runner says
@@ -256,6 +266,10 @@
         elif dial is not None and self.connector is not None:
             self.connector.disconnect()
 
+    def may_begin(self, work: Attempt | WorkerTask) -> bool:
+        may: bool = self.edge.may_begin(work, self)
+        return may
+
     def write(self, line: bytes, number: int = 0) -> bool:
         if self.speaker is not None:
             self.speaker.say_line(line)
--- a/lapistrestle/edge/sources.py
+++ b/lapistrestle/edge/sources.py
@@ -23,6 +23,16 @@
 
     def follow(self) -> None: ...
 
+    def read_now(self) -> None:
+        """Read what lies unread, ahead of the reactor's turn. The end of the connection is left to that."""
+        read = getattr(self.speaker.transport, "doRead", None) if self.speaker is not None else None
+        if read is not None:
+            read()
+
+    def is_current(self) -> bool:
+        """A worker's own word on its connection, which says that it drains, goes before any list."""
+        return True
+
     def start(self, _: object = None) -> None:
         if not self.stopped:
             time_out = self.edge.facts["dial_time_out"] / 10_000
--- a/lapistrestle/hosting/events.py
+++ b/lapistrestle/hosting/events.py
@@ -25,6 +25,7 @@
         self.context, self.on_fault = context, on_fault
         self.module: Any = None
         self.queue: deque[tuple[PendingRequest | None, str, tuple[Any, ...]]] = deque()
+        self.lists: deque[tuple[Any, ...]] = deque()  # arguments of `listed`, which go before all else
         self.busy = False
         self.finished: list[PendingRequest] = []  # over, and none of their attempts under way
         self.module_seconds = 0.0
@@ -37,6 +38,14 @@
             self.busy = True
             self.deliver()
 
+    def post_list(self, *args: Any) -> None:
+        """Deliver `listed` before whatever waits: what came in the same look is then placed by the newest
+        list (rule 3)."""
+        self.lists.append(args)
+        if not self.busy:
+            self.busy = True
+            self.deliver()
+
     @contextmanager
     def batched(self) -> Iterator[None]:
         """All that one poll of the sockets brings is queued before any of it is delivered: after a standstill
@@ -51,13 +60,16 @@
 
     def deliver(self) -> None:
         """Deliver all that waits."""
-        if not self.queue:
+        if not self.queue and not self.lists:
             self.busy = False
             return
         began = self.stopwatch() if self.stopwatch else 0.0
         try:
-            while self.queue:
-                self.deliver_one(*self.queue.popleft())
+            while self.lists or self.queue:
+                if self.lists:
+                    self.deliver_one(None, "listed", self.lists.popleft())
+                else:
+                    self.deliver_one(*self.queue.popleft())
         finally:
             self.busy = False
         for pending in self.finished:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -173,10 +173,10 @@
 
     def listed(self, entries: Sequence[SrvFacts], whole: bool) -> None:
         """Entries of the list of workers; `whole` if it names them all."""
-        if not self.events.queue:
+        if not self.events.lists:
             self.unheard.clear()
         self.unheard.update(e.name for e in entries if e.listing is not Listing.GONE)
-        self.events.post(None, "listed", [(self.registry.srv(e.name), e) for e in entries], whole)
+        self.events.post_list([(self.registry.srv(e.name), e) for e in entries], whole)
         if whole:
             self.departing = dict.fromkeys(self.registry.srvs)
         self.departing.update((e.name, None) for e in entries if e.listing is Listing.GONE)
--- a/lapistrestle/hosting/requests.py
+++ b/lapistrestle/hosting/requests.py
@@ -56,6 +56,11 @@
     timer: Timer | None = None
     connection: Any = None  # the transport's own: which connection carries it
 
+    @property
+    def ends_by(self) -> int:
+        """When its time is up, however late it is written."""
+        return self.sent + self.time_out
+
 
 @dataclass(eq=False)
 class WorkerTask:
--- a/lapistrestle/model/links.py
+++ b/lapistrestle/model/links.py
@@ -110,7 +110,7 @@
         self.later(self.way, self.back, said)
 
     def run(self, attempt: Attempt) -> None:
-        self.send(attempt, run_of(attempt))
+        self.send(attempt, run_of(attempt, self.edge.clock()))
 
     def hold(self, task: WorkerTask) -> None:
         self.send(task, hold_of(task))
--- a/lapistrestle/node/board.py
+++ b/lapistrestle/node/board.py
@@ -15,8 +15,9 @@
 from lapistrestle.deployment import words
 from lapistrestle.edge.core import TENTHS, Core
 from lapistrestle.interface import Listing, SrvFacts
-from lapistrestle.node.place import Place, Row, split
-from lapistrestle.node.streams import Stream, dial
+from lapistrestle.node.freshness import ListFreshness
+from lapistrestle.node.place import Known, Place, Row, split
+from lapistrestle.node.streams import MOST_READS, Stream, dial
 
 HEAD = struct.Struct(">IQB")
 RECORD = struct.Struct(">IIHBBBHIQ")
@@ -26,6 +27,7 @@
 STATES = {listing: state for state, listing in enumerate(LISTINGS)}
 
 SILENCE = 22_000  # tenths of a millisecond: two of the empty frames have not come
+UNANSWERED = 12_000  # the first frame after the board was asked has not come, though one comes each second
 BULK = 1_024  # bytes at once: a long list that is coming in
 PAUSE = 1_000  # between two dials
 DIAL = 5_000
@@ -45,6 +47,13 @@
     weight: int  # thousandths
     started: int  # Unix milliseconds; 0: long ago
 
+    @property
+    def listing(self) -> Listing:
+        """What it says of the runner. A state that the page does not know, or a port that nobody can listen
+        at, never reads as ready: the rest of its event counts, and this one gets no new work."""
+        listing = LISTINGS[self.state] if self.state < len(LISTINGS) else Listing.DRAINING
+        return listing if self.port or listing is Listing.GONE else Listing.DRAINING
+
     @property
     def name(self) -> str:
         return f"s-{self.id:08x}"
@@ -92,10 +101,7 @@
     size = len(data) - HEAD.size
     if kind > CHANGES or (kind == NOTHING and size) or size % RECORD.size:
         raise Unreadable(f"kind {kind} with {size} bytes")
-    entries = tuple(Entry(*row) for row in RECORD.iter_unpack(data[HEAD.size :]))
-    if any(entry.state >= len(LISTINGS) or not entry.port for entry in entries):
-        raise Unreadable("a record out of range")
-    return Frame(number, kind, entries)
+    return Frame(number, kind, tuple(Entry(*row) for row in RECORD.iter_unpack(data[HEAD.size :])))
 
 
 News = Enum("News", "REPEAT NEXT GAP")
@@ -126,9 +132,11 @@
         super().__init__(board.core.reactor, sock, dialled=True)
         self.board, self.frames = board, Frames()
         self.heard = board.core.clock()
+        self.answered = False  # a frame has come
 
     def made(self) -> None:
         self.heard = self.board.core.clock()
+        self.board.freshness.asked(self.heard)
         self.send(self.board.last.to_bytes(8, "big"))
 
     def received(self, data: bytes) -> None:
@@ -140,6 +148,9 @@
             why = str(trouble)
         if self.frames.done or len(data) >= BULK:  # bytes alone are no word: half a frame may never end
             self.heard = self.board.core.clock()
+        if self.frames.done:
+            self.answered = True
+            self.board.freshness.heard(self.heard - self.board.core.unread_for(self.sock))
         for frame in self.frames.done:
             if self.board.told(frame) is Do.ASK:
                 return self.drop("a gap in the numbers")
@@ -157,6 +168,10 @@
         self.core, self.place = core, place
         self.address = place.file.board
         self.last = 0
+        now, age = core.clock(), place.age(time.time())
+        grace = core.facts["drain_grace"]
+        self.freshness = ListFreshness(grace, now - 1 if age is None else now - age + grace)
+        self.usable = False  # whether new work may begin by the list, as last asked
         self.watch: Watch | None = None
         self.stopped = False
         self.fast = True  # the next dial need not wait
@@ -165,34 +180,56 @@
         self.kinds = {name: i for i, name in enumerate(place.told.models)}
 
     def ready(self) -> bool:
-        return self.last > 0
+        """Whether there is a list, and new work may begin by it."""
+        self.core.read_lists()
+        return self.last > 0 and self.is_current()
 
     # core.ListSource
 
     def start(self) -> None:
-        known = self.place.file.known
-        for notice in known.notices:
-            if notice.rev > self.last:
-                rows = [self.entry(row) for row in notice.pool.servers]
-                self.take(rows, notice.pool.full)
-                self.last = notice.rev
-        self.last = max(self.last, known.rev)
+        self.learn(self.place.file.known)
         self.core.after(SILENCE, self.listen, None)
         self.dial()
 
     def follow(self) -> None: ...  # it is always followed
 
+    def read_now(self) -> None:
+        """Read what lies unread on the watch."""
+        if self.watch is not None and not self.watch.dialling:
+            self.watch.read(MOST_READS)
+
+    def is_current(self) -> bool:
+        """Whether new work may still begin by what the board told last; logged where that changes."""
+        now = self.core.clock()
+        usable = self.freshness.is_usable(now)
+        if usable is not self.usable:
+            self.usable = usable
+            says = "list usable" if usable else "list too old for new work"
+            self.core.log(says, last=self.last, past=now - self.freshness.usable_until)
+        return usable
+
     def stop(self) -> None:
         self.stopped = True
         if self.watch is not None:
             self.watch.drop("the dispatcher ends")
 
+    def learn(self, known: Known) -> None:
+        """Take the events of a configuration that are later than those told. One whole list, or the next
+        change: what lies between must not be passed over."""
+        for notice in known.notices:
+            after = news(notice.rev, self.last)
+            kind = WHOLE if notice.pool.full else CHANGES
+            if not self.last or FOLLOWING[kind, after] is Do.TAKE:
+                self.last = notice.rev
+                self.take([self.entry(row) for row in notice.pool.servers], notice.pool.full)
+
     def move(self, address: str | None) -> None:
         """The board is at another address from now on."""
         if address is None or address == self.address:
             return
         self.core.log("board moves", to=address, last=self.last)
         self.address = address
+        self.freshness.moved(self.core.clock())
         if self.watch is not None:
             self.watch.drop("the board is elsewhere")
         else:
@@ -216,6 +253,8 @@
         if self.watch is not watch:
             return
         self.watch = None
+        if not watch.dialling:
+            self.freshness.broke(self.core.came())
         if not self.stopped:
             if not watch.dialling:  # one that stays away is told once
                 self.core.log("board lost", why=why, last=self.last)
@@ -225,7 +264,8 @@
     def listen(self, _: object) -> None:
         """Silence beyond the empty frames means that the board no longer tells."""
         watch = self.watch
-        if watch is not None and not watch.dialling and self.core.clock() - watch.heard >= SILENCE:
+        patience = SILENCE if watch is not None and watch.answered else UNANSWERED
+        if watch is not None and not watch.dialling and self.core.clock() - watch.heard >= patience:
             watch.drop("silence")
         if not self.stopped:
             self.core.after(SILENCE // 8, self.listen, None)
@@ -244,22 +284,22 @@
         """In one turn the module hears it, ways open, and lines that wait for what drains are taken back."""
         facts = tuple(self.facts(entry) for entry in entries)
         named = {entry.name for entry in entries}
-        self.core.host.listed(facts, whole)
+        self.core.listed(facts, whole)
         for name in [name for name in self.core.runners if name not in named] if whole else ():
             self.core.address(name, None)
         at = {runner.address[0]: name for name, runner in self.core.runners.items()}
         for entry in entries:
             before = at.get(entry.address, entry.name)
-            if before != entry.name and LISTINGS[entry.state] is not Listing.GONE:
+            if before != entry.name and entry.listing is not Listing.GONE:
                 self.core.address(before, None)  # one that had this address has gone, told or not
-            gone = LISTINGS[entry.state] is Listing.GONE
+            gone = entry.listing is Listing.GONE
             self.core.address(entry.name, None if gone else (entry.address, entry.started))
         self.core.held_back(facts)
 
     def facts(self, entry: Entry) -> SrvFacts:
         booted = entry.started * UNIX_TENTHS - self.offset if entry.started else None
         return SrvFacts(
-            entry.name, entry.zone, entry.cell, entry.kind, entry.weight / 1000, LISTINGS[entry.state], booted
+            entry.name, entry.zone, entry.cell, entry.kind, entry.weight / 1000, entry.listing, booted
         )
 
     def entry(self, row: Row) -> Entry:
@@ -268,7 +308,7 @@
         number = 0
         for part in host.split("."):
             number = number << 8 | int(part)
-        state = STATES[words.LISTINGS.get(row.state, Listing.SERVING)]
+        state = STATES[words.LISTINGS.get(row.state, Listing.DRAINING)]
         zone, kind = self.zones.get(row.zone, 0), self.kinds.get(row.kind, 0)
         weight, started = round(row.weight * 1000), int(row.started_ms)
         return Entry(int(row.id[2:], 16), number, port, state, zone, kind, row.cell, weight, started)
--- a/lapistrestle/node/client.py
+++ b/lapistrestle/node/client.py
@@ -5,7 +5,7 @@
 
 from lapistrestle.hosting.requests import ABORTED, DENIED, OK, PendingRequest
 from lapistrestle.node import records
-from lapistrestle.node.streams import Stream
+from lapistrestle.node.streams import READ, Stream
 
 if TYPE_CHECKING:
     from lapistrestle.node.front import Front
@@ -46,8 +46,12 @@
     def received(self, data: bytes) -> None:
         """Bytes came: whole requests go to the front."""
         self.front.core.input()
-        self.unread = self.front.core.unread_for(self.sock)
-        for event in self.reader.feed(data):
+        unread, longest = self.front.core.unread_for(self.sock), self.front.core.since_look()
+        events = self.reader.feed(data)
+        for event in events:
+            # the kernel tells of the last bytes alone: what came before those may be as old as the look
+            newest = event is events[-1] and len(data) < READ
+            self.unread = unread if newest else longest
             if self.dead:
                 return
             match event:
--- a/lapistrestle/node/connection.py
+++ b/lapistrestle/node/connection.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from lapistrestle.edge.core import Core
-from lapistrestle.edge.linking import Input, Link, LinkCallbacks, Linking
-from lapistrestle.hosting.requests import NO_REPORT
+from lapistrestle.edge.linking import Input, Line, Link, LinkCallbacks, Linking
+from lapistrestle.hosting.requests import NO_REPORT, Attempt, WorkerTask
 from lapistrestle.interface import Outcome
 from lapistrestle.node.place import split
 from lapistrestle.node.replies import ATTEMPTS, NO_ATTRS, ORDERS, PROBES, Attrs, Reply, reply_of, report_of
@@ -68,16 +68,14 @@
         """Lines that wait here, and those whose end is awaited."""
         return len(self.linking.out) + len(self.linking.waiting)
 
-    def send(
-        self, number: int, rid: str, line: bytes, prompt: bool = False, until: int | None = None
-    ) -> bool:
-        """Send a line as soon as the connection is up; False if it can't be taken. `prompt`: within PROMPT;
-        `until`: not after that moment."""
+    def send(self, rid: str, line: Line, prompt: bool = False) -> bool:
+        """Send a line as soon as the connection is up, with `prompt` within PROMPT; False if it can't be
+        taken."""
         self.since = self.core.clock()
-        self.by_rid[rid], self.rids[number] = number, rid
-        if self.linking.send(number, line, prompt=prompt, until=until):
+        self.by_rid[rid], self.rids[line.number] = line.number, rid
+        if self.linking.send(line, prompt):
             return True
-        self.forget(number)
+        self.forget(line.number)
         return False
 
     def stale(self) -> bool:
@@ -222,6 +220,10 @@
         self.linking.step(Input.FAILED)
         self.release()
 
+    def may_begin(self, work: Attempt | WorkerTask) -> bool:
+        """Whether new work may begin to leave for the runner now."""
+        return self.core.may_begin(work, self.runner)
+
     def write(self, line: bytes, number: int = 0) -> bool:
         """Write a line; False if none of it left. What waits after it slows the link down."""
         if self.stream is None:
@@ -247,7 +249,7 @@
             self.lose(number, Outcome.UNREACHABLE)
 
     def not_sent(self, numbers: list[int]) -> None:
-        """The link was closed, or the runner drains."""
+        """Held back: the runner serves no more, or nobody waits for it. It says nothing of the runner."""
         for number in numbers:
             self.lose(number, Outcome.MOOT)
 
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/place.py
@@ -12,6 +12,7 @@
 from lapistrestle.interface import Facts
 
 ADDRESS = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}")
+TENTHS = 10_000  # of a millisecond in a second
 Address = Annotated[str, Meta(pattern=f"^{ADDRESS.pattern}$")]
 
 
@@ -147,6 +148,14 @@
     file: File
     told: Told
     facts: Facts
+    written: float | None = None  # when the file was, in seconds of the Unix clock; None: not known
+
+    def age(self, now: float) -> int | None:
+        """How old the file's list of workers is at a Unix time, in tenths of a millisecond; None where that
+        is not known, as with a clock that was set back since."""
+        if self.written is None or now < self.written:
+            return None
+        return int((now - self.written) * TENTHS)
 
     @property
     def report_names(self) -> dict[str, str]:
@@ -166,10 +175,12 @@
     if not path:
         raise Wrong("EDGE_CONFIG is not set; it names the file of the configuration")
     try:
-        raw = Path(path).read_bytes()
+        raw, written = Path(path).read_bytes(), Path(path).stat().st_mtime
     except OSError as trouble:
         raise Wrong(f"{path}: can't be read: {trouble.strerror}") from None
-    return parse(raw, path)
+    place = parse(raw, path)
+    place.written = written
+    return place
 
 
 def bare(settings: Any) -> Any:
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -16,8 +16,8 @@
 COUNTED = 30_000  # SIGKILL comes no sooner than the longest deadline, longer ones counted as this,
 KILLED = 7_000  # and this after it
 SPARE = 500  # before that all that is left is answered
-REREAD = 1_000  # a configuration that can't be used is read again after this, and then more and more rarely
-READINGS = 8
+REREAD = 1_000  # between two readings of a configuration that can't be used yet,
+REREAD_FOR = 60_000  # for so long; what another board tells counts as told 4 s after the signal
 
 
 class Node:
@@ -39,7 +39,9 @@
         return port
 
     def renewed(self, place: Place) -> None:
-        """A new configuration is in force; what can change in a running dispatcher is where the board is."""
+        """A new configuration is in force; what can change in a running dispatcher is where the board is, and
+        what it has told."""
+        self.board.learn(place.file.known)
         self.board.move(place.file.board)
 
     def reload(self, read: Callable[[], Place]) -> None:
@@ -56,8 +58,8 @@
         except Wrong as trouble:
             if not tries:
                 self.core.log("configuration refused, the old one holds", why=str(trouble))
-            if tries < READINGS:
-                self.core.after(REREAD << tries, self.reread, (reading, tries + 1, read))
+            if tries < REREAD_FOR // REREAD:
+                self.core.after(REREAD, self.reread, (reading, tries + 1, read))
 
     def leave(self, stopped: Callable[[], None]) -> None:
         """SIGTERM: serve what still comes for a while, then take nothing new and finish what is open, all of
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from lapistrestle.edge.core import Core
-from lapistrestle.edge.linking import Input, Link
+from lapistrestle.edge.linking import Input, Line, Link
 from lapistrestle.hosting.requests import Attempt, WorkerTask
 from lapistrestle.interface import Outcome
 from lapistrestle.node.connection import RunnerConnection
@@ -14,6 +14,7 @@
 SECOND = 10_000  # in tenths of a millisecond
 SWEEP = SECOND  # between two looks for idle connections
 MICROSECONDS = 100  # in a tenth of a millisecond
+TENTHS_IN_MS = 10
 SOCKETS_PART = (2, 5)  # of the process's sockets may go to runners
 WAITS_LONGER = 16  # lines that a connection which is not open counts as having more
 USABLE = (Link.OPEN, Link.DIALING, Link.SLOW)
@@ -98,16 +99,19 @@
     def run(self, attempt: Attempt) -> None:
         """Send an attempt."""
         pending, asked = attempt.pending, attempt.pending.message
-        connection = self.pick(asked.used)
-        line = b'{"verb":"RUN","rid":"%s","attrs":{%s,"budget":%d%s},"content":"%s"}\n' % (
-            asked.id, asked.head, max(1, attempt.time_out // 10), asked.key, b64encode(asked.body),
-        )  # fmt: skip
-        attempt.connection = connection
-        number, until = attempt.number, attempt.begin_by
-        if connection is None or not connection.send(number, pending.tag, line, until=until):
+        connection = attempt.connection = self.pick(asked.used)
+        line = Line(attempt.number, lambda: self.run_line(attempt), attempt.begin_by, attempt)
+        if connection is None or not connection.send(pending.tag, line):
             return self.core.host.ended(attempt.number, Outcome.FULL)
         asked.used.append(connection)
 
+    def run_line(self, attempt: Attempt) -> bytes:
+        """An attempt as the runner is told of it, with the time that is left as it is written."""
+        asked, left = attempt.pending.message, attempt.ends_by - self.core.clock()
+        return b'{"verb":"RUN","rid":"%s","attrs":{%s,"budget":%d%s},"content":"%s"}\n' % (
+            asked.id, asked.head, max(1, left // TENTHS_IN_MS), asked.key, b64encode(asked.body),
+        )  # fmt: skip
+
     def hold(self, task: WorkerTask) -> None:
         """Send an order to hold copies."""
         assert task.fn is not None
@@ -123,13 +127,14 @@
         connection, tag = self.pick([]), f"t{task.number}"
         task.connection = connection
         line = b'{"verb":"%s","rid":"%s"%s}\n' % (verb, tag.encode(), attrs)
-        if connection is None or not connection.send(task.number, tag, line, prompt):
+        work = task if task.count else None  # asking, and probing, begins nothing
+        if connection is None or not connection.send(tag, Line(task.number, lambda: line, work=work), prompt):
             self.core.host.task_ended(task.number, Outcome.FULL)
 
     def unload(self, fn: str) -> None:
         """Have it drop a function; no reply is awaited."""
         if connection := self.pick([]):
-            connection.linking.send(0, b'{"verb":"FREE","rid":"%s"}\n' % fn.encode(), owed=False)
+            connection.linking.send(Line(0, lambda: b'{"verb":"FREE","rid":"%s"}\n' % fn.encode()))
 
 
 class RunnerPools:
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -16,6 +16,8 @@
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 PAUSE = 0.1  # seconds without accepting where the machine has no room: readable still, it would spin
 READ = 16_384  # bytes of one connection a turn
+MOST_READS = 64  # pieces that are read at once of what lies unread: all that a client may have open, and more
+FRESH = 0.02  # seconds for which a connection that was read to its end need not be read again
 
 
 class Stream:
@@ -28,6 +30,7 @@
         self.at = 0  # bytes of the first piece that have left
         self.waiting = 0  # bytes that have not
         self.writing = self.reading = False
+        self.read_at = -FRESH  # when it was last read to its end, by the reactor's clock
 
     def begin(self) -> None:
         if self.dialling:
@@ -54,19 +57,31 @@
         return type(self).__name__
 
     def doRead(self) -> None:
-        for _ in range(self.pieces()):
+        self.read(self.pieces())
+
+    def read(self, pieces: int) -> None:
+        """Read what has come, some pieces at the most."""
+        for _ in range(pieces):
             if self.dead or not self.reading:
                 return
             try:
                 data = self.sock.recv(READ)
             except OSError as trouble:
                 if trouble.errno not in AGAIN:
-                    self.drop(trouble.strerror or "lost")
+                    return self.drop(trouble.strerror or "lost")
+                self.read_at = self.reactor.seconds()
                 return
             if not data:
                 return self.drop("closed by the peer")
+            if len(data) < READ:
+                self.read_at = self.reactor.seconds()
             self.received(data)
 
+    def read_now(self) -> None:
+        """Read what lies unread, its end included, unless that was done within FRESH."""
+        if self.reactor.seconds() - self.read_at > FRESH:
+            self.read(MOST_READS)
+
     def doWrite(self) -> None:
         if self.dead:
             return
--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -278,9 +278,9 @@
             self.asked = True
             last = int.from_bytes(self.rest[:8], "big")
             self.board.asked.append(last)
-            for number, event in self.board.events.items():
-                if number > last:
-                    self.send(event)
+            later = [event for number, event in self.board.events.items() if number > last]
+            for event in later or [frame(max(self.board.events, default=0), 0)]:
+                self.send(event)
 
     def lost(self, why: str) -> None:
         self.board.followers.remove(self)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -367,6 +367,7 @@
     first = client.ask()
     stage.hand.until(lambda: client.status(first))
     stage.hand.rightNow += 7.0  # idle for longer than it may be
+    stage.board.raw(frame(1, 0))  # the board has told that nothing is new all the while
     second = client.ask()  # on its way before the close
     if who == "the sweep":
         stage.node.front.sweep(None)
--- a/tests/test_linking.py
+++ b/tests/test_linking.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lapistrestle.edge.linking import LIFE, MOST_WAITING, PROMPT, Input, Link, LinkCallbacks, Linking
+from lapistrestle.edge.linking import LIFE, MOST_WAITING, PROMPT, Input, Line, Link, LinkCallbacks, Linking
 
 
 class Recorder(LinkCallbacks):
@@ -32,6 +32,10 @@
         self.acts.append(("broke", numbers))
 
 
+def send(link, number, data, prompt=False, **more):
+    return link.send(Line(number, lambda: data, **more), prompt)
+
+
 link_clock = [0]
 
 
@@ -50,7 +54,7 @@
 
 
 def test_lines_wait_for_the_greeting_and_then_go_in_order(link):
-    assert link.send(1, b"a") and link.send(2, b"b")
+    assert send(link, 1, b"a") and send(link, 2, b"b")
     assert link.callbacks.acts == ["dial"] and link.state is Link.DIALING
     link.step(Input.GREETED)
     assert link.callbacks.acts == ["dial", b"a", b"b"] and list(link.out) == [1, 2]
@@ -58,15 +62,15 @@
 
 @pytest.mark.parametrize("why", [Input.FAILED, Input.BROKE])
 def test_what_waits_for_a_connection_that_fails_never_left(link, why):
-    link.send(1, b"a")
+    send(link, 1, b"a")
     link.step(why)
     assert ("never left", [1]) in link.callbacks.acts and not link.out and link.state is Link.RESTING
 
 
 def test_what_was_written_may_have_run_when_the_connection_breaks(open_link):
-    open_link.send(1, b"a")
+    send(open_link, 1, b"a")
     open_link.step(Input.SLOWED)
-    open_link.send(2, b"b")
+    send(open_link, 2, b"b")
     open_link.step(Input.BROKE)
     assert [a for a in open_link.callbacks.acts if a[0] in ("never left", "broke")] == [
         ("never left", [2]),
@@ -75,17 +79,17 @@
 
 
 def test_a_runner_that_is_gone_keeps_its_connection_until_its_calls_end(open_link):
-    open_link.send(1, b"a")
+    send(open_link, 1, b"a")
     open_link.step(Input.DROPPED)
     assert open_link.state is Link.ENDING and "close" not in open_link.callbacks.acts
-    assert not open_link.send(2, b"b")
+    assert not send(open_link, 2, b"b")
     assert open_link.ended(1) and open_link.state is Link.ENDED and open_link.callbacks.acts[-1] == "close"
     assert not open_link.ended(1)
 
 
 def test_a_withdrawn_line_is_never_sent(link):
-    link.send(1, b"a")
-    link.send(2, b"b")
+    send(link, 1, b"a")
+    send(link, 2, b"b")
     assert link.withdraw(1) and not link.withdraw(1)
     link.step(Input.GREETED)
     assert link.callbacks.acts == ["dial", b"b"]
@@ -93,8 +97,8 @@
 
 
 def test_a_runner_too_far_behind_takes_no_more(link):
-    assert all(link.send(n + 1, b"x") for n in range(MOST_WAITING))
-    assert not link.send(0, b"y")
+    assert all(send(link, n + 1, b"x") for n in range(MOST_WAITING))
+    assert not send(link, 0, b"y")
 
 
 def test_rests_grow_up_to_a_limit_and_end_where_somebody_waits(link):
@@ -106,24 +110,24 @@
         link.step(Input.DUE)
     assert rests[0] <= 1_000 and max(rests) <= 20_000 and max(rests) > 8_000
     link.step(Input.FAILED)
-    link.send(1, b"a")
+    send(link, 1, b"a")
     assert link.state is Link.DIALING
 
 
 def test_an_order_that_had_to_wait_is_given_back_and_not_sent_late(link):
-    link.send(1, b"call")
-    link.send(2, b"order", prompt=True)
+    send(link, 1, b"call")
+    send(link, 2, b"order", prompt=True)
     link.step(Input.GREETED)
     assert link.callbacks.acts == ["dial", b"call", b"order"]
     link.step(Input.BROKE)
-    link.send(3, b"call")
-    link.send(4, b"order", prompt=True)
+    send(link, 3, b"call")
+    send(link, 4, b"order", prompt=True)
     link_clock[0] += PROMPT + 1
     link.callbacks.acts.clear()
     link.step(Input.GREETED)
     assert link.callbacks.acts == [b"call", ("not sent", [4])] and list(link.out) == [3]
     link.step(Input.SLOWED)
-    assert not link.send(5, b"order", prompt=True) and link.send(6, b"call")
+    assert not send(link, 5, b"order", prompt=True) and send(link, 6, b"call")
 
 
 def test_every_state_has_a_way_out_and_the_table_names_only_known_effects():
@@ -135,7 +139,7 @@
 def test_a_connection_that_breaks_under_the_write_ends_that_line_with_the_others(open_link):
     """It had been counted as out only after the write, when nobody would tell its end any more."""
     open_link.callbacks.write = lambda line, number=0: open_link.step(Input.BROKE) is None
-    open_link.send(1, b"a")
+    send(open_link, 1, b"a")
     assert ("broke", [1]) in open_link.callbacks.acts and not open_link.out
 
 
@@ -147,7 +151,7 @@
         return False
 
     open_link.callbacks.write, wrote = full, open_link.callbacks.write
-    assert open_link.send(1, b"a") and open_link.send(2, b"b")
+    assert send(open_link, 1, b"a") and send(open_link, 2, b"b")
     assert not open_link.out and open_link.cancel_unsent(1) and not open_link.cancel_unsent(1)
     open_link.callbacks.write = wrote
     open_link.step(Input.EASED)
@@ -155,8 +159,8 @@
 
 
 def test_a_line_that_may_not_begin_after_a_moment_is_not_sent_then(link):
-    link.send(1, b"repeat", until=link_clock[0] + 500)
-    link.send(2, b"first")
+    send(link, 1, b"repeat", until=link_clock[0] + 500)
+    send(link, 2, b"first")
     link_clock[0] += 501
     link.step(Input.GREETED)
     assert link.callbacks.acts == ["dial", b"first", ("not sent", [1])]
--- /dev/null
+++ b/tests/test_node_freshness.py
@@ -0,0 +1,372 @@
+"""How old the list of workers may be, and what is asked just before a line leaves (rules 1 and 3)."""
+
+import json
+import os
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_crossings import Closed, connections, held, slow, still
+from test_node import SETTINGS, Stage
+
+from lapistrestle.edge.linking import Link
+from lapistrestle.interface import Listing
+from lapistrestle.node.board import Entry, frame_of
+from lapistrestle.node.freshness import ListFreshness
+from lapistrestle.node.place import Wrong, read
+from lapistrestle.standins.platform import BoardEnd, frame, row
+
+SECOND = 10_000  # tenths of a millisecond
+SILENT, BROKEN, MOVED = 4.0, 2.0, 4.0  # seconds after which what the board would have told counts as told
+GRACE = 2.0  # seconds, as the settings of `Stage` have it
+DRAINING = 1
+
+
+@pytest.fixture
+def stages():
+    made = []
+
+    def make(*args, **more):
+        made.append(Stage(*args, **more))
+        return made[-1]
+
+    yield make
+    for stage in made:
+        stage.close()
+
+
+@pytest.fixture
+def stage(stages):
+    """One runner: whatever is asked goes there."""
+    return stages(runners=1)
+
+
+def asked(stage, client=None, **fields):
+    """The status of one more request."""
+    client = client or stage.client()
+    number = client.ask(id=os.urandom(8).hex(), **fields)
+    stage.hand.until(lambda: client.status(number) is not None)
+    return client.status(number)
+
+
+def board_of(stage):
+    return stage.node.board
+
+
+# the decision
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    grace=st.integers(0, 3 * SECOND),
+    words=st.lists(
+        st.tuples(st.sampled_from(["heard", "broke", "moved", "asked"]), st.integers(0, 2 * SECOND)),
+        max_size=12,
+    ),
+)
+def test_whatever_happened_the_list_is_never_used_past_what_counts_as_told_and_the_grace(grace, words):
+    """Told at the latest: 4 s after the last frame, 2 s after a break, at once where asked since then."""
+    freshness, now, told = ListFreshness(grace, usable_until=grace), 0, 0
+    for word, pause in words:
+        now += pause
+        getattr(freshness, word)(now)
+        if word == "heard":
+            told = now + int(SILENT * SECOND)
+        else:
+            after = {"broke": BROKEN, "moved": MOVED, "asked": 0}[word]
+            told = min(told, now + int(after * SECOND))
+        assert freshness.usable_until == max(told + grace, freshness.usable_until)
+        assert freshness.usable_until <= told + grace
+        assert freshness.is_usable(told + grace) and not freshness.is_usable(told + grace + 1)
+
+
+# the board and its silences
+
+
+def usable_for(stage, most=12.0):
+    """When from now on a request was served last, in seconds, asked every tenth of one; None: always."""
+    began = last = stage.hand.rightNow
+    while stage.hand.rightNow < began + most:
+        runs = len(stage.runs())
+        status = asked(stage)
+        if status != 200:
+            assert status == 503 and len(stage.runs()) == runs
+            return last - began
+        last = stage.hand.rightNow
+        stage.hand.run(0.1)
+    return None
+
+
+def test_a_board_that_is_silent_again_when_asked_anew_ends_new_work_a_grace_later(stage):
+    """It took the new connection and told nothing: what is in it counts as told from then on."""
+    stage.board.beats = False
+    taken = []
+    stage.board.listener.taken = taken.append
+    lasted = usable_for(stage)
+    assert taken and lasted is not None and lasted <= 2.6 + GRACE  # asked anew after 2.2 to 2.5 s
+    assert asked(stage, script="/_health") == 503
+
+
+def test_a_board_that_is_gone_ends_new_work_within_the_time_of_a_break_and_a_grace(stage):
+    stage.board.listener.close()
+    stage.board.cut()
+    lasted = usable_for(stage)
+    assert lasted is not None and BROKEN + GRACE - 0.3 < lasted < BROKEN + GRACE + 0.001
+
+
+def test_work_goes_on_with_the_first_word_of_a_board_that_is_back(stage):
+    stage.board.listener.close()
+    stage.board.cut()
+    assert usable_for(stage) is not None
+    back = BoardEnd(stage.hand, port=stage.board.port)
+    back.events = dict(stage.board.events)
+    stage.hand.run(1.5)  # its next heartbeat
+    assert asked(stage) == 200
+    assert [what for what, _ in stage.logs if what.startswith("list")][-2:] == [
+        "list too old for new work", "list usable",
+    ]  # fmt: skip
+    back.listener.close()
+    back.cut()
+
+
+def test_a_break_that_is_mended_at_once_costs_no_request(stage):
+    for _ in range(3):
+        stage.board.cut()
+        stage.hand.run(0.01)
+        assert usable_for(stage, most=1.5) is None
+
+
+def test_a_calm_board_is_always_recent_enough(stage):
+    assert usable_for(stage, most=15.0) is None
+    assert stage.board.asked == [0]
+
+
+# configurations
+
+
+def written(stage, tmp_path, **more):
+    """The file of the configuration."""
+    path = tmp_path / "config.json"
+    file = {"name": "n3", "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS} | more
+    path.write_text(json.dumps(file))
+    return path
+
+
+def server(stage, state="SERVING", number=1):
+    return {
+        "id": f"s-{number:08x}", "addr": f"127.0.0.1:{stage.runners[0].port}", "zone": "east", "kind": "std",
+        "cell": 0, "state": state,
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize("whole_after", [0.05, 0.65, 3.3, 3.9])
+def test_a_file_that_is_whole_within_the_time_of_a_move_is_read_in_time(stage, tmp_path, whole_after):
+    """It was read again after 0.1, 0.3, 0.7, 1.5, 3.1 and 6.3 s: the last is past 4 s and most graces."""
+    began, second = stage.hand.rightNow, BoardEnd(stage.hand)
+    whole = read(str(written(stage, tmp_path, board=f"127.0.0.1:{second.port}")))
+
+    def reading():
+        if stage.hand.rightNow < began + whole_after:
+            raise Wrong("half of it")
+        return whole
+
+    stage.node.reload(reading)
+    stage.hand.run(whole_after + 0.15)
+    stage.hand.until(lambda: second.asked)
+    second.listener.close()
+    second.cut()
+
+
+def test_a_new_configuration_brings_the_later_events_that_it_holds(stage, tmp_path):
+    """They were passed over: a drain that stood in the file was waited for until the new board told it."""
+    events = [{"rev": 2, "pool": {"full": False, "servers": [server(stage, "DRAINING")]}}]
+    path = written(stage, tmp_path, known={"rev": 2, "notices": events})
+    stage.node.renewed(read(str(path)))
+    assert stage.srvs()["s-00000001"].listing is Listing.DRAINING and board_of(stage).last == 2
+
+
+def test_events_of_a_configuration_that_miss_one_between_are_left_to_the_board(stage, tmp_path):
+    events = [{"rev": 3, "pool": {"full": False, "servers": [server(stage, "DRAINING")]}}]
+    stage.node.renewed(read(str(written(stage, tmp_path, known={"rev": 3, "notices": events}))))
+    assert board_of(stage).last == 1 and stage.srvs()["s-00000001"].listing is Listing.SERVING
+
+
+@pytest.mark.parametrize("behind, age", [(0.0, 0), (1.5, 15_000), (-1.0, None)])
+def test_the_age_of_the_list_is_that_of_its_file(stage, tmp_path, behind, age):
+    place = read(str(written(stage, tmp_path)))
+    assert place.age(place.written + behind) == age
+
+
+# what a frame may hold
+
+
+def test_a_record_that_cannot_be_used_costs_the_others_of_its_event_nothing(stages):
+    """One out of range, and the event was asked for again for ever: no later drain was heard."""
+    stage = stages()
+    stage.board.tell(2, 2, stage.row(0, state=7), row(9, 0), stage.row(1, state=DRAINING))
+    stage.board.tell(3, 2, row(8, 1234, zone=200, kind=200, state=2))
+    stage.hand.until(lambda: board_of(stage).last == 3)
+    listings = {name: srv.listing for name, srv in stage.srvs().items()}
+    assert set(listings.values()) == {Listing.DRAINING} and stage.board.asked == [0]
+    assert asked(stage) == 503 and stage.runs() == []
+
+
+@given(state=st.integers(0, 255), port=st.integers(0, 65_535))
+def test_only_the_state_zero_with_a_port_reads_as_ready(state, port):
+    (entry,) = frame_of(frame(1, 1, row(1, port, state=state))).entries
+    assert isinstance(entry, Entry)
+    assert (entry.listing is Listing.SERVING) == (state == 0 and port > 0)
+
+
+# just before the first byte
+
+
+def late_between_decision_and_write(stage, meanwhile):
+    """The process stands still after the module has decided and before anything is written."""
+    sent = stage.node.core.run
+
+    def run(attempt):
+        stage.node.core.run = sent
+        meanwhile()
+        still(stage, 0.3)
+        sent(attempt)
+
+    stage.node.core.run = run
+
+
+@pytest.mark.parametrize("state", [1, 2], ids=["drains", "is gone"])
+def test_a_standstill_between_the_decision_and_the_write_sends_nothing_to_one_that_drains(stage, state):
+    assert asked(stage) == 200
+    late_between_decision_and_write(stage, lambda: stage.board.tell(2, 2, stage.row(0, state=state)))
+    assert asked(stage) == 503 and len(stage.runs()) == 1
+    assert stage.node.core.counts["not begun"] == 1
+    assert [figures["listing"] for what, figures in stage.logs if what == "not begun"] != []
+
+
+@pytest.mark.parametrize("how", ["aborts", "closes"])
+def test_a_standstill_between_the_decision_and_the_write_begins_nothing_for_a_client_that_left(stage, how):
+    assert asked(stage) == 200
+    client = stage.client()
+
+    def leaves():
+        if how == "aborts":
+            client.give_up(1)
+        else:
+            client.drop("gone")
+
+    late_between_decision_and_write(stage, leaves)
+    client.ask(id=os.urandom(8).hex())
+    stage.hand.until(lambda: stage.host.counts["left"])
+    stage.hand.quiet()
+    assert len(stage.runs()) == 1 and not stage.host.attempts
+
+
+def test_the_last_of_many_requests_is_not_begun_for_a_client_that_closed_behind_them(stage):
+    """After a standstill 64 KiB were read at once: what lay behind them, the close too, some looks later."""
+    client = stage.client()
+    assert asked(stage, client) == 200
+    stage.hand.readers.pop(next(iter(stage.node.front.connections)))
+    for _ in range(8):
+        client.ask(body=b"x" * 16_000, id=os.urandom(8).hex())
+    stage.hand.until(lambda: not client.unsent)
+    client.drop("gone")
+    still(stage, 0.3)
+    for connection in stage.node.front.connections:
+        stage.hand.readers[connection] = None
+    stage.hand.quiet()
+    assert len(stage.runs()) == 1 and stage.host.open == 0
+
+
+def test_a_socket_that_eases_in_a_standstill_carries_nothing_to_one_that_drains(stage):
+    """What waited for room left as soon as there was some, before the event of the same look was read."""
+    client, line, connection = slow(stage)
+    before = len(stage.runs())
+    client.ask(method="bill", patience="3000")
+    stage.hand.until(lambda: connection.linking.state is Link.SLOW)
+    watch = board_of(stage).watch
+    stage.hand.readers.pop(watch)  # the reactor turns to it last
+    stage.board.tell(2, 2, stage.row(0, state=DRAINING))
+    still(stage, 0.3)
+    stage.hand.addReader(line)
+    stage.hand.until(lambda: connection.linking.state is not Link.SLOW)
+    stage.hand.addReader(watch)
+    stage.hand.quiet()
+    assert len(stage.runs()) == before and not stage.host.attempts
+
+
+def test_a_connection_that_comes_up_in_a_standstill_carries_nothing_to_one_that_drains(stage):
+    closed, client = Closed(stage), stage.client()
+    client.ask(method="bill", patience="3000")
+    stage.hand.until(lambda: held(stage))
+    watch = board_of(stage).watch
+    stage.hand.readers.pop(watch)
+    stage.board.tell(2, 2, stage.row(0, state=DRAINING))
+    still(stage, 0.1)
+    closed.open()
+    stage.hand.until(lambda: not held(stage))
+    stage.hand.addReader(watch)
+    stage.hand.quiet()
+    assert stage.runs() == [] and not stage.host.attempts
+
+
+def test_an_order_is_not_sent_to_one_that_drains_behind_a_standstill(stage):
+    """A miss was read first, and the order that followed it left before the event was read."""
+    stage.runners[0].loaded, got = {}, []
+    stage.runners[0].on_run = lambda line, said: got.append((line, said))
+    client = stage.client()
+    number = client.ask()
+    stage.hand.until(lambda: got)
+    line, said = got[0]
+    line.say("404", said["rid"])
+    watch = board_of(stage).watch
+    stage.hand.readers.pop(watch)
+    stage.hand.readers[watch] = None  # met last in the look that brings both
+    stage.board.tell(2, 2, stage.row(0, state=DRAINING))
+    still(stage, 3.0)
+    stage.hand.until(lambda: client.status(number) is not None)
+    assert [said for said in stage.runners[0].others if said["verb"] == "HOLD"] == []
+
+
+# the time that is passed on
+
+
+def test_the_time_passed_on_is_what_is_left_as_the_line_is_written(stage):
+    """It was written into the line before the connection was up: 0.2 s of them were gone by then."""
+    closed, client = Closed(stage), stage.client()
+    client.ask(patience="1000")
+    stage.hand.until(lambda: held(stage))
+    stage.hand.run(0.2)
+    closed.open()
+    stage.hand.until(stage.runs)
+    (said,) = stage.runs()
+    assert 0 < said["attrs"]["budget"] <= 800
+
+
+def test_what_has_no_time_left_as_the_connection_comes_up_is_not_sent(stages):
+    stage = stages(runners=1, limits=SETTINGS["limits"] | {"dial-timeout": 5_000_000})
+    closed, client = Closed(stage), stage.client()
+    number = client.ask(patience="400")
+    stage.hand.until(lambda: held(stage))
+    still(stage, 0.41)
+    closed.open()
+    stage.hand.until(lambda: client.status(number) is not None)
+    stage.hand.until(lambda: all(c.linking.state is Link.OPEN for c in connections(stage)))
+    assert stage.runs() == []
+
+
+def test_many_requests_on_one_connection_each_have_what_their_client_has_left(stage):
+    """Of several that lay unread the older ones had counted as new as the last."""
+    client = stage.client()
+    assert asked(stage, client) == 200
+    connection = next(iter(stage.node.front.connections))
+    stage.hand.readers.pop(connection)
+    client.ask(method="bill", patience="1000", id=os.urandom(8).hex())
+    still(stage, 0.3)
+    client.ask(method="bill", patience="1000", id=os.urandom(8).hex())
+    stage.hand.unread_for = lambda sock: 0.0  # the kernel tells of the last bytes alone
+    stage.hand.looked = (stage.hand.rightNow - 0.3, stage.hand.rightNow)
+    stage.hand.rightNow += 0.001
+    connection.read(1)
+    stage.hand.quiet()
+    first, second = [said["attrs"]["budget"] for said in stage.runs()[1:]]
+    assert first <= 700 + 150 and second <= 1000
