A worker that is gone and back within its slow start keeps what it was sent

Seen: listed gone and then back with the same start, nothing out, a worker got a new object and its window of slow start began anew, so it could be sent the same a second time (rule 4). `ModuleHost.drop_departed` kept a departed worker only while something was out, held or not yet heard. It stays now while it was sent something within the window.

--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -185,11 +185,17 @@
 
     def drop_departed(self) -> None:
         """Without this a long life keeps every worker that ever served. One that is back, of which the module
-        has not heard yet, still counts as gone there and stays."""
+        has not heard yet, still counts as gone there and stays. So does one that was sent something within
+        the window of its slow start: back in it, it would be sent as much once more (rule 4)."""
         held = {task.srv for task in self.tasks.values()}
         srvs = self.registry.srvs
         left = [srvs[name] for name in self.departing if name in srvs and srvs[name].listing is Listing.GONE]
-        stay = {s.name: None for s in left if s.out or s in held or s.name in self.unheard}
+        since = self.clock() - self.facts["fall_time"]
+        stay = {
+            srv.name: None
+            for srv in left
+            if srv.out or srv in held or srv.name in self.unheard or srv.sent_since(since)
+        }
         for srv in left:
             if srv.name not in stay:
                 del srvs[srv.name]
