Front: a request that was read is answered before its connection is closed

`Stream.close` left bytes unread, so that the kernel reset what was written. `Front.close` gave up the listener's line where no descriptor was left, `Front.owes` read 16 KiB of each connection. Time in the line of a full listener did not count towards the client's patience: a budget of 994 ms of 1000 was passed on 0.4 s late.

Change: a connection ends by phases. What is open on it is answered, what still comes is refused (or discarded, where it can't be read), then the sending side is shut and the rest is read until the client closes, within 1 s and 256 KiB (64 MiB while requests are open). After what can't be read, open requests are answered within 2 s. Of two requests under one number the first is withdrawn as before; its neighbours are answered. A connection over the limit, or a new one that makes room for others, is a guest for 1 s: its first request is served if there is room by then, else refused. Guests and shut connections take an eighth of the clients' part of the descriptors. A client that does not read is not read from, and is closed after 6 s without progress. At the end the listener's line is accepted as descriptors come free, each connection is read to its end and half requests are refused.

--- a/lapistrestle/node/client.py
+++ b/lapistrestle/node/client.py
@@ -1,6 +1,7 @@
 """One connection of a web server that speaks FastCGI, and the requests that are open on it."""
 
 import socket
+from enum import IntEnum
 from typing import TYPE_CHECKING, Any
 
 from lapistrestle.hosting.requests import ABORTED, DENIED, OK, PendingRequest
@@ -11,7 +12,11 @@
     from lapistrestle.node.front import Front
 
 SECOND = 10_000  # in tenths of a millisecond
-MOST_UNSENT = 1_048_576  # bytes towards a client that does not read
+MOST_UNSENT = 1_048_576  # bytes towards a client that does not read: more of it is not read meanwhile
+MOST_DISCARDED = 262_144  # bytes read of a connection that is to be closed, once nothing is owed on it
+MOST_DISCARDED_OPEN = 67_108_864  # and while requests are open on it: more than the longest body sent
+MOST_READS = 64  # of one connection in a last look
+DISCARDING_TIME = 20_000  # for answers on a connection that can't be read, in tenths of a millisecond
 MOST_HELD = 65_536  # bytes of half requests that one connection may hold when memory runs short
 STATUS = {OK: 200, DENIED: 503, ABORTED: 500}  # of a final answer
 TOO_LARGE = (413, 431)  # after which the rest of a connection is not worth reading
@@ -25,6 +30,16 @@
 HEADS = {code: f"Status: {code} {reason}\r\n{TYPE}\r\n".encode() for code, reason in REASONS.items()}
 
 
+class Phase(IntEnum):
+    """How a connection comes to its end, in this order; some are left out."""
+
+    SERVING = 0
+    LAST = 1  # it ends with the last of its open requests
+    REFUSING = 2  # as LAST, and what still comes is refused
+    DISCARDING = 3  # as LAST, and what still comes can't be read
+    SHUT = 4  # nothing more is written; read on, as a close with bytes unread would reset what was written
+
+
 class ClientConnection(Stream):
     """One connection of a client."""
 
@@ -33,7 +48,15 @@
         self.front, self.reader = front, records.Reader()
         self.requests: dict[int, PendingRequest] = {}
         self.has_asked = False  # it has brought a whole request
-        self.last = False  # it ends with the last of its open requests
+        self.phase = Phase.SERVING
+        self.phase_since = 0
+        self.is_guest = False  # over the limit of connections; refused what it asks unless there is room then
+        self.bytes_read = 0
+        self.discarded = 0  # bytes read since it was to be closed
+        self.stalled = False  # not read from until the client has read what is unsent
+        self.receiving = False  # what is read is being acted on: it parts only after that
+        self.unsent_seen, self.unsent_since = 0, 0  # bytes unsent at the last sweeps, and since when as many
+        self.waited = 0  # tenths of a millisecond for which it may have waited for a descriptor
         self.since = front.core.clock()  # connected, or without an open request
         self.held = 0  # bytes of what has not come whole
         self.unread = 0  # tenths of a millisecond for which what is read now lay in the socket
@@ -46,7 +69,29 @@
     def received(self, data: bytes) -> None:
         """Bytes came: whole requests go to the front."""
         self.front.core.input()
-        self.unread = self.front.core.unread_for(self.sock)
+        self.bytes_read += len(data)
+        if self.phase >= Phase.REFUSING:
+            self.discarded += len(data)
+        if self.phase < Phase.DISCARDING:
+            self.unread = self.unread_for()
+            outer, self.receiving = self.receiving, True
+            self.read_records(data)
+            self.receiving = outer
+        if self.dead:
+            return
+        self.bound()
+        self.part()
+
+    def unread_for(self) -> int:
+        """How long what is read now lay unread, in tenths of a millisecond."""
+        unread, waited, self.waited = self.front.core.unread_for(self.sock), self.waited, 0
+        age = getattr(self.reactor, "unread_for", None)
+        if not waited or age is None:
+            return unread
+        return max(unread, min(waited, int(age(self.sock) * SECOND)))
+
+    def read_records(self, data: bytes) -> None:
+        """Hand on what the records say, in their order."""
         for event in self.reader.feed(data):
             if self.dead:
                 return
@@ -62,19 +107,122 @@
                     self.front.core.counts["unreadable"] += 1
                     self.reply(event.number, event.status, event.why.encode())
                     if event.status in TOO_LARGE:
-                        return self.drop(event.why)
+                        self.leave(Phase.REFUSING)
                 case records.Broken():
                     self.front.core.counts["unreadable"] += 1
-                    return self.drop(event.why)
+                    self.withdraw(event.number)
+                    self.leave(Phase.DISCARDING)
+
+    def withdraw(self, number: int) -> None:
+        """Drop an open request whose number came again: no answer could be told from the other's."""
+        pending = self.requests.pop(number, None)
+        if pending is not None:
+            self.front.core.host.client_left(pending)
+
+    def bound(self) -> None:
+        """Keep within bounds what is held for this client."""
         if self.waiting > MOST_UNSENT:
-            return self.drop("does not read")
+            self.stalled = True
+            self.watch_reads(False)
         held = self.reader.held()
         self.front.held, self.held = self.front.held + held - self.held, held
         if self.front.held > self.front.most_held and held > MOST_HELD:
-            return self.drop("holds too much that is not whole")
+            self.refuse_begun(503)
+            self.leave(Phase.REFUSING)
         half = next(iter(self.reader.begun), 0)
         if half != self.half:
             self.half, self.half_since = half, self.front.core.clock()
+        if self.discarded > (MOST_DISCARDED_OPEN if self.requests else MOST_DISCARDED):
+            self.front.core.host.abort_all(list(self.requests.values()))
+            self.drop("sends without end")
+
+    def drained(self) -> None:
+        """All that was to be written has left."""
+        if self.stalled:
+            self.stalled = False
+            self.watch_reads(True)
+        self.part()
+
+    def stuck_for(self, now: int) -> int:
+        """How long the client has read nothing of what is unsent, in tenths of a millisecond."""
+        if self.waiting != self.unsent_seen or not self.waiting:
+            self.unsent_seen, self.unsent_since = self.waiting, now
+        return now - self.unsent_since
+
+    def refuse_begun(self, status: int) -> None:
+        """Answer the requests that have not come whole; what still comes of them is passed over."""
+        for number in self.reader.refuse_begun():
+            self.send(records.answer(number, HEADS[status], b""))
+        held = self.reader.held()
+        self.front.held, self.held, self.half = self.front.held + held - self.held, held, 0
+
+    # its end
+
+    def leave(self, phase: Phase) -> None:
+        """Close it once all that is open on it has been answered."""
+        if phase <= self.phase or self.dead:
+            return
+        self.phase, self.phase_since = phase, self.front.core.clock()
+        if phase >= Phase.REFUSING:
+            self.front.idle.pop(self, None)
+        self.part()
+
+    def part(self) -> None:
+        """Where nothing is owed any more, end the sending side: the client reads all, then closes."""
+        if self.phase in (Phase.SERVING, Phase.SHUT) or self.receiving:
+            return
+        if self.requests or self.unsent or self.dead:
+            return
+        if self.is_guest and self.phase is Phase.REFUSING:
+            return  # its first request may be on its way
+        if self.phase < Phase.DISCARDING:
+            self.receiving = True
+            self.read_on()  # a request may have come meanwhile
+            self.receiving = False
+            if self.requests or self.is_shut():
+                return
+            self.refuse_begun(503)
+        if self.unsent or self.dead:
+            return
+        self.shut()
+        if not self.dead:
+            self.front.shut(self)
+
+    def is_shut(self) -> bool:
+        """Whether nothing more can be written."""
+        return self.dead or self.phase is Phase.SHUT
+
+    def shut(self) -> None:
+        """End the sending side."""
+        self.leave(Phase.SHUT)
+        self.discarded = 0
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError as trouble:
+            self.drop(trouble.strerror or "lost")
+
+    def read_on(self) -> None:
+        """Read what lies in the socket to its end, within bounds."""
+        for _ in range(MOST_READS):
+            before = self.bytes_read
+            self.doRead()
+            if self.bytes_read == before:
+                return
+
+    def dismiss(self, why: str) -> None:
+        """Close now, and lose as little as can be of what was written."""
+        if self.dead:
+            return
+        self.is_guest = False
+        self.leave(Phase.REFUSING)
+        if self.dead:
+            return
+        self.read_on()
+        self.refuse_begun(503)
+        if not self.is_shut():
+            self.shut()
+        self.read_on()
+        self.drop(why)
 
     def aborted(self, number: int) -> None:
         """The client has aborted a request."""
@@ -84,6 +232,7 @@
         if pending is not None:
             self.front.core.host.client_left(pending)
             self.rested()
+        self.part()
 
     def reply(self, number: int, status: int, body: bytes = b"", come_back: int = 0) -> None:
         """Write an answer. `come_back`: of Retry-After, in tenths of a millisecond; 0: none."""
@@ -93,6 +242,7 @@
         self.send(records.answer(number, head, body))
         self.reader.ended(number)
         self.rested()
+        self.part()
 
     def answer(self, pending: PendingRequest, verdict: str, come_back: int, body: Any) -> None:
         """The final answer of an RPC."""
@@ -104,13 +254,11 @@
         status = STATUS[verdict]
         self.reply(message.number, status, body if verdict == OK else b"", come_back)
         if not message.keep:
-            self.last = True
-        if self.last and not self.requests:
-            self.close()
+            self.leave(Phase.LAST)
 
     def rested(self) -> None:
         """Without an open request it idles from now on."""
-        if not self.requests and not self.dead:
+        if not self.requests and not self.dead and self.phase < Phase.REFUSING:
             self.since = self.front.core.clock()
             self.front.idle[self] = None
             self.front.idle.move_to_end(self)
@@ -121,6 +269,7 @@
         self.front.connections.pop(self, None)
         self.front.held, self.held = self.front.held - self.held, 0
         self.front.idle.pop(self, None)
+        self.front.parting.pop(self, None)
         requests, self.requests = list(self.requests.values()), {}
         for pending in requests:
             self.front.core.host.client_left(pending)
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -9,7 +9,7 @@
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import PendingRequest
 from lapistrestle.node import records
-from lapistrestle.node.client import HEADS, ClientConnection
+from lapistrestle.node.client import DISCARDING_TIME, ClientConnection, Phase
 from lapistrestle.node.invocation import Invocation, Parser, Unfit
 from lapistrestle.node.place import Place, split
 from lapistrestle.node.streams import Listener
@@ -19,9 +19,12 @@
 SILENT = 20_000  # one that has not brought a whole request by then is closed
 IDLE = 60_000  # clients close theirs sooner; who keeps one for good loses it
 SWEEP = 2_500
+PARTING = 10_000  # how long one that is being closed may still be read, in tenths of a millisecond
 SOCKETS_PART = (9, 20)  # of the process's sockets may go to clients
+PARTING_PART = 8  # and one in so many of these to connections that are being closed
 MB = 1e6  # bytes
 HELD_PART = 8  # of the memory limit, one in so many may be held by requests that have not come whole
+SECOND = 10_000  # in tenths of a millisecond
 BODIES_PART = 4  # and one in so many by the bodies of open requests
 LEAST_OPEN = 256  # requests that may be open whatever the memory limit
 
@@ -51,7 +54,11 @@
         self.host_port = split(place.file.listen)
         self.connections: dict[ClientConnection, None] = {}
         self.idle = OrderedDict[ClientConnection, None]()  # without an open request, longest idle first
-        self.most = place.file.limits.sockets * SOCKETS_PART[0] // SOCKETS_PART[1]
+        most = place.file.limits.sockets * SOCKETS_PART[0] // SOCKETS_PART[1]
+        self.most_parting = max(1, most // PARTING_PART)
+        self.most = max(1, most - self.most_parting)
+        # shut, or guests, each with the time until which it is kept; the oldest first
+        self.parting = OrderedDict[ClientConnection, int]()
         memory = place.file.limits.memory_mb * MB
         self.held, self.most_held = 0, memory / HELD_PART  # bytes of what has not come whole
         # if each brings the longest body
@@ -68,23 +75,27 @@
 
     def listen(self) -> int:
         """Listen. Returns the port."""
-        self.listener = Listener(self.core.reactor, *self.host_port, self.taken, self.shed)
+        self.listener = Listener(self.core.reactor, *self.host_port, self.taken, self.make_room)
         self.core.after(SWEEP, self.sweep, None)
         port: int = self.listener.sock.getsockname()[1]
         return port
 
     def close(self) -> None:
         """What the machine has accepted for us is ours to answer: closing the listener would reset it."""
-        if self.listener is not None:
-            while self.listener.accept():
-                continue
+        self.empty_listener()
+
+    def empty_listener(self) -> bool:
+        """Close the listener once nothing waits at it; False while the machine has no descriptor for that."""
+        if self.listener is not None and not self.listener.closed and self.listener.empty():
             self.listener.close()
+        return self.listener is None or self.listener.closed
 
     def owes(self) -> bool:
         """Reads every connection once more: a request that lies unread at the end would be reset with it."""
-        for connection in list(self.connections):
-            connection.doRead()
-        return any(connection.unsent for connection in self.connections)
+        emptied = self.empty_listener()
+        for connection in [*self.connections, *self.parting]:
+            connection.read_on()
+        return not emptied or any(connection.unsent for connection in [*self.connections, *self.parting])
 
     def open(self) -> list[PendingRequest]:
         """All requests without a final answer."""
@@ -92,31 +103,83 @@
 
     def end(self) -> None:
         """Close every connection at once."""
-        for connection in list(self.connections):
-            connection.drop("the dispatcher ends")
+        if self.listener is not None:
+            self.listener.close()
+        for connection in [*self.connections, *self.parting]:
+            connection.dismiss("the dispatcher ends")
 
     # connections
 
     def taken(self, sock: socket.socket) -> None:
         """A client has connected."""
-        if len(self.connections) >= self.most and not self.shed():
-            self.core.counts["turned away"] += 1
-            return sock.close()
+        assert self.listener is not None
+        has_room = self.has_room()
         connection = ClientConnection(self, sock)
-        self.connections[connection] = self.idle[connection] = None
+        connection.waited = int(self.listener.waited() * SECOND)
+        if has_room:
+            self.connections[connection] = self.idle[connection] = None
+        else:
+            self.core.counts["turned away"] += 1
+            self.receive_guest(connection)
         connection.begin()
         # in this look: it may have come, with all it brings and its end, during a standstill
         connection.doRead()
 
+    def has_room(self) -> bool:
+        """Whether one more connection may be served; one that carries nothing makes room."""
+        return len(self.connections) < self.most or self.shed()
+
+    def receive_guest(self, connection: ClientConnection) -> None:
+        """One for which there is no room: its first request, which may be on its way, is answered still."""
+        self.connections.pop(connection, None)
+        self.idle.pop(connection, None)
+        connection.is_guest = True
+        connection.phase, connection.phase_since = Phase.REFUSING, self.core.clock()
+        self.keep_parting(connection)
+
+    def admit(self, guest: ClientConnection) -> None:
+        """A guest asks for something: it is served if there is room by now."""
+        guest.is_guest = False
+        del self.parting[guest]
+        if self.has_room():
+            guest.phase = Phase.SERVING
+            self.connections[guest] = self.idle[guest] = None
+        else:
+            self.keep_parting(guest)
+
+    def shut(self, connection: ClientConnection) -> None:
+        """One has been shut, and is read until its client closes."""
+        self.connections.pop(connection, None)
+        if connection not in self.parting:
+            self.keep_parting(connection)
+
+    def keep_parting(self, connection: ClientConnection) -> None:
+        """For a while, and not too many."""
+        if len(self.parting) >= self.most_parting:
+            next(iter(self.parting)).dismiss("others need the room")
+        self.parting[connection] = self.core.clock() + PARTING
+
+    def make_room(self) -> bool:
+        """Free one descriptor."""
+        if not self.parting and not self.shed():
+            return False
+        if self.parting:
+            next(iter(self.parting)).dismiss("others need the room")
+        return True
+
     def shed(self) -> bool:
-        """Close one connection that carries nothing: one that never asked, else the longest idle, and one
-        that may be about to ask only where there is no other."""
+        """Serve one connection less that carries nothing: one that never asked, else the longest idle. One
+        that may be about to ask goes only where there is no other, and becomes a guest."""
         now = self.core.clock()
         free = [connection for connection in self.idle if not connection.reader.begun]
         old = [connection for connection in free if connection.has_asked or now - connection.since > FRESH]
         for connection in [s for s in old if not s.has_asked] or old or free or list(self.idle):
             if self.unused(connection):
-                connection.drop("others need the room")
+                if connection.has_asked or now - connection.since > FRESH:
+                    connection.drop("others need the room")
+                else:
+                    self.receive_guest(connection)
+                return True
             if connection.dead:
                 return True
         return False
@@ -124,6 +187,8 @@
     def unused(self, connection: ClientConnection) -> bool:
         """Whether nothing has come on it meanwhile: guards what lies unread, which a close would reset
         together with the answers before it."""
+        if connection.unsent:
+            return False
         before = connection.half, connection.has_asked
         connection.doRead()
         after = connection.half, connection.has_asked
@@ -133,14 +198,19 @@
         """Close what is silent or idles, now and again."""
         now = self.core.clock()
         for connection in list(self.connections):
-            if connection.half and now - connection.half_since > SILENT:
-                for number in connection.reader.begun:
-                    connection.send(records.answer(number, HEADS[408], b""))
-                connection.drop("half a request and silence")
+            if connection.stuck_for(now) > IDLE:
+                connection.drop("does not read")
+            elif connection.phase is Phase.DISCARDING and now - connection.phase_since > DISCARDING_TIME:
+                self.core.host.abort_all(list(connection.requests.values()))
+            elif connection.half and now - connection.half_since > SILENT:
+                connection.refuse_begun(408)
+                connection.leave(Phase.REFUSING)
             elif connection.requests or connection.half:
                 continue
             elif now - connection.since > self.patience(connection) and self.unused(connection):
                 connection.drop("idle" if connection.has_asked else "silence")
+        while self.parting and next(iter(self.parting.values())) <= now:
+            next(iter(self.parting)).dismiss("it stays open")
         over = [tag for tag, pending in self.lingering.items() if pending.final and not pending.in_flight]
         for tag in over:
             self.lingering.pop(tag).call_outs.clear()  # they point to each other
@@ -164,6 +234,8 @@
 
     def request(self, connection: ClientConnection, request: records.Request) -> None:
         """A whole request came: the health check, or a call."""
+        if connection.is_guest:
+            self.admit(connection)
         path = request.fields.get(b"SCRIPT_NAME", b"")
         if path == b"/_health":
             return connection.reply(request.number, 200 if self.ready() and not self.leaving else 503)
@@ -180,7 +252,8 @@
         if tag in self.lingering:
             raise Unfit(409, "X-Call-Id is in use")
         left = int(call.patience * 10) - MARGIN - connection.unread
-        if self.core.stopping or left <= 0 or self.core.host.open >= self.most_open or not self.ready():
+        refused = self.core.stopping or connection.phase >= Phase.REFUSING
+        if refused or left <= 0 or self.core.host.open >= self.most_open or not self.ready():
             self.core.counts["turned away"] += 1
             return connection.reply(request.number, 503)
         self.idle.pop(connection, None)
--- a/lapistrestle/node/records.py
+++ b/lapistrestle/node/records.py
@@ -65,6 +65,7 @@
     """Nothing more can be read on this connection."""
 
     why: str
+    number: int = 0  # of the open request whose number was used again
 
 
 Event = Request | Bad | Aborted | Reply | Broken
@@ -84,6 +85,13 @@
     def ended(self, number: int) -> None:
         self.open.discard(number)
 
+    def refuse_begun(self) -> list[int]:
+        """Take nothing more of the requests that have not come whole; returns their numbers."""
+        numbers = list(self.begun)
+        self.refused.update(numbers)
+        self.begun.clear()
+        return numbers
+
     def held(self) -> int:
         """Bytes kept of what has not come whole."""
         return len(self.rest) + sum(len(b.params) + len(b.body) for b in self.begun.values())
@@ -104,17 +112,18 @@
             number = (data[at + 2] << 8) | data[at + 3]
             why = self.record(data[at + 1], number, data[at + 8 : at + 8 + size], events)
             if why:
-                return self.broke(events, why)
+                doubled = data[at + 1] == BEGIN and number in self.open
+                return self.broke(events, why, number if doubled else 0)
             at = stop
         self.rest = data[at:]
         return events
 
-    def broke(self, events: list[Event], why: str) -> list[Event]:
+    def broke(self, events: list[Event], why: str, doubled: int = 0) -> list[Event]:
         self.broken, self.rest = True, b""
         for number in self.begun:
             events.append(Bad(number, 400, why))
         self.begun.clear()
-        events.append(Broken(why))
+        events.append(Broken(why, doubled))
         return events
 
     def record(self, kind: int, number: int, content: bytes, events: list[Event]) -> str:
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -208,6 +208,7 @@
             self.sock.close()
             raise
         self.closed = False
+        self.full_since: float | None = None  # since then some may wait in the machine's line
         reactor.addReader(self)
 
     def fileno(self) -> int:
@@ -226,7 +227,11 @@
         try:
             sock, _addr = self.sock.accept()
         except OSError as trouble:
+            if trouble.errno in AGAIN:
+                self.full_since = None
             if trouble.errno in FULL:
+                if self.full_since is None:
+                    self.full_since = self.reactor.seconds()
                 self.reactor.removeReader(self)
                 self.reactor.callLater(PAUSE, self.resume)
                 self.full()
@@ -236,6 +241,16 @@
         self.taken(sock)
         return True
 
+    def waited(self) -> float:
+        """Seconds for which what is accepted now may have waited for a descriptor."""
+        return 0.0 if self.full_since is None else float(self.reactor.seconds()) - self.full_since
+
+    def empty(self) -> bool:
+        """Accept all that waits; False if the machine has no descriptor left for some of it."""
+        while self.accept():
+            continue
+        return self.full_since is None
+
     def resume(self) -> None:
         if not self.closed:
             self.reactor.addReader(self)
--- /dev/null
+++ b/tests/test_node_answers.py
@@ -0,0 +1,552 @@
+"""A request that was read gets its answer, whatever ends its connection or goes on beside it.
+
+Real connections; each test forces the bad order by what is sent and awaited.
+"""
+
+import errno
+import inspect
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+import test_crossings
+from test_node import Stage
+
+from lapistrestle.node import client as client_connections
+from lapistrestle.node import front as fronts
+from lapistrestle.node import records
+from lapistrestle.standins.platform import WebServer, begin
+
+JUNK = b"GET / HTTP/1.1\r\n\r\n"
+BODY = bytes(16_384)
+leaving: Any = test_crossings.leaving
+request: Any = test_crossings.request
+
+
+@pytest.fixture
+def stages() -> Iterator[Callable[..., Any]]:
+    made: list[Any] = []
+    new_stage: Any = Stage
+
+    def make(*args: Any, **more: Any) -> Any:
+        made.append(new_stage(*args, **more))
+        return made[-1]
+
+    yield make
+    for stage in made:
+        stage.close()
+
+
+@pytest.fixture
+def stage(stages: Any) -> Any:
+    """One runner: whatever is asked goes there."""
+    return stages(runners=1)
+
+
+def hold_runs(stage: Any) -> list[Any]:
+    """The runners keep their calls; returns them as they come."""
+    got: list[Any] = []
+    for runner in stage.runners:
+        runner.on_run = lambda line, said: got.append((line, said))
+    return got
+
+
+def answer_all(stage: Any, got: list[Any]) -> None:
+    for line, said in got:
+        stage.runners[0].answer(line, said)
+    stage.hand.quiet()
+
+
+def hold_requests(stage: Any) -> list[Any]:
+    """The module decides nothing; returns its requests as they come."""
+    met: list[Any] = []
+    stage.module.arrived = met.append
+    return met
+
+
+class FullSocket:
+    """A listening socket of a process that has no descriptor left until something holds."""
+
+    def __init__(self, sock: socket.socket, free: Callable[[], object]) -> None:
+        self.sock, self.free = sock, free
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if not self.free():
+            raise OSError(errno.EMFILE, "too many open files")
+        return self.sock.accept()
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+def connect(stage: Any) -> WebServer:
+    """A connection that the machine has made and the dispatcher has not met."""
+    stage.hand.removeReader(stage.node.front.listener)
+    client = WebServer(stage.hand, stage.port)
+    stage.ends.append(client)
+    stage.hand.until(lambda: not client.dialling)
+    return client
+
+
+def accept(stage: Any) -> None:
+    stage.hand.addReader(stage.node.front.listener)
+    stage.hand.quiet()
+
+
+def fill(stage: Any) -> list[WebServer]:
+    """As many connections as may be, each with an open request."""
+    crowd: list[WebServer] = []
+    for _ in range(stage.node.front.most):
+        crowd.append(stage.client())
+        crowd[-1].ask(id=f"{len(crowd) + 1000:016x}", patience="4000")
+    stage.hand.until(lambda: stage.host.open == len(crowd))
+    return crowd
+
+
+def slow_reader(stage: Any) -> tuple[WebServer, Any]:
+    """A client whose connection holds little and who reads nothing until told to."""
+    client = stage.client()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+    stage.hand.until(lambda: stage.node.front.connections)
+    connection = next(reversed(stage.node.front.connections))
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32_768)
+    stage.hand.removeReader(client)
+    return client, connection
+
+
+def ask_in_turn(stage: Any, client: WebServer, count: int) -> list[int]:
+    numbers: list[int] = []
+    for ok in range(1, count + 1):
+        numbers.append(client.ask(body=BODY))
+        stage.hand.until(lambda ok=ok: stage.host.counts["ok"] == ok)
+    return numbers
+
+
+def read_on(stage: Any, client: WebServer) -> None:
+    if not client.dead:
+        stage.hand.addReader(client)
+    stage.hand.quiet()
+
+
+# an ill-formed neighbour on the same connection
+
+
+def test_an_open_request_is_answered_before_its_connection_ends_for_what_cannot_be_read(stage: Any) -> None:
+    client, got = stage.client(), hold_runs(stage)
+    number = client.ask(method="bill")
+    stage.hand.until(lambda: got)
+    client.send(JUNK)
+    stage.hand.quiet()
+    answer_all(stage, got)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(number) == 200 and client.ends == [number]
+
+
+def test_a_whole_request_right_before_what_cannot_be_read_is_answered(stage: Any) -> None:
+    client = stage.client()
+    client.send(request(1) + request(2) + JUNK)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(1) == 200 and client.status(2) == 200
+
+
+def test_what_cannot_be_read_ends_its_connection_in_time_though_a_runner_is_silent(stage: Any) -> None:
+    client, got = stage.client(), hold_runs(stage)
+    number = client.ask(method="bill", patience="4000")
+    stage.hand.until(lambda: got)
+    client.send(JUNK)
+    stage.hand.run(2.7)
+    assert client.closed and client.status(number) in (500, 503)
+
+
+def test_of_two_requests_under_one_number_neither_is_served_and_others_are_answered(stage: Any) -> None:
+    client, got = stage.client(), hold_runs(stage)
+    doubled, other = client.ask(), client.ask()
+    stage.hand.until(lambda: len(got) == 2)
+    client.send(begin(doubled))
+    stage.hand.quiet()
+    answer_all(stage, got)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(other) == 200 and client.status(doubled) is None
+    assert stage.host.counts["left"] == 1
+
+
+def test_a_client_that_closes_after_what_cannot_be_read_is_met_as_gone(stages: Any) -> None:
+    """No further attempt begins for it, though its bytes count no more."""
+    stage = stages(runners=2)
+    client, got = stage.client(), hold_runs(stage)
+    client.ask()
+    stage.hand.until(lambda: got)
+    client.send(JUNK * 4000)
+    stage.hand.quiet()
+    client.drop("gone")
+    stage.hand.until(lambda: stage.host.counts["left"])
+    got[0][0].say("503", got[0][1]["rid"])
+    stage.hand.run(0.5)
+    assert len(stage.runs()) == 1 and stage.host.open == 0
+
+
+@pytest.mark.parametrize("bad", ["body", "fields"])
+def test_a_request_too_large_leaves_its_neighbours_their_answers(stage: Any, bad: str) -> None:
+    client, got = stage.client(), hold_runs(stage)
+    number = client.ask()
+    stage.hand.until(lambda: got)
+    large = client.ask(body=b"x" * 20_000) if bad == "body" else client.ask(HTTP_X_LONG="x" * 20_000)
+    stage.hand.until(lambda: client.status(large) is not None)
+    assert client.status(large) in (413, 431)
+    late = client.ask(id="9b1f03aa5c7e2d41")  # it may not know yet
+    stage.hand.quiet()
+    answer_all(stage, got)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(number) == 200 and client.status(late) in (200, 503)
+
+
+def test_half_a_request_that_falls_silent_leaves_its_neighbours_their_answers(stage: Any) -> None:
+    client, got = stage.client(), hold_runs(stage)
+    number, half = client.ask(method="bill", patience="4000"), client.ask(whole=False)
+    stage.hand.until(lambda: got)
+    stage.hand.run(2.6)
+    assert client.status(half) == 408
+    answer_all(stage, got)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(number) == 200
+
+
+def test_a_connection_that_holds_too_much_has_its_open_requests_answered(stages: Any) -> None:
+    stage = stages(runners=1, memory_mb=4)
+    client, got = stage.client(), hold_runs(stage)
+    halves: list[int] = []
+    number = client.ask()
+    stage.hand.until(lambda: got)
+    for _ in range(5):
+        crowd = stage.client()
+        for _ in range(6):
+            crowd.ask(body=BODY, whole=False)
+    for _ in range(20):
+        halves.append(client.ask(body=BODY, whole=False))
+        stage.hand.quiet()
+    answer_all(stage, got)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(number) == 200
+    assert all(client.status(half) in (None, 503) for half in halves) and client.status(halves[0]) == 503
+
+
+def test_answers_in_the_kernel_are_not_lost_to_a_reset_by_what_lies_unread(stage: Any) -> None:
+    client, _ = slow_reader(stage)
+    numbers = ask_in_turn(stage, client, 8)
+    client.send(JUNK + bytes(60_000))
+    stage.hand.quiet()
+    read_on(stage, client)
+    stage.hand.until(lambda: client.closed)
+    assert [client.status(number) for number in numbers] == [200] * 8
+
+
+def test_a_request_behind_one_without_keep_conn_is_answered(stage: Any) -> None:
+    """The connection was closed, and by that reset, with the next request unread on it."""
+    client, got = stage.client(), hold_runs(stage)
+    client.send(request(1).replace(begin(1), begin(1, keep=0)))
+    stage.hand.until(lambda: got)
+    (connection,) = stage.node.front.connections
+    stage.hand.removeReader(connection)  # what comes now is met after the answer that is on its way
+    client.last = 1
+    client.ask()
+    answer_all(stage, got[:1])
+    if not connection.dead:
+        stage.hand.addReader(connection)
+    stage.hand.quiet()
+    answer_all(stage, got[1:])
+    stage.hand.until(lambda: client.closed)
+    assert client.status(1) == 200 and client.status(2) in (200, 503)
+
+
+def test_what_cannot_be_read_any_more_is_discarded_within_bounds(stage: Any) -> None:
+    """Also of a client that does not mind that its connection was shut."""
+    sent = 0
+    with socket.create_connection(("127.0.0.1", stage.port)) as client:
+        stage.hand.quiet()
+        (connection,) = stage.node.front.connections
+        client.sendall(JUNK)
+        client.setblocking(False)
+        for _ in range(2000):
+            try:
+                sent += client.send(bytes(16_384))
+            except BlockingIOError:
+                stage.hand.quiet()
+            except OSError:
+                break
+            stage.hand.serve()
+    assert connection.dead and sent < 16_000_000
+    assert connection.bytes_read <= client_connections.MOST_DISCARDED + 65_536
+    assert stage.node.front.held == 0 and not stage.node.front.parting
+
+
+def test_a_connection_that_parts_reads_a_flood_without_recursion(stage: Any) -> None:
+    """Each piece read had led to the next one from within."""
+    depths: list[int] = []
+    client = stage.client()
+    (connection,) = stage.node.front.connections
+    read = connection.doRead
+
+    def measured() -> None:
+        depths.append(len(inspect.stack(0)))
+        read()
+
+    connection.doRead = measured
+    client.send(request(1).replace(begin(1), begin(1, keep=0)))
+    client.send(records.record(records.GET_VALUES, 0, bytes(40_000)) * 10)
+    stage.hand.until(lambda: client.closed)
+    assert client.status(1) == 200 and max(depths) - min(depths) < 15
+
+
+# a client that does not read
+
+
+def test_a_client_that_reads_late_gets_every_answer(stage: Any) -> None:
+    """With 1 MiB unsent its connection was dropped, with what it had asked."""
+    client, connection = slow_reader(stage)
+    asked = []
+    for _ in range(120):
+        asked.append(client.ask(body=BODY))
+        stage.hand.quiet()
+        assert connection.waiting <= 2 * client_connections.MOST_UNSENT
+    read_on(stage, client)
+    stage.hand.until(lambda: len(client.ends) == len(asked) or client.closed)
+    assert [client.status(number) for number in asked] == [200] * 120
+
+
+def test_a_client_that_never_reads_is_closed(stage: Any) -> None:
+    client, connection = slow_reader(stage)
+    for _ in range(120):
+        client.ask(body=BODY)
+    stage.hand.quiet()
+    stage.hand.run(10.0)
+    assert connection.dead and stage.host.open == 0
+
+
+def test_a_connection_with_an_answer_on_its_way_makes_no_room_for_others(stage: Any) -> None:
+    client, connection = slow_reader(stage)
+    numbers = ask_in_turn(stage, client, 20)
+    assert connection.unsent
+    stage.hand.run(0.6)
+    assert not stage.node.front.shed()
+    read_on(stage, client)
+    stage.hand.until(lambda: len(client.ends) == 20 or client.closed)
+    assert [client.status(number) for number in numbers] == [200] * 20
+
+
+# the limit of connections and descriptors
+
+
+@pytest.mark.parametrize("when", ["before it is met", "soon after"])
+def test_a_request_on_a_connection_over_the_limit_is_answered(stages: Any, when: str) -> None:
+    """It was closed unread: a new connection's first request had been a free case."""
+    stage = stages(runners=1, sockets=64)
+    hold_requests(stage)
+    crowd = fill(stage)
+    late = connect(stage)
+    if when == "before it is met":
+        late.ask(id="9b1f03aa5c7e2d41")
+        accept(stage)
+    else:
+        accept(stage)
+        stage.hand.run(0.03)
+        late.ask(id="9b1f03aa5c7e2d41")
+    stage.hand.until(lambda: late.closed)
+    assert late.status(1) == 503 and not any(client.closed for client in crowd)
+
+
+def test_a_request_that_comes_in_pieces_on_a_connection_over_the_limit_is_answered(stages: Any) -> None:
+    stage = stages(runners=1, sockets=64)
+    hold_requests(stage)
+    fill(stage)
+    late = connect(stage)
+    accept(stage)
+    for piece in (request()[:3], request()[3:60], request()[60:]):
+        late.send(piece)
+        stage.hand.quiet()
+    stage.hand.until(lambda: late.closed)
+    assert late.status(1) == 503
+
+
+@pytest.mark.parametrize("new", ["a silent one", "one that asks"])
+def test_a_new_connection_that_makes_room_for_others_has_its_first_request_answered(
+    stages: Any, new: str
+) -> None:
+    """Of a crowd that was all new the oldest was closed, though its request was on its way."""
+    stage = stages(runners=1, sockets=64)
+    first = stage.client()
+    crowd = [stage.client() for _ in range(stage.node.front.most)]
+    if new == "one that asks":
+        crowd[-1].ask(id="9b1f03aa5c7e2d41")
+        stage.hand.until(lambda: crowd[-1].ends)
+    first.ask(id="9b1f03aa5c7e2d42")
+    stage.hand.until(lambda: first.ends or first.closed)
+    assert first.status(1) == 200
+    assert len(stage.node.front.connections) <= stage.node.front.most
+
+
+def test_a_crowd_over_the_limit_is_bounded_and_told(stages: Any) -> None:
+    stage = stages(runners=1, sockets=64)
+    met = hold_requests(stage)
+    kept = fill(stage)
+    crowd = [stage.client() for _ in range(100)]
+    front = stage.node.front
+    assert len(front.connections) + len(front.parting) <= 64 * 9 // 20
+    stage.hand.run(2.9)
+    assert all(client.closed for client in crowd)
+    assert len(met) == len(kept) == stage.host.open and not any(client.closed for client in kept)
+    for rpc in met:
+        stage.host.deny(rpc, 0)
+    stage.hand.until(lambda: all(client.status(1) == 503 for client in kept))
+
+
+def test_the_listeners_line_is_answered_at_the_end_though_no_descriptor_is_left(stage: Any) -> None:
+    """What the machine had accepted was reset with the listener."""
+    idle = stage.client()
+    late = connect(stage)
+    late.ask(id="9b1f03aa5c7e2d41")
+    listener, sock = stage.node.front.listener, stage.node.front.listener.sock
+
+    stage.hand.removeReader(listener)
+    listener.sock = FullSocket(sock, lambda: idle.closed)
+    stopped = leaving(stage)
+    stage.hand.run(2.0)
+    stage.hand.until(lambda: late.closed)
+    assert late.status(1) in (200, 503) and stopped
+
+
+def test_the_time_in_the_line_of_a_full_listener_counts_towards_the_patience(stage: Any) -> None:
+    got, full = hold_runs(stage), False
+    stage.hand.unread_for = lambda sock: 0.4
+    client = connect(stage)
+    client.ask(patience="1000")
+    listener, sock = stage.node.front.listener, stage.node.front.listener.sock
+
+    listener.sock, full = FullSocket(sock, lambda: not full), True
+    listener.doRead()
+    for _ in range(4):
+        stage.hand.run(0.1)
+    full = False
+    stage.hand.run(0.1)
+    stage.hand.until(lambda: got)
+    assert got[0][1]["attrs"]["budget"] <= 1000 - 400
+
+
+# the end of the program
+
+
+def test_all_requests_that_lie_unread_at_the_end_are_answered(stage: Any) -> None:
+    """The last look read 16 KiB of each connection, and reset the rest."""
+    client = stage.client()
+    stage.hand.quiet()
+    stopped = leaving(stage)
+    stage.hand.run(0.74)
+    (connection,) = stage.node.front.connections
+    core, look = stage.node.core, stage.node.core.look
+
+    def last(_: object = None) -> Any:
+        core.look = look
+        stage.hand.removeReader(connection)
+        numbers.extend(client.ask(body=BODY[:8000], id=f"{i:016x}") for i in range(1, 20))
+        stage.hand.until(lambda: not client.unsent)
+        return look()
+
+    numbers: list[int] = []
+    core.look = last
+    stage.hand.run(0.5)
+    assert stopped and numbers
+    stage.hand.until(lambda: client.closed)
+    assert all(client.status(number) in (200, 503) for number in numbers)
+
+
+def test_half_a_request_at_the_end_is_refused(stage: Any) -> None:
+    client = stage.client()
+    stopped = leaving(stage)
+    stage.hand.run(0.7)
+    half = client.ask(whole=False)
+    stage.hand.run(0.5)
+    assert stopped
+    stage.hand.until(lambda: client.closed)
+    assert client.status(half) == 503
+
+
+# trouble beside it
+
+
+@pytest.mark.parametrize("event", ["arrived", "ended", "woken"])
+def test_a_fault_of_the_module_leaves_the_request_one_final_answer(stage: Any, event: str) -> None:
+    def fault(*args: Any) -> None:
+        raise RuntimeError("planted")
+
+    setattr(stage.module, event, fault)
+    if event == "woken":
+        hold_runs(stage)
+    client = stage.client()
+    number = client.ask(patience="1000")
+    stage.hand.run(1.0)
+    assert client.status(number) in (200, 500, 503)
+    stage.hand.run(3.0)
+    assert client.ends == [number] and stage.host.open == 0
+
+
+@pytest.mark.parametrize("trouble", ["silent", "spoilt", "reset", "cut"])
+def test_trouble_of_a_runner_leaves_each_request_one_final_answer_by_its_deadline(
+    stages: Any, trouble: str
+) -> None:
+    stage = stages(runners=2)
+
+    def play(line: Any, said: Any) -> None:
+        if trouble == "spoilt":
+            line.send(b'{"verb":"200","rid":"\xff\xfe\n')
+        elif trouble == "reset" and not line.dead:
+            line.reset()
+        elif trouble == "cut":
+            line.send(b'{"verb":"200","rid":"%s","content":"QU' % said["rid"].encode())
+            line.drop("cut")
+
+    for runner in stage.runners:
+        runner.on_run = play
+    client = stage.client()
+    keys = {"publish": {"HTTP_X_DEDUPE_KEY": "5c0f6e1a"}}
+    numbers = [
+        client.ask(method=method, patience="1000", fn=f"{i:016x}", **keys.get(method, {}))
+        for i, method in enumerate(["search", "publish", "bill"] * 4)
+    ]
+    stage.hand.run(1.0)
+    assert all(client.status(number) in (500, 503) for number in numbers)
+    stage.hand.run(3.0)
+    assert sorted(client.ends) == numbers and stage.host.open == 0
+
+
+def test_a_flood_beside_it_leaves_each_request_one_final_answer_by_its_deadline(stages: Any) -> None:
+    stage = stages(runners=1, sockets=64)
+    hold_runs(stage)
+    usual = stage.client()
+    numbers = [usual.ask(method="bill", patience="1000") for _ in range(8)]
+    stage.hand.until(lambda: stage.host.counts["taken"] == 8)
+    for turn in range(20):
+        crowd = [stage.client() for _ in range(20)]
+        crowd[0].send(JUNK + bytes(100_000))
+        crowd[1].send(begin(1) * 2)
+        crowd[2].ask(whole=False)
+        crowd[3].send(begin(1) + records.record(records.PARAMS, 1, b"\xff" * 60_000))
+        for _ in range(40):
+            crowd[4].give_up(crowd[4].ask(id=f"{turn + 1:08x}{crowd[4].last:08x}"))
+        stage.hand.run(0.05)
+    stage.hand.quiet()
+    assert not usual.closed and all(usual.status(number) in (500, 503) for number in numbers)
+    stage.hand.run(3.0)
+    assert sorted(usual.ends) == numbers and stage.host.open == 0
+
+
+def test_parting_connections_do_not_outlive_their_time(stage: Any) -> None:
+    """A peer that neither reads nor closes keeps no descriptor."""
+    client, connection = slow_reader(stage)
+    client.ask(body=BODY)
+    client.send(JUNK)
+    stage.hand.quiet()
+    stage.hand.run(1.0 + 2 * fronts.SWEEP / 10_000)
+    assert connection.dead and not stage.node.front.parting
