--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -288,13 +288,13 @@
     depths: list[int] = []
     client = stage.client()
     (connection,) = stage.node.front.connections
-    read = connection.doRead
+    read = connection.read
 
-    def measured() -> None:
+    def measured(pieces: int) -> None:
         depths.append(len(inspect.stack(0)))
-        read()
+        read(pieces)
 
-    connection.doRead = measured
+    connection.read = measured
     client.send(request(1).replace(begin(1), begin(1, keep=0)))
     client.send(records.record(records.GET_VALUES, 0, bytes(40_000)) * 10)
     stage.hand.until(lambda: client.closed)
