Cold ramp: the budget of a window is that of its first moment, and guesses count for nothing

Cause: played with one to 300 dispatchers through the module's own send and ended, judged by calls and by work in calls of mean work, with each window's N by the worker's share as the window begins. - cold_room() took the share at the present moment for all of the window that ends then. Ruled out (not shown): late lists, to all or to a part, a second start under the name, traffic that doubles or falls by half.

N goes by the higher pace where traffic falls, since what a worker takes does not fall with it.

--- a/lapistrestle/choice.py
+++ b/lapistrestle/choice.py
@@ -363,14 +363,14 @@
         load = call_out.cold if not self.facts["tells_warm"] else answer.warmth is not Warmth.STOOD
         if outcome is Outcome.OK:
             spot.copies, spot.seen = max(self.believed(spot), 1), self.now
-            if srv.listing is Listing.SERVING:  # what drains is no part of the size
+            if not load and call_out.company <= 1:
+                self.light[rpc.method].add(self.now, answer.took)
+            if srv.listing is Listing.SERVING and self.light[rpc.method].count.value:  # else a guess
                 self.ok_weight.add(self.now, self.weight(rpc.method) / max(self.warm(), 1e-9))
             self.ok_count.add(self.now, 1)
             self.ok_took.add(self.now, answer.took)
             srv.served.add(self.now, 1)
             srv.full_until = 0
-            if not load and call_out.company <= 1:
-                self.light[rpc.method].add(self.now, answer.took)
         if outcome is Outcome.OK and answer.company is not None and answer.took > self.bound(fn) * rpc.scale:
             self.grow(spot, rpc, answer.company)
         if call_out is not rpc.call_outs[0] and outcome is not Outcome.MISS:
@@ -502,11 +502,11 @@
         srv.suspect, srv.pause, srv.bad, self.suspects = False, SECOND, Sum(MEMORY), self.suspects - 1
         self.host.log(f"{srv.name} fit again")
 
-    def warmth_of(self, srv: Srv) -> float:
-        """The part of its capacity that a worker has at the least."""
+    def warmth_of(self, srv: Srv, before: int = 0) -> float:
+        """The part of its capacity that a worker has at the least, or had that long `before`."""
         if srv.booted is None or not self.facts["ramp_time"]:
             return 1.0
-        least, age = self.facts["cold_share"], max(0, self.now - srv.booted)
+        least, age = self.facts["cold_share"], max(0, self.now - before - srv.booted)
         return min(1.0, least + (1 - least) * age / self.facts["ramp_time"])
 
     def warm(self) -> float:
@@ -516,23 +516,23 @@
         return float(self.region.warm_size)
 
     def heft(self, rpc: Rpc) -> float:
-        """What it puts on a cold worker: guards against functions much heavier than their method's usual;
-        harms where one is slow for another reason than its work."""
+        """What it puts on a cold worker: guards against heavy functions; harms where one is merely slow."""
         windows = [s.window for s in rpc.fn.spots.values() if s.window] if rpc.fn.iso is None else []
         young = min((sum(w) / len(w) for w in windows), default=0.0)
         return max(self.weight(rpc.method), max(self.iso(rpc.fn), young) * rpc.scale)
 
     def cold_room(self, srv: Srv, rpc: Rpc) -> bool:
         """Rule 4: what all get answered for each unit of size and warmth is within capacity, and each keeps
-        to its part; parts under one go by turns. Who restarted forgot what it sent: none for a window."""
-        share, window = self.warmth_of(srv), self.facts["fall_time"]
-        if share >= 1:
+        to its part of that as the window began; parts under one go by turns, one mean call in all at the
+        least. Who restarted forgot what it sent: none for a window."""
+        window = self.facts["fall_time"]
+        if self.warmth_of(srv) >= 1:
             return True
         taken = self.rate(self.ok_weight) * srv.size * (max(srv.booted or 0, self.now - window) >= self.start)
-        budget = CAUTION * self.facts["fall_multiple"] * share * window * taken
-        weight, all_ = self.heft(rpc), self.facts["dispatchers"]
-        turn = (self.facts["me"] + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)
-        return srv.sent_since(self.now - window) + weight * (turn % 1) <= max(budget, weight / all_)
+        most = self.facts["fall_multiple"] * self.warmth_of(srv, window) * window * taken
+        weight, usual, all_ = self.heft(rpc), self.weight(rpc.method), self.facts["dispatchers"]
+        turn = ((self.facts["me"] + 0.5) / all_ + GOLDEN * (self.now // max(1, window) + srv.place)) % 1
+        return srv.sent_since(self.now - window) + weight * turn <= max(CAUTION * most, usual / all_)
 
     def order(self, spot: Spot, count: int, part: float = 1.0) -> bool:
         """Rules 3 and 5: an order goes to a serving worker only, and only within the budget of orders. What
