Cold ramp over parts: 1, 3, 30 and 200 dispatchers, and the settings of five fleets

Cause: the test had one fleet's settings, under which the share grows too slowly within a window to show that the budget was that of the window's end. Change: the property draws the settings and 1, 3, 30 and 200 dispatchers as well, and each of them is played with each of the five settings at 20 calls a second for each worker. The bound is N + 2 root N + 2 for every N, as it was.

--- a/tests/test_ramp_of_parts.py
+++ b/tests/test_ramp_of_parts.py
@@ -8,6 +8,7 @@
 from helpers import SETTINGS, Recorder
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from test_ramp import FLEETS
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.deployment import words
@@ -45,26 +46,28 @@
     return min(1.0, least + (1 - least) * (now - BOOT) / facts["ramp_time"])
 
 
-def made(number, of, seed, clock, told):
-    facts = words.facts({**SETTINGS, "balancers": of, "me": number})
+def made(number, of, seed, clock, told, rules):
+    slow_start = {**SETTINGS["rules"], **rules.settings()}
+    facts = words.facts({**SETTINGS, "balancers": of, "me": number, "rules": slow_start})
     if told:
         facts = {**facts, "region": Region(clock, facts["cold_share"], facts["ramp_time"])}
     return Dispatcher(Recorder(), facts, seed * 1000 + number, 0)
 
 
-def sent_to_the_cold_one(of, seen, fleet, pace, seed, told=True):
+def sent_to_the_cold_one(of, seen, fleet, pace, seed, told=True, rules=FLEETS[0]):
     """When call-outs went to a worker that starts at BOOT and stands in every dispatcher's prefix beside
     `seen` workers of its own draw, if every RPC would go there. `pace`: RPCs that a warm worker takes in a
     second; the whole fleet is as busy as that. `told`: whether the region's sums are."""
     chance, sends, at = random.Random(seed), [], 0.0
     now, workers = 0, fleet.warm + fleet.cold
     clock = lambda: now  # noqa: E731
-    all_ = [made(i, of, seed, clock, told) for i in range(of)]
+    all_ = [made(i, of, seed, clock, told, rules) for i in range(of)]
     parts = [chance.sample(range(workers), seen) for _ in range(of)]
     for dispatcher, part in zip(all_, parts, strict=True):
         dispatcher.listed([(Srv(f"w{k}"), SrvFacts(f"w{k}")) for k in part], whole=True)
     fn, next_sums, restarted = Fn("f", 0, 100.0, 1), 0, False
-    while at < BOOT + 6 * SECOND:
+    watched = min(6 * SECOND, int(rules.ramp * SECOND))  # then it is warm, and nothing binds
+    while at < BOOT + watched:
         at += chance.expovariate(workers * pace) * SECOND
         now = int(at)
         if told and now >= next_sums:
@@ -106,17 +109,25 @@
 
 @settings(max_examples=20, deadline=None, derandomize=True)
 @given(
-    of=st.integers(2, 120),
+    of=st.one_of(st.sampled_from([1, 3, 30, 200]), st.integers(2, 120)),
     seen=st.sampled_from([1, 2, 8]),
     fleet=st.sampled_from([Fleet(30, 0), Fleet(60, 0), Fleet(30, 30), Fleet(8, 24)]),
     pace=st.sampled_from([1.0, 3.0, 8.0]),
     seed=st.integers(1, 1000),
+    rules=st.sampled_from(FLEETS),
 )
-def test_dispatchers_that_each_see_a_part_keep_to_one_budget(of, seen, fleet, pace, seed):
-    facts, sends = sent_to_the_cold_one(of, seen, fleet, pace, seed)
+def test_dispatchers_that_each_see_a_part_keep_to_one_budget(of, seen, fleet, pace, seed, rules):
+    facts, sends = sent_to_the_cold_one(of, seen, fleet, pace, seed, rules=rules)
     assert beyond(facts, sends, pace) <= 0, len(sends)
 
 
+@pytest.mark.parametrize("of", [1, 3, 30, 200])
+@pytest.mark.parametrize("rules", FLEETS)
+def test_parts_seen_by_one_dispatcher_few_and_many_keep_to_one_budget(of, rules):
+    facts, sends = sent_to_the_cold_one(of, 2, Fleet(30, 0), 20.0, 1, rules=rules)
+    assert sends and beyond(facts, sends, 20.0) <= 0
+
+
 @pytest.mark.parametrize("seen", [1, 2])
 def test_counted_over_the_part_seen_the_budget_is_broken(seen):
     """The counter-example: each gets the same from its own worker as if that were all there is, so that the
