--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -9,6 +9,7 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.linking import PROMPT
+from lapistrestle.edge.work_gate import NOT_BEGUN, WorkGate
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.requests import Attempt, PendingRequest, WorkerTask
 from lapistrestle.hosting.timers import Timer
@@ -19,7 +20,6 @@
 TENTHS = 10_000  # of a millisecond in a second
 LATE = 200  # tenths of a millisecond since the look before: a close may lie behind what is read
 PIECES = 4  # a whole request with the longest body, and what follows it
-NOT_BEGUN = "not begun"  # the log line and counter of what the list or its client forbade
 MOST_LOGGED = 100  # lines of one kind
 LAST = 300  # tenths of a millisecond: for answers to leave once all is cut short
 
@@ -71,8 +71,6 @@
         self.reactor, self.name, self.log = reactor, name, log
         self.facts: dict[str, Any] = {**facts, "order_lag": prompt}
         self.runners: dict[str, Any] = {}
-        self.listings: dict[str, Listing] = {}  # of the workers that lists name, as last read
-        self.lists_read_at = -LATE - 1  # when what lay unread of the lists was last read
         self.counts = dict.fromkeys(("turned away", "unreadable", "passed over", NOT_BEGUN), 0)
         self.stopping = False
         self.dials_when_used = False  # runners only when something is sent there, else when they are listed
@@ -83,6 +81,7 @@
         self.front: Front
         self.make_runner: Callable[[str, Any, str], RunnerHandle]
         self.sources: list[ListSource] = []
+        self.gate = WorkGate(self)
         self.host = ModuleHost(self, self.facts, seed, self.clock, slack, make)
         if hasattr(reactor, "around"):
             reactor.around = self.host.batched
@@ -153,55 +152,12 @@
             self.host.fire_timers()
         self.wake()
 
-    # what may begin
-
-    def may_begin(self, work: Attempt | WorkerTask, runner: RunnerHandle) -> bool:
-        """Asked just before the first byte of an attempt or of an order to load leaves for a runner: rule 3
-        binds there, whatever the module had heard when it decided, and so does what its client did since."""
-        self.read_lists()
-        name = work.srv.name
-        serves = self.runners.get(name) is runner and self.serves(name)
-        if serves and (isinstance(work, WorkerTask) or self.is_wanted(work)):
-            return True
-        self.refused(work)
-        return False
-
-    def read_lists(self) -> None:
-        """Read what lies unread of the lists, unless that was done within LATE: after a standstill a drain
-        that counts as told may lie there. One system call in LATE is all that a calm day pays."""
-        now = self.clock()
-        if now - self.lists_read_at <= LATE:
-            return
-        self.lists_read_at = now
-        for source in self.sources:
-            source.read_now()
-
-    def serves(self, name: str) -> bool:
-        """Whether the list as last read has a worker take new work, and is recent enough to go by."""
-        return self.listings.get(name) is Listing.SERVING and all(s.is_current() for s in self.sources)
-
-    def is_wanted(self, attempt: Attempt) -> bool:
-        """Whether a client still waits for an attempt that has not begun, with time left for it."""
-        pending = attempt.pending
-        if not pending.final:
-            pending.client.read_now()
-        return not pending.final and attempt.ends_by > self.clock()
-
-    def refused(self, work: Attempt | WorkerTask) -> None:
-        """Count what was not begun, and log the first ones with what the list says."""
-        self.counts[NOT_BEGUN] += 1
-        if self.counts[NOT_BEGUN] <= MOST_LOGGED:
-            listing = self.listings.get(work.srv.name, Listing.GONE).name.lower()
-            self.log(NOT_BEGUN, runner=work.srv.name, listing=listing, number=work.number)
-
     # the list and the runners
 
     def listed(self, told: Sequence[SrvFacts], whole: bool) -> None:
         """A list or a change of it was read. Nothing new begins against it from now on; the module hears of
         it before whatever else waits to be told."""
-        if whole:
-            self.listings.clear()
-        self.listings.update((facts_.name, facts_.listing) for facts_ in told)
+        self.gate.listed(told, whole)
         self.host.listed(told, whole)
 
     def address(self, name: str, address: Any, start: str = "") -> None:
@@ -240,9 +196,8 @@
     def stream(self, pending: PendingRequest) -> None: ...
 
     def run(self, attempt: Attempt) -> None:
-        self.read_lists()
-        if not self.serves(attempt.srv.name):
-            self.refused(attempt)
+        if not self.gate.serves(attempt.srv.name):
+            self.gate.refused(attempt)
             return self.host.ended(attempt.number, Outcome.MOOT)
         runner = self.runner(attempt.srv.name)
         if runner is None:
@@ -256,9 +211,8 @@
         return attempt.connection is not None and attempt.connection.cancel_unsent(attempt.number)
 
     def hold(self, task: WorkerTask) -> None:
-        self.read_lists()
-        if task.count and not self.serves(task.srv.name):
-            self.refused(task)
+        if task.count and not self.gate.serves(task.srv.name):
+            self.gate.refused(task)
             return self.host.ordered(task.number, Outcome.MOOT, 0)
         runner = self.runner(task.srv.name)
         if runner is None:
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -267,7 +267,7 @@
             self.connector.disconnect()
 
     def may_begin(self, work: Attempt | WorkerTask) -> bool:
-        may: bool = self.edge.may_begin(work, self)
+        may: bool = self.edge.gate.may_begin(work, self)
         return may
 
     def write(self, line: bytes, number: int = 0) -> bool:
--- /dev/null
+++ b/lapistrestle/edge/work_gate.py
@@ -0,0 +1,73 @@
+"""Whether new work may begin to leave for a worker: rules 1 and 3 at the socket.
+
+The module decides by what it has heard; meanwhile the process may have stood still, with a drain, or the
+close of a client, unread in a socket. So this is asked once more just before the first byte of each attempt
+and of each order to load, whichever way it comes to be written. Placing stays the module's: what may not
+begin ends as not sent. Times are whole tenths of a millisecond.
+"""
+
+from collections.abc import Sequence
+from typing import Any
+
+from lapistrestle.hosting.requests import Attempt, WorkerTask
+from lapistrestle.interface import Listing, SrvFacts
+
+READ_AGAIN = 200  # after so long the lists are read again; the protocol page allows 500 on top of any grace
+NOT_BEGUN = "not begun"  # the log line and counter of what was refused here
+MOST_LOGGED = 100  # of those lines
+
+
+class WorkGate:
+    """The listings of workers as last read, and what may begin by them. `core` is the edge's."""
+
+    def __init__(self, core: Any) -> None:
+        self.core = core
+        self.listings: dict[str, Listing] = {}
+        self.is_reading = False  # what the lists tell may ask for them to be read
+        self.read_at = -READ_AGAIN - 1
+
+    def listed(self, told: Sequence[SrvFacts], whole: bool) -> None:
+        """A list or a change of it was read."""
+        if whole:
+            self.listings.clear()
+        self.listings.update((facts.name, facts.listing) for facts in told)
+
+    def may_begin(self, work: Attempt | WorkerTask, runner: Any) -> bool:
+        """Whether work may begin at a runner, which may be another process under its worker's name by now."""
+        serves = self.serves(work.srv.name) and self.core.runners.get(work.srv.name) is runner
+        if serves and (isinstance(work, WorkerTask) or self.is_wanted(work)):
+            return True
+        self.refused(work)
+        return False
+
+    def serves(self, name: str) -> bool:
+        """Whether the list, read just now, has a worker take new work, and is recent enough to go by."""
+        self.read_lists()
+        if self.listings.get(name) is not Listing.SERVING:
+            return False
+        return all(source.is_current() for source in self.core.sources)
+
+    def read_lists(self) -> None:
+        """Read what lies unread of the lists, unless that was done within READ_AGAIN: one system call in that
+        time is all that a calm day pays."""
+        now = self.core.clock()
+        if self.is_reading or now - self.read_at <= READ_AGAIN:
+            return
+        self.is_reading, self.read_at = True, now
+        for source in self.core.sources:
+            source.read_now()
+        self.is_reading = False
+
+    def is_wanted(self, attempt: Attempt) -> bool:
+        """Whether a client still waits for an attempt that has not begun, with time left for it."""
+        pending = attempt.pending
+        if not pending.final:
+            pending.client.read_now()
+        return not pending.final and attempt.ends_by > self.core.clock()
+
+    def refused(self, work: Attempt | WorkerTask) -> None:
+        """Count what may not begin, and log the first ones with what the list says."""
+        self.core.counts[NOT_BEGUN] += 1
+        if self.core.counts[NOT_BEGUN] <= MOST_LOGGED:
+            listing = self.listings.get(work.srv.name, Listing.GONE).name.lower()
+            self.core.log(NOT_BEGUN, runner=work.srv.name, listing=listing, number=work.number)
--- a/lapistrestle/node/client.py
+++ b/lapistrestle/node/client.py
@@ -125,7 +125,7 @@
 
     def bound(self) -> None:
         """Keep within bounds what is held for this client."""
-        if self.waiting > MOST_UNSENT:
+        if self.unsent_bytes > MOST_UNSENT:
             self.stalled = True
             self.watch_reads(False)
         held = self.reader.held()
@@ -149,8 +149,8 @@
 
     def stuck_for(self, now: int) -> int:
         """How long the client has read nothing of what is unsent, in tenths of a millisecond."""
-        if self.waiting != self.unsent_seen or not self.waiting:
-            self.unsent_seen, self.unsent_since = self.waiting, now
+        if self.unsent_bytes != self.unsent_seen or not self.unsent_bytes:
+            self.unsent_seen, self.unsent_since = self.unsent_bytes, now
         return now - self.unsent_since
 
     def refuse_begun(self, status: int) -> None:
--- a/lapistrestle/node/connection.py
+++ b/lapistrestle/node/connection.py
@@ -222,7 +222,7 @@
 
     def may_begin(self, work: Attempt | WorkerTask) -> bool:
         """Whether new work may begin to leave for the runner now."""
-        return self.core.may_begin(work, self.runner)
+        return self.core.gate.may_begin(work, self.runner)
 
     def write(self, line: bytes, number: int = 0) -> bool:
         """Write a line; False if none of it left. What waits after it slows the link down."""
--- a/lapistrestle/node/freshness.py
+++ b/lapistrestle/node/freshness.py
@@ -42,6 +42,10 @@
         """The board was asked anew: all that is in it counts as told."""
         self.shorten(at)
 
+    def fell_behind(self, at: int) -> None:
+        """The board holds an event that did not come: it counts as told, and so may others."""
+        self.shorten(at)
+
     def shorten(self, told: int) -> None:
         """What the board holds counts as told from this moment on."""
         self.usable_until = min(self.usable_until, told + self.grace)
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -5,8 +5,8 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.core import Core, Log
-from lapistrestle.node.board import Board
 from lapistrestle.node.connection import PROMPT
+from lapistrestle.node.discovery import ServiceDiscovery
 from lapistrestle.node.front import Front
 from lapistrestle.node.place import Place, Wrong
 from lapistrestle.node.runners import RunnerPools
@@ -26,10 +26,11 @@
     def __init__(self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher) -> None:
         seed = int(place.file.seed, 16)
         self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make, PROMPT)
-        self.pools, self.board = RunnerPools(self.core, place), Board(self.core, place)
+        self.pools = RunnerPools(self.core, place)
+        self.discovery = ServiceDiscovery(self.core, place)
         self.front = Front(self.core, place)
-        self.front.ready = self.board.ready
-        self.core.front, self.core.make_runner, self.core.sources = self.front, self.pools, [self.board]
+        self.front.ready = self.discovery.ready
+        self.core.front, self.core.make_runner, self.core.sources = self.front, self.pools, [self.discovery]
         self.leaving, self.readings = False, 0
 
     def start(self) -> int:
@@ -41,8 +42,8 @@
     def renewed(self, place: Place) -> None:
         """A new configuration is in force; what can change in a running dispatcher is where the board is, and
         what it has told."""
-        self.board.learn(place.file.known)
-        self.board.move(place.file.board)
+        self.discovery.apply_known(place.file.known)
+        self.discovery.move_to(place.file.board)
 
     def reload(self, read: Callable[[], Place]) -> None:
         """SIGHUP: a file caught half-written is read again, as nobody tells when it is whole."""
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -27,8 +27,8 @@
         self.reactor, self.sock = reactor, sock
         self.dialling, self.dead, self.closing = dialled, False, False
         self.unsent: deque[tuple[bytes, int]] = deque()  # pieces, each with a mark of the sender's own
-        self.at = 0  # bytes of the first piece that have left
-        self.waiting = 0  # bytes that have not
+        self.offset = 0  # bytes of the first piece that have left
+        self.unsent_bytes = 0
         self.writing = self.reading = False
         self.read_at = -FRESH  # when it was last read to its end, by the reactor's clock
 
@@ -111,7 +111,7 @@
         if self.dead:
             return
         self.unsent.append((data, mark))
-        self.waiting += len(data)
+        self.unsent_bytes += len(data)
         if len(self.unsent) == 1 and not self.dialling:
             self.flush()
 
@@ -122,26 +122,26 @@
             return False
         if not self.unsent:
             self.send(data, mark)
-            if self.dead or not self.unsent or self.at:
+            if self.dead or not self.unsent or self.offset:
                 return True
             self.unsent.clear()
-            self.waiting = 0
+            self.unsent_bytes = 0
         return False
 
     def flush(self) -> None:
         while self.unsent and not self.dead:
             data = self.unsent[0][0]
             try:
-                sent = self.sock.send(data[self.at :] if self.at else data)
+                sent = self.sock.send(data[self.offset :] if self.offset else data)
             except OSError as trouble:
                 if trouble.errno in AGAIN:
                     break
                 return self.drop(trouble.strerror or "lost")
-            self.at, self.waiting = self.at + sent, self.waiting - sent
-            if self.at < len(data):
+            self.offset, self.unsent_bytes = self.offset + sent, self.unsent_bytes - sent
+            if self.offset < len(data):
                 break
             self.unsent.popleft()
-            self.at = 0
+            self.offset = 0
         if self.unsent:
             return self.watch_writes(True)
         if self.closing:
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -311,7 +311,7 @@
     for _ in range(120):
         asked.append(client.ask(body=BODY))
         stage.hand.quiet()
-        assert connection.waiting <= 2 * client_connections.MOST_UNSENT
+        assert connection.unsent_bytes <= 2 * client_connections.MOST_UNSENT
     read_on(stage, client)
     stage.hand.until(lambda: len(client.ends) == len(asked) or client.closed)
     assert [client.status(number) for number in asked] == [200] * 120
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -11,13 +11,15 @@
 
 from lapistrestle.edge.linking import Link
 from lapistrestle.interface import Listing
-from lapistrestle.node.board import Entry, frame_of
 from lapistrestle.node.freshness import ListFreshness
+from lapistrestle.node.notices import Record, decode_frame
 from lapistrestle.node.place import Wrong, read
+from lapistrestle.node.program import Node
 from lapistrestle.standins.platform import BoardEnd, frame, row
 
 SECOND = 10_000  # tenths of a millisecond
 SILENT, BROKEN, MOVED = 4.0, 2.0, 4.0  # seconds after which what the board would have told counts as told
+SHORTENED = {"broke": BROKEN, "moved": MOVED, "asked": 0, "fell_behind": 0}  # seconds, by what happened
 GRACE = 2.0  # seconds, as the settings of `Stage` have it
 DRAINING = 1
 
@@ -49,8 +51,8 @@
     return client.status(number)
 
 
-def board_of(stage):
-    return stage.node.board
+def discovery_of(stage):
+    return stage.node.discovery
 
 
 # the decision
@@ -60,8 +62,7 @@
 @given(
     grace=st.integers(0, 3 * SECOND),
     words=st.lists(
-        st.tuples(st.sampled_from(["heard", "broke", "moved", "asked"]), st.integers(0, 2 * SECOND)),
-        max_size=12,
+        st.tuples(st.sampled_from(["heard", *SHORTENED]), st.integers(0, 2 * SECOND)), max_size=12
     ),
 )
 def test_whatever_happened_the_list_is_never_used_past_what_counts_as_told_and_the_grace(grace, words):
@@ -73,10 +74,8 @@
         if word == "heard":
             told = now + int(SILENT * SECOND)
         else:
-            after = {"broke": BROKEN, "moved": MOVED, "asked": 0}[word]
-            told = min(told, now + int(after * SECOND))
-        assert freshness.usable_until == max(told + grace, freshness.usable_until)
-        assert freshness.usable_until <= told + grace
+            told = min(told, now + int(SHORTENED[word] * SECOND))
+        assert freshness.usable_until == told + grace
         assert freshness.is_usable(told + grace) and not freshness.is_usable(told + grace + 1)
 
 
@@ -182,13 +181,13 @@
     events = [{"rev": 2, "pool": {"full": False, "servers": [server(stage, "DRAINING")]}}]
     path = written(stage, tmp_path, known={"rev": 2, "notices": events})
     stage.node.renewed(read(str(path)))
-    assert stage.srvs()["s-00000001"].listing is Listing.DRAINING and board_of(stage).last == 2
+    assert stage.srvs()["s-00000001"].listing is Listing.DRAINING and discovery_of(stage).revision == 2
 
 
 def test_events_of_a_configuration_that_miss_one_between_are_left_to_the_board(stage, tmp_path):
     events = [{"rev": 3, "pool": {"full": False, "servers": [server(stage, "DRAINING")]}}]
     stage.node.renewed(read(str(written(stage, tmp_path, known={"rev": 3, "notices": events}))))
-    assert board_of(stage).last == 1 and stage.srvs()["s-00000001"].listing is Listing.SERVING
+    assert discovery_of(stage).revision == 1 and stage.srvs()["s-00000001"].listing is Listing.SERVING
 
 
 @pytest.mark.parametrize("behind, age", [(0.0, 0), (1.5, 15_000), (-1.0, None)])
@@ -197,6 +196,16 @@
     assert place.age(place.written + behind) == age
 
 
+def test_without_a_board_the_list_of_the_file_holds(stage, tmp_path):
+    """Nobody tells anything that it could miss."""
+    known = {"rev": 1, "notices": [{"rev": 1, "pool": {"full": True, "servers": [server(stage)]}}]}
+    place = read(str(written(stage, tmp_path, known=known)))
+    node = Node(stage.hand, place, lambda what, **figures: None)
+    node.discovery.start()
+    stage.hand.run(60.0)
+    assert node.discovery.ready()
+
+
 # what a frame may hold
 
 
@@ -205,7 +214,7 @@
     stage = stages()
     stage.board.tell(2, 2, stage.row(0, state=7), row(9, 0), stage.row(1, state=DRAINING))
     stage.board.tell(3, 2, row(8, 1234, zone=200, kind=200, state=2))
-    stage.hand.until(lambda: board_of(stage).last == 3)
+    stage.hand.until(lambda: discovery_of(stage).revision == 3)
     listings = {name: srv.listing for name, srv in stage.srvs().items()}
     assert set(listings.values()) == {Listing.DRAINING} and stage.board.asked == [0]
     assert asked(stage) == 503 and stage.runs() == []
@@ -213,9 +222,9 @@
 
 @given(state=st.integers(0, 255), port=st.integers(0, 65_535))
 def test_only_the_state_zero_with_a_port_reads_as_ready(state, port):
-    (entry,) = frame_of(frame(1, 1, row(1, port, state=state))).entries
-    assert isinstance(entry, Entry)
-    assert (entry.listing is Listing.SERVING) == (state == 0 and port > 0)
+    (record,) = decode_frame(frame(1, 1, row(1, port, state=state))).records
+    assert isinstance(record, Record)
+    assert (record.listing is Listing.SERVING) == (state == 0 and port > 0)
 
 
 # just before the first byte
@@ -283,7 +292,7 @@
     before = len(stage.runs())
     client.ask(method="bill", patience="3000")
     stage.hand.until(lambda: connection.linking.state is Link.SLOW)
-    watch = board_of(stage).watch
+    watch = discovery_of(stage).watch
     stage.hand.readers.pop(watch)  # the reactor turns to it last
     stage.board.tell(2, 2, stage.row(0, state=DRAINING))
     still(stage, 0.3)
@@ -298,7 +307,7 @@
     closed, client = Closed(stage), stage.client()
     client.ask(method="bill", patience="3000")
     stage.hand.until(lambda: held(stage))
-    watch = board_of(stage).watch
+    watch = discovery_of(stage).watch
     stage.hand.readers.pop(watch)
     stage.board.tell(2, 2, stage.row(0, state=DRAINING))
     still(stage, 0.1)
@@ -318,7 +327,7 @@
     stage.hand.until(lambda: got)
     line, said = got[0]
     line.say("404", said["rid"])
-    watch = board_of(stage).watch
+    watch = discovery_of(stage).watch
     stage.hand.readers.pop(watch)
     stage.hand.readers[watch] = None  # met last in the look that brings both
     stage.board.tell(2, 2, stage.row(0, state=DRAINING))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from lapistrestle.node import records
-from lapistrestle.node.board import Entry, Frames, Unreadable
+from lapistrestle.node.notices import FrameDecoder, FrameError, Record
 from lapistrestle.node.place import Wrong, parse, read
 from lapistrestle.standins.platform import begin, frame, row
 
@@ -99,23 +99,23 @@
 def test_any_split_gives_the_same_frames(cuts):
     first = frame(1, 1, row(0xC41F7A, 10080, zone=1, cell=2, weight=4000))
     data = first + frame(1, 0) + frame(2, 2, row(3, 9))
-    frames, found, at = Frames(), [], 0
+    decoder, found, at = FrameDecoder(), [], 0
     for cut in [*sorted(c % (len(data) + 1) for c in cuts), len(data)]:
-        found += frames.feed(data[at:cut])
+        found += decoder.feed(data[at:cut])
         at = cut
-    assert [f.number for f in found] == [1, 1, 2]
-    assert found[0].entries == (Entry(0xC41F7A, 0x7F000001, 10080, 0, 1, 0, 2, 4000, 0),)
-    assert found[0].entries[0].name == "s-00c41f7a" and found[0].entries[0].address == "127.0.0.1:10080"
+    assert [f.revision for f in found] == [1, 1, 2]
+    assert found[0].records == (Record(0xC41F7A, 0x7F000001, 10080, 0, 1, 0, 2, 4000, 0),)
+    assert found[0].records[0].name == "s-00c41f7a" and found[0].records[0].address == "127.0.0.1:10080"
 
 
 @given(st.binary(max_size=200))
 def test_no_bytes_on_the_board_raise_anything_but_unreadable(data):
-    frames = Frames()
+    decoder = FrameDecoder()
     try:
-        frames.feed(data)
-    except Unreadable:
-        assert frames.done is not None
-    assert len(frames.rest) <= len(data)
+        decoder.feed(data)
+    except FrameError:
+        assert decoder.frames is not None
+    assert len(decoder.buffer) <= len(data)
 
 
 @pytest.mark.parametrize(
