Edge: a client's close that lies unread is read before a further attempt begins

Seen: on the line protocol a runner's refusal read after a standstill, ahead of its client's close, led to a further attempt, as on the platform's protocol before. Two tests; the first fails without this, the second with the roster's reading taken out.

--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.internet.protocol import ServerFactory
 
+from lapistrestle.edge.work_gate import READ_AGAIN
 from lapistrestle.hosting.requests import ABORTED, DENIED, PendingRequest
 from lapistrestle.rollout.versions import key_of
 from lapistrestle.wire import messages as wire
@@ -33,6 +34,7 @@
         super().__init__(edge.bounds)
         self.edge, self.name = edge, f"c{number}"
         self.open: dict[str, PendingRequest] = {}
+        self.read_at = 0  # when it was last read
 
     def greeting(self) -> wire.Hello:
         return wire.Hello(self.protocol, wire.VERSION, self.edge.name, self.name)
@@ -42,6 +44,7 @@
 
     def heard(self, message: Any) -> None:
         self.edge.input()
+        self.read_at = self.edge.clock()
         match message:
             case wire.Call():
                 self.call(message)
@@ -90,7 +93,15 @@
             return self.say(wire.Answer(call.id, DENIED, stay / 10))
         edge.take(self, call, method, customer, left, route)
 
-    def read_now(self) -> None: ...  # the reactor's look was heard whole before anything was begun
+    def read_now(self) -> None:
+        """Read what lies unread, its end included, unless that was done within READ_AGAIN: nothing begins for
+        a client that has gone."""
+        now, read = self.edge.clock(), getattr(self.transport, "doRead", None)
+        if read is None or self.closed or now - self.read_at <= READ_AGAIN:
+            return
+        self.read_at = now
+        if read() is not None:  # why the connection has ended; the reactor ends it in its turn
+            self.lost()
 
     def answer(self, pending: PendingRequest, verdict: Any, come_back: int, body: Any) -> None:
         call = pending.message
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -454,6 +454,38 @@
     assert not stage.runs()
 
 
+def unread(speaker, read):
+    """What lies unread on a connection, as the transport's own reading brings it."""
+    speaker.transport.doRead = read
+
+
+def test_a_drain_that_lies_unread_is_heard_before_anything_leaves(stage):
+    """After a standstill the call was read first, and sent to the runner that drains."""
+    stage = Stage(runners=1)
+    speaker, client = stage.edge.source.speaker, stage.client()
+    change = {"is": "change", "number": 2, "epoch": "e", "workers": [stage.entry("r0", listing="draining")]}
+    unread(speaker, lambda: speaker.dataReceived(msgspec.json.encode(change) + b"\n"))
+    stage.run(0.1)
+    client.say(**CALL, id="1")
+    stage.run()
+    assert not stage.runs() and client.heard("answer")[0]["verdict"] == "denied"
+    assert stage.edge.counts["not begun"] == 1
+
+
+def test_nothing_begins_for_a_client_whose_close_lies_unread(stage):
+    """A runner's refusal was read first, and a further attempt sent."""
+    client = stage.client()
+    client.say(**CALL, id="1")
+    stage.run()
+    ((peer, run),) = stage.runs()
+    (seat,) = stage.edge.seats
+    unread(seat, lambda: "closed")
+    stage.run(0.1)
+    end(peer, run, "full")
+    stage.run()
+    assert len(stage.runs()) == 1 and stage.clean() and stage.edge.host.counts["left"] == 1
+
+
 def test_a_streamed_answer_is_the_clients_from_its_beginning(stage):
     streamed = msgspec.structs.replace(stage.edge.deployment.methods["preview"], streamed=True)
     stage = Stage(methods={"preview": streamed})
