Rename node/place.py: Configuration, ConfigurationFile, Settings, LimitSettings, ConfigurationError

Place -> Configuration, File -> ConfigurationFile, Told -> Settings (`told` -> `settings`), Own -> LimitSettings, Wrong -> ConfigurationError, bare -> without_nulls, place_of -> configuration_of; the module is node/configuration.py. Settings, log lines and messages keep their names.

--- a/lapistrestle/node/__main__.py
+++ b/lapistrestle/node/__main__.py
@@ -5,31 +5,34 @@
 import sys
 
 from lapistrestle.edge.running import reactor_of_now, run
-from lapistrestle.node.place import Wrong, place_of
+from lapistrestle.node.configuration import ConfigurationError, configuration_of
 from lapistrestle.node.program import Node
 from lapistrestle.records.lean import make_log
 
 
 def main() -> int:
     try:
-        place = place_of(os.environ)
-    except Wrong as trouble:
+        configuration = configuration_of(os.environ)
+    except ConfigurationError as trouble:
         print(f"lapistrestle: {trouble}", file=sys.stderr)
         return 2
     reactor = reactor_of_now()
-    node = Node(reactor, place, make_log(edge=place.file.name))
+    node = Node(reactor, configuration, make_log(edge=configuration.file.name))
     failed: list[int] = []
 
     def begin() -> None:
         try:
             node.start()
         except OSError as trouble:
-            print(f"lapistrestle: can't listen at {place.file.listen}: {trouble.strerror}", file=sys.stderr)
+            print(
+                f"lapistrestle: can't listen at {configuration.file.listen}: {trouble.strerror}",
+                file=sys.stderr,
+            )
             failed.append(1)
             reactor.stop()
 
     def reload() -> None:
-        node.reload(lambda: place_of(os.environ))
+        node.reload(lambda: configuration_of(os.environ))
 
     def leave() -> None:
         node.leave(reactor.stop)
--- a/lapistrestle/node/place.py
+++ b/lapistrestle/node/configuration.py
@@ -1,4 +1,4 @@
-"""What a dispatcher is told of its place: the file that EDGE_CONFIG names, checked."""
+"""The configuration of one dispatcher: the file that EDGE_CONFIG names, checked."""
 
 import re
 from collections.abc import Mapping
@@ -16,7 +16,7 @@
 Address = Annotated[str, Meta(pattern=f"^{ADDRESS.pattern}$")]
 
 
-class Wrong(Exception):
+class ConfigurationError(Exception):
     """What can't be used; the text is meant for the person who started the program."""
 
 
@@ -76,7 +76,7 @@
     share: Whole = 0
 
 
-class Own(Struct, rename="kebab"):
+class LimitSettings(Struct, rename="kebab"):
     """The settings' limits; the transport's own have the platform's usual figures where they are missing."""
 
     streams_per_conn: Annotated[int, Meta(ge=1)] = 32
@@ -117,14 +117,14 @@
     names: list[str] = field(default_factory=list)
 
 
-class Told(Struct, rename="kebab"):
+class Settings(Struct, rename="kebab"):
     """As much of the settings as is checked; the module gets all of them."""
 
     profiles: Annotated[list[Profile], Meta(min_length=1)]
     tenants: list[Tenant] = field(default_factory=list)
     zones: list[str] = field(default_factory=list)
     models: list[str] = field(default_factory=list)
-    limits: Own = field(default_factory=Own)
+    limits: LimitSettings = field(default_factory=LimitSettings)
     rules: Rules = field(default_factory=Rules)
     family_info: Info = field(default_factory=Info)
     reporting: Reporting = field(default_factory=Reporting)
@@ -132,7 +132,7 @@
     me: Whole = 0
 
 
-class File(Struct):
+class ConfigurationFile(Struct):
     name: str
     listen: Address
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{1,32}$")]
@@ -142,11 +142,11 @@
     known: Known = field(default_factory=Known)
 
 
-class Place(Struct):
+class Configuration(Struct):
     """One checked file."""
 
-    file: File
-    told: Told
+    file: ConfigurationFile
+    settings: Settings
     facts: Facts
     written: float | None = None  # when the file was, in seconds of the Unix clock; None: not known
 
@@ -170,54 +170,56 @@
     return host, int(port)
 
 
-def read(path: str | None) -> Place:
-    """Raises Wrong, which names the file, what is wrong and where."""
+def read(path: str | None) -> Configuration:
+    """Raises ConfigurationError, which names the file, what is wrong and where."""
     if not path:
-        raise Wrong("EDGE_CONFIG is not set; it names the file of the configuration")
+        raise ConfigurationError("EDGE_CONFIG is not set; it names the file of the configuration")
     try:
         raw, written = Path(path).read_bytes(), Path(path).stat().st_mtime
     except OSError as trouble:
-        raise Wrong(f"{path}: can't be read: {trouble.strerror}") from None
-    place = parse(raw, path)
-    place.written = written
-    return place
+        raise ConfigurationError(f"{path}: can't be read: {trouble.strerror}") from None
+    configuration = parse(raw, path)
+    configuration.written = written
+    return configuration
 
 
-def bare(settings: Any) -> Any:
+def without_nulls(settings: Any) -> Any:
     """Without what is null, which reads as missing."""
     if isinstance(settings, dict):
-        return {name: bare(value) for name, value in settings.items() if value is not None}
-    return [bare(value) for value in settings] if isinstance(settings, list) else settings
+        return {name: without_nulls(value) for name, value in settings.items() if value is not None}
+    return [without_nulls(value) for value in settings] if isinstance(settings, list) else settings
 
 
-def facts(file: File, told: Told) -> Facts:
+def facts(file: ConfigurationFile, settings: Settings) -> Facts:
     """The settings in the module's words. Without a time to connect, or to wait for an order's answer, none
     would ever come: there the time is the platform's usual one, or the longest that a client waits."""
-    longest = max(profile.deadline for profile in told.profiles)
+    longest = max(profile.deadline for profile in settings.profiles)
     waits = {
-        "dial_time_out": words.span(told.limits.dial_timeout),
-        "order_time_out": words.span(int(told.family_info.answer_within or longest)),
+        "dial_time_out": words.span(settings.limits.dial_timeout),
+        "order_time_out": words.span(int(settings.family_info.answer_within or longest)),
     }
     return {**words.facts(file.settings), **waits}
 
 
-def parse(raw: bytes, path: str) -> Place:
+def parse(raw: bytes, path: str) -> Configuration:
     try:
-        file = msgspec.json.decode(raw, type=File)
-        told = msgspec.convert(bare(file.settings), Told)
-        return Place(file, told, facts(file, told))
+        file = msgspec.json.decode(raw, type=ConfigurationFile)
+        settings = msgspec.convert(without_nulls(file.settings), Settings)
+        return Configuration(file, settings, facts(file, settings))
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as trouble:
-        raise Wrong(f"{path}: {trouble}") from None
+        raise ConfigurationError(f"{path}: {trouble}") from None
     except (TypeError, ValueError, AttributeError, KeyError) as trouble:
-        raise Wrong(f"{path}: settings can't be used: {trouble}") from None
+        raise ConfigurationError(f"{path}: settings can't be used: {trouble}") from None
 
 
-def place_of(environ: Mapping[str, str]) -> Place:
+def configuration_of(environ: Mapping[str, str]) -> Configuration:
     """As the file says that the environment names; where to listen and the name may stand there too. Raises
-    Wrong."""
-    place, listen = read(environ.get("EDGE_CONFIG")), environ.get("EDGE_LISTEN", "")
+    ConfigurationError."""
+    configuration, listen = read(environ.get("EDGE_CONFIG")), environ.get("EDGE_LISTEN", "")
     if listen and not ADDRESS.fullmatch(listen):
-        raise Wrong(f"EDGE_LISTEN is {listen!r}; expected an address and a port, such as 10.0.0.4:10080")
-    place.file.listen = listen or place.file.listen
-    place.file.name = environ.get("EDGE_NAME") or place.file.name
-    return place
+        raise ConfigurationError(
+            f"EDGE_LISTEN is {listen!r}; expected an address and a port, such as 10.0.0.4:10080"
+        )
+    configuration.file.listen = listen or configuration.file.listen
+    configuration.file.name = environ.get("EDGE_NAME") or configuration.file.name
+    return configuration
--- a/lapistrestle/node/connection.py
+++ b/lapistrestle/node/connection.py
@@ -10,7 +10,7 @@
 from lapistrestle.edge.linking import Input, Line, Link, LinkCallbacks, Linking
 from lapistrestle.hosting.requests import NO_REPORT, Attempt, WorkerTask
 from lapistrestle.interface import Outcome
-from lapistrestle.node.place import split
+from lapistrestle.node.configuration import split
 from lapistrestle.node.replies import ATTEMPTS, NO_ATTRS, ORDERS, PROBES, Attrs, Reply, reply_of, report_of
 from lapistrestle.node.streams import Stream, dial
 
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -13,9 +13,9 @@
 from lapistrestle.deployment import words
 from lapistrestle.edge.core import TENTHS, Core
 from lapistrestle.interface import Listing, SrvFacts
+from lapistrestle.node.configuration import Configuration, Known, Row, split
 from lapistrestle.node.freshness import ListFreshness
 from lapistrestle.node.notices import STATES, Frame, FrameDecoder, FrameError, FrameKind, Record
-from lapistrestle.node.place import Known, Place, Row, split
 from lapistrestle.node.streams import MOST_READS, Stream, dial
 
 HEARTBEAT_TIME_OUT = 22_000  # two heartbeats have not come
@@ -98,11 +98,11 @@
 class ServiceDiscovery:
     """Watches the board at one address from the last revision on, and hands on what it tells."""
 
-    def __init__(self, core: Core, place: Place) -> None:
-        self.core, self.place = core, place
-        self.address = place.file.board
+    def __init__(self, core: Core, configuration: Configuration) -> None:
+        self.core, self.configuration = core, configuration
+        self.address = configuration.file.board
         self.revision = 0  # of the last event applied
-        now, age = core.clock(), place.age(time.time())
+        now, age = core.clock(), configuration.age(time.time())
         grace = core.facts["drain_grace"]
         self.freshness = ListFreshness(grace, now - 1 if age is None else now - age + grace)
         self.was_usable = False  # whether new work might begin by the list, as last asked
@@ -110,8 +110,8 @@
         self.stopped = False
         self.reconnects_at_once = True
         self.offset = int(time.time() * TENTHS) - core.clock()  # of the Unix clock to ours
-        self.zones = {name: i for i, name in enumerate(place.told.zones)}
-        self.kinds = {name: i for i, name in enumerate(place.told.models)}
+        self.zones = {name: i for i, name in enumerate(configuration.settings.zones)}
+        self.kinds = {name: i for i, name in enumerate(configuration.settings.models)}
 
     def ready(self) -> bool:
         """Whether there is a list, and new work may begin by it."""
@@ -121,7 +121,7 @@
     # core.ListSource
 
     def start(self) -> None:
-        self.apply_known(self.place.file.known)
+        self.apply_known(self.configuration.file.known)
         self.core.after(HEARTBEAT_TIME_OUT, self.check_heartbeat, None)
         self.connect()
 
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -10,8 +10,8 @@
 from lapistrestle.hosting.requests import PendingRequest
 from lapistrestle.node import records
 from lapistrestle.node.client import DISCARDING_TIME, ClientConnection, Phase
+from lapistrestle.node.configuration import Configuration, split
 from lapistrestle.node.invocation import Invocation, Parser, Unfit
-from lapistrestle.node.place import Place, split
 from lapistrestle.node.streams import Listener
 
 MARGIN = 60  # tenths of a millisecond for the way back and the turn of the loop
@@ -49,27 +49,27 @@
 class Front:
     """Listens, checks requests, hands them to the host."""
 
-    def __init__(self, core: Core, place: Place) -> None:
+    def __init__(self, core: Core, configuration: Configuration) -> None:
         self.core = core
-        self.host_port = split(place.file.listen)
+        self.host_port = split(configuration.file.listen)
         self.connections: dict[ClientConnection, None] = {}
         self.idle = OrderedDict[ClientConnection, None]()  # without an open request, longest idle first
-        most = place.file.limits.sockets * SOCKETS_PART[0] // SOCKETS_PART[1]
+        most = configuration.file.limits.sockets * SOCKETS_PART[0] // SOCKETS_PART[1]
         self.most_parting = max(1, most // PARTING_PART)
         self.most = max(1, most - self.most_parting)
         # shut, or guests, each with the time until which it is kept; the oldest first
         self.parting = OrderedDict[ClientConnection, int]()
-        memory = place.file.limits.memory_mb * MB
+        memory = configuration.file.limits.memory_mb * MB
         self.held, self.most_held = 0, memory / HELD_PART  # bytes of what has not come whole
         # if each brings the longest body
         most = max(LEAST_OPEN, int(memory / BODIES_PART / records.MOST_BODY))
-        self.most_open = min(place.told.limits.max_open, most)
+        self.most_open = min(configuration.settings.limits.max_open, most)
         self.listener: Listener | None = None
         self.ready: Callable[[], bool] = lambda: False  # whether the list stands; the source knows
         self.leaving = False
         self.ids: OrderedDict[str, int] = OrderedDict()  # those taken in the last window of orders, and when
         self.lingering: dict[str, PendingRequest] = {}  # by id, until the last call-out has ended
-        self.parser = Parser(place, core.facts)
+        self.parser = Parser(configuration, core.facts)
 
     # core.Front
 
--- a/lapistrestle/node/invocation.py
+++ b/lapistrestle/node/invocation.py
@@ -7,7 +7,7 @@
 
 from lapistrestle.interface import Facts
 from lapistrestle.node import records
-from lapistrestle.node.place import Place
+from lapistrestle.node.configuration import Configuration
 
 MOST_WORK = 600_000.0  # milliseconds
 MOST_MEMORY = 1e6  # MB
@@ -77,10 +77,10 @@
     return found
 
 
-def methods_of(place: Place, facts: Facts) -> dict[bytes, Method]:
+def methods_of(configuration: Configuration, facts: Facts) -> dict[bytes, Method]:
     """By path."""
     made = {}
-    for number, profile in enumerate(place.told.profiles):
+    for number, profile in enumerate(configuration.settings.profiles):
         name, method = profile.name.encode(), facts["methods"][number]
         quoted = name.replace(b"\\", b"\\\\").replace(b'"', b'\\"')
         tokened = method["kind"] == "tokened"
@@ -91,9 +91,9 @@
 class Parser:
     """Requests to invocations, by the settings of one dispatcher."""
 
-    def __init__(self, place: Place, facts: Facts) -> None:
-        self.methods = methods_of(place, facts)
-        self.customers = {t.name.encode(): number for number, t in enumerate(place.told.tenants)}
+    def __init__(self, configuration: Configuration, facts: Facts) -> None:
+        self.methods = methods_of(configuration, facts)
+        self.customers = {t.name.encode(): number for number, t in enumerate(configuration.settings.tenants)}
 
     def parse(self, request: records.Request, path: bytes) -> Invocation:
         """Raises Unfit where the request can't be used."""
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -5,10 +5,10 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.core import Core, Log
+from lapistrestle.node.configuration import Configuration, ConfigurationError
 from lapistrestle.node.connection import PROMPT
 from lapistrestle.node.discovery import ServiceDiscovery
 from lapistrestle.node.front import Front
-from lapistrestle.node.place import Place, Wrong
 from lapistrestle.node.runners import RunnerPools
 
 GUARD = 40  # tenths of a millisecond past its deadline at which an RPC is answered whatever the module does
@@ -23,12 +23,16 @@
 class Node:
     """Puts the parts together, and knows when to begin and when to end."""
 
-    def __init__(self, reactor: Any, place: Place, log: Log, make: Callable[..., Any] = Dispatcher) -> None:
-        seed = int(place.file.seed, 16)
-        self.core = Core(reactor, place.file.name, place.facts, log, seed, GUARD, make, PROMPT)
-        self.pools = RunnerPools(self.core, place)
-        self.discovery = ServiceDiscovery(self.core, place)
-        self.front = Front(self.core, place)
+    def __init__(
+        self, reactor: Any, configuration: Configuration, log: Log, make: Callable[..., Any] = Dispatcher
+    ) -> None:
+        seed = int(configuration.file.seed, 16)
+        self.core = Core(
+            reactor, configuration.file.name, configuration.facts, log, seed, GUARD, make, PROMPT
+        )
+        self.pools = RunnerPools(self.core, configuration)
+        self.discovery = ServiceDiscovery(self.core, configuration)
+        self.front = Front(self.core, configuration)
         self.front.ready = self.discovery.ready
         self.core.front, self.core.make_runner, self.core.sources = self.front, self.pools, [self.discovery]
         self.leaving, self.readings = False, 0
@@ -39,24 +43,24 @@
         self.pools.start()
         return port
 
-    def renewed(self, place: Place) -> None:
+    def renewed(self, configuration: Configuration) -> None:
         """A new configuration is in force; what can change in a running dispatcher is where the board is, and
         what it has told."""
-        self.discovery.apply_known(place.file.known)
-        self.discovery.move_to(place.file.board)
+        self.discovery.apply_known(configuration.file.known)
+        self.discovery.move_to(configuration.file.board)
 
-    def reload(self, read: Callable[[], Place]) -> None:
+    def reload(self, read: Callable[[], Configuration]) -> None:
         """SIGHUP: a file caught half-written is read again, as nobody tells when it is whole."""
         self.readings += 1
         self.reread((self.readings, 0, read))
 
-    def reread(self, given: tuple[int, int, Callable[[], Place]]) -> None:
+    def reread(self, given: tuple[int, int, Callable[[], Configuration]]) -> None:
         reading, tries, read = given
         if reading != self.readings:  # another signal came
             return
         try:
             self.renewed(read())
-        except Wrong as trouble:
+        except ConfigurationError as trouble:
             if not tries:
                 self.core.log("configuration refused, the old one holds", why=str(trouble))
             if tries < REREAD_FOR // REREAD:
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -7,8 +7,8 @@
 from lapistrestle.edge.linking import Input, Line, Link
 from lapistrestle.hosting.requests import Attempt, WorkerTask
 from lapistrestle.interface import Outcome
+from lapistrestle.node.configuration import Configuration
 from lapistrestle.node.connection import RunnerConnection
-from lapistrestle.node.place import Place
 
 EACH_MOST = 16  # connections to one runner: one bad answer ends all that its connection carries
 SECOND = 10_000  # in tenths of a millisecond
@@ -140,14 +140,14 @@
 class RunnerPools:
     """All connections to runners. Calling it makes the `Runner` of a name and address."""
 
-    def __init__(self, core: Core, place: Place) -> None:
-        limits = place.told.limits
+    def __init__(self, core: Core, configuration: Configuration) -> None:
+        limits = configuration.settings.limits
         self.core, self.streams = core, limits.streams_per_conn
-        self.report_names = place.report_names
+        self.report_names = configuration.report_names
         self.tells_company = bool(core.facts["tells_company"])
         idle = limits.conn_idle // MICROSECONDS
         self.idle = max(idle * 6 // 10, idle - 2 * SECOND)  # before the runner would
-        self.most = place.file.limits.sockets * SOCKETS_PART[0] // SOCKETS_PART[1]
+        self.most = configuration.file.limits.sockets * SOCKETS_PART[0] // SOCKETS_PART[1]
         self.connections = 0
 
     def __call__(self, name: str, address: Any, start: str = "") -> Runner:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -446,8 +446,8 @@
     first, second = BoardEnd(stage.hand), BoardEnd(stage.hand)
     stage.hand.removeReader(first.listener)
     for board in (first, second):
-        stage.place.file.board = f"127.0.0.1:{board.port}"
-        stage.node.renewed(stage.place)
+        stage.configuration.file.board = f"127.0.0.1:{board.port}"
+        stage.node.renewed(stage.configuration)
     stage.hand.run(0.2)
     stage.hand.until(lambda: second.asked)
     stage.hand.addReader(first.listener)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,8 +10,8 @@
 from lapistrestle.edge.linking import Linking
 from lapistrestle.interface import CallOut, Listing
 from lapistrestle.node import records
+from lapistrestle.node.configuration import ConfigurationError, parse
 from lapistrestle.node.connection import RunnerConnection
-from lapistrestle.node.place import Wrong, parse
 from lapistrestle.node.program import Node
 from lapistrestle.node.runners import Runner
 from lapistrestle.standins.platform import BoardEnd, Hand, RunnerEnd, WebServer, begin, frame, row
@@ -51,8 +51,10 @@
             "limits": {"sockets": sockets, "memory_mb": memory_mb}, "board": f"127.0.0.1:{self.board.port}",
             "settings": SETTINGS | settings,
         }  # fmt: skip
-        self.place = parse(msgspec.json.encode(file), "config.json")
-        self.node = Node(self.hand, self.place, lambda what, **figures: self.logs.append((what, figures)))
+        self.configuration = parse(msgspec.json.encode(file), "config.json")
+        self.node = Node(
+            self.hand, self.configuration, lambda what, **figures: self.logs.append((what, figures))
+        )
         self.port = self.node.start()
         self.host, self.module = self.node.core.host, self.node.core.host.module
         self.ends = []
@@ -116,7 +118,8 @@
 def test_a_limit_that_is_null_reads_as_missing():
     file = {"name": "n", "listen": "127.0.0.1:0", "seed": "1"}
     limits = {"conn-idle": None, "streams-per-conn": None, "dial-timeout": 100_000}
-    told = parse(msgspec.json.encode(file | {"settings": SETTINGS | {"limits": limits}}), "config.json").told
+    raw = msgspec.json.encode(file | {"settings": SETTINGS | {"limits": limits}})
+    told = parse(raw, "config.json").settings
     assert (told.limits.conn_idle, told.limits.streams_per_conn) == (15_000_000, 32)
     assert told.limits.dial_timeout == 100_000
 
@@ -150,7 +153,7 @@
     elif group:
         changed = {group: SETTINGS.get(group, {}) | changed}
     file = {"name": "n", "listen": "127.0.0.1:0", "seed": "1", "settings": SETTINGS | changed}
-    with pytest.raises(Wrong, match=re.escape(key)):
+    with pytest.raises(ConfigurationError, match=re.escape(key)):
         parse(msgspec.json.encode(file), "config.json")
 
 
@@ -163,10 +166,12 @@
     if how == "missing":
         del settings[group]
     file = {"name": "n", "listen": "127.0.0.1:0", "seed": "1", "settings": settings}
-    place = parse(msgspec.json.encode(file), "config.json")
-    assert place.told.limits.try_limit >= 1 and place.facts["fall_multiple"] >= 1
-    assert place.facts["dial_time_out"] > 0 and place.facts["order_time_out"] > 0  # else none would be met
-    Node(Hand(), place, lambda what, **figures: None)
+    configuration = parse(msgspec.json.encode(file), "config.json")
+    assert configuration.settings.limits.try_limit >= 1 and configuration.facts["fall_multiple"] >= 1
+    assert (
+        configuration.facts["dial_time_out"] > 0 and configuration.facts["order_time_out"] > 0
+    )  # else none would be met
+    Node(Hand(), configuration, lambda what, **figures: None)
 
 
 def test_health_is_told_only_once_the_list_stands(stages):
@@ -589,8 +594,8 @@
 
 def test_a_new_configuration_moves_to_the_new_board_and_keeps_the_numbers(stage):
     other = BoardEnd(stage.hand)
-    stage.place.file.board = f"127.0.0.1:{other.port}"
-    stage.node.renewed(stage.place)
+    stage.configuration.file.board = f"127.0.0.1:{other.port}"
+    stage.node.renewed(stage.configuration)
     stage.hand.run(0.01)
     stage.hand.until(lambda: other.asked)
     assert other.asked == [1]
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -11,9 +11,9 @@
 
 from lapistrestle.edge.linking import Link
 from lapistrestle.interface import Listing
+from lapistrestle.node.configuration import ConfigurationError, read
 from lapistrestle.node.freshness import ListFreshness
 from lapistrestle.node.notices import Record, decode_frame
-from lapistrestle.node.place import Wrong, read
 from lapistrestle.node.program import Node
 from lapistrestle.standins.platform import BoardEnd, frame, row
 
@@ -166,7 +166,7 @@
 
     def reading():
         if stage.hand.rightNow < began + whole_after:
-            raise Wrong("half of it")
+            raise ConfigurationError("half of it")
         return whole
 
     stage.node.reload(reading)
@@ -192,15 +192,15 @@
 
 @pytest.mark.parametrize("behind, age", [(0.0, 0), (1.5, 15_000), (-1.0, None)])
 def test_the_age_of_the_list_is_that_of_its_file(stage, tmp_path, behind, age):
-    place = read(str(written(stage, tmp_path)))
-    assert place.age(place.written + behind) == age
+    configuration = read(str(written(stage, tmp_path)))
+    assert configuration.age(configuration.written + behind) == age
 
 
 def test_without_a_board_the_list_of_the_file_holds(stage, tmp_path):
     """Nobody tells anything that it could miss."""
     known = {"rev": 1, "notices": [{"rev": 1, "pool": {"full": True, "servers": [server(stage)]}}]}
-    place = read(str(written(stage, tmp_path, known=known)))
-    node = Node(stage.hand, place, lambda what, **figures: None)
+    configuration = read(str(written(stage, tmp_path, known=known)))
+    node = Node(stage.hand, configuration, lambda what, **figures: None)
     node.discovery.start()
     stage.hand.run(60.0)
     assert node.discovery.ready()
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from lapistrestle.node import records
+from lapistrestle.node.configuration import ConfigurationError, parse, read
 from lapistrestle.node.notices import FrameDecoder, FrameError, Record
-from lapistrestle.node.place import Wrong, parse, read
 from lapistrestle.standins.platform import begin, frame, row
 
 FIELDS = st.dictionaries(st.binary(max_size=300), st.binary(max_size=300), max_size=5)
@@ -132,13 +132,13 @@
     settings = {"profiles": [{"name": "a", "deadline": 1}]}
     good = {"name": "n", "listen": "127.0.0.1:0", "seed": "1", "settings": settings}
     assert parse(msgspec.json.encode(good), "f.json").file.name == "n"
-    with pytest.raises(Wrong, match=r"f\.json") as trouble:
+    with pytest.raises(ConfigurationError, match=r"f\.json") as trouble:
         parse(msgspec.json.encode(good | change), "f.json")
     assert says in str(trouble.value)
 
 
 def test_a_file_that_is_not_there_is_named():
-    with pytest.raises(Wrong, match=r"/nowhere/config\.json"):
+    with pytest.raises(ConfigurationError, match=r"/nowhere/config\.json"):
         read("/nowhere/config.json")
-    with pytest.raises(Wrong, match="EDGE_CONFIG"):
+    with pytest.raises(ConfigurationError, match="EDGE_CONFIG"):
         read(None)
