Tests: clients that leave, and the time passed on, over real processes that are stopped

tests/test_node_standstill.py stops three dispatchers by SIGSTOP and judges what came at the workers: no RUN for a client that aborted or closed meanwhile, also behind 64 KiB of other requests on its connection; no further attempt; the time passed on at most what the client has left and 0.15 s, with requests that come all through the standstill.

--- /dev/null
+++ b/tests/test_node_standstill.py
@@ -0,0 +1,159 @@
+"""Rules on clients over real processes that are stopped: none who has left is served, times are those left.
+
+The dispatchers, boards and workers are those of `test_node_drains`; judged is what came at the workers.
+"""
+
+import os
+import time
+
+import pytest
+from test_node_drains import PAST, home_of, side_by_side
+
+from lapistrestle.standins.platform import WebServer
+
+__all__ = ["side_by_side"]  # the fixture
+
+SLACK_MS = 150  # by which the time passed on may be over what the client has left
+
+
+class Asked:
+    """Requests of side-effecting calls, each with the moment at which its client sent it."""
+
+    def __init__(self, hand):
+        self.hand, self.sent = hand, {}
+
+    def ask(self, client, patience_ms=9_000):
+        """Send one; returns its id."""
+        id_ = os.urandom(8).hex()
+        self.sent[id_] = time.monotonic(), patience_ms
+        client.ask(id=id_, method="bill", patience=str(patience_ms))
+        return id_
+
+    def over(self, runs):
+        """Runs that were told more time than their client had left as they began to come."""
+        late = []
+        for worker, said, began in runs:
+            if said["rid"] in self.sent:
+                sent, patience_ms = self.sent[said["rid"]]
+                left = patience_ms - (began - sent) * 1000
+                if float(said["attrs"]["budget"]) > left + SLACK_MS:
+                    late.append((worker, said["attrs"]["budget"], round(left)))
+        return late
+
+
+def runs_of(node):
+    """What came at the workers, with the stamps of the first bytes."""
+    runs = []
+    for worker in node.workers:
+        stamps = [start.at for start in worker.started if start.what == "RUN"]
+        runs += [(worker.number, said, at) for said, at in zip(worker.runs, stamps, strict=True)]
+    return runs
+
+
+def stand_still(hand, nodes, meanwhile):
+    """Stop all, act, and let them go on after a while."""
+    for node in nodes:
+        node.stop()
+    past = time.monotonic() + PAST
+    for node in nodes:
+        meanwhile(node)
+    assert hand.follow(lambda: time.monotonic() > past)
+    for node in nodes:
+        node.go_on()
+
+
+def alive(node):
+    """It answers a request that comes behind all that is tested."""
+    node.ask()
+    return node.hand.follow(node.answered)
+
+
+@pytest.mark.parametrize("how", ["abort", "close"])
+def test_nothing_begins_for_clients_that_left_in_a_standstill(side_by_side, how):
+    """Several requests on one connection, the longest bodies among them; some are still wanted."""
+    hand, nodes = side_by_side()
+    asked, left, wanted = Asked(hand), set(), {}
+    clients = {node: [node.connected() for _ in range(4)] for node in nodes}
+
+    def leave(node):
+        for client in clients[node][1:]:
+            for _ in range(6):
+                left.add(asked.ask(client))
+                client.ask(id=os.urandom(8).hex(), body=b"x" * 16_000, patience="9000")
+        hand.quiet()
+        for client in clients[node][1:]:
+            if how == "close":
+                client.drop("gone")
+            else:
+                for number in range(2, client.last + 1):
+                    client.give_up(number)
+        wanted[node] = asked.ask(clients[node][0])
+
+    for node in nodes:
+        home_of(hand, node)
+    stand_still(hand, nodes, leave)
+    for node in nodes:
+        assert alive(node)
+        came = {said["rid"] for _, said, _ in runs_of(node)}
+        assert wanted[node] in came and not came & left
+
+
+def test_no_further_attempt_begins_for_clients_that_left_in_a_standstill(side_by_side):
+    """A worker turned the first one away; its answer lies before the client's close."""
+    hand, nodes = side_by_side()
+    asked, held = Asked(hand), {}
+    for node in nodes:
+        home_of(hand, node)
+        for worker in node.workers:
+            worker.on_run = lambda line, said, node=node: held.setdefault(node, (line, said))
+    clients = {node: node.connected() for node in nodes}
+    for node in nodes:
+        asked.ask(clients[node])
+    assert hand.follow(lambda: len(held) == len(nodes))
+
+    def leave(node):
+        line, said = held[node]
+        line.say("503", said["rid"])
+        hand.quiet()
+        for worker in node.workers:
+            worker.on_run = None
+        clients[node].drop("gone")
+
+    stand_still(hand, nodes, leave)
+    for node in nodes:
+        assert alive(node)
+        runs = [said["rid"] for _, said, _ in runs_of(node)]
+        assert runs.count(held[node][1]["rid"]) == 1
+
+
+def test_the_time_passed_on_is_at_most_what_the_client_has_left(side_by_side):
+    """Requests come all through a standstill, on one connection and on several, new ones among them."""
+    hand, nodes = side_by_side()
+    asked = Asked(hand)
+    for node in nodes:
+        home_of(hand, node)
+    clients = {node: [node.connected() for _ in range(3)] for node in nodes}
+
+    def ask(node):
+        began = time.monotonic()
+        for part in range(3):
+            assert hand.follow(lambda part=part: time.monotonic() > began + part * PAST / 2)
+            for client in clients[node]:
+                asked.ask(client, 3_000)
+            clients[node].append(WebServer(hand, node.port, node.host))
+            asked.ask(clients[node][-1], 3_000)
+
+    stand_still(hand, nodes, ask)
+    for node in nodes:
+        assert alive(node)
+        assert len(runs_of(node)) > 6 and asked.over(runs_of(node)) == []
+
+
+def test_the_judge_sees_too_much_time():
+    asked = Asked(None)
+    asked.sent["a"] = 10.0, 1_000
+
+    def run(budget):
+        return [(1, {"rid": "a", "attrs": {"budget": budget}}, 10.5)]
+
+    assert asked.over(run(650)) == [] and asked.over(run(651)) == [(1, 651, 500)]
