What waits for a worker that drains is taken back where its list is read

`Core.held_back` was called by each source after its list; `Core.listed` does it now, so that no source can leave it out, and lines of a worker that is gone end as not sent too, which says nothing of it.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -155,10 +155,13 @@
     # the list and the runners
 
     def listed(self, told: Sequence[SrvFacts], whole: bool) -> None:
-        """A list or a change of it was read. Nothing new begins against it from now on; the module hears of
-        it before whatever else waits to be told."""
+        """A list or a change of it was read. Nothing new begins against it from now on, what waits to be
+        written is taken back, and the module hears of it before whatever else waits to be told."""
         self.gate.listed(told, whole)
         self.host.listed(told, whole)
+        for facts in told:
+            if facts.listing is not Listing.SERVING and facts.name in self.runners:
+                self.runners[facts.name].hold_back()
 
     def address(self, name: str, address: Any, start: str = "") -> None:
         """A runner listens here now. At another address it is another process; the old way ends its calls."""
@@ -175,12 +178,6 @@
         """The runner that something is to be sent to; `None` if it is not there."""
         return self.runners.get(name)
 
-    def held_back(self, told: Sequence[SrvFacts]) -> None:
-        """Lines that wait for a runner that drains are not sent later: rule 3 binds at the socket."""
-        for facts_ in told:
-            if facts_.listing is not Listing.SERVING and facts_.name in self.runners:
-                self.runners[facts_.name].hold_back()
-
     def passed_over(self, name: str, why: str) -> None:
         self.counts["passed over"] += 1
         if self.counts["passed over"] <= MOST_LOGGED:
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -110,7 +110,6 @@
         self.listed(told, whole)
         for name, port, start in addresses:
             self.address(name, port, start)
-        self.held_back(told)
 
     def list_news(self, news: News) -> None:
         self.input()
@@ -129,13 +128,11 @@
         told = self.following.met(name, hello.start, hello.up_for, hello.draining, self.clock())
         if told:
             self.listed(told, whole=False)
-            self.held_back(told)
 
     def runner_drains(self, name: str, start: str) -> None:
         told = self.following.drains(name, start)
         if told:
             self.listed(told, whole=False)
-            self.held_back(told)
 
     # versions
 
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -219,7 +219,7 @@
         return action
 
     def apply(self, records: Sequence[Record], whole: bool) -> None:
-        """In one turn the module hears it, ways open, and lines that wait for what drains are taken back."""
+        """In one turn the module hears it, lines that wait for what drains are taken back, and ways open."""
         facts = tuple(self.facts(record) for record in records)
         named = {record.name for record in records}
         self.core.listed(facts, whole)
@@ -232,7 +232,6 @@
                 self.core.address(before, None)  # one that had this address has gone, told or not
             gone = record.listing is Listing.GONE
             self.core.address(record.name, None if gone else (record.address, record.started))
-        self.core.held_back(facts)
 
     def facts(self, record: Record) -> SrvFacts:
         booted = record.started * UNIX_TENTHS - self.offset if record.started else None
