--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -75,8 +75,8 @@
         self.stopping = False
         self.dials_when_used = False  # runners only when something is sent there, else when they are listed
         self.stopped: Callable[[], None] | None = None
-        self.patience: int | None = None  # once cut short: until when answers may still leave
-        self.heard = 0  # inputs so far
+        self.answers_until: int | None = None  # once cut short: until when answers may still leave
+        self.inputs = 0  # inputs so far
         self.turns, self.next_turn, self.turn_at = Turns(), None, -1
         self.front: Front
         self.make_runner: Callable[[str, Any, str], RunnerHandle]
@@ -89,7 +89,7 @@
     def clock(self) -> int:
         return int(self.reactor.seconds() * TENTHS + 0.001)  # 0.3 ms must not read as 2.99 tenths
 
-    def came(self) -> int:
+    def earliest_arrival(self) -> int:
         """The earliest moment at which what is read now may have come: a program that stood still reads late,
         and by the sockets' count its RPCs are older than by its own."""
         looked = getattr(self.reactor, "looked", None)
@@ -105,13 +105,13 @@
 
     def since_look(self) -> int:
         """How long what is read now may have lain unread at the most; 0 unless the program stood still."""
-        longest = self.clock() - self.came()
+        longest = self.clock() - self.earliest_arrival()
         return longest if longest > LATE else 0
 
     def pieces(self) -> int:
         """How many pieces of one connection are read at once: all that there are, within bounds, after a
         standstill. One that ends, and what it brought before, are then met in the same look."""
-        return PIECES if self.clock() - self.came() > LATE else 1
+        return PIECES if self.clock() - self.earliest_arrival() > LATE else 1
 
     def start(self) -> int:
         """Listen, and follow the list. Returns the port."""
@@ -124,7 +124,7 @@
     # turns and timers
 
     def input(self) -> None:
-        self.heard += 1
+        self.inputs += 1
 
     def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Timer:
         timer = self.host.timers.at(self.clock() + delay, call, arg)
@@ -145,7 +145,7 @@
         self.next_turn = None
         due, now = self.host.timers.next(), self.clock()
         if due is not None and due <= now:
-            if not self.turns.may_fire(now, due, self.heard):
+            if not self.turns.may_fire(now, due, self.inputs):
                 self.turn_at = due
                 self.next_turn = self.reactor.callLater(0, self.turn)
                 return
@@ -241,19 +241,19 @@
         waits a little for answers to leave."""
         if self.stopping:
             self.host.abort_all(self.front.open())
-            self.patience = self.clock() + LAST if self.patience is None else self.patience
-            return self.look()
+            self.answers_until = self.clock() + LAST if self.answers_until is None else self.answers_until
+            return self.check_finished()
         self.stopping, self.stopped = True, stopped
         self.log("stopping", open=self.host.open)
         self.front.close()
-        self.look()
+        self.check_finished()
 
-    def look(self, _: object = None) -> None:
+    def check_finished(self, _: object = None) -> None:
         """Whether all is over: what came until now has its answer, and that has left."""
-        late = self.patience is not None and self.clock() >= self.patience
+        late = self.answers_until is not None and self.clock() >= self.answers_until
         if late or not (self.host.open or self.front.owes()):
             return self.finish()
-        self.after(100, self.look, None)
+        self.after(100, self.check_finished, None)
 
     def finish(self) -> None:
         stopped, self.stopped = self.stopped, None
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -189,7 +189,7 @@
             return
         self.watch = None
         if not watch.dialling:
-            self.freshness.broke(self.core.came())
+            self.freshness.broke(self.core.earliest_arrival())
         if not self.stopped:
             if not watch.dialling:  # one that stays away is told once
                 self.core.log("board lost", why=why, last=self.revision)
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -263,7 +263,7 @@
             lanes=call.lanes, repeat=call.repeat,
             work=None if call.work is None else max(1, int(call.work * 10)),
             load=None if call.load is None else int(call.load * 10),
-            moved=self.taken_before(tag), came=self.core.came(),
+            moved=self.taken_before(tag), came=self.core.earliest_arrival(),
         )  # fmt: skip
         if not pending.final:
             connection.requests[request.number] = pending
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -72,7 +72,7 @@
             call_out = pending.call_outs[-1] if pending.call_outs else None
             if call_out is not None:
                 run = wire.Run(
-                    10**9 + edge.heard, pending.tag, pending.fn.name, pending.message.method, 1000.0
+                    10**9 + edge.inputs, pending.tag, pending.fn.name, pending.message.method, 1000.0
                 )
                 line = wire.encode(run) + b"\n"
                 edge.after(500, lambda _: edge.runners[call_out.srv.name].write(line), None)
@@ -107,7 +107,7 @@
         def both(run, attempt):
             run(attempt)
             others = [r for name, r in edge.runners.items() if name != attempt.srv.name and r.speaker]
-            message = wire.Run(10**9 + edge.heard, attempt.pending.tag, "fn-1", "check-slot", 900.0)
+            message = wire.Run(10**9 + edge.inputs, attempt.pending.tag, "fn-1", "check-slot", 900.0)
             for other in others[:1]:
                 other.write(wire.encode(message) + b"\n")
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -324,8 +324,8 @@
         end = end or socket.create_connection(("127.0.0.1", stage.port))
         end.sendall(request())
 
-    core, look = stage.node.core, stage.node.core.look
-    core.look = lambda _=None: (setattr(core, "look", look), look())[1]
+    core, check = stage.node.core, stage.node.core.check_finished
+    core.check_finished = lambda _=None: (setattr(core, "check_finished", check), check())[1]
     close = stage.node.front.close
     stage.node.front.close = lambda: (cross(), close())
     stage.hand.run(1.0)
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -445,17 +445,17 @@
     stopped = leaving(stage)
     stage.hand.run(0.74)
     (connection,) = stage.node.front.connections
-    core, look = stage.node.core, stage.node.core.look
+    core, check = stage.node.core, stage.node.core.check_finished
 
     def last(_: object = None) -> Any:
-        core.look = look
+        core.check_finished = check
         stage.hand.removeReader(connection)
         numbers.extend(client.ask(body=BODY[:8000], id=f"{i:016x}") for i in range(1, 20))
         stage.hand.until(lambda: not client.unsent)
-        return look()
+        return check()
 
     numbers: list[int] = []
-    core.look = last
+    core.check_finished = last
     stage.hand.run(0.5)
     assert stopped and numbers
     stage.hand.until(lambda: client.closed)
