No further attempt begins for a client that is not read from

Seen: a client with 1 MiB of answers unread is not read from until it goes on; its ABORT_REQUEST lay unseen meanwhile, and a further attempt of the aborted request was begun 0.2 s after it. From 50 ms after its connection was left unread nothing more begins for such a client; its open requests get their final answer. The test fails without that.

--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -93,6 +93,11 @@
             return self.say(wire.Answer(call.id, DENIED, stay / 10))
         edge.take(self, call, method, customer, left, route)
 
+    def is_waiting(self) -> bool:
+        """Whether the client still waits, as far as can be known; its requests are closed if it has gone."""
+        self.read_now()
+        return not self.closed
+
     def read_now(self) -> None:
         """Read what lies unread, its end included, unless that was done within READ_AGAIN: nothing begins for
         a client that has gone."""
--- a/lapistrestle/edge/work_gate.py
+++ b/lapistrestle/edge/work_gate.py
@@ -61,8 +61,8 @@
     def is_wanted(self, attempt: Attempt) -> bool:
         """Whether a client still waits for an attempt that has not begun, with time left for it."""
         pending = attempt.pending
-        if not pending.final:
-            pending.client.read_now()
+        if pending.final or not pending.client.is_waiting():
+            return False
         return not pending.final and attempt.ends_by > self.core.clock()
 
     def refused(self, work: Attempt | WorkerTask) -> None:
--- a/lapistrestle/node/client.py
+++ b/lapistrestle/node/client.py
@@ -13,6 +13,7 @@
 
 SECOND = 10_000  # in tenths of a millisecond
 MOST_UNSENT = 1_048_576  # bytes towards a client that does not read: more of it is not read meanwhile
+STALL_TRUSTED = 500  # tenths of a millisecond for which one that is not read from counts as waiting
 MOST_DISCARDED = 262_144  # bytes read of a connection that is to be closed, once nothing is owed on it
 MOST_DISCARDED_OPEN = 67_108_864  # and while requests are open on it: more than the longest body sent
 DISCARDING_TIME = 20_000  # for answers on a connection that can't be read, in tenths of a millisecond
@@ -53,6 +54,7 @@
         self.bytes_read = 0
         self.discarded = 0  # bytes read since it was to be closed
         self.stalled = False  # not read from until the client has read what is unsent
+        self.stalled_since = 0
         self.receiving = False  # what is read is being acted on: it parts only after that
         self.unsent_seen, self.unsent_since = 0, 0  # bytes unsent at the last sweeps, and since when as many
         self.waited = 0  # tenths of a millisecond for which it may have waited for a descriptor
@@ -125,8 +127,8 @@
 
     def bound(self) -> None:
         """Keep within bounds what is held for this client."""
-        if self.unsent_bytes > MOST_UNSENT:
-            self.stalled = True
+        if self.unsent_bytes > MOST_UNSENT and not self.stalled:
+            self.stalled, self.stalled_since = True, self.front.core.clock()
             self.watch_reads(False)
         held = self.reader.held()
         self.front.held, self.held = self.front.held + held - self.held, held
@@ -140,6 +142,11 @@
             self.front.core.host.abort_all(list(self.requests.values()))
             self.drop("sends without end")
 
+    def is_waiting(self) -> bool:
+        """Whether the client is known to wait still. One that is not read from may have aborted meanwhile."""
+        self.read_now()
+        return not self.stalled or self.front.core.clock() - self.stalled_since <= STALL_TRUSTED
+
     def drained(self) -> None:
         """All that was to be written has left."""
         if self.stalled:
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -317,6 +317,30 @@
     assert [client.status(number) for number in asked] == [200] * 120
 
 
+def test_no_further_attempt_begins_for_a_client_that_aborts_while_it_does_not_read(stages: Any) -> None:
+    """It is not read from meanwhile, so that nobody knows whether it still waits."""
+    stage, held = stages(runners=2), list[Any]()
+    for runner in stage.runners:
+        runner.on_run = lambda line, said: held.append((line, said))
+    client, connection = slow_reader(stage)
+    waits = client.ask()
+    stage.hand.until(lambda: held)
+    line, said = held[0]
+    for runner in stage.runners:
+        runner.on_run = None
+    while not connection.stalled:
+        client.ask(body=BODY)
+        stage.hand.quiet()
+    client.give_up(waits)
+    stage.hand.run(0.2)
+    line.say("503", said["rid"])
+    stage.hand.run(0.2)
+    assert [run["rid"] for run in stage.runs()].count(said["rid"]) == 1
+    read_on(stage, client)
+    stage.hand.until(lambda: len(client.ends) == client.last or client.closed)
+    assert len(client.ends) == client.last
+
+
 def test_a_client_that_never_reads_is_closed(stage: Any) -> None:
     client, connection = slow_reader(stage)
     for _ in range(120):
