What lay unread, counted log lines, the 20 ms and test fixtures stand once; a file's age is taken first

`ClientConnection.unread_for` repeated `Core.unread_for` with another limit: the limit is an argument now, and the look's age is reckoned once a read. Counting and logging the first lines of a kind stood in the core and in the gate: `Core.count_and_log`. 20 ms since the last reading stood in three modules: `READ_AGAIN`. tests/ test_node_freshness.py uses the fixtures of test_crossings. One fault: the age of a configuration was taken after it was read, so of a file replaced in between the older list counted as new; taken before it now, with a test that fails without that.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -9,7 +9,7 @@
 
 from lapistrestle.choice import Dispatcher
 from lapistrestle.edge.linking import PROMPT
-from lapistrestle.edge.work_gate import NOT_BEGUN, WorkGate
+from lapistrestle.edge.work_gate import NOT_BEGUN, READ_AGAIN, WorkGate
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.requests import Attempt, PendingRequest, WorkerTask
 from lapistrestle.hosting.timers import Timer
@@ -18,7 +18,7 @@
 
 Log = Callable[..., None]
 TENTHS = 10_000  # of a millisecond in a second
-LATE = 200  # tenths of a millisecond since the look before: a close may lie behind what is read
+LATE = READ_AGAIN  # since the look before: a close may lie behind what is read
 PIECES = 4  # a whole request with the longest body, and what follows it
 MOST_LOGGED = 100  # lines of one kind
 LAST = 300  # tenths of a millisecond: for answers to leave once all is cut short
@@ -95,10 +95,11 @@
         looked = getattr(self.reactor, "looked", None)
         return self.clock() if looked is None else int(looked[0] * TENTHS)
 
-    def unread_for(self, sock: socket.socket) -> int:
-        """How long what is read now lay in its socket, in tenths of a millisecond, as far as the kernel
-        tells: a client counts its time from when it sent, also while the program stood still."""
-        age, longest = getattr(self.reactor, "unread_for", None), self.since_look()
+    def unread_for(self, sock: socket.socket, longest: int) -> int:
+        """How long what is read now lay in its socket, `longest` at the most, in tenths of a millisecond, as
+        far as the kernel tells: a client counts its time from when it sent, also while the program stood
+        still."""
+        age = getattr(self.reactor, "unread_for", None)
         if age is None or not longest:
             return 0
         return min(longest, int(age(sock) * TENTHS))
@@ -179,9 +180,13 @@
         return self.runners.get(name)
 
     def passed_over(self, name: str, why: str) -> None:
-        self.counts["passed over"] += 1
-        if self.counts["passed over"] <= MOST_LOGGED:
-            self.log("passed over", peer=name, why=why[:200])
+        self.count_and_log("passed over", peer=name, why=why[:200])
+
+    def count_and_log(self, what: str, **figures: Any) -> None:
+        """Count what may come often, and log the first ones."""
+        self.counts[what] += 1
+        if self.counts[what] <= MOST_LOGGED:
+            self.log(what, **figures)
 
     # what the host asks (hosting.transport)
 
--- a/lapistrestle/edge/work_gate.py
+++ b/lapistrestle/edge/work_gate.py
@@ -14,7 +14,6 @@
 
 READ_AGAIN = 200  # after so long the lists are read again; the protocol page allows 500 on top of any grace
 NOT_BEGUN = "not begun"  # the log line and counter of what was refused here
-MOST_LOGGED = 100  # of those lines
 
 
 class WorkGate:
@@ -67,7 +66,5 @@
 
     def refused(self, work: Attempt | WorkerTask) -> None:
         """Count what may not begin, and log the first ones with what the list says."""
-        self.core.counts[NOT_BEGUN] += 1
-        if self.core.counts[NOT_BEGUN] <= MOST_LOGGED:
-            listing = self.listings.get(work.srv.name, Listing.GONE).name.lower()
-            self.core.log(NOT_BEGUN, runner=work.srv.name, listing=listing, number=work.number)
+        listing = self.listings.get(work.srv.name, Listing.GONE).name.lower()
+        self.core.count_and_log(NOT_BEGUN, runner=work.srv.name, listing=listing, number=work.number)
--- a/lapistrestle/node/client.py
+++ b/lapistrestle/node/client.py
@@ -82,18 +82,10 @@
         self.bound()
         self.part()
 
-    def unread_for(self, waited: int) -> int:
-        """How long what is read now lay unread, in tenths of a millisecond; `waited`: how long it may have
-        waited for a descriptor."""
-        unread, age = self.front.core.unread_for(self.sock), getattr(self.reactor, "unread_for", None)
-        if not waited or age is None:
-            return unread
-        return max(unread, min(waited, int(age(self.sock) * SECOND)))
-
     def read_records(self, data: bytes) -> None:
         """Hand on what the records say, in their order."""
-        waited, self.waited = self.waited, 0
-        unread, longest = self.unread_for(waited), max(self.front.core.since_look(), waited)
+        longest, self.waited = max(self.front.core.since_look(), self.waited), 0
+        unread = self.front.core.unread_for(self.sock, longest)
         events = self.reader.feed(data)
         for event in events:
             # the kernel tells of the last bytes alone: what came before those may be as old as the look
--- a/lapistrestle/node/configuration.py
+++ b/lapistrestle/node/configuration.py
@@ -175,7 +175,8 @@
     if not path:
         raise ConfigurationError("EDGE_CONFIG is not set; it names the file of the configuration")
     try:
-        raw, written = Path(path).read_bytes(), Path(path).stat().st_mtime
+        written = Path(path).stat().st_mtime  # first: of a file replaced meanwhile the older time counts
+        raw = Path(path).read_bytes()
     except OSError as trouble:
         raise ConfigurationError(f"{path}: can't be read: {trouble.strerror}") from None
     configuration = parse(raw, path)
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -88,7 +88,8 @@
             self.last_heard = core.clock()
         if is_whole:
             self.is_answered = True
-            self.discovery.freshness.heard(self.last_heard - core.unread_for(self.sock))
+            unread = core.unread_for(self.sock, core.since_look())
+            self.discovery.freshness.heard(self.last_heard - unread)
 
     def lost(self, why: str) -> None:
         """The connection is gone."""
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -12,12 +12,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from lapistrestle.edge.work_gate import READ_AGAIN
+
 AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 PAUSE = 0.1  # seconds without accepting where the machine has no room: readable still, it would spin
 READ = 16_384  # bytes of one connection a turn
 MOST_READS = 64  # pieces that are read at once of what lies unread: all that a client may have open, and more
-FRESH = 0.02  # seconds for which a connection that was read to its end need not be read again
+FRESH = READ_AGAIN / 10_000  # seconds for which a connection that was read to its end need not be again
 
 
 class Stream:
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -2,12 +2,13 @@
 
 import json
 import os
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_crossings import Closed, connections, held, slow, still
-from test_node import SETTINGS, Stage
+from test_crossings import Closed, connections, held, slow, stage, stages, still
+from test_node import SETTINGS
 
 from lapistrestle.edge.linking import Link
 from lapistrestle.interface import Listing
@@ -24,23 +25,7 @@
 DRAINING = 1
 
 
-@pytest.fixture
-def stages():
-    made = []
-
-    def make(*args, **more):
-        made.append(Stage(*args, **more))
-        return made[-1]
-
-    yield make
-    for stage in made:
-        stage.close()
-
-
-@pytest.fixture
-def stage(stages):
-    """One runner: whatever is asked goes there."""
-    return stages(runners=1)
+__all__ = ["stage", "stages"]  # the fixtures
 
 
 def asked(stage, client=None, **fields):
@@ -196,6 +181,20 @@
     assert configuration.age(configuration.written + behind) == age
 
 
+def test_a_file_replaced_while_it_is_read_is_as_old_as_the_one_before(stage, tmp_path, monkeypatch):
+    """Its age was taken after it was read: of an older list the newer file's."""
+    path, read_bytes = written(stage, tmp_path), Path.read_bytes
+
+    def replaced(self):
+        raw = read_bytes(self)
+        os.utime(path, (2_000, 2_000))
+        return raw
+
+    os.utime(path, (1_000, 1_000))
+    monkeypatch.setattr(Path, "read_bytes", replaced)
+    assert read(str(path)).written == 1_000
+
+
 def test_without_a_board_the_list_of_the_file_holds(stage, tmp_path):
     """Nobody tells anything that it could miss."""
     known = {"rev": 1, "notices": [{"rev": 1, "pool": {"full": True, "servers": [server(stage)]}}]}
