--- a/review/standins/board.py
+++ b/review/standins/board.py
@@ -74,8 +74,13 @@
         self.server = await asyncio.start_server(self.follow, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    def break_off(self) -> None:
-        """Go down: connections end, and new ones are refused."""
+    def break_off(self, *entries: Entry) -> None:
+        """Go down: connections end, and new ones are refused. With entries, in the middle of their event."""
+        if entries:
+            self.publish(*entries)
+            for writer, changed in self.followers.items():
+                changed.clear()
+                writer.write(self.frames[-1][: HEAD.size + 5])
         self.record.add("board down")
         self.close()
 
