--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -1,4 +1,4 @@
-"""Drains during an outage of discovery; the dispatchers then hear of them one event after the other."""
+"""Drains during an outage of discovery; the board that is back breaks off in the middle of telling them."""
 
 import asyncio
 import sys
@@ -11,7 +11,8 @@
 from runner import Traits
 
 OUTAGE = 8.0  # seconds for which the board is down: new connections are refused
-PACE = 0.25  # seconds between two events of a catch-up, as the board is crowded after its outage
+ASKING = 0.5  # seconds within which the dispatchers ask the board that is back, before it answers
+SECOND_OUTAGE = 1.0  # seconds
 GRACE = 2.0  # rules.drain-grace
 TOLERANCE = 0.05  # by which the protocol page makes each limit longer
 COUNTS_AS_TOLD = 4.0  # seconds after the beginning of an outage, at the latest
@@ -19,9 +20,22 @@
 RATE = 60.0  # requests a second at each dispatcher
 
 
+async def come_back(record: Record, fleet: Fleet) -> None:
+    """Let the board come back, break off in the middle of the second event that it tells, and come back."""
+    fleet.board.answers.clear()
+    await fleet.board.open()
+    record.add("board up")
+    await asyncio.sleep(ASKING)
+    fleet.board.break_off_amid()
+    fleet.board.answers.set()
+    await asyncio.sleep(SECOND_OUTAGE)
+    await fleet.board.open()
+    record.add("board up")
+
+
 async def scenario(record: Record, folder: str) -> bool:
     """Play it; whether nothing new went to a draining runner after the grace."""
-    fleet = Fleet(record, folder, runners=10, edges=2, traits=Traits(work=0.04), pace=PACE)
+    fleet = Fleet(record, folder, runners=10, edges=2, traits=Traits(work=0.04))
     await fleet.start()
     try:
         for edge in fleet.edges:
@@ -40,9 +54,8 @@
             told_by[entry.name] = told - record.started_at
         await asyncio.sleep(began + OUTAGE - record.now())
         if TROUBLE:
-            await fleet.board.open()
-            record.add("board up")
-        await asyncio.sleep(6)
+            await come_back(record, fleet)
+        await asyncio.sleep(5)
     finally:
         await fleet.end()
     late = [
--- a/review/standins/board.py
+++ b/review/standins/board.py
@@ -57,12 +57,14 @@
 class Board:
     """The events, and the dispatchers that follow them.
 
-    `pace` is the time in seconds that the board takes from one frame of a catch-up to the next.
+    While `answers` is not set, those that ask are not answered yet.
     """
 
-    def __init__(self, record: Record, pace: float = 0.0) -> None:
+    def __init__(self, record: Record) -> None:
         self.record = record
-        self.pace = pace
+        self.answers = asyncio.Event()
+        self.answers.set()
+        self.asked: dict[asyncio.StreamWriter, int] = {}  # the number after which each has asked
         self.frames: list[bytes] = []  # that of event n at n - 1
         self.listed: dict[str, Entry] = {}
         self.server: asyncio.Server | None = None
@@ -84,6 +86,14 @@
         self.record.add("board down")
         self.close()
 
+    def break_off_amid(self) -> None:
+        """Answer all that wait with the next event and a part of the one after it, and go down."""
+        for writer, told in self.asked.items():
+            writer.write(self.frames[told] + self.frames[told + 1][: HEAD.size + 5])
+            self.record.add("told", number=told + 1, then="a part of the next")
+        self.record.add("board down")
+        self.close()
+
     def close(self) -> None:
         """Close the listener and all connections."""
         if self.server is not None:
@@ -91,6 +101,8 @@
         for writer, changed in self.followers.items():
             writer.close()
             changed.set()
+        self.followers.clear()
+        self.asked.clear()
 
     def publish(self, *entries: Entry, whole: bool = False) -> None:
         """Put an event on the board."""
@@ -115,13 +127,11 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             told = int.from_bytes(await reader.readexactly(8), "big")
             self.record.add("asked", after=told, latest=len(self.frames))
-            late = len(self.frames) - told
+            self.asked[writer] = told
+            await self.answers.wait()
             while not writer.is_closing():
                 changed.clear()
                 if told < len(self.frames):
-                    if late > 0 and self.pace:
-                        await asyncio.sleep(self.pace)
-                    late -= 1
                     told += 1
                     writer.write(self.frames[told - 1])
                     self.record.add("told", number=told)
@@ -131,4 +141,5 @@
                     continue
                 writer.write(HEAD.pack(9, told, EMPTY))
         self.followers.pop(writer, None)
+        self.asked.pop(writer, None)
         writer.close()
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -128,15 +128,14 @@
     """Board, runners, dispatchers and their clients."""
 
     def __init__(
-        self, record: Record, folder: str, runners: int, edges: int, traits: Traits, pace: float = 0.0,
-        **groups: Any,
-    ) -> None:  # fmt: skip
+        self, record: Record, folder: str, runners: int, edges: int, traits: Traits, **groups: Any
+    ) -> None:
         self.record = record
         self.folder = folder
         self.traits = traits
         self.settings = settings(**groups)
         self.edge_count = edges
-        self.board = Board(record, pace)
+        self.board = Board(record)
         self.runner_count = runners
         self.make_runner: type[Runner] = Runner
         self.runners: dict[str, Runner] = {}
