Overdue timers wait for one poll of the sockets, not until input ends

Cause: hosting/timer_gate.py deferred timers overdue by 5 ms until an iteration of the event loop read nothing, or for 20 iterations. With clients that send without a pause each iteration reads something and takes up to 100 ms. Attempts' timeouts, the guard at the deadline and the timers of a shutdown all waited for it.

Change: they are deferred for one iteration, whatever it reads. The reason to defer is that an answer may lie in a socket when its timeout has passed, and one poll reads it.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -174,11 +174,11 @@
         )
 
     def run_timers(self) -> None:
-        """Fire the timers that are due, unless the timer gate lets pending input be processed first."""
+        """Fire the timers that are due, unless the timer gate has the sockets polled first."""
         self.next_wakeup = None
         due, now = self.host.timers.next(), self.clock()
         if due is not None and due <= now:
-            if not self.timer_gate.may_fire(now, due, self.inputs_received):
+            if not self.timer_gate.may_fire(now, due):
                 self.next_wakeup_at = due
                 self.next_wakeup = self.reactor.callLater(0, self.run_timers)
                 return
--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -63,6 +63,19 @@
                     end.doWrite()
         return bool(readable or writable)
 
+    def iterate(self, seconds: float) -> None:
+        """Runs one iteration of the event loop, which takes so many seconds.
+
+        As in Twisted's loop, a call that a due call schedules for now runs only after the next poll.
+        """
+        self.rightNow += seconds
+        self.serve()
+        for call in [call for call in self.calls if call.getTime() <= self.rightNow]:
+            if call.active():
+                self.calls.remove(call)
+                call.called = 1
+                call.func(*call.args, **call.kw)
+
     def quiet(self) -> None:
         """Serves until no data is in flight on loopback and all due calls have run."""
         idle = 0
--- /dev/null
+++ b/tests/test_node_flood.py
@@ -0,0 +1,65 @@
+"""Deadlines and the shutdown hold while other clients send without a pause.
+
+The clock advances by the time that an iteration of the event loop takes under such a load.
+"""
+
+import os
+from typing import Any
+
+from test_crossings import harness, harnesses
+
+ITERATION = 0.1  # seconds that one iteration of the event loop takes
+REQUESTS = 20  # of the bad client in each iteration
+LATEST_ANSWER = 0.5  # seconds after its deadline at which a final answer still counts
+EARLIEST_KILL = 3.0 + 0.7  # seconds from SIGTERM to SIGKILL at the earliest, with deadlines of 3 s or more
+
+__all__ = ["harness", "harnesses"]  # the fixtures
+
+
+class BadClient:
+    """Sends requests of a class that does not exist, many in each iteration of the event loop."""
+
+    def __init__(self, harness: Any) -> None:
+        self.reactor = harness.reactor
+        self.connection = harness.connect_client()
+
+    def iterate(self) -> None:
+        """Send, and run one iteration of the event loop, which reads what was sent."""
+        if not self.connection.dead:
+            for _ in range(REQUESTS):
+                self.connection.send_request(script="/invoke/nosuch", id=os.urandom(8).hex())
+        self.reactor.iterate(ITERATION)
+
+
+def run_without_answer(harness: Any, client: Any, patience_ms: int) -> Any:
+    """Send a request whose runner never answers. Returns its number."""
+    harness.runners[0].on_run = lambda line, message: None
+    number = client.send_request(method="bill", patience=str(patience_ms))
+    harness.reactor.until(harness.run_messages)
+    return number
+
+
+def test_the_deadline_of_a_request_holds_while_another_client_sends_without_a_pause(harness: Any) -> None:
+    """Guards against deferring overdue timers until input ends: the final answer came 2 s late."""
+    patience = 1.0
+    client, bad_client = harness.connect_client(), BadClient(harness)
+    number = run_without_answer(harness, client, int(patience * 1000))
+    sent_at = harness.reactor.rightNow
+    while client.status(number) is None:
+        bad_client.iterate()
+    waited = harness.reactor.rightNow - sent_at
+    assert waited <= patience + LATEST_ANSWER
+    assert len(bad_client.connection.finished_requests) > REQUESTS
+
+
+def test_a_shutdown_ends_in_time_while_a_client_sends_without_a_pause(harness: Any) -> None:
+    """Guards against deferring the timers of a shutdown: SIGKILL came before open requests had an answer."""
+    client, bad_client, stopped = harness.connect_client(), BadClient(harness), list[float]()
+    number = run_without_answer(harness, client, patience_ms=2_000)
+    told_at = harness.reactor.rightNow
+    harness.node.shut_down(lambda: stopped.append(harness.reactor.rightNow))
+    while not stopped and harness.reactor.rightNow < told_at + EARLIEST_KILL:
+        bad_client.iterate()
+    assert stopped
+    harness.reactor.quiet()
+    assert client.status(number) is not None
