A new watch makes the list usable from its first heartbeat, not from the first missed event

Cause: ListFreshness.frame_received took any complete frame for a sign that nothing was missed until then. When a board is asked again, all its events count as notified, and the frame of one does not tell whether others follow.

Change: after a break, a move, a gap and for each new watch, events extend the time of use no more; the first heartbeat with a number not above the last event applied does, and from then on frames of any kind, as before. Watch.note_progress is divided by its two jobs.

Tests: the first missed event (a change, a whole list) and a break amid the missed events, which fail before this; the property test of the decision now has events and heartbeats. test_work_continues_with_the_first_frame... is the same with a name that tells what it plays: a heartbeat. NodeHarness lets its board be asked before it publishes, as on the platform an asking is answered by a heartbeat. test_it_serves_moves_to_a_new_board... sent its first call before the dispatcher was ready, which the platform's front does not; it now waits for the health check.

--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -75,23 +75,23 @@
         except FrameError as error:
             failure = str(error)
         frames = self.decoder.frames
-        self.note_progress(bool(frames), len(data))
-        for frame in frames:
-            if self.discovery.receive(frame) is FrameAction.RESUME:
-                self.drop("a gap in the revisions")
-                return
+        # a few bytes without a complete frame are no sign of life: the frame may never end
+        if frames or len(data) >= PROGRESS_BYTES:
+            self.last_received = self.discovery.core.clock()
+        if frames:
+            self.is_answered = True
+            self.apply_frames(frames)
         if failure:
             self.drop(failure)
 
-    def note_progress(self, has_frame: bool, size: int) -> None:
-        """Note a sign of life. A few bytes without a complete frame are none: the frame may never end."""
+    def apply_frames(self, frames: Sequence[Frame]) -> None:
+        """Apply frames in order, up to one that shows that an event was missed."""
         core = self.discovery.core
-        if has_frame or size >= PROGRESS_BYTES:
-            self.last_received = core.clock()
-        if has_frame:
-            self.is_answered = True
-            unread = core.unread_for(self.sock, core.max_unread_time())
-            self.discovery.freshness.frame_received(self.last_received - unread)
+        arrived_at = self.last_received - core.unread_for(self.sock, core.max_unread_time())
+        for frame in frames:
+            if self.discovery.receive(frame, arrived_at) is FrameAction.RESUME:
+                self.drop("a gap in the revisions")
+                return
 
     def lost(self, reason: str) -> None:
         """Handle the loss of the connection."""
@@ -213,15 +213,19 @@
         if not self.stopped:
             self.core.after(CHECK_INTERVAL, self.check_heartbeat, None)
 
-    def receive(self, frame: Frame) -> FrameAction:
+    def receive(self, frame: Frame, arrived_at: int) -> FrameAction:
         """Handle a complete frame. Returns what was done with it."""
         action = FRAME_ACTIONS[frame.kind, order_of(frame.revision, self.revision)]
+        if action is FrameAction.RESUME:
+            self.freshness.event_missed(self.core.clock())
+        elif frame.kind is FrameKind.HEARTBEAT:
+            self.freshness.heartbeat_received(arrived_at)
+        else:
+            self.freshness.event_received(arrived_at)
         if action is FrameAction.APPLY:
             self.reconnects_at_once = True
             self.revision = frame.revision
             self.apply(frame.records, frame.kind is FrameKind.SNAPSHOT)
-        elif action is FrameAction.RESUME:
-            self.freshness.event_missed(self.core.clock())
         return action
 
     def apply(self, records: Sequence[Record], whole: bool) -> None:
--- a/lapistrestle/node/freshness.py
+++ b/lapistrestle/node/freshness.py
@@ -1,11 +1,15 @@
 """How long new work may be started by the last list of workers without news from the board. No I/O.
 
 Nothing new may be sent to a worker that drains. A drain counts as notified once it is on the board, also
-while this dispatcher is not connected. While a watch delivers frames, nothing is missed. Otherwise the
-protocol says from when on events that were not delivered count as notified: 4 s after the watch fell silent
-or the configuration named another board, 2 s after the connection broke, and at once when the board is asked
-again. The settings' drain grace is added to that. After this time any worker may be draining, so no new work
-is started at all. Times are ticks of 0.1 ms.
+while this dispatcher is not connected. The protocol says from when on events that were not delivered count as
+notified: 4 s after the watch fell silent or the configuration named another board, 2 s after the connection
+broke, and at once when the board is asked again. The settings' drain grace is added to that. After this time
+any worker may be draining, so no new work is started at all.
+
+A board that was asked again sends the missed events one by one. The frame of an event does not tell whether
+others follow, which count as notified already; a heartbeat does, as it is only sent when there is no later
+event. So a new watch makes the list usable from its first heartbeat on. After that nothing is missed while
+frames of any kind arrive. Times are ticks of 0.1 ms.
 """
 
 from dataclasses import dataclass
@@ -24,14 +28,21 @@
 
     grace: int  # ticks for which new work may still be sent to a worker after its drain counts as notified
     usable_until: int  # initially the time at which the configuration was written, plus the grace
+    is_caught_up: bool = False  # the board has told this watch that it has no later event
 
     def is_usable(self, now: int) -> bool:
         """Whether new work may be started by the list."""
         return now <= self.usable_until
 
-    def frame_received(self, at: int) -> None:
-        """A complete frame arrived at this time: nothing was missed until then."""
-        self.usable_until = max(self.usable_until, at + NOTIFIED_AFTER_SILENCE + self.grace)
+    def heartbeat_received(self, at: int) -> None:
+        """A heartbeat arrived at this time, and the board has no later event than those applied."""
+        self.is_caught_up = True
+        self.extend(at)
+
+    def event_received(self, at: int) -> None:
+        """An event arrived at this time; before the first heartbeat of a watch, others may follow it."""
+        if self.is_caught_up:
+            self.extend(at)
 
     def watch_broke(self, at: int) -> None:
         """The watch was lost, at this time at the earliest."""
@@ -49,6 +60,11 @@
         """An event was missed: it counts as notified, and there may be others."""
         self.shorten(at)
 
+    def extend(self, complete_until: int) -> None:
+        """No event on the board was missed until this time."""
+        self.usable_until = max(self.usable_until, complete_until + NOTIFIED_AFTER_SILENCE + self.grace)
+
     def shorten(self, notified_at: int) -> None:
-        """All events on the board count as notified from this time on."""
+        """Events may be missed; all that are on the board count as notified from this time on."""
+        self.is_caught_up = False
         self.usable_until = min(self.usable_until, notified_at + self.grace)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -72,6 +72,7 @@
         self.port = self.node.start()
         self.host, self.module = self.node.core.host, self.node.core.host.module
         self.to_close: list[Any] = []
+        self.reactor.until(lambda: self.board.subscriptions)  # answered with a heartbeat
         if runners:
             self.board.publish(1, 1, *(self.row(i) for i in range(runners)))
             self.reactor.until(lambda: len(self.workers()) == runners)
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -29,6 +29,7 @@
 }  # seconds until undelivered events count as notified, by method
 GRACE = 2.0  # seconds; the drain grace in the settings of `NodeHarness`
 DRAINING = 1
+WHOLE_LIST, CHANGE = 1, 2  # kinds of an event
 
 
 __all__ = ["harness", "harnesses"]  # the fixtures
@@ -53,23 +54,29 @@
 @given(
     grace=st.integers(0, 3 * SECOND),
     calls=st.lists(
-        st.tuples(st.sampled_from(["frame_received", *SHORTENED]), st.integers(0, 2 * SECOND)), max_size=12
+        st.tuples(
+            st.sampled_from(["heartbeat_received", "event_received", *SHORTENED]),
+            st.integers(0, 2 * SECOND),
+        ),
+        max_size=12,
     ),
 )
 def test_whatever_happened_the_list_is_never_used_past_what_counts_as_told_and_the_grace(
     grace: Any, calls: Any
 ) -> None:
     """Undelivered events count as notified 4 s after the last frame, 2 s after a break, at once
-    when asked again.
+    when asked again. From then on an event does not show that no other one is undelivered; a heartbeat does.
     """
-    freshness, now, notified_at = ListFreshness(grace, usable_until=grace), 0, 0
+    freshness, now, notified_at, may_miss_events = ListFreshness(grace, usable_until=grace), 0, 0, True
     for method, pause in calls:
         now += pause
         getattr(freshness, method)(now)
-        if method == "frame_received":
-            notified_at = now + int(SILENT * SECOND)
-        else:
+        if method in SHORTENED:
+            may_miss_events = True
             notified_at = min(notified_at, now + int(SHORTENED[method] * SECOND))
+        elif method == "heartbeat_received" or not may_miss_events:
+            may_miss_events = False
+            notified_at = now + int(SILENT * SECOND)
         assert freshness.usable_until == notified_at + grace
         assert freshness.is_usable(notified_at + grace) and not freshness.is_usable(notified_at + grace + 1)
 
@@ -108,19 +115,82 @@
     assert lasted is not None and BROKEN + GRACE - 0.3 < lasted < BROKEN + GRACE + 0.001
 
 
-def test_work_continues_with_the_first_frame_of_a_board_that_is_back(harness: Any) -> None:
+def board_lost_for_long(harness: Any) -> Any:
+    """Take the board away until the list is too old. Returns a board for its place, with the same events."""
     harness.board.listener.close()
     harness.board.drop_connections()
     assert seconds_usable(harness) is not None
     back = BoardStub(harness.reactor, port=harness.board.port)
+    harness.to_close.append(BoardCloser(back))
     back.events = dict(harness.board.events)
+    return back
+
+
+class BoardCloser:
+    """Closes a board at the end of a test, as `NodeHarness` closes connections."""
+
+    def __init__(self, board: BoardStub) -> None:
+        self.board = board
+
+    def drop(self, reason: str) -> None:
+        self.board.listener.close()
+        self.board.drop_connections()
+
+
+def test_work_continues_with_the_first_heartbeat_of_a_board_that_is_back(harness: Any) -> None:
+    board_lost_for_long(harness)
     harness.reactor.run(1.5)  # its next heartbeat
     assert request_status(harness) == 200
     assert [what for what, _ in harness.logs if what.startswith("list")][-2:] == [
         "list too old for new work", "list usable",
     ]  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", [CHANGE, WHOLE_LIST], ids=["a change", "a whole list"])
+def test_the_first_missed_event_of_a_board_that_is_back_does_not_permit_new_work(
+    harness: Any, kind: Any
+) -> None:
+    """Guards against new work for a worker whose drain is on the board and still undelivered."""
+    back = board_lost_for_long(harness)
+    back.sends_heartbeats = False
+    rows = [harness.row(0), board_row(2, harness.runners[0].port + 1, state=DRAINING)]
+    back.events[2] = board_frame(2, kind, *rows)
+    harness.reactor.run(1.5)
+    assert discovery_of(harness).revision == 2
+    runs = len(harness.run_messages())
+    assert request_status(harness) == 503 and len(harness.run_messages()) == runs
+    back.publish(3, CHANGE, harness.row(0))
+    assert request_status(harness) == 503 and len(harness.run_messages()) == runs
+    back.sends_heartbeats = True
+    harness.reactor.run(1.5)
+    assert request_status(harness) == 200
+
+
+def test_a_board_that_breaks_off_while_it_sends_the_missed_events_permits_no_new_work(harness: Any) -> None:
+    """Guards against calls to a worker whose drain was missed, between two breaks of the board."""
+    back = board_lost_for_long(harness)
+    back.sends_heartbeats = False
+    runs = len(harness.run_messages())
+    second = board_frame(3, CHANGE, harness.row(0, state=DRAINING))
+    back.events[2] = board_frame(2, CHANGE, board_row(2, harness.runners[0].port + 1, state=DRAINING))
+    back.events[3] = second[: len(second) // 2]
+    harness.reactor.run(0.5)
+    assert discovery_of(harness).revision == 2
     back.listener.close()
     back.drop_connections()
+    statuses = set()
+    for _ in range(10):
+        statuses.add(request_status(harness))
+        harness.reactor.run(0.1)
+    assert statuses == {503} and len(harness.run_messages()) == runs
+
+
+def test_events_on_a_watch_that_has_caught_up_keep_the_list_usable(harness: Any) -> None:
+    harness.board.sends_heartbeats = False
+    for number in range(2, 12):
+        harness.board.publish(number, CHANGE, board_row(2, harness.runners[0].port + 1, state=DRAINING))
+        harness.reactor.run(1.0)
+        assert request_status(harness) == 200
 
 
 def test_a_reconnect_without_delay_rejects_no_request(harness: Any) -> None:
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Iterator
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -54,6 +55,15 @@
     def until(self, done: Any) -> None:
         assert self.reactor.follow(done), "it never came"
 
+    def is_ready(self) -> Any:
+        """Whether the dispatcher's health check succeeds."""
+        with suppress(OSError):
+            client = WebServer(self.reactor, self.port)
+            number = client.send_request(script="/_health")
+            self.until(lambda: client.status(number) is not None or client.closed)
+            return client.status(number) == 200
+        return False
+
     def call(self, id: Any) -> Any:
         client = WebServer(self.reactor, self.port)
         number = client.send_request(id=id)
@@ -79,7 +89,7 @@
 
 def test_it_serves_moves_to_a_new_board_and_exits_with_zero(world: Any) -> None:
     node = world.start()
-    world.until(lambda: world.board.subscriptions)
+    world.until(world.is_ready)
     status, client = world.call("9b1f03aa5c7e2d41")
     assert status == 200 and client.body(1) == b"hello"
     world.write("{nonsense")
