--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -23,6 +23,7 @@
 FIRST_FRAME_TIMEOUT = 12_000  # on a new watch, the first heartbeat was missed
 CHECK_INTERVAL = HEARTBEAT_TIMEOUT // 8
 RECONNECT_PAUSE = 1_000
+ASK_AGAIN_DELAY = 1_000  # after the first missed event; a board sends its missed events in one go
 CONNECT_TIMEOUT = 5_000
 PROGRESS_BYTES = 1_024  # a read of this size counts as a sign of life: part of a long snapshot
 
@@ -59,6 +60,7 @@
         self.decoder = FrameDecoder()
         self.last_received = discovery.core.clock()
         self.is_answered = False  # a frame was received
+        self.has_missed_events = False  # an event was received before the first heartbeat
 
     def connected(self) -> None:
         """Request the events after the last one applied."""
@@ -89,9 +91,18 @@
         core = self.discovery.core
         arrived_at = self.last_received - core.unread_for(self.sock, core.max_unread_time())
         for frame in frames:
-            if self.discovery.receive(frame, arrived_at) is FrameAction.RESUME:
+            action = self.discovery.receive(frame, arrived_at)
+            if action is FrameAction.RESUME:
                 self.drop("a gap in the revisions")
                 return
+            if action is FrameAction.APPLY:
+                self.note_missed_event()
+
+    def note_missed_event(self) -> None:
+        """After the first event that was missed, arrange that the board is asked again."""
+        if not self.has_missed_events and not self.discovery.freshness.is_caught_up:
+            self.has_missed_events = True
+            self.discovery.core.after(ASK_AGAIN_DELAY, self.discovery.ask_again, self)
 
     def lost(self, reason: str) -> None:
         """Handle the loss of the connection."""
@@ -204,6 +215,16 @@
             self.core.after(1 if self.reconnects_at_once else RECONNECT_PAUSE, self.connect, None)
             self.reconnects_at_once = False
 
+    def ask_again(self, watch: Watch) -> None:
+        """Start another watch if this one has missed events and no heartbeat yet, and the list is too old.
+
+        A board that has no later event sends a heartbeat as soon as it is asked, but the next heartbeat of
+        this watch, until which all requests would be rejected, may be a second away.
+        """
+        is_usable = self.freshness.is_caught_up or self.freshness.is_usable(self.core.clock())
+        if self.watch is watch and not is_usable:
+            watch.drop("asks again for a heartbeat")
+
     def check_heartbeat(self, _: object) -> None:
         """Drop a watch that has been silent for too long."""
         watch = self.watch
