Connections are read alike in every poll, with no further reads after a stall

Cause: where the last poll was over 20 ms ago each connection was read four times (READS_AFTER_STALL), so that a request and the close behind it were seen together.

A runner's connection is read to its end in each poll, so that its close is seen before it is used again. What a stopped process needs stays: the age of data that was unread (tests/test_node_standstill.py stops real processes), and the one poll for which overdue timers are deferred.

Test: slow iterations read no more than one piece of a client; it fails on the build before. The tests over stopped processes (test_node_standstill.py, test_node_drains.py) and of events in one poll (test_crossings.py) are as they were, and pass.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -20,11 +20,9 @@
 from lapistrestle.ticks import SECOND
 
 Log = Callable[..., None]
-# ticks between two polls of the sockets; if more have passed, the process was stalled, and a client's close
-# may be queued behind unread data
+# ticks between two polls of the sockets; if more have passed, the process was stalled, and what is read now
+# may have been unread for that time
 STALL_THRESHOLD = 200
-# reads of one connection after a stall: enough for a request with the longest body and a close after it
-READS_AFTER_STALL = 4
 MAX_LOGGED = 100  # log lines of each counted event; further ones are only counted
 FINISH_CHECK_INTERVAL = 100  # ticks between two checks whether a shutdown is complete
 ANSWER_FLUSH_TIME = 300  # ticks that answers may take to be sent once all requests were aborted
@@ -133,14 +131,6 @@
         longest = self.clock() - self.earliest_arrival()
         return longest if longest > STALL_THRESHOLD else 0
 
-    def reads_per_poll(self) -> int:
-        """How many reads are made of one connection per poll.
-
-        One, but after a stall several, so that a request and the close that follows it are seen in the same
-        poll.
-        """
-        return READS_AFTER_STALL if self.clock() - self.earliest_arrival() > STALL_THRESHOLD else 1
-
     def start(self) -> int:
         """Start listening and following the worker list. Returns the port."""
         port = self.front.listen()
--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -84,10 +84,6 @@
         self.oldest_partial = 0  # number of the first incomplete request; 0: none
         self.partial_since = 0  # time since which that request is incomplete
 
-    def reads_per_poll(self) -> int:
-        """How many reads are made per poll."""
-        return self.front.core.reads_per_poll()
-
     def received(self, data: bytes) -> None:
         """Process received data: complete requests go to the front."""
         self.front.core.input_received()
--- a/lapistrestle/node/runner_connection.py
+++ b/lapistrestle/node/runner_connection.py
@@ -28,7 +28,7 @@
     parse_load_report,
     parse_reply,
 )
-from lapistrestle.node.streams import Stream, dial
+from lapistrestle.node.streams import MAX_READS, Stream, dial
 from lapistrestle.policy.types import Outcome
 
 MAX_LINE = 131_072  # bytes of the longest line accepted: several times a body of 16 KiB in base64
@@ -71,8 +71,8 @@
         self.connection.state_machine.step(ConnectionEvent.ESTABLISHED)
 
     def reads_per_poll(self) -> int:
-        """How many reads are made per poll."""
-        return self.connection.core.reads_per_poll()
+        """How many reads are made per poll: all, so that a close right behind an answer is seen with it."""
+        return MAX_READS
 
     def received(self, data: bytes) -> None:
         """Pass received data to the connection."""
--- a/tests/test_node_flood.py
+++ b/tests/test_node_flood.py
@@ -8,6 +8,9 @@
 
 from test_crossings import harness, harnesses
 
+from lapistrestle.node import fastcgi
+from lapistrestle.node.streams import READ_SIZE
+
 ITERATION = 0.1  # seconds that one iteration of the event loop takes
 REQUESTS = 20  # of the bad client in each iteration
 LATEST_ANSWER = 0.5  # seconds after its deadline at which a final answer still counts
@@ -52,6 +55,18 @@
     assert len(bad_client.connection.finished_requests) > REQUESTS
 
 
+def test_slow_iterations_read_no_more_of_a_client_than_others(harness: Any) -> None:
+    """Guards against reads that grow with the time of an iteration, which makes the next one longer still."""
+    bad_client = BadClient(harness)
+    (connection,) = harness.node.front.connections
+    for _ in range(4):
+        bad_client.connection.send(fastcgi.encode_record(fastcgi.GET_VALUES, 0, bytes(40_000)))
+    for _ in range(5):
+        before = connection.bytes_read
+        bad_client.reactor.iterate(ITERATION)
+        assert 0 < connection.bytes_read - before <= READ_SIZE
+
+
 def test_a_shutdown_ends_in_time_while_a_client_sends_without_a_pause(harness: Any) -> None:
     """Guards against deferring the timers of a shutdown: SIGKILL came before open requests had an answer."""
     client, bad_client, stopped = harness.connect_client(), BadClient(harness), list[float]()
