Network inputs are no longer counted

Cause: Core.input_received counted messages and ends of connections for the timer gate alone, which no longer asks for the count.

Change: the counter goes, with its calls in the edge, the node and the sources, and the empty methods of the roster's followers, the gossip endpoint's runtime, a stand-in and two benchmarks. The checker's tests took the count for ids of calls that the edge did not number; they have a counter of their own. No behaviour changes.

--- a/benchmarks/scale/roles/control_hollow.py
+++ b/benchmarks/scale/roles/control_hollow.py
@@ -137,8 +137,6 @@
         if not timer.stopped:
             self.meter.run(timer.call, timer.argument)
 
-    def input_received(self) -> None: ...
-
     def message_ignored(self, name: str, why: str) -> None:
         self.ignored.append(f"{name}: {why}")
 
--- a/lapistrestle/directory/roster_subscription.py
+++ b/lapistrestle/directory/roster_subscription.py
@@ -89,9 +89,6 @@
         """Call a function after `delay` ticks. Returns the reactor's handle."""
         return self.reactor.callLater(delay / SECOND, call, arg)
 
-    def input_received(self) -> None:
-        """Data was received from the roster; the holder detects stalls at its own calls."""
-
     def list_received(self, message: RosterSnapshot | RosterUpdate) -> ListAction:
         """Handle a list or change. Returns what is to be done with it."""
         action = self.list.accept(message)
--- a/lapistrestle/edge/clients.py
+++ b/lapistrestle/edge/clients.py
@@ -51,7 +51,6 @@
         self.edge.client_connections[self] = None
 
     def message_received(self, message: Any) -> None:
-        self.edge.input_received()
         match message:
             case wire.Call():
                 self.call_received(message)
@@ -146,7 +145,6 @@
 
     def connection_lost(self) -> None:
         """Close the client's open requests at the host."""
-        self.edge.input_received()
         self.edge.client_connections.pop(self, None)
         requests, self.open_requests = list(self.open_requests.values()), {}
         for pending in requests:
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -89,9 +89,6 @@
         self.on_stopped: Callable[[], None] | None = None
         # set once all requests were aborted: the deadline for sending their answers
         self.answer_flush_deadline: int | None = None
-        self.inputs_received = (
-            0  # network inputs so far; the timer gate sees by it whether data is still read
-        )
         self.timer_gate, self.next_wakeup, self.next_wakeup_at = TimerGate(), None, -1
         self.front: Front
         self.make_runner: Callable[[str, Any, str], RunnerHandle]
@@ -141,10 +138,6 @@
 
     # timers
 
-    def input_received(self) -> None:
-        """Count a network input; called for each message and each end of a connection."""
-        self.inputs_received += 1
-
     def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Timer:
         """Call `call(arg)` after `delay` ticks. The timer can be stopped."""
         timer = self.host.timers.at(self.clock() + delay, call, arg)
--- a/lapistrestle/edge/holders.py
+++ b/lapistrestle/edge/holders.py
@@ -118,14 +118,12 @@
     def connected(self, dial: HolderDial) -> None:
         """Both ends have greeted."""
         if dial.number in self.dials:
-            self.edge.input_received()
             self.listener.connected(dial.number)
 
     def lost(self, dial: HolderDial, greeted: bool) -> None:
         """A connection ended, or could not be made."""
         if self.dials.pop(dial.number, None) is None:
             return
-        self.edge.input_received()
         if greeted:
             self.listener.disconnected(dial.number)
         else:
@@ -135,7 +133,6 @@
         """Pass a message of a holder to the listener; a fault is only logged."""
         if dial.number not in self.dials:
             return
-        self.edge.input_received()
         if isinstance(message, Fault):
             return self.edge.message_ignored("holder", f"the peer rejected a line: {message.reason}")
         self.listener.message_received(dial.number, message)
--- a/lapistrestle/edge/peers.py
+++ b/lapistrestle/edge/peers.py
@@ -35,5 +35,4 @@
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             self.edge.message_ignored(f"peer at {addr[1]}", str(error))
             return
-        self.edge.input_received()
         self.edge.host.gossip_received(message.sender, message.text)
--- a/lapistrestle/edge/planner_source.py
+++ b/lapistrestle/edge/planner_source.py
@@ -43,7 +43,6 @@
         self.source.send_heartbeat(None, once=True)
 
     def message_received(self, message: Any) -> None:
-        self.source.owner.input_received()
         match message:
             case plans.Plan():
                 self.source.plan_received(message)
--- a/lapistrestle/edge/program.py
+++ b/lapistrestle/edge/program.py
@@ -138,7 +138,6 @@
 
     def list_event(self, event: ListEvent) -> None:
         """Handle a lost or failed roster connection; the module learns that the list can't be read."""
-        self.input_received()
         if self.known_workers.handle_event(event) is ListAction.REPORT_FAILURE:
             self.host.endpoints_failed()
 
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -108,7 +108,6 @@
 
     def connection_lost(self) -> None:
         if runner := self.runner:
-            runner.edge.input_received()
             runner.drop_connection()
             runner.state_machine.step(ConnectionEvent.LOST)
 
@@ -221,7 +220,6 @@
 
     def greeting_received(self, hello: wire.Hello) -> None:
         """Open the connection for calls, or close it if another worker answers at this address."""
-        self.edge.input_received()
         if hello.name != self.state_machine.name:
             self.edge.message_ignored(
                 self.state_machine.name, f"its port is served by {hello.name or 'an unnamed process'}"
@@ -236,7 +234,6 @@
         self.state_machine.step(ConnectionEvent.ESTABLISHED)
 
     def message_received(self, message: Any) -> None:
-        self.edge.input_received()
         match message:
             case wire.RunFinished():
                 self.report_if_in_flight(self.state_machine.finished(message.call_id), message)
--- a/lapistrestle/fleet/gossip_endpoint.py
+++ b/lapistrestle/fleet/gossip_endpoint.py
@@ -46,9 +46,6 @@
     def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Timer:
         """Call once with `arg`, after `delay` ticks."""
 
-    def input_received(self) -> None:
-        """Data was received on a socket."""
-
     def message_ignored(self, name: str, reason: str) -> None:
         """Input from `name` could not be decoded."""
 
@@ -105,7 +102,6 @@
 
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a datagram; one that can't be decoded is counted and ignored."""
-        self.runtime.input_received()
         self.datagrams_received += 1
         try:
             datagram = wire.decode(data, self.settings.fleet)
--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -86,7 +86,6 @@
 
     def received(self, data: bytes) -> None:
         """Process received data: complete requests go to the front."""
-        self.front.core.input_received()
         self.bytes_read += len(data)
         if self.phase >= Phase.REJECTING:
             self.discarded_bytes += len(data)
@@ -291,7 +290,6 @@
 
     def lost(self, reason: str) -> None:
         """Handle the loss of the connection: its open requests have no client any more."""
-        self.front.core.input_received()
         self.front.connections.pop(self, None)
         self.front.buffered_bytes -= self.buffered_bytes
         self.buffered_bytes = 0
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -70,7 +70,6 @@
 
     def received(self, data: bytes) -> None:
         """Process received data: complete frames are applied."""
-        self.discovery.core.input_received()
         failure = ""
         try:
             self.decoder.feed(data)
--- a/lapistrestle/node/runner_connection.py
+++ b/lapistrestle/node/runner_connection.py
@@ -160,7 +160,6 @@
 
     def received(self, data: bytes) -> None:
         """Process received data: complete lines are handled, the rest is buffered."""
-        self.core.input_received()
         lines = (self.buffer + data if self.buffer else data).split(b"\n")
         self.buffer = lines.pop()
         for line in lines:
@@ -240,7 +239,6 @@
 
     def lost(self) -> None:
         """Handle the loss of the connection."""
-        self.core.input_received()
         stream = self.stream
         self.stream = None
         self.buffer = b""
--- a/lapistrestle/sources/roster.py
+++ b/lapistrestle/sources/roster.py
@@ -49,9 +49,6 @@
     connect_timeout: int  # ticks
     endpoints_polled: bool  # subscriptions expire, and `follow` renews them
 
-    def input_received(self) -> None:
-        """Data was received from the roster."""
-
     def list_received(self, message: wire.RosterSnapshot | wire.RosterUpdate) -> ListAction:
         """Handle a list or change. Returns what is to be done with it."""
 
@@ -84,7 +81,6 @@
     def heard(self, message: Any) -> None:
         """The roster has sent a message."""
         if isinstance(message, wire.RosterSnapshot | wire.RosterUpdate):
-            self.owner.input_received()
             if self.owner.list_received(message) is ListAction.REQUEST_SNAPSHOT:
                 self.send_message(wire.RosterRequest())
         elif isinstance(message, wire.RosterUnavailable):
--- a/lapistrestle/standins/fleet.py
+++ b/lapistrestle/standins/fleet.py
@@ -89,8 +89,6 @@
         self.reactor.callLater(delay / SECOND / (1 + self.drift), lambda: timer.call(timer.arg))
         return timer
 
-    def input_received(self) -> None: ...
-
     def message_ignored(self, name: str, why: str) -> None:
         self.over.append(f"{name}: {why}")
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,6 +1,7 @@
 """The rule checker finds violations: edges that are changed to break each rule, in more than one way."""
 
 from dataclasses import replace
+from itertools import count
 
 from days import Played, day
 
@@ -9,6 +10,8 @@
 from lapistrestle.policy.types import EndpointState
 from lapistrestle.wire import messages as wire
 
+FOREIGN_CALL_IDS = count(10**9)  # of calls that the edge under test did not number
+
 
 def with_modified_edges(change):
     """Makes edges that `change` has modified."""
@@ -76,7 +79,7 @@
             attempt = pending.attempts[-1] if pending.attempts else None
             if attempt is not None:
                 run = wire.Run(
-                    10**9 + edge.inputs_received,
+                    next(FOREIGN_CALL_IDS),
                     pending.tag,
                     pending.function.name,
                     pending.message.method,
@@ -119,9 +122,7 @@
             others = [
                 r for name, r in edge.runners.items() if name != worker_call.worker.name and r.connection
             ]
-            message = wire.Run(
-                10**9 + edge.inputs_received, worker_call.pending.tag, "fn-1", "check-slot", 900.0
-            )
+            message = wire.Run(next(FOREIGN_CALL_IDS), worker_call.pending.tag, "fn-1", "check-slot", 900.0)
             for other in others[:1]:
                 other.write(wire.encode(message) + b"\n")
 
