--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -234,7 +234,7 @@
             self.core.after(CHECK_INTERVAL, self.check_heartbeat, None)
 
     def receive(self, frame: Frame, arrived_at: int) -> FrameAction:
-        """Handle a complete frame. Returns what was done with it."""
+        """Handle a complete frame, which arrived at this tick. Returns what was done with it."""
         action = FRAME_ACTIONS[frame.kind, order_of(frame.revision, self.revision)]
         if action is FrameAction.RESUME:
             self.freshness.event_missed(self.core.clock())
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -137,7 +137,7 @@
             self.core.counts["turned away"] += 1
             self.answer_over_limit(connection)
         connection.start()
-        # in this poll: the connection, its requests and its close may all have arrived during a stall
+        # in this poll: its first request may have arrived with it
         connection.doRead()
 
     def has_room(self) -> bool:
