Read again: one read to the end, clearer names for asking again, shared test pieces

"Read all that the socket has" stood in the client's connection and, as read(MAX_READS), in the watch; note_missed_event was called for every event; ask_again had a flag is_usable that also held something else; two thresholds of different size were both called STALL_THRESHOLD; tests wrote again the kinds of an event, the close of a board and the question whether a dispatcher is ready.

Change: Stream.read_on serves both; schedule_ask_again says what it does; the timer gate's figure is OVERDUE_THRESHOLD; BoardStub.drop closes a board, World.is_ready replaces its older twin, kinds come from test_node_drains. Behaviour is as before. One test is stricter: iterations that all take long must fire timers in every second one, not only in the first two looked at.

--- a/lapistrestle/hosting/timer_gate.py
+++ b/lapistrestle/hosting/timer_gate.py
@@ -6,7 +6,7 @@
 may never end, and the time of an iteration is not bounded, but deadlines hold all the same.
 """
 
-STALL_THRESHOLD = 50  # ticks; a timer that is overdue by more than this indicates a stall
+OVERDUE_THRESHOLD = 50  # ticks after its due time from which on a timer counts as overdue
 
 
 class TimerGate:
@@ -17,6 +17,6 @@
 
     def may_fire(self, now: int, due: int) -> bool:
         """Whether to fire the timers that are due at tick `now`; `due` is the tick of the earliest one."""
-        is_overdue = now - due > STALL_THRESHOLD
+        is_overdue = now - due > OVERDUE_THRESHOLD
         self.has_deferred = is_overdue and not self.has_deferred
         return not self.has_deferred
--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -8,7 +8,7 @@
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import PendingRequest, RequestEnd
 from lapistrestle.node import fastcgi
-from lapistrestle.node.streams import MAX_READS, READ_SIZE, Stream
+from lapistrestle.node.streams import READ_SIZE, Stream
 from lapistrestle.ticks import SECOND
 
 MAX_UNSENT = 1_048_576  # bytes unsent to a client, beyond which its connection is not read
@@ -230,10 +230,6 @@
         except OSError as error:
             self.drop(error.strerror or "lost")
 
-    def read_on(self) -> None:
-        """Read all data that the socket has, up to MAX_READS reads."""
-        self.read(MAX_READS)
-
     def close_now(self, reason: str) -> None:
         """Close immediately, after reading once more so that the close does not reset answers in transit."""
         if self.dead:
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -15,7 +15,7 @@
 from lapistrestle.node.configuration import Configuration, KnownEndpoints, RunnerEntry, split_address
 from lapistrestle.node.freshness import ListFreshness
 from lapistrestle.node.notices import STATES, Frame, FrameDecoder, FrameError, FrameKind, Record
-from lapistrestle.node.streams import MAX_READS, Stream, dial
+from lapistrestle.node.streams import Stream, dial
 from lapistrestle.policy.types import EndpointState, WorkerInfo
 from lapistrestle.ticks import MILLISECOND, SECOND
 
@@ -60,7 +60,7 @@
         self.decoder = FrameDecoder()
         self.last_received = discovery.core.clock()
         self.is_answered = False  # a frame was received
-        self.has_missed_events = False  # an event was received before the first heartbeat
+        self.will_ask_again = False  # `ask_again` is scheduled, or was called
 
     def connected(self) -> None:
         """Request the events after the last one applied."""
@@ -94,13 +94,13 @@
             if action is FrameAction.RESUME:
                 self.drop("a gap in the revisions")
                 return
-            if action is FrameAction.APPLY:
-                self.note_missed_event()
+            if action is FrameAction.APPLY and not self.discovery.freshness.is_caught_up:
+                self.schedule_ask_again()
 
-    def note_missed_event(self) -> None:
-        """After the first event that was missed, arrange that the board is asked again."""
-        if not self.has_missed_events and not self.discovery.freshness.is_caught_up:
-            self.has_missed_events = True
+    def schedule_ask_again(self) -> None:
+        """Have the board asked again after a delay, once for this watch."""
+        if not self.will_ask_again:
+            self.will_ask_again = True
             self.discovery.core.after(ASK_AGAIN_DELAY, self.discovery.ask_again, self)
 
     def lost(self, reason: str) -> None:
@@ -146,7 +146,7 @@
     def read_now(self) -> None:
         """Process unread data of the watch."""
         if self.watch is not None and not self.watch.dialling:
-            self.watch.read(MAX_READS)
+            self.watch.read_on()
 
     def is_current(self) -> bool:
         """Whether the list is recent enough for new work; a change of that is logged."""
@@ -220,8 +220,8 @@
         A board that has no later event sends a heartbeat as soon as it is asked, but the next heartbeat of
         this watch, until which all requests would be rejected, may be a second away.
         """
-        is_usable = self.freshness.is_caught_up or self.freshness.is_usable(self.core.clock())
-        if self.watch is watch and not is_usable:
+        is_too_old = not self.freshness.is_usable(self.core.clock())
+        if self.watch is watch and is_too_old and not self.freshness.is_caught_up:
             watch.drop("asks again for a heartbeat")
 
     def check_heartbeat(self, _: object) -> None:
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -112,6 +112,10 @@
                 return
             self.received(data)
 
+    def read_on(self) -> None:
+        """Read all data that the socket has, up to MAX_READS reads."""
+        self.read(MAX_READS)
+
     def doWrite(self) -> None:
         """The connection is established, or the socket is writable."""
         if self.dead:
--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -345,6 +345,11 @@
         for follower in list(self.followers):
             follower.drop("cut")
 
+    def drop(self, reason: str) -> None:
+        """Ends the board: new connections are refused."""
+        self.listener.close()
+        self.drop_connections()
+
 
 def free_port() -> int:
     with socket.socket() as probe:
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from test_crossings import FullListener, connections, fill_connection, harness, harnesses, queued_lines, stall
 from test_node import SETTINGS
+from test_node_drains import CHANGES, DRAINING, WHOLE
 
 from lapistrestle.edge.connection_state import ConnectionState
 from lapistrestle.node.configuration import ConfigurationError, read_configuration
@@ -28,8 +29,6 @@
     "event_missed": 0,
 }  # seconds until undelivered events count as notified, by method
 GRACE = 2.0  # seconds; the drain grace in the settings of `NodeHarness`
-DRAINING = 1
-WHOLE_LIST, CHANGE = 1, 2  # kinds of an event
 NOT_SENT_YET = b""  # an event that is on the board, and not sent by it yet
 
 
@@ -110,32 +109,24 @@
 
 
 def test_a_lost_board_stops_new_work_after_the_time_of_a_break_and_the_grace(harness: Any) -> None:
-    harness.board.listener.close()
-    harness.board.drop_connections()
+    harness.board.drop("gone")
     lasted = seconds_usable(harness)
     assert lasted is not None and BROKEN + GRACE - 0.3 < lasted < BROKEN + GRACE + 0.001
 
 
 def board_lost_for_long(harness: Any) -> Any:
     """Take the board away until the list is too old. Returns a board for its place, with the same events."""
-    harness.board.listener.close()
-    harness.board.drop_connections()
+    harness.board.drop("gone")
     assert seconds_usable(harness) is not None
     back = BoardStub(harness.reactor, port=harness.board.port)
-    harness.to_close.append(BoardCloser(back))
+    harness.to_close.append(back)
     back.events = dict(harness.board.events)
     return back
 
 
-class BoardCloser:
-    """Closes a board at the end of a test, as `NodeHarness` closes connections."""
-
-    def __init__(self, board: BoardStub) -> None:
-        self.board = board
-
-    def drop(self, reason: str) -> None:
-        self.board.listener.close()
-        self.board.drop_connections()
+def other_worker_drains(harness: Any) -> Any:
+    """The record of a worker that is not the harness's, which drains."""
+    return board_row(2, harness.runners[0].port + 1, state=DRAINING)
 
 
 def test_work_continues_with_the_first_heartbeat_of_a_board_that_is_back(harness: Any) -> None:
@@ -147,22 +138,22 @@
     ]  # fmt: skip
 
 
-@pytest.mark.parametrize("kind", [CHANGE, WHOLE_LIST], ids=["a change", "a whole list"])
+@pytest.mark.parametrize("kind", [CHANGES, WHOLE], ids=["a change", "a whole list"])
 def test_the_first_missed_event_of_a_board_that_is_back_does_not_permit_new_work(
     harness: Any, kind: Any
 ) -> None:
     """Guards against new work for a worker whose drain is on the board and still undelivered."""
     back = board_lost_for_long(harness)
     back.sends_heartbeats = False
-    rows = [harness.row(0), board_row(2, harness.runners[0].port + 1, state=DRAINING)]
+    rows = [harness.row(0), other_worker_drains(harness)]
     back.events |= {2: board_frame(2, kind, *rows), 3: NOT_SENT_YET, 4: NOT_SENT_YET}
     harness.reactor.run(1.5)
     assert discovery_of(harness).revision == 2
     runs = len(harness.run_messages())
     assert request_status(harness) == 503 and len(harness.run_messages()) == runs
-    back.publish(3, CHANGE, harness.row(0))
+    back.publish(3, CHANGES, harness.row(0))
     assert request_status(harness) == 503 and len(harness.run_messages()) == runs
-    back.publish(4, CHANGE, harness.row(0))
+    back.publish(4, CHANGES, harness.row(0))
     back.sends_heartbeats = True
     harness.reactor.run(1.5)
     assert request_status(harness) == 200
@@ -173,13 +164,12 @@
     back = board_lost_for_long(harness)
     back.sends_heartbeats = False
     runs = len(harness.run_messages())
-    second = board_frame(3, CHANGE, harness.row(0, state=DRAINING))
-    back.events[2] = board_frame(2, CHANGE, board_row(2, harness.runners[0].port + 1, state=DRAINING))
+    second = board_frame(3, CHANGES, harness.row(0, state=DRAINING))
+    back.events[2] = board_frame(2, CHANGES, other_worker_drains(harness))
     back.events[3] = second[: len(second) // 2]
     harness.reactor.run(0.5)
     assert discovery_of(harness).revision == 2
-    back.listener.close()
-    back.drop_connections()
+    back.drop("gone")
     statuses = set()
     for _ in range(10):
         statuses.add(request_status(harness))
@@ -191,16 +181,14 @@
     """Guards against rejecting all requests until the next regular heartbeat, up to a second later."""
     back = board_lost_for_long(harness)
     back.sends_heartbeats = False
-    back.events[2] = board_frame(2, CHANGE, board_row(2, harness.runners[0].port + 1, state=DRAINING))
+    back.events[2] = board_frame(2, CHANGES, other_worker_drains(harness))
     harness.reactor.run(0.3)
     assert back.subscriptions == [1, 2]
     assert request_status(harness) == 200
 
 
 def test_a_board_is_not_asked_again_while_the_list_is_usable(harness: Any) -> None:
-    harness.board.events[2] = board_frame(
-        2, CHANGE, board_row(2, harness.runners[0].port + 1, state=DRAINING)
-    )
+    harness.board.events[2] = board_frame(2, CHANGES, other_worker_drains(harness))
     harness.board.drop_connections()
     harness.reactor.run(0.9)
     assert harness.board.subscriptions == [0, 1]
@@ -210,7 +198,7 @@
 def test_events_on_a_watch_that_has_caught_up_keep_the_list_usable(harness: Any) -> None:
     harness.board.sends_heartbeats = False
     for number in range(2, 12):
-        harness.board.publish(number, CHANGE, board_row(2, harness.runners[0].port + 1, state=DRAINING))
+        harness.board.publish(number, CHANGES, other_worker_drains(harness))
         harness.reactor.run(1.0)
         assert request_status(harness) == 200
 
@@ -263,8 +251,7 @@
     harness.node.reload(reading)
     harness.reactor.run(whole_after + 0.15)
     harness.reactor.until(lambda: second.subscriptions)
-    second.listener.close()
-    second.drop_connections()
+    second.drop("gone")
 
 
 def test_later_events_in_a_new_configuration_are_applied(harness: Any, tmp_path: Any) -> None:
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -60,7 +60,7 @@
         with suppress(OSError):
             client = WebServer(self.reactor, self.port)
             number = client.send_request(script="/_health")
-            self.until(lambda: client.status(number) is not None or client.closed)
+            self.reactor.follow(lambda: client.status(number) is not None or client.closed)
             return client.status(number) == 200
         return False
 
@@ -141,14 +141,7 @@
     board.publish(1, 1, board_row(1, world.runner.port))
     world.until(lambda: board.subscriptions)
 
-    def served() -> Any:
-        client = WebServer(world.reactor, world.port)
-        health = client.send_request(script="/_health")
-        return (
-            world.reactor.follow(lambda: client.status(health) is not None) and client.status(health) == 200
-        )
-
-    world.until(served)
+    world.until(world.is_ready)
     statuses = [world.call(f"9b1f03aa5c7e2d{i:02x}")[0] for i in range(20)]
     assert statuses == [200] * 20 and node.poll() is None
     board.listener.close()
--- a/tests/test_timer_gate.py
+++ b/tests/test_timer_gate.py
@@ -1,12 +1,12 @@
 """Timers after a stall: overdue ones are deferred until the sockets were polled once."""
 
-from lapistrestle.hosting.timer_gate import STALL_THRESHOLD, TimerGate
+from lapistrestle.hosting.timer_gate import OVERDUE_THRESHOLD, TimerGate
 from lapistrestle.hosting.timers import Timers
 
 
 def test_timers_on_time_fire_at_once() -> None:
     gate = TimerGate()
-    assert gate.may_fire(1_000, 1_000) and gate.may_fire(2_000 + STALL_THRESHOLD, 2_000)
+    assert gate.may_fire(1_000, 1_000) and gate.may_fire(2_000 + OVERDUE_THRESHOLD, 2_000)
 
 
 def test_overdue_timers_are_deferred_for_one_iteration() -> None:
@@ -24,8 +24,8 @@
 def test_iterations_that_all_take_long_defer_timers_by_one_of_them() -> None:
     """Guards against deferring timers for many iterations, which take seconds while input never ends."""
     gate, iteration_ticks = TimerGate(), 1_000
-    fired = [gate.may_fire(now, 1) for now in range(iteration_ticks, 30 * iteration_ticks, iteration_ticks)]
-    assert fired[:2] == [False, True]
+    fired = [gate.may_fire(i * iteration_ticks, (i - 1) * iteration_ticks) for i in range(1, 31)]
+    assert fired == [False, True] * 15
 
 
 def test_timers_fire_in_order_and_stopped_ones_never() -> None:
