--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -25,6 +25,7 @@
 
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
 SERVING, DRAINING, GONE = 0, 1, 2
+OK = 200  # the status of a request that was served
 HEAD = struct.Struct(">BBHHBB")
 ROW = struct.Struct(">IIHBBBHIQ")
 
