--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,7 +15,6 @@
 RATE = 10  # requests a second: a dispatcher of such a fleet sees little traffic
 FUNCTIONS = 10
 PATIENCE_MS = 3_000  # the page: 50 to 100% of the deadline of `search`, 4 s
-LOST_AFTER_S = 0.5  # the page: up to half a second after its time it only earns nothing
 BEFORE_S = 5.0
 PORT = 20_001
 
@@ -83,15 +82,13 @@
         fields = rig.fields_of(f"{draw.getrandbits(64):016x}", function, PATIENCE_MS)
         answers.append(servers[-1].send("/invoke/search", fields))
         await asyncio.sleep(max(0, len(answers) / RATE - now))
-    await asyncio.sleep(PATIENCE_MS / 1000 + 2 * LOST_AFTER_S)
-    for server in servers:
-        server.close()
+    await asyncio.sleep(PATIENCE_MS / 1000 + 2 * rig.LOST_AFTER_S)
     return answers
 
 
 async def case(record: rig.Record, trouble: bool) -> int:
     """Return 1 if a request had no final answer half a second after its time."""
-    draw = random.Random(7)
+    draw, lag = random.Random(7), rig.Lag()
     board, fleet = rig.Board(record), Fleet(record)
     await board.start()
     await fleet.start()
@@ -106,12 +103,7 @@
         answers = await asking
     finally:
         await node.end()
-    late = [(a.answered_at or time.time()) - a.sent_at - PATIENCE_MS / 1000 for a in answers]
-    lost, never = sum(seconds > LOST_AFTER_S for seconds in late), sum(a.status <= 0 for a in answers)
-    served = sum(a.status == rig.OK for a in answers)
-    print(f"{lost} of {len(answers)} requests lost, {never} of them without any answer; {served} served")
-    record.write("judged", lost=lost, of=len(answers), unanswered=never, served=served)
-    return rig.BROKEN if lost else rig.HELD
+    return rig.judge(record, answers, PATIENCE_MS, lag)
 
 
 rig.main(FOLDER, case)
