Reading the board before work starts ends after 0.2 s; nothing starts on unread events

At the 33 us that an event takes now, 1 MiB of events are 0.8 s, and more on a part of a core. Beyond 1 MiB work also started by the part of the list that had been read, so that a drain at the end of the events was passed over.

Change: Stream.read says whether it has read all that the socket had. The watch is read before a start for 0.2 s at most; what is left is read in later polls, 16 KiB each. Until then the list does not count as recent enough: requests and the health check get 503 at once, attempts end as not sent. The event "events left unread" is logged.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -23,6 +23,8 @@
 # ticks between two polls of the sockets; if more have passed, the process was stalled, and what is read now
 # may have been unread for that time
 STALL_THRESHOLD = 200
+EVENTS_LEFT_UNREAD = "events left unread"  # the list's source sends more than is read in one go
+COUNTED_EVENTS = ("turned away", "unreadable", "passed over", NOT_STARTED, EVENTS_LEFT_UNREAD)
 MAX_LOGGED = 100  # log lines of each counted event; further ones are only counted
 FINISH_CHECK_INTERVAL = 100  # ticks between two checks whether a shutdown is complete
 ANSWER_FLUSH_TIME = 300  # ticks that answers may take to be sent once all requests were aborted
@@ -83,7 +85,7 @@
         self.connect_timeout = settings.connect_timeout
         self.endpoints_polled = settings.endpoints_polled
         self.runners: dict[str, Any] = {}
-        self.counts = dict.fromkeys(("turned away", "unreadable", "passed over", NOT_STARTED), 0)
+        self.counts = dict.fromkeys(COUNTED_EVENTS, 0)
         self.stopping = False
         self.dial_on_first_use = False  # connect to a runner on first use instead of when it is listed
         self.on_stopped: Callable[[], None] | None = None
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 from lapistrestle.deployment import translation
-from lapistrestle.edge.core import Core
+from lapistrestle.edge.core import EVENTS_LEFT_UNREAD, Core
 from lapistrestle.node.addresses import RunnerAddresses
 from lapistrestle.node.configuration import Configuration, KnownEndpoints, RunnerEntry, split_address
 from lapistrestle.node.freshness import ListFreshness
 from lapistrestle.node.notices import STATES, Frame, FrameDecoder, FrameError, FrameKind, Record
-from lapistrestle.node.streams import Stream, dial
+from lapistrestle.node.streams import MAX_READS, Stream, dial
 from lapistrestle.policy.types import EndpointState, WorkerInfo
 from lapistrestle.ticks import MILLISECOND, SECOND
 
@@ -26,6 +26,7 @@
 RECONNECT_PAUSE = 1_000
 ASK_AGAIN_DELAY = 1_000  # after the first missed event; a board sends its missed events in one go
 CONNECT_TIMEOUT = 5_000
+MAX_READ_TIME = 0.2  # seconds of reading and applying events at once, after which others get their turn
 PROGRESS_BYTES = 1_024  # a read of this size counts as a sign of life: part of a long snapshot
 
 RevisionOrder = Enum("RevisionOrder", "REPEATED NEXT GAP")
@@ -62,6 +63,19 @@
         self.last_received = discovery.core.clock()
         self.is_answered = False  # a frame was received
         self.will_ask_again = False  # `ask_again` is scheduled, or was called
+        self.is_behind = False  # `read_on` left received data unread
+
+    def doRead(self) -> None:
+        """The socket is readable."""
+        if self.read(self.reads_per_poll()):
+            self.is_behind = False
+
+    def read_on(self) -> None:
+        """Read all data that the socket has, within MAX_READ_TIME; then the rest is left to later polls."""
+        if not self.is_behind:
+            self.is_behind = not self.read(MAX_READS, MAX_READ_TIME)
+            if self.is_behind:
+                self.discovery.core.count_and_log(EVENTS_LEFT_UNREAD, revision=self.discovery.revision)
 
     def connected(self) -> None:
         """Request the events after the last one applied."""
@@ -151,7 +165,12 @@
             self.watch.read_on()
 
     def is_current(self) -> bool:
-        """Whether the list is recent enough for new work; a change of that is logged."""
+        """Whether the list is recent enough for new work; a change of that is logged.
+
+        It is not while received events are unread: any of them may drain any worker.
+        """
+        if self.watch is not None and self.watch.is_behind:
+            return False
         now = self.core.clock()
         # without a board no events can be missed
         usable = self.address is None or self.freshness.is_usable(now)
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -12,6 +12,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import Any, Protocol
 
 RETRIABLE_ERRORS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
@@ -96,21 +97,28 @@
         """The socket is readable."""
         self.read(self.reads_per_poll())
 
-    def read(self, count: int) -> None:
-        """Read received data, at most so many times."""
+    def read(self, count: int, time_limit: float = inf) -> bool:
+        """Read received data, at most so many times, and begin no read after so many seconds.
+
+        Returns whether all data was read that the socket had.
+        """
+        started_at = self.reactor.seconds()
         for _ in range(count):
             if self.dead or not self.reading:
-                return
+                return True
             try:
                 data = self.sock.recv(READ_SIZE)
             except OSError as error:
                 if error.errno not in RETRIABLE_ERRORS:
                     self.drop(error.strerror or "lost")
-                return
+                return True
             if not data:
                 self.drop("closed by the peer")
-                return
+                return True
             self.received(data)
+            if self.reactor.seconds() - started_at >= time_limit:
+                break
+        return len(data) < READ_SIZE
 
     def read_on(self) -> None:
         """Read all data that the socket has, up to MAX_READS reads."""
--- a/tests/test_node_flood.py
+++ b/tests/test_node_flood.py
@@ -4,14 +4,21 @@
 """
 
 import os
+from collections.abc import Callable
 from typing import Any
 
 from test_crossings import harness, harnesses
+from test_node_drains import CHANGES, DRAINING
 
 from lapistrestle.node import fastcgi
 from lapistrestle.node.streams import READ_SIZE
+from lapistrestle.standins.platform import board_row
 
 ITERATION = 0.1  # seconds that one iteration of the event loop takes
+EVENT_TIME = 0.0001  # seconds that one event of the board takes
+SERVED, REFUSED = 200, 503  # statuses
+UNUSED_PORT = 1  # of a worker that is never called
+EVENTS = 20_000  # of a board that has been away; they take longer than any request may
 REQUESTS = 20  # of the bad client in each iteration
 LATEST_ANSWER = 0.5  # seconds after its deadline at which a final answer still counts
 EARLIEST_KILL = 3.0 + 0.7  # seconds from SIGTERM to SIGKILL at the earliest, with deadlines of 3 s or more
@@ -78,3 +85,76 @@
     assert stopped
     harness.reactor.quiet()
     assert client.status(number) is not None
+
+
+class BusyBoard:
+    """A board that sends many events in one go, each of which takes EVENT_TIME of the clock to apply."""
+
+    def __init__(self, harness: Any) -> None:
+        self.harness = harness
+        self.discovery = harness.node.discovery
+        self.last = self.discovery.revision + EVENTS
+        apply = self.discovery.apply
+
+        def apply_slowly(*args: Any) -> None:
+            harness.reactor.rightNow += EVENT_TIME
+            apply(*args)
+
+        self.discovery.apply = apply_slowly
+
+    def publish(self, last_row: bytes) -> None:
+        """Send changes of a worker that nobody uses, and one of another worker as the last event."""
+        other = board_row(99, UNUSED_PORT, state=DRAINING)
+        for revision in range(self.discovery.revision + 1, self.last):
+            self.harness.board.publish(revision, CHANGES, other)
+        self.harness.board.publish(self.last, CHANGES, last_row)
+
+    def is_read(self) -> bool:
+        """Whether all its events have been applied."""
+        return bool(self.discovery.revision == self.last)
+
+
+def send_until(harness: Any, client: Any, is_over: Callable[[], bool]) -> list[int]:
+    """Send a request in each iteration of the event loop. Returns their numbers."""
+    numbers = list[int]()
+    while not is_over():
+        numbers.append(client.send_request(id=os.urandom(8).hex()))
+        harness.reactor.iterate(0.001)
+    return numbers
+
+
+def test_the_deadline_of_a_request_holds_while_the_board_sends_many_events(harness: Any) -> None:
+    """Guards against reading the board to its end before work starts, however long that takes."""
+    patience = 1.0
+    client, other = harness.connect_client(), harness.connect_client()
+    number = run_without_answer(harness, client, int(patience * 1000))
+    sent_at, board = harness.reactor.rightNow, BusyBoard(harness)
+    board.publish(harness.row(0))
+    answered_at = list[float]()
+
+    def is_answered() -> bool:
+        if client.status(number) is not None:
+            answered_at.append(harness.reactor.rightNow)
+        return bool(answered_at)
+
+    send_until(harness, other, is_answered)
+    assert answered_at[0] - sent_at <= patience + LATEST_ANSWER
+
+
+def test_nothing_is_started_while_events_of_the_board_are_unread(harnesses: Any) -> None:
+    """Any worker may be draining by the last of them; once all are read, work goes on with the others."""
+    harness = harnesses(runners=2)
+    client, board = harness.connect_client(), BusyBoard(harness)
+    board.publish(harness.row(0, state=DRAINING))
+    runs_while_unread = list[Any]()
+
+    def is_over() -> bool:
+        if not board.is_read():
+            runs_while_unread[:] = harness.run_messages()
+        return board.is_read()
+
+    numbers = send_until(harness, client, is_over)
+    assert len(numbers) > 2 and client.status(numbers[0]) == REFUSED and not runs_while_unread
+    number = client.send_request(id=os.urandom(8).hex())
+    harness.reactor.until(lambda: client.status(number) is not None)
+    assert client.status(number) == SERVED and not harness.runners[0].runs
