--- a/lapistrestle/edge/work_gate.py
+++ b/lapistrestle/edge/work_gate.py
@@ -21,14 +21,18 @@
 
     def __init__(self, core: Any) -> None:
         self.core = core
-        self.states: dict[str, EndpointState] = {}
+        self.states: dict[str, EndpointState] = {}  # of the listed workers
         self.is_reading = False  # guards against recursion: what is read may lead to another check
 
     def update(self, workers: Sequence[WorkerInfo], whole: bool) -> None:
         """Apply a worker list (`whole`) or a change to it."""
         if whole:
             self.states.clear()
-        self.states.update((worker.name, worker.endpoint_state) for worker in workers)
+        for worker in workers:
+            if worker.endpoint_state is EndpointState.REMOVED:
+                self.states.pop(worker.name, None)
+            else:
+                self.states[worker.name] = worker.endpoint_state
 
     def may_start(self, work: WorkerCall | WorkerTask, runner: Any) -> bool:
         """Whether work may start at this runner, by the list and the client's connection as read now.
--- a/tests/test_node_list_changes.py
+++ b/tests/test_node_list_changes.py
@@ -78,6 +78,20 @@
     assert counted[-1] < 1.1 * counted[1]
 
 
+def test_nothing_is_kept_of_runners_that_were_replaced(harnesses: Any) -> None:
+    """Guards against names of removed runners that stay for the life of the process."""
+    harness = harnesses(runners=0)
+    list_runners(harness, 10)
+    for generation in range(20):
+        for number in range(1, 11):
+            replace_runner(harness, number, generation)
+    listed = {name(number, generation=20) for number in range(1, 11)}
+    assert set(harness.node.core.work_gate.states) == listed
+    assert len(harness.node.discovery.addresses.names) == len(listed)
+    assert len(harness.host.registry.workers) <= len(listed) + 1  # one waits for the next change
+    assert len(harness.host.removed_workers) <= 1
+
+
 @pytest.mark.parametrize("number", [1, 3], ids=["the first", "the last"])
 def test_the_runner_at_an_address_is_the_one_that_was_listed_last(harnesses: Any, number: int) -> None:
     """A runner whose address is taken over has gone, whether or not the board reports it."""
