--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -11,6 +11,7 @@
 
 from lapistrestle.hosting.answers import FinalAnswers
 from lapistrestle.hosting.context import HostContext
+from lapistrestle.hosting.endpoint_updates import EndpointUpdates
 from lapistrestle.hosting.events import EventQueue
 from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.hosting.requests import (
@@ -32,7 +33,6 @@
 from lapistrestle.policy.settings import Settings
 from lapistrestle.policy.types import (
     Attempt,
-    EndpointState,
     FunctionInfo,
     LoadState,
     Outcome,
@@ -76,8 +76,7 @@
         self.answers.cancel_unsent = self.calls.cancel_unsent
         self.worker_tasks = WorkerTasks(context, self.events)
         self.last_number = 0
-        self.removed_workers: dict[str, None] = {}  # no longer listed, but perhaps in the registry
-        self.undelivered_workers: set[str] = set()  # listed, but perhaps not yet delivered to the module
+        self.endpoint_updates = EndpointUpdates(context, self.events, self.registry, self.worker_tasks)
         self.module = self.events.module = make_module(self, settings, seed, clock(), fleet)
 
     @property
@@ -213,54 +212,7 @@
 
     def endpoints_received(self, entries: Sequence[WorkerInfo], is_snapshot: bool) -> None:
         """Entries of the endpoint list were received; with `is_snapshot`, `entries` is the complete list."""
-        are_earlier_delivered = not self.events.queued_endpoints
-        if are_earlier_delivered:
-            self.undelivered_workers.clear()
-        self.undelivered_workers.update(
-            e.name for e in entries if e.endpoint_state is not EndpointState.REMOVED
-        )
-        self.events.post_endpoints([(self.registry.worker(e.name), e) for e in entries], is_snapshot)
-        is_delivered = not self.events.queued_endpoints
-        if are_earlier_delivered and not is_delivered:
-            self.forget_removed_workers()  # those of earlier lists
-        if is_snapshot:
-            self.removed_workers = dict.fromkeys(self.registry.workers)
-        self.removed_workers.update(
-            (e.name, None) for e in entries if e.endpoint_state is EndpointState.REMOVED
-        )
-        if is_delivered:
-            self.forget_removed_workers()
-
-    def forget_removed_workers(self) -> None:
-        """Drop removed workers from the registry, so that a long-running process does not keep every worker
-        that ever served. A worker stays if it has attempts or tasks in flight; if it is listed again, but the
-        module has not been told; or if it was sent requests within its slow start window, as after a return
-        it would be sent more than it can take.
-
-        Called once the module has been told of all `removed_workers`, which are then only those that stay.
-        """
-        if not self.removed_workers:
-            return
-        with_tasks = {task.worker for task in self.tasks.values()}
-        workers = self.registry.workers
-        removed = [
-            workers[name]
-            for name in self.removed_workers
-            if name in workers and workers[name].endpoint_state is EndpointState.REMOVED
-        ]
-        since = self.clock() - self.settings.overload_window
-        retained = {
-            worker.name: None
-            for worker in removed
-            if worker.in_flight
-            or worker in with_tasks
-            or worker.name in self.undelivered_workers
-            or worker.weight_sent_since(since)
-        }
-        for worker in removed:
-            if worker.name not in retained:
-                del workers[worker.name]
-        self.removed_workers = retained
+        self.endpoint_updates.received(entries, is_snapshot)
 
     def prefix_received(self, function: Function, names: Sequence[str]) -> None:
         """The directory returned a prefix of a function's order; each worker was listed before."""
--- a/tests/test_node_list_changes.py
+++ b/tests/test_node_list_changes.py
@@ -5,13 +5,12 @@
 
 import pytest
 from test_crossings import harnesses
+from test_node_drains import CHANGES, DRAINING, GONE, SERVING, WHOLE
 
 from benchmarks.scale.measuring import count_steps
 from lapistrestle.node.notices import Frame, decode_frame
 from lapistrestle.standins.platform import board_frame, board_row
 
-SNAPSHOT, DELTA = 1, 2  # kinds of events
-SERVING, DRAINING, GONE = 0, 1, 2
 GENERATION = 100_000  # added to the id of a runner that takes over the address of another
 FIRST_PORT = 10_000
 
@@ -32,12 +31,12 @@
     """A runner drains, has gone, and another starts at its address."""
     old, new = (number, DRAINING, generation), (number, SERVING, generation + 1)
     rows = [row(*old), row(number, GONE, generation), row(*new)]
-    return [decode_frame(board_frame(revision + i, DELTA, changed)) for i, changed in enumerate(rows)]
+    return [decode_frame(board_frame(revision + i, CHANGES, changed)) for i, changed in enumerate(rows)]
 
 
 def list_runners(harness: Any, count: int) -> None:
     """Have the board list so many runners."""
-    harness.board.publish(1, SNAPSHOT, *(row(number) for number in range(1, count + 1)))
+    harness.board.publish(1, WHOLE, *(row(number) for number in range(1, count + 1)))
     harness.reactor.until(lambda: harness.node.discovery.revision == 1)
 
 
@@ -89,7 +88,7 @@
     assert set(harness.node.core.work_gate.states) == listed
     assert len(harness.node.discovery.addresses.names) == len(listed)
     assert len(harness.host.registry.workers) <= len(listed) + 1  # one waits for the next change
-    assert len(harness.host.removed_workers) <= 1
+    assert len(harness.host.endpoint_updates.removed) <= 1
 
 
 @pytest.mark.parametrize("number", [1, 3], ids=["the first", "the last"])
@@ -99,6 +98,6 @@
     list_runners(harness, 3)
     others = {name(other) for other in (1, 2, 3) if other != number}
     for revision, generation in ((2, 1), (3, 0), (4, 2)):
-        harness.board.publish(revision, DELTA, row(number, SERVING, generation))
+        harness.board.publish(revision, CHANGES, row(number, SERVING, generation))
         harness.reactor.until(lambda latest=revision: harness.node.discovery.revision == latest)
         assert set(harness.node.core.runners) == others | {name(number, generation)}
