The end of the program no longer accepts connections for as long as others come

Clients that connect as fast as they are accepted keep it from ever returning, and deadlines and the last answers before SIGKILL wait.

Change: it accepts as many as can wait, 1,025, and says that others came, so that the end looks again after timers and answers had their turn.

tests/test_node_flood.py, 0.1 ms for each connection: before, an open request with 2 s of patience had no answer 3.7 s after SIGTERM; now it has one.

--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -97,7 +97,7 @@
         self.drain_listener()
 
     def drain_listener(self) -> bool:
-        """Accept all waiting connections and close the listener; False if there are no descriptors left."""
+        """Accept the waiting connections and close the listener; False if it has to stay for others."""
         if self.listener is not None and not self.listener.closed and self.listener.accept_all():
             self.listener.close()
         return self.listener is None or self.listener.closed
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -328,10 +328,11 @@
         return 0.0 if self.full_since is None else float(self.reactor.seconds()) - self.full_since
 
     def accept_all(self) -> bool:
-        """Accept all waiting connections; False if that fails for lack of descriptors."""
-        while self.accept():
-            continue
-        return self.full_since is None
+        """Accept the connections that wait; False if others came meanwhile or descriptors are lacking."""
+        for _ in range(ACCEPT_QUEUE + 1):  # the kernel lets one more wait than it is told
+            if not self.accept():
+                return self.full_since is None
+        return False
 
     def resume(self) -> None:
         """Accept again after a pause."""
--- a/tests/test_node_flood.py
+++ b/tests/test_node_flood.py
@@ -4,6 +4,8 @@
 """
 
 import os
+import socket
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -11,10 +13,13 @@
 from test_node_drains import CHANGES, DRAINING
 
 from lapistrestle.node import fastcgi
-from lapistrestle.node.streams import READ_SIZE
+from lapistrestle.node.streams import READ_SIZE, dial
 from lapistrestle.standins.platform import board_row
 
 ITERATION = 0.1  # seconds that one iteration of the event loop takes
+CROWD = 60_000  # connections of a crowd; to accept them takes longer than a shutdown may
+OPEN_CONNECTIONS = 32  # of a crowd at a time
+ACCEPT_TIME = 0.0001  # seconds that one new connection takes
 EVENT_TIME = 0.0001  # seconds that one event of the board takes
 SERVED, REFUSED = 200, 503  # statuses
 UNUSED_PORT = 1  # of a worker that is never called
@@ -158,3 +163,50 @@
     number = client.send_request(id=os.urandom(8).hex())
     harness.reactor.until(lambda: client.status(number) is not None)
     assert client.status(number) == SERVED and not harness.runners[0].runs
+
+
+class ConnectingCrowd:
+    """Clients that connect without a pause: one as soon as another is accepted, which takes ACCEPT_TIME."""
+
+    def __init__(self, harness: Any) -> None:
+        self.harness = harness
+        self.left = CROWD
+        self.sockets = deque[socket.socket]()
+        listener = harness.node.front.listener
+        self.serve, listener.on_connection = listener.on_connection, self.accepted
+
+    def connect(self) -> None:
+        """Connect one more, and close the oldest of many."""
+        self.left -= 1
+        self.sockets.append(dial("127.0.0.1", self.harness.port))
+        if len(self.sockets) > OPEN_CONNECTIONS:
+            self.sockets.popleft().close()
+
+    def accepted(self, sock: socket.socket) -> None:
+        """One of them was accepted."""
+        self.harness.reactor.rightNow += ACCEPT_TIME
+        self.serve(sock)
+        if self.left:
+            self.connect()
+
+    def close(self) -> None:
+        """Close those that are open."""
+        for sock in self.sockets:
+            sock.close()
+
+
+def test_open_requests_are_answered_at_a_shutdown_while_clients_connect_without_a_pause(harness: Any) -> None:
+    """Guards against accepting until nobody waits, which may be never: SIGKILL came before the answers."""
+    client, crowd, stopped = harness.connect_client(), ConnectingCrowd(harness), list[float]()
+    number = run_without_answer(harness, client, patience_ms=2_000)
+    crowd.connect()
+    told_at = harness.reactor.rightNow
+    harness.node.shut_down(lambda: stopped.append(harness.reactor.rightNow))
+    while client.status(number) is None and harness.reactor.rightNow < told_at + EARLIEST_KILL:
+        harness.reactor.iterate(0.001)
+    assert client.status(number) is not None and harness.reactor.rightNow < told_at + EARLIEST_KILL
+    assert crowd.left
+    crowd.left = 0
+    harness.reactor.run(1.0)
+    assert stopped
+    crowd.close()
