Decisions after a change of the list pass over all workers faster

The sums call no function for a worker that is surely warm; a function's home is the smallest score, so the order is sorted only where dispatchers outnumber workers.

--- a/lapistrestle/policy/endpoints.py
+++ b/lapistrestle/policy/endpoints.py
@@ -64,10 +64,10 @@
     def refresh(self) -> None:
         """Collect the workers that serve, and sum their sizes in ring order."""
         self.is_stale = False
-        self.current_serving = dict.fromkeys(
-            worker for worker in self.ring if worker.endpoint_state is EndpointState.SERVING
-        )
-        self.current_size = sum(worker.size for worker in self.current_serving)
+        serves = EndpointState.SERVING
+        serving = [worker for worker in self.ring if worker.endpoint_state is serves]
+        self.current_serving = dict.fromkeys(serving)
+        self.current_size = sum([worker.size for worker in serving])
 
     def update(self, workers: Sequence[tuple[Worker, WorkerInfo]], snapshot: bool) -> None:
         """Apply changes of the endpoint list; with `snapshot`, `workers` is the complete list."""
--- a/lapistrestle/policy/function_order.py
+++ b/lapistrestle/policy/function_order.py
@@ -70,16 +70,15 @@
         the same neighbour without seeing each other. The ring shares copies better where a function needs
         many workers.
         """
-        ring = self.endpoints.ring
+        ring, scores = self.endpoints.ring, function.scores
         for worker in ring:
-            if worker not in function.scores:
-                function.scores[worker] = self.score(function, worker)
-        by_score = sorted(ring, key=function.scores.__getitem__)
-        if self.settings.dispatcher_count > len(by_score):
-            function.order = by_score
+            if worker not in scores:
+                scores[worker] = self.score(function, worker)
+        if self.settings.dispatcher_count > len(ring):
+            function.order = sorted(ring, key=scores.__getitem__)
         else:
-            first = ring.index(by_score[0]) if by_score else 0
-            function.order = ring[first:] + ring[:first]
+            home = ring.index(min(ring, key=scores.__getitem__)) if ring else 0
+            function.order = ring[home:] + ring[:home]
         function.order_version = self.endpoints.version
 
     def score(self, function: Function, worker: Worker) -> float:
--- a/lapistrestle/policy/health.py
+++ b/lapistrestle/policy/health.py
@@ -50,7 +50,7 @@
         """Count the ejected workers, if the endpoint list has changed."""
         if self.is_count_stale:
             self.is_count_stale = False
-            self.ejected_count = sum(worker.ejected for worker in self.endpoints.serving)
+            self.ejected_count = sum([worker.ejected for worker in self.endpoints.serving])
 
     def ejections_apply(self) -> bool:
         """Whether ejections apply: not if most workers are ejected, as the rest would be overloaded."""
--- a/lapistrestle/policy/slow_start.py
+++ b/lapistrestle/policy/slow_start.py
@@ -72,9 +72,22 @@
         now = self.clock.now
         if self.warm_size_updated_at < 0 or now - self.warm_size_updated_at > WARM_SIZE_MAX_AGE:
             self.warm_size_updated_at = now
-            self.cached_warm_size = sum(w.size * self.share(w) for w in self.endpoints.serving)
+            self.cached_warm_size = self.sum_warm_sizes()
         return float(self.cached_warm_size)
 
+    def sum_warm_sizes(self) -> float:
+        """Sum the sizes of serving workers, weighted by `share`, which is 1 for most of them."""
+        duration = self.settings.slow_start_duration
+        surely_warm = self.clock.now - 2 * duration  # after `duration` alone it may be rounded to less than 1
+        return sum(
+            [
+                worker.size
+                if not duration or worker.booted_at is None or worker.booted_at <= surely_warm
+                else worker.size * self.share(worker)
+                for worker in self.endpoints.serving
+            ]
+        )
+
     def add_ok(self, method: int) -> None:
         """Record the work of an ok answer, divided by the current warm size."""
         work = self.latency.typical(method)
--- a/tests/test_policy_slow_start.py
+++ b/tests/test_policy_slow_start.py
@@ -37,6 +37,22 @@
     assert budget - 1 <= sent <= budget + 1.5
 
 
+@pytest.mark.parametrize("share", [0.0, 0.17, 0.2, 0.83, 1.0])
+@pytest.mark.parametrize("duration", [0, 7, 10_000, 99_999])
+def test_the_warm_size_is_the_sum_of_sizes_each_times_its_share(share: float, duration: int) -> None:
+    """To the last bit, so that the same seed and events lead to the same decisions."""
+    ages = [0, 1, duration // 2, max(0, duration - 1), duration, duration + 1, 2 * duration, 3 * duration]
+    module = dispatcher(len(ages) + 1)
+    change_settings(module, slow_start_share=share, slow_start_duration=duration)
+    module.now = 1_000_000
+    for number, (worker, age) in enumerate(zip(module.endpoints.workers, ages, strict=False)):
+        worker.booted_at, worker.size = module.now - age, 0.1 + number / 7
+    module.slow_start.endpoints_changed()
+    serving = module.endpoints.serving
+    assert len(serving) == len(ages) + 1
+    assert module.slow_start.warm_size() == sum(w.size * module.slow_start.share(w) for w in serving)
+
+
 def test_workers_that_warm_up_together_do_not_inflate_the_slow_start_budget() -> None:
     module = dispatcher(4)
     module.slow_start.ok_work.add(module.now, 40_000.0 / 1.6)
