--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -15,8 +15,8 @@
 from lapistrestle.node.client_connection import DISCARDING_TIMEOUT, ClientConnection, Phase
 from lapistrestle.node.configuration import Configuration, split_address
 from lapistrestle.node.invocation import InvalidRequestError, Invocation, InvocationParser
+from lapistrestle.node.listener import Listener
 from lapistrestle.node.runner_connection import RunnerConnection
-from lapistrestle.node.streams import Listener
 from lapistrestle.ticks import MILLISECOND, SECOND
 
 # Ticks of 0.1 ms:
--- a/lapistrestle/standins/platform.py
+++ b/lapistrestle/standins/platform.py
@@ -23,7 +23,8 @@
 from twisted.internet.task import Clock
 
 from lapistrestle.node import fastcgi
-from lapistrestle.node.streams import Listener, Stream, dial
+from lapistrestle.node.listener import Listener
+from lapistrestle.node.streams import Stream, dial
 
 
 class ManualReactor(Clock):
