Tests of the node share one module with their harness and its fixture

NodeHarness and its settings stood in test_node.py, and the fixture that makes and closes harnesses in three files.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,28 +6,16 @@
 import contextlib
 import errno
 import socket
-from collections.abc import Iterator
 from typing import Any
 
 import pytest
-from test_node import NodeHarness
+from node_harness import harnesses
 
 from lapistrestle.edge.connection_state import ConnectionState
 from lapistrestle.policy.types import EndpointState
 from lapistrestle.standins.platform import BoardStub, WebServer, begin_request, board_frame, board_row
 
-
-@pytest.fixture
-def harnesses() -> Iterator[Any]:
-    made = []
-
-    def make(*args: Any, **more: Any) -> Any:
-        made.append(NodeHarness(*args, **more))
-        return made[-1]
-
-    yield make
-    for harness in made:
-        harness.close()
+__all__ = ["harnesses"]  # the fixture
 
 
 @pytest.fixture
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -6,12 +6,12 @@
 import errno
 import inspect
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 import test_crossings
-from test_node import NodeHarness
+from node_harness import harnesses
 
 from lapistrestle.node import client_connection as client_connections
 from lapistrestle.node import fastcgi
@@ -23,19 +23,7 @@
 shut_down: Any = test_crossings.shut_down
 request_bytes: Any = test_crossings.request_bytes
 
-
-@pytest.fixture
-def harnesses() -> Iterator[Callable[..., Any]]:
-    made: list[Any] = []
-    new_stage: Any = NodeHarness
-
-    def make(*args: Any, **more: Any) -> Any:
-        made.append(new_stage(*args, **more))
-        return made[-1]
-
-    yield make
-    for harness in made:
-        harness.close()
+__all__ = ["harnesses"]  # the fixture
 
 
 @pytest.fixture
--- a/tests/test_node_flood.py
+++ b/tests/test_node_flood.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from test_crossings import harness, harnesses
+from node_harness import harnesses
+from test_crossings import harness
 from test_node_drains import CHANGES, DRAINING
 
 from lapistrestle.node import fastcgi
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -8,8 +8,8 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_crossings import FullListener, connections, fill_connection, harness, harnesses, queued_lines, stall
-from test_node import SETTINGS
+from node_harness import SETTINGS, harnesses
+from test_crossings import FullListener, connections, fill_connection, harness, queued_lines, stall
 from test_node_drains import CHANGES, DRAINING, WHOLE
 
 from lapistrestle.edge.connection_state import ConnectionState
--- a/tests/test_node_list_changes.py
+++ b/tests/test_node_list_changes.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pytest
-from test_crossings import harnesses
+from node_harness import harnesses
 from test_node_drains import CHANGES, DRAINING, GONE, SERVING, WHOLE
 
 from benchmarks.scale.measuring import count_steps
