The time limit of reading costs the ordinary path no look at the clock

Stream.read looked at the clock twice for each read of any connection since the limit was added. It does so now only where a limit is given and data has come. One read is a function of its own, so that the loop shows what ends it.

--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -12,7 +12,6 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from math import inf
 from typing import Any, Protocol
 
 RETRIABLE_ERRORS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
@@ -93,28 +92,39 @@
         """The socket is readable."""
         self.read(self.reads_per_poll())
 
-    def read(self, count: int, time_limit: float = inf) -> bool:
-        """Read received data, at most so many times, and begin no read after so many seconds.
+    def read(self, count: int, time_limit: float | None = None) -> bool:
+        """Read received data, at most so many times, and begin no read so many seconds after the first.
 
         Returns whether all data was read that the socket had.
         """
-        started_at = self.reactor.seconds()
+        ends_at = None
+        is_all_read = False
         for _ in range(count):
-            if self.dead or not self.reading:
-                return True
-            try:
-                data = self.sock.recv(READ_SIZE)
-            except OSError as error:
-                if error.errno not in RETRIABLE_ERRORS:
-                    self.drop(error.strerror or "lost")
-                return True
-            if not data:
-                self.drop("closed by the peer")
+            data = self.receive()
+            if data is None:
                 return True
+            is_all_read = len(data) < READ_SIZE
+            if time_limit is not None and ends_at is None:
+                ends_at = self.reactor.seconds() + time_limit
             self.received(data)
-            if self.reactor.seconds() - started_at >= time_limit:
+            if ends_at is not None and self.reactor.seconds() >= ends_at:
                 break
-        return len(data) < READ_SIZE
+        return is_all_read
+
+    def receive(self) -> bytes | None:
+        """Read once; None if there is nothing. Drops a connection that the peer closed or that failed."""
+        if self.dead or not self.reading:
+            return None
+        try:
+            data = self.sock.recv(READ_SIZE)
+        except OSError as error:
+            if error.errno not in RETRIABLE_ERRORS:
+                self.drop(error.strerror or "lost")
+            return None
+        if not data:
+            self.drop("closed by the peer")
+            return None
+        return data
 
     def read_on(self) -> None:
         """Read all data that the socket has, up to MAX_READS reads."""
