Learned state of functions is bounded by the memory of the process, not by a count

Cause: what is learned of a function was bounded by a count (20,000) and by time, and knew nothing of the limit of memory. An id called once left its replicas, and an order with the score of every worker, for 14 to 19 s; its cost grew with the fleet (5.9 KB with 12 workers, 255 KB with 3,200, measured with tracemalloc).

Change: an order that follows the ring keeps its home only. The module is told once a second what the process uses, and evicts functions that are not in use, least useful first, beyond half of the limit (policy/function_retention.py); a sixteenth is guaranteed. Slow start, the preload budget, drains and what is in flight are not touched. Timers of closed requests and of evicted functions no longer stay until they are due; ids in the window of the preload budget are bounded, on the safe side.

Tried and left: the whole budget by estimates alone (does not see the rest of the process); stopped maintenance timers left to their due time took two fifths of a small budget.

Tests that read `Function.scores` read the state that replaced it.

--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -92,6 +92,9 @@
 
     def extend_prefix(self, function: FunctionInfo) -> None: ...  # the endpoint list names every runner
 
+    def forget_function(self, function: FunctionInfo) -> None:
+        self.registry.forget_function(function)
+
     def log(self, text: str) -> None:
         self.send_command("Log", what=text)
 
--- a/lapistrestle/hosting/answers.py
+++ b/lapistrestle/hosting/answers.py
@@ -46,6 +46,9 @@
         self.context.transport.request_closed(pending, end)
         if pending.deadline_guard is not None:
             pending.deadline_guard.stop()
+        for timer in pending.timers:
+            timer.stop()
+        pending.timers.clear()
         if pending.in_flight:
             self.cancel_unsent(pending)
         if not pending.in_flight:
--- a/lapistrestle/hosting/events.py
+++ b/lapistrestle/hosting/events.py
@@ -19,13 +19,20 @@
     """Queue of events for the module. Commands that the module issues while it handles an event may post
     more.
 
-    `on_error` is called with the request of the event if the module raises. If `stopwatch` is set, it returns
-    seconds, and `module_seconds` accumulates the time spent in the module.
+    `on_error` is called with the request of the event if the module raises, `on_discarded` with a request
+    that was closed before the module was told of it. If `stopwatch` is set, it returns seconds, and
+    `module_seconds` accumulates the time spent in the module.
     """
 
-    def __init__(self, context: HostContext, on_error: Callable[[PendingRequest], None]) -> None:
+    def __init__(
+        self,
+        context: HostContext,
+        on_error: Callable[[PendingRequest], None],
+        on_discarded: Callable[[PendingRequest], None],
+    ) -> None:
         self.context = context
         self.on_error = on_error
+        self.on_discarded = on_discarded
         self.module: Events  # set by the host, which creates the module
         self.queue: deque[tuple[PendingRequest | None, str, tuple[Any, ...]]] = deque()
         # arguments of `on_endpoints` events, which have priority
@@ -92,7 +99,8 @@
     def deliver_one(self, pending: PendingRequest | None, event: str, args: tuple[Any, ...]) -> None:
         """Deliver one event to the module."""
         if event == "on_request" and pending is not None and pending.is_closed:
-            return  # its client disconnected before it was placed
+            self.on_discarded(pending)  # its client disconnected before it was placed
+            return
         self.module.now = self.context.clock()
         try:
             getattr(self.module, event)(*args)
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -24,7 +24,7 @@
     WorkerTask,
 )
 from lapistrestle.hosting.tasks import WorkerTasks
-from lapistrestle.hosting.timers import Timers
+from lapistrestle.hosting.timers import Timer, Timers
 from lapistrestle.hosting.transport import Transport
 from lapistrestle.hosting.worker_calls import WorkerCalls
 from lapistrestle.policy.dispatcher import Dispatcher
@@ -66,11 +66,12 @@
         self.transport = transport
         self.settings = settings
         self.clock = clock
-        self.registry = ObjectRegistry(max_functions)
+        # with a limit of memory the module decides which functions are retained
+        self.registry = ObjectRegistry(None if settings.memory_limit else max_functions)
         self.timers = Timers()
         self.counts = dict.fromkeys(COUNTERS, 0)
         context = HostContext(transport, settings, clock, self.timers, self.counts)
-        self.events = EventQueue(context, self.abort_after_error)
+        self.events = EventQueue(context, self.abort_after_error, self.request_discarded)
         self.answers = FinalAnswers(context, self.events, slack)
         self.calls = WorkerCalls(context, self.events, self.answers)
         self.answers.cancel_unsent = self.calls.cancel_unsent
@@ -172,6 +173,11 @@
         """Abort a request on whose event the module raised."""
         self.answers.finish(pending, RequestEnd.ABORTED)
 
+    def request_discarded(self, pending: PendingRequest) -> None:
+        """The client of a request left before the module was told of it, and perhaps of its function."""
+        if self.settings.memory_limit and not pending.function.retained_bytes:
+            self.registry.forget_function(pending.function)
+
     # reports of the transport: workers
 
     def attempt_started(self, number: int) -> None:
@@ -230,6 +236,10 @@
         """Another dispatcher found a worker healthy at tick `at`."""
         self.events.post(None, "on_peer_verdict", worker, at)
 
+    def memory_measured(self, used: int) -> None:
+        """The process uses so many bytes of memory."""
+        self.events.post(None, "on_memory", used)
+
     # commands of the module (policy.ports.Host)
 
     def next_number(self) -> int:
@@ -275,9 +285,12 @@
         if self.settings.may_gossip:
             self.transport.send_gossip(peer, text[:MAX_GOSSIP_LENGTH])
 
-    def set_timer(self, delay: int, token: object) -> None:
-        """Post `on_timer(token)` after `delay` ticks."""
-        self.timers.at(self.clock() + max(1, delay), self.on_timer_due, token)
+    def set_timer(self, delay: int, token: object) -> Timer:
+        """Post `on_timer(token)` after `delay` ticks. A timer of a request is stopped when that is closed."""
+        timer = self.timers.at(self.clock() + max(1, delay), self.on_timer_due, token)
+        if isinstance(token, PendingRequest):
+            token.timers.append(timer)
+        return timer
 
     def on_timer_due(self, token: object) -> None:
         """A timer set by the module is due."""
@@ -291,6 +304,10 @@
         """Request a longer prefix of a function's order."""
         self.transport.extend_prefix(function)
 
+    def forget_function(self, function: FunctionInfo) -> None:
+        """Discard a function that the module no longer retains."""
+        self.registry.forget_function(function)
+
     def log(self, text: str) -> None:
         """Log a message of the module, as an event whose name is fixed."""
         self.transport.log("mode", figures=text)
--- a/lapistrestle/hosting/registry.py
+++ b/lapistrestle/hosting/registry.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from lapistrestle.policy.entities import Function, Worker
+from lapistrestle.policy.types import FunctionInfo
 
 
 class ObjectRegistry:
@@ -48,10 +49,14 @@
         """Evict up to two functions. As one is added at a time, a registry above its limit shrinks again."""
         for _ in range(2):
             oldest = next(iter(self.functions.values()))
-            in_use = oldest.replicas or oldest.scores
-            if len(self.functions) > (limit if in_use else min(self.idle, limit)):
+            if len(self.functions) > (limit if oldest.has_state else min(self.idle, limit)):
                 del self.functions[oldest.name]
 
+    def forget_function(self, function: FunctionInfo) -> None:
+        """Remove a function, unless another one has its name by now."""
+        if self.functions.get(function.name) is function:
+            del self.functions[function.name]
+
     def store_token(self, token: object) -> int:
         """Store a timer token and return a number for it."""
         self.last_token += 1
--- a/lapistrestle/hosting/requests.py
+++ b/lapistrestle/hosting/requests.py
@@ -1,7 +1,7 @@
 """Work in flight at a host: client requests, their attempts on workers, and worker tasks."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, Protocol
 
@@ -63,6 +63,7 @@
     is_closed: bool = False  # answered, or the client disconnected
     streaming: "WorkerCall | None" = None  # the attempt whose answer streams
     deadline_guard: Timer | None = None  # aborts the request shortly after its deadline
+    timers: list[Timer] = field(default_factory=list)  # set by the module for it
     in_flight: int = 0  # attempts in flight
     route: Any = None  # of the transport: the version of the function
     prior_attempts: int = 0  # made for another version; they count towards the limit
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -33,6 +33,8 @@
 BUFFERED_DIVISOR = 8  # one part in so many of the memory limit is for incomplete requests
 BODIES_DIVISOR = 4  # and one in so many for the bodies of open requests
 MIN_OPEN_REQUESTS = 256  # requests that may be open whatever the memory limit
+RECENT_IDS_DIVISOR = 32  # one part in so many of the memory limit is for ids received recently
+RECENT_ID_BYTES = 300  # that an id takes here and in the preload budget
 
 
 @dataclass(slots=True, eq=False)
@@ -78,6 +80,7 @@
         self.ready: Callable[[], bool] = lambda: False  # whether there is a usable worker list
         self.shutting_down = False
         self.recent_ids = OrderedDict[str, int]()  # ids received within the preload window, with the time
+        self.max_recent_ids = int(memory / RECENT_IDS_DIVISOR / RECENT_ID_BYTES)
         self.unfinished: dict[str, PendingRequest] = {}  # by call id, until the last attempt has ended
         self.parser = InvocationParser(configuration, core.settings)
 
@@ -256,15 +259,16 @@
         """Whether a request of this id was received within the preload window.
 
         An id counts once towards the preload budget, so that clients which resend a rejected call immediately
-        do not increase it.
+        do not increase it. Beyond `max_recent_ids` an id counts as seen, as the budget must not be exceeded.
         """
         now = self.core.clock()
         window_start = now - self.core.settings.preload_window
         while self.recent_ids and next(iter(self.recent_ids.values())) <= window_start:
             self.recent_ids.popitem(last=False)
-        known = tag in self.recent_ids
-        self.recent_ids.setdefault(tag, now)
-        return known
+        if tag in self.recent_ids or len(self.recent_ids) >= self.max_recent_ids:
+            return True
+        self.recent_ids[tag] = now
+        return False
 
     # requests
 
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -7,7 +7,8 @@
 from lapistrestle.edge.core import Core, Log
 from lapistrestle.node.configuration import Configuration, ConfigurationError
 from lapistrestle.node.discovery import ServiceDiscovery
-from lapistrestle.node.front import Front
+from lapistrestle.node.front import BYTES_PER_MB, Front
+from lapistrestle.node.memory import MemoryMonitor
 from lapistrestle.node.runner_connection import PRELOAD_WAIT
 from lapistrestle.node.runners import RunnerPools
 from lapistrestle.policy.dispatcher import Dispatcher
@@ -42,13 +43,15 @@
         self, reactor: Any, configuration: Configuration, log: Log, make: Callable[..., Any] = Dispatcher
     ) -> None:
         seed = int(configuration.file.seed, 16)
-        settings = replace(configuration.settings, preload_delay=PRELOAD_WAIT)
+        memory_limit = int(configuration.file.limits.memory_mb * BYTES_PER_MB)
+        settings = replace(configuration.settings, preload_delay=PRELOAD_WAIT, memory_limit=memory_limit)
         self.core = Core(reactor, configuration.file.name, settings, log, seed, GUARD_SLACK, make)
         self.pools = RunnerPools(self.core, configuration)
         self.discovery = ServiceDiscovery(self.core, configuration)
         self.front = Front(self.core, configuration)
         self.front.ready = self.discovery.ready
         self.core.front, self.core.make_runner, self.core.sources = self.front, self.pools, [self.discovery]
+        self.memory = MemoryMonitor(self.core)
         self.shutting_down = False
         self.reloads = 0
 
@@ -56,6 +59,7 @@
         """Start listening. Returns the port. Raises OSError if the address can't be bound."""
         port = self.core.start()
         self.pools.start()
+        self.memory.start()
         return port
 
     def apply_configuration(self, configuration: Configuration) -> None:
--- a/lapistrestle/policy/dispatcher.py
+++ b/lapistrestle/policy/dispatcher.py
@@ -17,6 +17,7 @@
 from lapistrestle.policy.entities import Function, FunctionReplica, Request, Worker
 from lapistrestle.policy.fleet_guidance import FleetGuidance
 from lapistrestle.policy.function_order import FunctionOrders
+from lapistrestle.policy.function_retention import FunctionRetention
 from lapistrestle.policy.health import Health
 from lapistrestle.policy.latency_estimates import LatencyEstimates
 from lapistrestle.policy.latency_zones import LatencyZones
@@ -26,7 +27,7 @@
 from lapistrestle.policy.placement import Placement
 from lapistrestle.policy.ports import Host
 from lapistrestle.policy.preload_budget import PreloadBudget
-from lapistrestle.policy.preloading import Preloading
+from lapistrestle.policy.preloading import MaintenanceTimer, Preloading
 from lapistrestle.policy.request_state import EVENT_OF_OUTCOME, Action, RequestEvent, RequestStateMachine
 from lapistrestle.policy.retries import Retries
 from lapistrestle.policy.retry_budget import RetryBudget
@@ -110,6 +111,7 @@
             budget=self.preload_budget,
             load_limit=self.load_limit,
         )
+        self.retention = FunctionRetention(self.host, settings, clock, self.preloading)
         self.attempts = Attempts(
             self.host,
             settings,
@@ -187,7 +189,7 @@
         self.health.endpoints_changed()
         self.slow_start.endpoints_changed()
         self.load_limit.endpoints_changed()
-        self.preloading.forget(self.endpoints.forget_removed())
+        self.endpoints.forget_removed()
 
     def on_endpoints_failed(self) -> None:
         """Do nothing: the subscription is renewed at the next poll."""
@@ -200,12 +202,14 @@
         """See `Events.on_request`."""
         # set earlier if it waited for the function's prefix
         request.accepted_at = request.accepted_at or self.clock.now
+        request.function.requests += 1
         self.latency.apply_work_hint(request)
         self.preloading.start_maintenance(request.function)
         self.throughput.update_time_constant_factor(len(self.endpoints.serving))
         self.orders.add_demand(request, self.throughput.time_constant_factor)
         self.preload_budget.add_request(request)
         self.state_machine.handle(request, RequestEvent.RECEIVED)
+        self.retention.update(request.function)
 
     def on_client_gone(self, request: Request) -> None:
         """See `Events.on_client_gone`."""
@@ -231,17 +235,19 @@
         self.state_machine.handle(request, event, replica)
         if replica.waiters and not replica.pending_preloads and not replica.loading:
             self.release_waiters(replica)
+        self.retention.update(request.function)
 
     def on_timer(self, token: object) -> None:
-        """See `Events.on_timer`. The token is a parked request, a function to maintain, or None: the endpoint
+        """See `Events.on_timer`. The token is a parked request, a maintenance timer, or None: the endpoint
         list.
         """
         if isinstance(token, Request):
             self.state_machine.handle(
                 token, RequestEvent.WAIT_EXPIRED if token.state is State.PARKED else None
             )
-        elif isinstance(token, Function):
-            self.preloading.maintain_replicas(token)
+        elif isinstance(token, MaintenanceTimer):
+            if token.function is not None:
+                self.maintain(token.function)
         else:
             self.poll_endpoints()
 
@@ -252,6 +258,7 @@
         replica = function.replica(worker)
         self.preloading.finish(replica, outcome, count, duration)
         self.release_waiters(replica)
+        self.retention.update(function)
 
     def on_health_check(
         self, worker: Worker, outcome: Outcome, duration: int, report: Mapping[str, float]
@@ -265,6 +272,15 @@
         """See `Events.on_peer_verdict`."""
         self.health.on_peer_verdict(worker, at)
 
+    def on_memory(self, used: int) -> None:
+        """See `Events.on_memory`."""
+        self.retention.on_memory(used)
+
+    def maintain(self, function: Function) -> None:
+        """Maintain the replicas of a function."""
+        self.preloading.maintain_replicas(function)
+        self.retention.update(function)
+
     # Actions of the request state machine
 
     def admit(self, request: Request, _: FunctionReplica | None) -> RequestEvent:
--- a/lapistrestle/policy/endpoints.py
+++ b/lapistrestle/policy/endpoints.py
@@ -118,6 +118,7 @@
         """Insert a worker that was added to the list into the ring, or remove one that has left the list."""
         self.version += 1
         if self.is_listed(worker):
+            worker.ring_version = self.version
             insort(self.ring, worker, key=ring_order)
         else:
             del self.ring[bisect_left(self.ring, ring_order(worker), key=ring_order)]
@@ -126,8 +127,10 @@
         """Rebuild the ring from all listed workers."""
         ring = sorted((worker for worker in self.known if worker not in self.removed), key=ring_order)
         if ring != self.ring:  # otherwise the orders built from it stay valid
-            self.ring = ring
             self.version += 1
+            for worker in set(ring).difference(self.ring):
+                worker.ring_version = self.version
+            self.ring = ring
 
     def forget_removed(self) -> list[Worker]:
         """Drop the removed workers that have no requests or preloads in flight, and return them. Keeps memory
--- a/lapistrestle/policy/entities.py
+++ b/lapistrestle/policy/entities.py
@@ -7,6 +7,7 @@
 Each group of fields is written by the module named in its comment, and may be read by all.
 """
 
+from array import array
 from collections import deque
 from dataclasses import dataclass, field
 from itertools import islice
@@ -16,6 +17,11 @@
 from lapistrestle.policy.types import Attempt, FunctionInfo, RequestInfo, State, WorkerInfo, Zone
 
 
+def new_scores() -> "array[float]":
+    """Return an empty array of scores."""
+    return array("d")
+
+
 @dataclass(eq=False)
 class Worker(WorkerInfo):
     """A worker. `Endpoints` calls `reset` when it is first listed, and after a restart."""
@@ -45,6 +51,7 @@
     sent_in_slow_start: deque[tuple[int, float]] = field(default_factory=deque)  # (tick, weight)
     # endpoints.py
     ring_position: int = 0
+    ring_version: int = 0  # version of the endpoints in which it entered the ring
     replicas: dict["Function", "FunctionReplica"] = field(default_factory=dict, repr=False)
 
     def reset(self, time_constant: int, ejection_backoff: int, booted_at: int | None) -> None:
@@ -115,7 +122,7 @@
     needs_load: bool  # it asks for more copies than are believed to be loaded
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class FunctionReplica:
     """One function on one worker."""
 
@@ -134,9 +141,14 @@
     peak_in_flight: int = 0  # highest value since the last maintenance
     # preloading.py
     loading: int = 0  # own attempts and preloads that wait for a load; see `change_loading`
-    pending_preloads: deque[PendingPreload] = field(default_factory=deque)
+    pending_preloads: list[PendingPreload] = field(default_factory=list)  # oldest first
     waiters: list["Request"] = field(default_factory=list)  # parked until the load finishes
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether own attempts or preloads are in flight, or requests wait for a load."""
+        return bool(self.in_flight or self.pending_preloads or self.waiters)
+
     def change_loading(self, change: int) -> None:
         """Change the number of own attempts and preloads that wait for a load, also that of the worker."""
         before = self.loading
@@ -182,10 +194,34 @@
     isolated_latency: float | None = None  # ticks; None: too few samples (latency_estimates.py)
     # function_order.py
     demand: DecayingSum = field(default_factory=lambda: DecayingSum(1))  # of own requests, weighted by work
-    scores: dict[Worker, float] = field(default_factory=dict)  # rendezvous hashes; lowest: home
-    order: list[Worker] = field(default_factory=list)
-    order_version: int = -1  # version of the endpoints that `order` was built from
+    order_version: int = -1  # version of the endpoints that the order was built from; -1: no order
+    home: Worker | None = None  # first worker of the order, if it follows the ring
+    home_index: int = 0  # of the home in the ring
+    home_score: float = 0.0
+    sorted_order: list[Worker] = field(default_factory=list)  # empty if the order follows the ring
+    sorted_scores: "array[float]" = field(default_factory=new_scores)  # of the workers of `sorted_order`
     prefix: list[Worker] | None = None  # first workers of the order, from a directory; None: no directory
+    # function_retention.py
+    requests: int = 0  # received
+    retained_bytes: int = 0  # estimated size; 0: not counted
+    retention_class: int | None = None  # `RetentionClass`; None: in use, or not counted
+
+    @property
+    def is_in_use(self) -> bool:
+        """Whether attempts, preloads or waiting requests refer to one of its replicas."""
+        return any(replica.is_busy for replica in self.replicas.values())
+
+    @property
+    def has_state(self) -> bool:
+        """Whether it has replicas or an order."""
+        return bool(self.replicas) or self.order_version >= 0
+
+    def drop_order(self) -> None:
+        """Discard its order, which can be computed again."""
+        self.order_version = -1
+        self.home = None
+        self.sorted_order = []
+        self.sorted_scores = new_scores()
 
     def drop(self, worker: Worker) -> None:
         """Discard its replica on this worker."""
--- a/lapistrestle/policy/function_order.py
+++ b/lapistrestle/policy/function_order.py
@@ -6,15 +6,16 @@
 "many front ends".
 """
 
-from collections.abc import Iterable
+from array import array
+from bisect import bisect_left
 from hashlib import blake2b
 from math import log
 from typing import Final
 from zlib import crc32
 
 from lapistrestle.policy.clock import Clock
-from lapistrestle.policy.endpoints import Endpoints
-from lapistrestle.policy.entities import Function, Request, Worker
+from lapistrestle.policy.endpoints import Endpoints, ring_order
+from lapistrestle.policy.entities import Function, Request, Worker, new_scores
 from lapistrestle.policy.estimates import LONG_TIME_CONSTANT, DecayingSum
 from lapistrestle.policy.fleet_guidance import RegionCapacity
 from lapistrestle.policy.latency_estimates import LatencyEstimates
@@ -62,25 +63,59 @@
             return function.prefix
         if function.order_version != self.endpoints.version:
             self.rebuild(function)
-        return function.order
+        if function.home is None:
+            return function.sorted_order
+        ring, index = self.endpoints.ring, function.home_index
+        return ring[index:] + ring[:index]
 
     def rebuild(self, function: Function) -> None:
-        """Build the order from the ring. If there are more dispatchers than workers, it is sorted by score
-        instead of following the ring: many dispatchers that overflow from one home would otherwise all load
-        the same neighbour without seeing each other. The ring shares copies better where a function needs
-        many workers.
+        """Bring the order up to date with the ring. If there are more dispatchers than workers, it is sorted
+        by score instead of following the ring: many dispatchers that overflow from one home would otherwise
+        all load the same neighbour without seeing each other. The ring shares copies better where a function
+        needs many workers, and needs no more memory for a function than its home.
         """
-        ring, scores = self.endpoints.ring, function.scores
-        for worker in ring:
-            if worker not in scores:
-                scores[worker] = self.score(function, worker)
+        ring = self.endpoints.ring
         if self.settings.dispatcher_count > len(ring):
-            function.order = sorted(ring, key=scores.__getitem__)
+            self.sort_by_score(function)
         else:
-            home = ring.index(min(ring, key=scores.__getitem__)) if ring else 0
-            function.order = ring[home:] + ring[:home]
+            self.find_home(function)
         function.order_version = self.endpoints.version
 
+    def sort_by_score(self, function: Function) -> None:
+        """Sort the ring by score. Only workers that entered it since the last time are scored."""
+        ring, version = self.endpoints.ring, function.order_version
+        known = dict(zip(function.sorted_order, function.sorted_scores, strict=True))
+        scores = [
+            known[worker]
+            if worker in known and worker.ring_version <= version
+            else self.score(function, worker)
+            for worker in ring
+        ]
+        indices = sorted(range(len(ring)), key=scores.__getitem__)
+        function.home = None
+        function.sorted_order = [ring[index] for index in indices]
+        function.sorted_scores = array("d", [scores[index] for index in indices])
+
+    def find_home(self, function: Function) -> None:
+        """Find the worker with the lowest score. While the home stays in the ring, only workers that entered
+        it since the last time are scored.
+        """
+        ring, version, home = self.endpoints.ring, function.order_version, function.home
+        if home is not None and self.endpoints.is_listed(home) and home.ring_version <= version:
+            best = (function.home_score, ring_order(home))
+            challengers = [worker for worker in ring if worker.ring_version > version]
+        else:
+            home, best, challengers = None, None, ring
+        for worker in challengers:
+            score = self.score(function, worker)
+            if best is None or (score, ring_order(worker)) < best:
+                home, best = worker, (score, ring_order(worker))
+        function.sorted_order, function.sorted_scores = [], new_scores()
+        function.home = home
+        if home is not None and best is not None:
+            function.home_score = best[0]
+            function.home_index = bisect_left(ring, ring_order(home), key=ring_order)
+
     def score(self, function: Function, worker: Worker) -> float:
         """Return the weighted rendezvous hash of function and worker; larger workers tend to score lower."""
         digest = blake2b(f"{function.name} {worker.name}".encode(), digest_size=SCORE_BYTES).digest()
@@ -111,11 +146,3 @@
             if size_to_skip < 0:
                 return order[index:] + order[:index]
         return order
-
-    def forget(self, functions: Iterable[Function], workers: Iterable[Worker]) -> None:
-        """Drop the scores of workers that are gone."""
-        if self.endpoints.partial:
-            return  # orders come from the directory
-        for function in functions:
-            for worker in workers:
-                function.scores.pop(worker, None)
--- a/lapistrestle/policy/ports.py
+++ b/lapistrestle/policy/ports.py
@@ -11,6 +11,13 @@
 from lapistrestle.policy.types import Attempt, AttemptResult, FunctionInfo, Outcome, RequestInfo, WorkerInfo
 
 
+class TimerHandle(Protocol):
+    """A timer that may be stopped."""
+
+    def stop(self) -> None:
+        """Stop the timer, and let go of its token."""
+
+
 class Host(Protocol):
     """Commands of the module to its host."""
 
@@ -38,8 +45,8 @@
     def send_gossip(self, peer: int | None, text: str) -> None:
         """Send a message to another dispatcher; None: to all."""
 
-    def set_timer(self, delay: int, token: object) -> None:
-        """Call `on_timer(token)` after `delay` ticks."""
+    def set_timer(self, delay: int, token: object) -> "TimerHandle | None":
+        """Call `on_timer(token)` after `delay` ticks. None if the timer can't be stopped."""
 
     def watch_endpoints(self) -> None:
         """Subscribe to the endpoint list and its changes, or renew the subscription."""
@@ -47,6 +54,9 @@
     def extend_prefix(self, function: FunctionInfo) -> None:
         """Look up a longer prefix of the function's order: the known one ran out of usable workers."""
 
+    def forget_function(self, function: FunctionInfo) -> None:
+        """Discard the function: nothing is in flight, and what was learned of it has been evicted."""
+
     def log(self, text: str) -> None:
         """Write a log line for operators."""
 
@@ -95,3 +105,6 @@
 
     def on_peer_verdict(self, worker: Worker, at: int) -> None:
         """Another dispatcher of the fleet found the worker healthy at tick `at`."""
+
+    def on_memory(self, used: int) -> None:
+        """The memory that the process uses was measured, in bytes. Only if the settings have a limit."""
--- a/lapistrestle/policy/preloading.py
+++ b/lapistrestle/policy/preloading.py
@@ -5,21 +5,20 @@
 further differences: docs/design.md, "Changed".
 """
 
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import ceil, sqrt
 from typing import Final
 
 from lapistrestle.policy.candidates import Candidates
 from lapistrestle.policy.clock import Clock
-from lapistrestle.policy.entities import Function, FunctionReplica, PendingPreload, Request, Worker
+from lapistrestle.policy.entities import Function, FunctionReplica, PendingPreload, Request
 from lapistrestle.policy.function_order import FunctionOrders
 from lapistrestle.policy.health import Health
 from lapistrestle.policy.latency_estimates import LatencyEstimates
 from lapistrestle.policy.latency_zones import LatencyZones
 from lapistrestle.policy.load_limit import LoadLimit
 from lapistrestle.policy.loaded_copies import LoadedCopies
-from lapistrestle.policy.ports import Host
+from lapistrestle.policy.ports import Host, TimerHandle
 from lapistrestle.policy.preload_budget import PreloadBudget
 from lapistrestle.policy.seeded_random import SeededRandom
 from lapistrestle.policy.settings import Settings
@@ -36,6 +35,14 @@
 FULL_QUEUE_BACKOFF: Final = SECOND // 2
 
 
+@dataclass(eq=False, slots=True)
+class MaintenanceTimer:
+    """Token of a maintenance timer."""
+
+    function: Function | None  # None: the maintenance was stopped
+    handle: TimerHandle | None = None
+
+
 @dataclass(eq=False)
 class Preloading:
     """Preloads in flight, and the functions whose replicas are maintained."""
@@ -52,13 +59,25 @@
     candidates: Candidates
     budget: PreloadBudget
     load_limit: LoadLimit
-    functions: dict[Function, None] = field(default_factory=dict, init=False)  # with a maintenance timer
+    functions: dict[Function, "MaintenanceTimer"] = field(default_factory=dict, init=False)
 
     def start_maintenance(self, function: Function) -> None:
         """Start the periodic maintenance of a function that is used."""
         if function not in self.functions:
-            self.functions[function] = None
-            self.host.set_timer(MAINTENANCE_PERIOD, function)
+            self.set_maintenance_timer(function)
+
+    def set_maintenance_timer(self, function: Function) -> None:
+        """Set the timer for the next maintenance of a function."""
+        timer = self.functions[function] = MaintenanceTimer(function)
+        timer.handle = self.host.set_timer(MAINTENANCE_PERIOD, timer)
+
+    def stop_maintenance(self, function: Function) -> None:
+        """Stop the maintenance of a function that is discarded."""
+        timer = self.functions.pop(function, None)
+        if timer is not None:
+            timer.function = None
+            if timer.handle is not None:
+                timer.handle.stop()
 
     def preload(self, replica: FunctionReplica, count: int, budget_fraction: float = 1.0) -> bool:
         """Send a preload for `count` copies and return True. Return False if the worker does not serve (a
@@ -85,7 +104,7 @@
         """Record the answer to the oldest preload of the replica: `count` copies are loaded, after `duration`
         ticks.
         """
-        preload = replica.pending_preloads.popleft()
+        preload = replica.pending_preloads.pop(0)
         self.budget.finish(preload, duration)
         if preload.needs_load and outcome is Outcome.OK:
             self.copies.load_time.add(self.clock.now, duration)
@@ -132,11 +151,9 @@
         self.drop_unused(function)
         if not function.replicas:  # only its isolated latency is retained
             del self.functions[function]
-            function.scores = {}
-            function.order = []
-            function.order_version = -1
+            function.drop_order()
             return
-        self.host.set_timer(MAINTENANCE_PERIOD, function)
+        self.set_maintenance_timer(function)
         if used:
             self.latency.update_isolated(function)
             self.preload_along_order(function, used, self.own_headroom(sum(used.values())))
@@ -145,12 +162,7 @@
         """Start a new period, and drop replicas that are unused and whose history has expired."""
         for replica in list(function.replicas.values()):
             replica.peak_in_flight = replica.in_flight
-            in_use = (
-                replica.in_flight
-                or replica.pending_preloads
-                or replica.waiters
-                or self.copies.believed_count(replica)
-            )
+            in_use = replica.is_busy or self.copies.believed_count(replica)
             history_until = max(replica.backoff_until, replica.not_loaded_at + self.settings.idle_timeout)
             if not in_use and self.clock.now > history_until:
                 function.drop(replica.worker)
@@ -187,8 +199,3 @@
             needed = may_load if needs_load else count > used.get(replica, 0)
             if needed:
                 self.preload(replica, count, MAINTENANCE_BUDGET_FRACTION)
-
-    def forget(self, workers: Sequence[Worker]) -> None:
-        """Drop the scores that the maintained functions hold of workers that are gone."""
-        if workers:
-            self.orders.forget(self.functions, workers)
--- a/lapistrestle/policy/settings.py
+++ b/lapistrestle/policy/settings.py
@@ -82,5 +82,6 @@
     memory_by_kind: tuple[float, ...] = ()  # MB of a worker, by its kind; 0: unknown
     reports_warmth: bool = False  # answers report whether the function was loaded
     reports_concurrency: bool = False  # answers report how many requests of the function the worker had
+    memory_limit: int = 0  # bytes that the process of the dispatcher may use; 0: unknown
     goal: Mapping[str, float] = field(default_factory=dict)  # weights of the deployment's score, by name
     prices: Mapping[str, float] = field(default_factory=dict)  # of resources, by name
--- a/lapistrestle/standins/fleet.py
+++ b/lapistrestle/standins/fleet.py
@@ -85,7 +85,7 @@
         return int(self.reactor.seconds() * (1 + self.drift) * SECOND + 0.001)
 
     def after(self, delay: int, call: Callable[[Any], None], arg: object) -> Timer:
-        timer = Timer(self.clock() + delay, call, arg)
+        timer = Timer(None, self.clock() + delay, call, arg)
         self.reactor.callLater(delay / SECOND / (1 + self.drift), lambda: timer.call(timer.arg))
         return timer
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -13,6 +13,7 @@
 from lapistrestle.hosting.host import ModuleHost
 from lapistrestle.hosting.registry import ObjectRegistry
 from lapistrestle.hosting.requests import PendingRequest, WorkerCall, WorkerTask
+from lapistrestle.hosting.timers import Timers
 from lapistrestle.policy.dispatcher import Dispatcher
 from lapistrestle.policy.entities import Request, Worker
 from lapistrestle.policy.fleet_guidance import FleetGuidance
@@ -298,14 +299,29 @@
     assert len(host.timers.heap) < 10
 
 
-def test_the_registry_evicts_functions_without_replicas_or_scores() -> None:
+def test_stopped_timers_are_no_larger_part_of_the_heap_than_those_that_run(clock: Clock) -> None:
+    """Guards against timers of answered requests that stay in memory for as long as a client may wait."""
+    timers, fired = Timers(), list[int]()
+    running = [timers.at(1_000_000 + i, fired.append, i) for i in range(100)]
+    for i in range(5_000):
+        timers.at(10_000_000 + i, fired.append, -1).stop()
+    assert len(timers.heap) <= 2 * len(running) + 1
+    running[3].stop()
+    running[3].stop()
+    while (timer := timers.pop(10_000_000)) is not None:
+        timer.call(timer.arg)
+        timer.stop()  # too late: it has fired
+    assert fired == [i for i in range(100) if i != 3] and timers.heap == [] and timers.stopped == 0
+
+
+def test_the_registry_evicts_functions_without_replicas_or_orders() -> None:
     registry = ObjectRegistry(20_000)
     kept = registry.function("kept", 0, 1.0, 1)
-    kept.scores[registry.worker("w")] = 1.0
+    kept.order_version = 1
     for i in range(3_000):
         registry.function(f"f{i}", 0, 1.0, 1)
     assert len(registry.functions) > 3_000  # the oldest is in use
-    kept.scores.clear()
+    kept.drop_order()
     for i in range(6_000):
         registry.function(f"g{i}", 0, 1.0, 1)
     assert "kept" not in registry.functions and len(registry.functions) < 1_100
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -697,3 +697,18 @@
     after = object_counts()
     gc.enable()
     assert sum(after) <= sum(before) + 4
+
+
+def test_ids_beyond_those_that_are_remembered_do_not_add_to_the_preload_budget(harnesses: Any) -> None:
+    """Guards against a record of ids that grows with the window of the budget, without a bound by memory."""
+    harness = harnesses()
+    harness.node.front.max_recent_ids = 3
+    client = harness.connect_client()
+    for number in [client.send_request() for _ in range(5)]:
+        harness.reactor.until(lambda number=number: client.status(number))
+    assert len(harness.node.front.recent_ids) == 3
+    assert len(harness.module.preload_budget.requests) == 3
+    harness.reactor.run(harness.node.core.settings.preload_window / 10_000 + 0.1)
+    number = client.send_request()
+    harness.reactor.until(lambda: client.status(number))
+    assert len(harness.node.front.recent_ids) == 1
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -70,7 +70,7 @@
     module = dispatcher(2)
     stays, busy = module.endpoints.workers
     req = request(module)
-    module.preloading.functions[req.function] = None
+    module.preloading.start_maintenance(req.function)
     req.attempts.append(Attempt(req, busy, module.now))
     req.function.replica(busy).start(req.attempts[0])
     module.on_endpoints([(busy, WorkerInfo("w1", endpoint_state=EndpointState.REMOVED))], snapshot=False)
@@ -86,7 +86,8 @@
         )
     assert (
         module.endpoints.workers == [stays]
-        and len(req.function.scores) < 3
+        and len(req.function.sorted_order) < 3
+        and len(req.function.sorted_scores) < 3
         and len(req.function.replicas) < 3
     )
 
--- a/tests/test_policy_preloading.py
+++ b/tests/test_policy_preloading.py
@@ -120,7 +120,7 @@
     change_settings(module, dispatcher_count=1)
     module.preload_budget.requests.extend([module.now] * 50)
     function = Function("f")
-    module.preloading.functions[function] = None
+    module.preloading.start_maintenance(function)
     home = function.replica(module.orders.function_order(function)[0])
     home.peak_in_flight, home.copies, home.confirmed_at = 4, 4, module.now
     module.preloading.maintain_replicas(function)
@@ -130,7 +130,7 @@
     module.now += 2 * module.settings.idle_timeout
     home.pending_preloads.clear()
     module.preloading.maintain_replicas(function)
-    assert function not in module.preloading.functions and not function.scores
+    assert function not in module.preloading.functions and not function.has_state
 
 
 def test_a_preload_whose_connection_was_reset_counts_as_loaded_and_its_waiters_are_sent() -> None:
