A worker that may have restarted while events are missing counts as just started

The board falls silent, or breaks off; once what is on it counts as notified the busiest runner restarts, cold. It is sent 164 requests in 2 s where 163.8 are allowed, and falls over.

Cause: while the list may lack events it is used for the drain grace, and slow start went by the start that the list names, so a restarted worker counted as warm until its start was read. Nothing told the decisions that events may be missing.

Change: from then on, until the list is complete, a worker counts as started when its process can have started at the latest: since the oldest connection that has delivered after the newest one was made, or now without a connection (SlowStart.latest_start, Runner.connected_since). That a connection has stayed open alone does not suffice: it may be half open, and the board may tell of a start late. A moved board, a gap and a start without the board go the same way. The line protocol's edge learns starts from greetings and is unchanged.

Cost, by design: a dispatcher that started or was connected anew less than a ramp before an outage sends little during it. Four tests of test_node_freshness.py probed the age of the list with a worker that was first dialled in the outage, and failed by that; they now serve for longer than the ramp before it. No bound or assertion of theirs changed, and they pass on the build before as well.

--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -92,6 +92,12 @@
 
     def extend_prefix(self, function: FunctionInfo) -> None: ...  # the endpoint list names every runner
 
+    def may_miss_events(self) -> bool:
+        return False  # what the simulator has not told yet is not held against the dispatcher
+
+    def connected_since(self, worker: WorkerInfo) -> int | None:
+        return None  # the simulator has no connections
+
     def forget_function(self, function: FunctionInfo) -> None:
         self.registry.forget_function(function)
 
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -54,6 +54,7 @@
     def discard_unsent(self) -> None: ...  # the runner drains: discard what is queued and not written
     def send_call(self, worker_call: WorkerCall) -> None: ...
     def send_preload(self, task: WorkerTask) -> None: ...
+    def connected_since(self) -> int | None: ...  # tick since which the connected process has run at least
     def unload(self, function: str) -> None: ...
     def send_health_check(self, task: WorkerTask) -> None: ...
     def end(self) -> None: ...  # close the connections immediately
@@ -67,6 +68,7 @@
     def stop(self) -> None: ...
     def read_now(self) -> None: ...  # process what the socket has received and is not read yet
     def is_current(self) -> bool: ...  # whether the list is recent enough for new work to start by it
+    def may_miss_events(self) -> bool: ...  # whether the list may lack changes that count as notified
 
 
 class Core:
@@ -246,6 +248,13 @@
             return self.host.preload_finished(task.number, Outcome.UNREACHABLE, 0)
         runner.send_preload(task)
 
+    def may_miss_events(self) -> bool:
+        return any(source.may_miss_events() for source in self.sources)
+
+    def connected_since(self, worker: WorkerInfo) -> int | None:
+        runner = self.runner(worker.name)
+        return None if runner is None else runner.connected_since()
+
     def unload(self, worker: WorkerInfo, function: FunctionInfo) -> None:
         if runner := self.runner(worker.name):
             runner.unload(function.name)
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -304,6 +304,14 @@
         """Request a longer prefix of a function's order."""
         self.transport.extend_prefix(function)
 
+    def may_miss_events(self) -> bool:
+        """Whether the endpoint list may lack changes that count as notified."""
+        return self.transport.may_miss_events()
+
+    def connected_since(self, worker: WorkerInfo) -> int | None:
+        """Return the tick since which the worker's process has run at least; None without a connection."""
+        return self.transport.connected_since(worker)
+
     def forget_function(self, function: FunctionInfo) -> None:
         """Discard a function that the module no longer retains."""
         self.registry.forget_function(function)
--- a/lapistrestle/hosting/transport.py
+++ b/lapistrestle/hosting/transport.py
@@ -46,6 +46,12 @@
     def watch_endpoints(self) -> None:
         """Subscribe to the endpoint list at its sources."""
 
+    def may_miss_events(self) -> bool:
+        """Whether the endpoint list may lack changes that count as notified."""
+
+    def connected_since(self, worker: WorkerInfo) -> int | None:
+        """Return the tick since which the process that is connected has run at least; None: none is."""
+
     def extend_prefix(self, function: FunctionInfo) -> None:
         """Request a longer prefix of the function's order than the one known."""
 
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -76,6 +76,10 @@
         has_unread_events = self.watch is not None and self.watch.is_behind
         return not has_unread_events and self.is_recent()
 
+    def may_miss_events(self) -> bool:
+        """Whether the board may have told events that are not applied: restarts of any worker, too."""
+        return self.address is not None and not self.freshness.is_caught_up
+
     def is_recent(self) -> bool:
         """Whether the list is recent enough for new work; a change of that is logged."""
         now = self.core.clock()
--- a/lapistrestle/node/runner_connection.py
+++ b/lapistrestle/node/runner_connection.py
@@ -34,6 +34,7 @@
 MAX_LINE = 131_072  # bytes of the longest line accepted: several times a body of 16 KiB in base64
 PRELOAD_WAIT = 300  # ticks of 0.1 ms that a preload may be queued; its budget window is seconds long
 NO_CALLBACKS = ConnectionCallbacks()
+NEVER = -1  # the time of what has not happened
 
 
 class ReplySettings(Protocol):
@@ -68,6 +69,7 @@
 
     def connected(self) -> None:
         """The connection is established."""
+        self.connection.established_at = self.connection.core.clock()
         self.connection.state_machine.step(ConnectionEvent.ESTABLISHED)
 
     def reads_per_poll(self) -> int:
@@ -102,8 +104,15 @@
         self.numbers_by_rid: dict[str, int] = {}
         self.rids_by_number: dict[int, str] = {}
         self.last_used_at = self.core.clock()
+        self.established_at = NEVER
+        self.last_received_at = NEVER
         self.unsent_numbers = set[int]()  # once the connection is lost: lines not completely written
 
+    @property
+    def is_established(self) -> bool:
+        """Whether the runner has accepted the connection."""
+        return self.established_at != NEVER
+
     def load(self) -> int:
         """The number of lines queued or in flight."""
         return len(self.state_machine.in_flight) + len(self.state_machine.queued)
@@ -160,6 +169,7 @@
 
     def received(self, data: bytes) -> None:
         """Process received data: complete lines are handled, the rest is buffered."""
+        self.last_received_at = self.core.clock()
         lines = (self.buffer + data if self.buffer else data).split(b"\n")
         self.buffer = lines.pop()
         for line in lines:
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -58,6 +58,22 @@
             self.connections.remove(connection)
             self.pools.connections -= 1
 
+    def connected_since(self) -> int | None:
+        """The tick since which the runner's process has run at least; None without an open connection.
+
+        A connection reaches the process that accepted it. Another process may accept a later one, unless the
+        earlier connection still delivers: then both reach the same.
+        """
+        established = [connection for connection in self.connections if connection.is_established]
+        if not established:
+            return None
+        newest = max(connection.established_at for connection in established)
+        return min(
+            connection.established_at
+            for connection in established
+            if connection.established_at == newest or connection.last_received_at > newest
+        )
+
     def open_connection(self) -> RunnerConnection | None:
         """Open another connection; None if the limit is reached."""
         if len(self.connections) >= MAX_CONNECTIONS_PER_RUNNER or not self.pools.may_open():
--- a/lapistrestle/policy/dispatcher.py
+++ b/lapistrestle/policy/dispatcher.py
@@ -84,7 +84,9 @@
         """Create the components with rules for every worker or every load."""
         settings, clock = self.settings, self.clock
         endpoints, latency, throughput = self.endpoints, self.latency, self.throughput
-        self.slow_start = SlowStart(settings, clock, endpoints, self.fleet.region, latency, throughput)
+        self.slow_start = SlowStart(
+            self.host, settings, clock, endpoints, self.fleet.region, latency, throughput
+        )
         self.health = Health(self.host, clock, endpoints, latency)
         self.zones = LatencyZones(clock, endpoints, latency, throughput)
         self.load_limit = LoadLimit(settings, clock, self.fleet, endpoints, self.capacity, latency)
--- a/lapistrestle/policy/ports.py
+++ b/lapistrestle/policy/ports.py
@@ -54,6 +54,14 @@
     def extend_prefix(self, function: FunctionInfo) -> None:
         """Look up a longer prefix of the function's order: the known one ran out of usable workers."""
 
+    def may_miss_events(self) -> bool:
+        """Whether the endpoint list may lack changes that count as notified."""
+
+    def connected_since(self, worker: WorkerInfo) -> int | None:
+        """Return the tick since which the process that the host is connected to has run at least; None
+        without a connection.
+        """
+
     def forget_function(self, function: FunctionInfo) -> None:
         """Discard the function: nothing is in flight, and what was learned of it has been evicted."""
 
--- a/lapistrestle/policy/slow_start.py
+++ b/lapistrestle/policy/slow_start.py
@@ -13,6 +13,7 @@
 from lapistrestle.policy.estimates import LONG_TIME_CONSTANT, DecayingSum
 from lapistrestle.policy.fleet_guidance import RegionCapacity
 from lapistrestle.policy.latency_estimates import LatencyEstimates
+from lapistrestle.policy.ports import Host
 from lapistrestle.policy.settings import Settings
 from lapistrestle.policy.throughput import Throughput
 from lapistrestle.ticks import SECOND
@@ -31,6 +32,7 @@
 
     def __init__(
         self,
+        host: Host,
         settings: Settings,
         clock: Clock,
         endpoints: Endpoints,
@@ -38,6 +40,7 @@
         latency: LatencyEstimates,
         throughput: Throughput,
     ) -> None:
+        self.host = host
         self.settings = settings
         self.clock = clock
         self.endpoints = endpoints
@@ -55,12 +58,29 @@
 
     def share(self, worker: Worker, before: int = 0) -> float:
         """Return the fraction of its capacity that a worker has at least, now or `before` ticks ago."""
-        if worker.booted_at is None or not self.settings.slow_start_duration:
+        return self.share_since(self.latest_start(worker), before)
+
+    def share_since(self, started_at: int | None, before: int = 0) -> float:
+        """Return `share` of a worker that started at a tick; None: long ago."""
+        if started_at is None or not self.settings.slow_start_duration:
             return 1.0
         min_share = self.settings.slow_start_share
-        age = max(0, self.clock.now - before - worker.booted_at)
+        age = max(0, self.clock.now - before - started_at)
         return min(1.0, min_share + (1 - min_share) * age / self.settings.slow_start_duration)
 
+    def latest_start(self, worker: Worker) -> int | None:
+        """Return the latest tick at which the worker may have started; None: long ago.
+
+        While the endpoint list may lack changes, it may lack the restart of any worker. A process that the
+        host is still connected to has not restarted since; without a connection the worker may have started
+        just now.
+        """
+        if not self.host.may_miss_events():
+            return worker.booted_at
+        connected_since = self.host.connected_since(worker)
+        unlisted = self.clock.now if connected_since is None else connected_since
+        return unlisted if worker.booted_at is None else max(worker.booted_at, unlisted)
+
     def warm_size(self) -> float:
         """Return the total size of serving workers, weighted by `share`; up to `WARM_SIZE_MAX_AGE` old.
 
@@ -76,14 +96,16 @@
         return float(self.cached_warm_size)
 
     def sum_warm_sizes(self) -> float:
-        """Sum the sizes of serving workers, weighted by `share`, which is 1 for most of them."""
+        """Sum the sizes of serving workers, weighted by `share`, which is 1 for most of them. Restarts that
+        are not listed are left out: too large a sum only makes budgets smaller.
+        """
         duration = self.settings.slow_start_duration
         surely_warm = self.clock.now - 2 * duration  # after `duration` alone it may be rounded to less than 1
         return sum(
             [
                 worker.size
                 if not duration or worker.booted_at is None or worker.booted_at <= surely_warm
-                else worker.size * self.share(worker)
+                else worker.size * self.share_since(worker.booted_at)
                 for worker in self.endpoints.serving
             ]
         )
--- a/tests/test_node_freshness.py
+++ b/tests/test_node_freshness.py
@@ -98,8 +98,17 @@
     return None
 
 
+def connect_for_longer_than_the_ramp(harness: Any) -> None:
+    """Serve requests until the workers' connections are older than the ramp: during an outage the age of the
+    list alone then decides, not slow start.
+    """
+    ramp = harness.node.core.settings.slow_start_duration / SECOND
+    assert seconds_usable(harness, most=ramp + 1.0) is None
+
+
 def test_a_board_silent_on_a_new_watch_stops_new_work_after_the_grace(harness: Any) -> None:
     """It accepts the new connection and sends nothing: its events count as notified from then on."""
+    connect_for_longer_than_the_ramp(harness)
     harness.board.sends_heartbeats = False
     taken: list[Any] = []
     harness.board.listener.on_connection = taken.append
@@ -109,6 +118,7 @@
 
 
 def test_a_lost_board_stops_new_work_after_the_time_of_a_break_and_the_grace(harness: Any) -> None:
+    connect_for_longer_than_the_ramp(harness)
     harness.board.drop("gone")
     lasted = seconds_usable(harness)
     assert lasted is not None and BROKEN + GRACE - 0.3 < lasted < BROKEN + GRACE + 0.001
@@ -116,6 +126,7 @@
 
 def board_lost_for_long(harness: Any) -> Any:
     """Take the board away until the list is too old. Returns a board for its place, with the same events."""
+    connect_for_longer_than_the_ramp(harness)
     harness.board.drop("gone")
     assert seconds_usable(harness) is not None
     back = BoardStub(harness.reactor, port=harness.board.port)
