Slow start in an outage spares workers that would bear a full load, or that nothing counts against

Cause: the first form held back every worker that was connected within the ramp, from the moment the board broke off.

Change: a worker counts as started when its connection was made only while it would not bear a full load by then (multiple times share below 1, as of a window ago), and, until the missing events count as notified, only if it was connected after the last complete list. The host says what may be missing as a typed gap: complete until when, notified from when.

--- a/lapistrestle/benchlink/wire.py
+++ b/lapistrestle/benchlink/wire.py
@@ -18,6 +18,7 @@
 from lapistrestle.policy.types import (
     Attempt,
     AttemptResult,
+    EndpointGap,
     EndpointState,
     FunctionInfo,
     RequestInfo,
@@ -92,8 +93,8 @@
 
     def extend_prefix(self, function: FunctionInfo) -> None: ...  # the endpoint list names every runner
 
-    def may_miss_events(self) -> bool:
-        return False  # what the simulator has not told yet is not held against the dispatcher
+    def endpoint_gap(self) -> EndpointGap | None:
+        return None  # what the simulator has not told yet is not held against the dispatcher
 
     def connected_since(self, worker: WorkerInfo) -> int | None:
         return None  # the simulator has no connections
--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -16,7 +16,7 @@
 from lapistrestle.policy.dispatcher import Dispatcher
 from lapistrestle.policy.fleet_guidance import FleetGuidance
 from lapistrestle.policy.settings import Settings
-from lapistrestle.policy.types import EndpointState, FunctionInfo, Outcome, WorkerInfo
+from lapistrestle.policy.types import EndpointGap, EndpointState, FunctionInfo, Outcome, WorkerInfo
 from lapistrestle.ticks import SECOND
 
 Log = Callable[..., None]
@@ -68,7 +68,7 @@
     def stop(self) -> None: ...
     def read_now(self) -> None: ...  # process what the socket has received and is not read yet
     def is_current(self) -> bool: ...  # whether the list is recent enough for new work to start by it
-    def may_miss_events(self) -> bool: ...  # whether the list may lack changes that count as notified
+    def gap(self) -> EndpointGap | None: ...  # what the list may lack; None: it is complete
 
 
 class Core:
@@ -248,8 +248,8 @@
             return self.host.preload_finished(task.number, Outcome.UNREACHABLE, 0)
         runner.send_preload(task)
 
-    def may_miss_events(self) -> bool:
-        return any(source.may_miss_events() for source in self.sources)
+    def endpoint_gap(self) -> EndpointGap | None:
+        return next((gap for source in self.sources if (gap := source.gap()) is not None), None)
 
     def connected_since(self, worker: WorkerInfo) -> int | None:
         runner = self.runner(worker.name)
--- a/lapistrestle/edge/directory.py
+++ b/lapistrestle/edge/directory.py
@@ -98,9 +98,8 @@
         """Always True: the watcher evicts instances itself when their state may be outdated."""
         return True
 
-    def may_miss_events(self) -> bool:
-        """Always False: a worker's greeting tells when it started, before any work is sent to it."""
-        return False
+    def gap(self) -> None:
+        """Always None: a worker's greeting tells when it started, before any work is sent to it."""
 
     def stop(self) -> None:
         if self.timer is not None:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -33,6 +33,7 @@
 from lapistrestle.policy.settings import Settings
 from lapistrestle.policy.types import (
     Attempt,
+    EndpointGap,
     FunctionInfo,
     LoadState,
     Outcome,
@@ -304,9 +305,9 @@
         """Request a longer prefix of a function's order."""
         self.transport.extend_prefix(function)
 
-    def may_miss_events(self) -> bool:
-        """Whether the endpoint list may lack changes that count as notified."""
-        return self.transport.may_miss_events()
+    def endpoint_gap(self) -> EndpointGap | None:
+        """Return the changes that the endpoint list may lack; None: it is complete."""
+        return self.transport.endpoint_gap()
 
     def connected_since(self, worker: WorkerInfo) -> int | None:
         """Return the tick since which the worker's process has run at least; None without a connection."""
--- a/lapistrestle/hosting/transport.py
+++ b/lapistrestle/hosting/transport.py
@@ -3,7 +3,7 @@
 from typing import Any, Protocol
 
 from lapistrestle.hosting.requests import PendingRequest, RequestEnd, WorkerCall, WorkerTask
-from lapistrestle.policy.types import FunctionInfo, WorkerInfo
+from lapistrestle.policy.types import EndpointGap, FunctionInfo, WorkerInfo
 
 
 class Transport(Protocol):
@@ -46,8 +46,8 @@
     def watch_endpoints(self) -> None:
         """Subscribe to the endpoint list at its sources."""
 
-    def may_miss_events(self) -> bool:
-        """Whether the endpoint list may lack changes that count as notified."""
+    def endpoint_gap(self) -> EndpointGap | None:
+        """Return the changes that the endpoint list may lack; None: it is complete."""
 
     def connected_since(self, worker: WorkerInfo) -> int | None:
         """Return the tick since which the process that is connected has run at least; None: none is."""
--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -17,7 +17,7 @@
 from lapistrestle.node.revisions import FRAME_ACTIONS, FrameAction, order_of
 from lapistrestle.node.streams import dial
 from lapistrestle.node.watch import Watch
-from lapistrestle.policy.types import EndpointState, WorkerInfo
+from lapistrestle.policy.types import EndpointGap, EndpointState, WorkerInfo
 from lapistrestle.ticks import MILLISECOND, SECOND
 
 HEARTBEAT_TIMEOUT = 22_000  # two heartbeats were missed
@@ -76,9 +76,9 @@
         has_unread_events = self.watch is not None and self.watch.is_behind
         return not has_unread_events and self.is_recent()
 
-    def may_miss_events(self) -> bool:
-        """Whether the board may have told events that are not applied: restarts of any worker, too."""
-        return self.address is not None and not self.freshness.is_caught_up
+    def gap(self) -> EndpointGap | None:
+        """The events that the board may have told and that are not applied; none without a board."""
+        return None if self.address is None else self.freshness.gap()
 
     def is_recent(self) -> bool:
         """Whether the list is recent enough for new work; a change of that is logged."""
--- a/lapistrestle/node/freshness.py
+++ b/lapistrestle/node/freshness.py
@@ -12,8 +12,9 @@
 frames of any kind arrive. Times are ticks of 0.1 ms.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from lapistrestle.policy.types import EndpointGap
 from lapistrestle.ticks import SECOND
 
 # An event that was not delivered counts as notified so long after:
@@ -29,6 +30,17 @@
     grace: int  # ticks for which new work may still be sent to a worker after its drain counts as notified
     usable_until: int  # initially the time at which the configuration was written, plus the grace
     is_caught_up: bool = False  # the board has told this watch that it has no later event
+    complete_until: int = field(init=False)  # no event on the board was missed until this time
+
+    def __post_init__(self) -> None:
+        """A list is complete as of the configuration that it comes from."""
+        self.complete_until = self.usable_until - self.grace
+
+    def gap(self) -> EndpointGap | None:
+        """The events that may be missing; None: all that count as notified have been received."""
+        if self.is_caught_up:
+            return None
+        return EndpointGap(self.complete_until, self.usable_until - self.grace)
 
     def is_usable(self, now: int) -> bool:
         """Whether new work may be started by the list."""
@@ -62,6 +74,7 @@
 
     def extend(self, complete_until: int) -> None:
         """No event on the board was missed until this time."""
+        self.complete_until = max(self.complete_until, complete_until)
         self.usable_until = max(self.usable_until, complete_until + NOTIFIED_AFTER_SILENCE + self.grace)
 
     def shorten(self, notified_at: int) -> None:
--- a/lapistrestle/policy/ports.py
+++ b/lapistrestle/policy/ports.py
@@ -8,7 +8,15 @@
 from typing import Protocol
 
 from lapistrestle.policy.entities import Function, Request, Worker
-from lapistrestle.policy.types import Attempt, AttemptResult, FunctionInfo, Outcome, RequestInfo, WorkerInfo
+from lapistrestle.policy.types import (
+    Attempt,
+    AttemptResult,
+    EndpointGap,
+    FunctionInfo,
+    Outcome,
+    RequestInfo,
+    WorkerInfo,
+)
 
 
 class TimerHandle(Protocol):
@@ -54,8 +62,8 @@
     def extend_prefix(self, function: FunctionInfo) -> None:
         """Look up a longer prefix of the function's order: the known one ran out of usable workers."""
 
-    def may_miss_events(self) -> bool:
-        """Whether the endpoint list may lack changes that count as notified."""
+    def endpoint_gap(self) -> EndpointGap | None:
+        """Return the changes that the endpoint list may lack; None: it is complete."""
 
     def connected_since(self, worker: WorkerInfo) -> int | None:
         """Return the tick since which the process that the host is connected to has run at least; None
--- a/lapistrestle/policy/slow_start.py
+++ b/lapistrestle/policy/slow_start.py
@@ -75,12 +75,22 @@
         host is still connected to has not restarted since; without a connection the worker may have started
         just now.
         """
-        if not self.host.may_miss_events():
+        gap = self.host.endpoint_gap()
+        if gap is None:
             return worker.booted_at
         connected_since = self.host.connected_since(worker)
         unlisted = self.clock.now if connected_since is None else connected_since
+        # connected before the gap: at most a start that the list tells late, and that is not notified yet
+        is_as_listed = unlisted <= gap.complete_until and self.clock.now < gap.notified_at
+        if is_as_listed or self.bears_full_load(unlisted):
+            return worker.booted_at
         return unlisted if worker.booted_at is None else max(worker.booted_at, unlisted)
 
+    def bears_full_load(self, started_at: int) -> bool:
+        """Whether a worker that started at a tick bears what it bears when warm."""
+        share = self.share_since(started_at, self.settings.overload_window)
+        return self.settings.overload_factor * share >= 1
+
     def warm_size(self) -> float:
         """Return the total size of serving workers, weighted by `share`; up to `WARM_SIZE_MAX_AGE` old.
 
--- a/lapistrestle/policy/types.py
+++ b/lapistrestle/policy/types.py
@@ -77,6 +77,14 @@
     booted_at: int | None = None  # tick of the last process start; None: long ago
 
 
+@dataclass(frozen=True)
+class EndpointGap:
+    """Changes that the endpoint list may lack. Times are ticks."""
+
+    complete_until: int  # changes until then are in the list
+    notified_at: int  # from then on the missing changes count as notified
+
+
 @dataclass(eq=False)
 class FunctionInfo:
     """A function, with the memory (MB) and the lanes (concurrent requests) of one loaded copy."""
--- a/lapistrestle/sources/reconnecting.py
+++ b/lapistrestle/sources/reconnecting.py
@@ -35,9 +35,8 @@
         """Whether new calls may be started by the last list: always, as workers report drains themselves."""
         return True
 
-    def may_miss_events(self) -> bool:
-        """Always False: a worker's greeting tells when it started, before any work is sent to it."""
-        return False
+    def gap(self) -> None:
+        """Always None: a worker's greeting tells when it started, before any work is sent to it."""
 
     def start(self, _: object = None) -> None:
         """Connect, unless the client was stopped."""
--- a/tests/test_node_restarts.py
+++ b/tests/test_node_restarts.py
@@ -9,6 +9,7 @@
 
 from lapistrestle.node.runner_connection import RunnerConnection
 from lapistrestle.policy.slow_start import SlowStart
+from lapistrestle.policy.types import EndpointGap
 from lapistrestle.standins.platform import BoardStub, RunnerStub
 
 RATE = 40  # requests a second
@@ -131,6 +132,14 @@
     assert len(fleet.run_messages()) - before == round(1.5 * RATE)
 
 
+def test_workers_connected_shortly_before_a_break_keep_their_load_until_it_counts(fleet: Any) -> None:
+    """Guards against an outage that costs a young dispatcher its service before any event is notified."""
+    traffic = Traffic(fleet)
+    traffic.run(3.0)
+    fleet.board.drop("gone")
+    assert traffic.run(1.9) == 1.0
+
+
 def test_a_restart_shortly_before_events_are_missing_counts_too(fleet: Any) -> None:
     """Guards against a board that tells of a start late: the event comes only after it has broken off."""
     traffic = Traffic(fleet)
@@ -181,20 +190,33 @@
     pool.connections.clear()
 
 
+NOW = 500_000  # ticks
+GAP = EndpointGap(complete_until=NOW - 30_000, notified_at=NOW - 10_000)
+COMING_GAP = EndpointGap(complete_until=NOW - 10_000, notified_at=NOW + 10_000)  # nothing is notified yet
+JUST_BEFORE, SINCE, LONG_AGO = NOW - 35_000, NOW - 5_000, NOW - 70_000
+
+
 @pytest.mark.parametrize(
-    ("booted_at", "connected_since", "latest"),
-    [(None, 7, 7), (None, None, 50_000), (9, 7, 9), (5, 7, 7), (60_000, None, 60_000)],
+    ("gap", "booted_at", "connected_since", "latest"),
+    [
+        (None, 9, NOW, 9),  # the list is complete
+        (GAP, None, SINCE, SINCE),
+        (GAP, None, None, NOW),  # it may start just now
+        (GAP, SINCE + 1, SINCE, SINCE + 1),
+        (GAP, 9, JUST_BEFORE, JUST_BEFORE),  # the board may tell late of a start before the gap
+        (GAP, 9, LONG_AGO, 9),  # it would bear a full load by now
+        (COMING_GAP, 9, JUST_BEFORE, 9),
+        (COMING_GAP, 9, SINCE, SINCE),  # seen anew: before it counts as notified
+    ],
 )
 def test_the_latest_start_that_list_and_connections_allow(
-    fleet: Any, booted_at: int | None, connected_since: int | None, latest: int
+    fleet: Any, gap: EndpointGap | None, booted_at: int | None, connected_since: int | None, latest: int
 ) -> None:
     slow_start: SlowStart = fleet.module.slow_start
     worker = fleet.workers()["s-00000001"]
-    worker.booted_at = booted_at
-    slow_start.clock.now = 50_000
-    assert slow_start.latest_start(worker) == booted_at  # the list is complete
+    worker.booted_at, slow_start.clock.now = booted_at, NOW
     host: Any = type("Host", (), {})()
-    host.may_miss_events, host.connected_since = lambda: True, lambda worker: connected_since
+    host.endpoint_gap, host.connected_since = lambda: gap, lambda worker: connected_since
     slow_start.host = host
     assert slow_start.latest_start(worker) == latest
 
