Read again: a start is worked out once a decision, typed retention classes, no dead code

Cause: the changes of left work and code that need not be there.

Change, behaviour as it was: - SlowStart.has_capacity asked the host up to twice for a worker's latest start; now once. - A function held its retention class as a number, turned back into the type at each use; the type lives in policy/types.py now, and the field has it. - FunctionOrders.find_home takes the minimum of scored candidates in place of a loop with two variables that were None together. - Nobody read what Endpoints.forget_removed returned, nor the time of a greeting that an edge's runner kept: its sources have no gap, so it is never asked.

--- a/lapistrestle/deployment/load.py
+++ b/lapistrestle/deployment/load.py
@@ -300,7 +300,7 @@
         reports_not_loaded=workers.absent == "miss",
         preload_window=int(orders.window),
         preload_delay=0,  # the transport decides how long a preload may wait
-        memory_limit=0,  # known to the program, if at all
+        memory_limit=0,  # set by the program that has one
         preload_free=orders.free,
         preload_share=orders.share,
         preload_timeout=int(orders.time_out),
--- a/lapistrestle/deployment/translation.py
+++ b/lapistrestle/deployment/translation.py
@@ -132,7 +132,7 @@
         reports_not_loaded=info.get("when-absent") == "miss",
         preload_window=to_ticks_floor(number(info, "load-period")),
         preload_delay=0,  # the transport decides how long a preload may wait
-        memory_limit=0,  # known to the program, if at all
+        memory_limit=0,  # set by the program that has one
         preload_free=number(info, "free-loads", 0.0),
         preload_share=number(info, "load-share", 0.0),
         preload_timeout=to_ticks_floor(number(info, "answer-within")),
--- a/lapistrestle/edge/runners.py
+++ b/lapistrestle/edge/runners.py
@@ -147,7 +147,6 @@
         self.dial_in_progress: RunnerDial | None = None
         self.connector: Any = None
         self.greeting_timer: Any = None
-        self.greeted_at: int | None = None
 
     # core.RunnerHandle
 
@@ -164,10 +163,8 @@
     def end(self) -> None:
         self.drop_connection()
 
-    def connected_since(self) -> int | None:
-        """The tick of the greeting on the open connection; None without one."""
-        is_open = self.state_machine.state in (ConnectionState.OPEN, ConnectionState.SLOW)
-        return self.greeted_at if is_open else None
+    def connected_since(self) -> None:
+        """Always None, and never asked: the sources of an edge have no gap."""
 
     # sending
 
@@ -234,7 +231,6 @@
                 self.connection.close_with_reason(f"{self.state_machine.name} was expected here")
             return
         self.start = hello.start or self.start
-        self.greeted_at = self.edge.clock()
         self.stop_greeting_timer()
         self.dial_in_progress = None
         self.edge.runner_greeted(self.state_machine.name, hello)
--- a/lapistrestle/policy/endpoints.py
+++ b/lapistrestle/policy/endpoints.py
@@ -132,9 +132,9 @@
                 worker.ring_version = self.version
             self.ring = ring
 
-    def forget_removed(self) -> list[Worker]:
-        """Drop the removed workers that have no requests or preloads in flight, and return them. Keeps memory
-        bounded in a long-running process; a worker that returns later starts without history.
+    def forget_removed(self) -> None:
+        """Drop the removed workers that have no requests or preloads in flight. Keeps memory bounded
+        in a long-running process; a worker that returns later starts without history.
         """
         departed = [worker for worker in self.removed if not worker.in_flight and not worker.has_pending_work]
         for worker in departed:
@@ -142,4 +142,3 @@
             del self.removed[worker]
             for function in list(worker.replicas):
                 function.drop(worker)
-        return departed
--- a/lapistrestle/policy/entities.py
+++ b/lapistrestle/policy/entities.py
@@ -14,7 +14,15 @@
 from zlib import crc32
 
 from lapistrestle.policy.estimates import DecayingSum
-from lapistrestle.policy.types import Attempt, FunctionInfo, RequestInfo, State, WorkerInfo, Zone
+from lapistrestle.policy.types import (
+    Attempt,
+    FunctionInfo,
+    RequestInfo,
+    RetentionClass,
+    State,
+    WorkerInfo,
+    Zone,
+)
 
 
 def new_scores() -> "array[float]":
@@ -204,7 +212,7 @@
     # function_retention.py
     requests: int = 0  # received
     retained_bytes: int = 0  # estimated size; 0: not counted
-    retention_class: int | None = None  # `RetentionClass`; None: in use, or not counted
+    retention_class: RetentionClass | None = None  # None: in use, or not counted
 
     @property
     def is_in_use(self) -> bool:
--- a/lapistrestle/policy/function_order.py
+++ b/lapistrestle/policy/function_order.py
@@ -15,7 +15,7 @@
 
 from lapistrestle.policy.clock import Clock
 from lapistrestle.policy.endpoints import Endpoints, ring_order
-from lapistrestle.policy.entities import Function, Request, Worker, new_scores
+from lapistrestle.policy.entities import Function, Request, Worker
 from lapistrestle.policy.estimates import LONG_TIME_CONSTANT, DecayingSum
 from lapistrestle.policy.fleet_guidance import RegionCapacity
 from lapistrestle.policy.latency_estimates import LatencyEstimates
@@ -102,19 +102,15 @@
         """
         ring, version, home = self.endpoints.ring, function.order_version, function.home
         if home is not None and self.endpoints.is_listed(home) and home.ring_version <= version:
-            best = (function.home_score, ring_order(home))
-            challengers = [worker for worker in ring if worker.ring_version > version]
+            candidates = [(function.home_score, ring_order(home), home)]
+            unscored = [worker for worker in ring if worker.ring_version > version]
         else:
-            home, best, challengers = None, None, ring
-        for worker in challengers:
-            score = self.score(function, worker)
-            if best is None or (score, ring_order(worker)) < best:
-                home, best = worker, (score, ring_order(worker))
-        function.sorted_order, function.sorted_scores = [], new_scores()
-        function.home = home
-        if home is not None and best is not None:
-            function.home_score = best[0]
-            function.home_index = bisect_left(ring, ring_order(home), key=ring_order)
+            candidates, unscored = [], ring
+        candidates += [(self.score(function, worker), ring_order(worker), worker) for worker in unscored]
+        function.drop_order()
+        if candidates:
+            function.home_score, position, function.home = min(candidates)
+            function.home_index = bisect_left(ring, position, key=ring_order)
 
     def score(self, function: Function, worker: Worker) -> float:
         """Return the weighted rendezvous hash of function and worker; larger workers tend to score lower."""
--- a/lapistrestle/policy/function_retention.py
+++ b/lapistrestle/policy/function_retention.py
@@ -7,7 +7,6 @@
 """
 
 from collections import OrderedDict
-from enum import IntEnum
 from typing import Final
 
 from lapistrestle.policy.clock import Clock
@@ -15,6 +14,7 @@
 from lapistrestle.policy.ports import Host
 from lapistrestle.policy.preloading import Preloading
 from lapistrestle.policy.settings import Settings
+from lapistrestle.policy.types import RetentionClass
 from lapistrestle.ticks import SECOND
 
 TARGET_FRACTION: Final = 1 / 2  # of the memory limit that the whole process may use
@@ -29,15 +29,6 @@
 ORDER_ENTRY_BYTES: Final = 16  # of a sorted order: a reference and a score
 
 
-class RetentionClass(IntEnum):
-    """Groups of functions that are not in use; lower ones are evicted first."""
-
-    WITHOUT_REPLICAS = 0
-    NOT_LOADED = 1  # no worker is believed to have a copy
-    REQUESTED_ONCE = 2
-    REQUESTED_AGAIN = 3
-
-
 class FunctionRetention:
     """The functions that are retained, with their estimated size."""
 
@@ -73,10 +64,10 @@
     def classify(self, function: Function) -> None:
         """Move the function to the end of its class; one in use has none."""
         if function.retention_class is not None:
-            self.unused[RetentionClass(function.retention_class)].pop(function, None)
+            self.unused[function.retention_class].pop(function, None)
         function.retention_class = None if function.is_in_use else class_of(function)
         if function.retention_class is not None:
-            self.unused[RetentionClass(function.retention_class)][function] = None
+            self.unused[function.retention_class][function] = None
 
     def evict_excess(self) -> None:
         """Evict functions until those that remain fit, or all that remain are in use."""
@@ -97,7 +88,7 @@
     def evict(self, function: Function) -> None:
         """Discard all that was learned of a function that is not in use."""
         assert function.retention_class is not None
-        del self.unused[RetentionClass(function.retention_class)][function]
+        del self.unused[function.retention_class][function]
         function.retention_class = None
         self.held_bytes -= function.retained_bytes
         function.retained_bytes = 0
--- a/lapistrestle/policy/ports.py
+++ b/lapistrestle/policy/ports.py
@@ -53,7 +53,7 @@
     def send_gossip(self, peer: int | None, text: str) -> None:
         """Send a message to another dispatcher; None: to all."""
 
-    def set_timer(self, delay: int, token: object) -> "TimerHandle | None":
+    def set_timer(self, delay: int, token: object) -> TimerHandle | None:
         """Call `on_timer(token)` after `delay` ticks. None if the timer can't be stopped."""
 
     def watch_endpoints(self) -> None:
--- a/lapistrestle/policy/preloading.py
+++ b/lapistrestle/policy/preloading.py
@@ -59,7 +59,7 @@
     candidates: Candidates
     budget: PreloadBudget
     load_limit: LoadLimit
-    functions: dict[Function, "MaintenanceTimer"] = field(default_factory=dict, init=False)
+    functions: dict[Function, MaintenanceTimer] = field(default_factory=dict, init=False)
 
     def start_maintenance(self, function: Function) -> None:
         """Start the periodic maintenance of a function that is used."""
--- a/lapistrestle/policy/slow_start.py
+++ b/lapistrestle/policy/slow_start.py
@@ -56,12 +56,14 @@
         """Invalidate the sum of warm sizes."""
         self.warm_size_updated_at = -1
 
-    def share(self, worker: Worker, before: int = 0) -> float:
-        """Return the fraction of its capacity that a worker has at least, now or `before` ticks ago."""
-        return self.share_since(self.latest_start(worker), before)
+    def share(self, worker: Worker) -> float:
+        """Return the fraction of its capacity that a worker has at least."""
+        return self.share_since(self.latest_start(worker))
 
     def share_since(self, started_at: int | None, before: int = 0) -> float:
-        """Return `share` of a worker that started at a tick; None: long ago."""
+        """Return the fraction of its capacity that a worker which started at a tick has now, or had `before`
+        ticks ago; None: it started long ago.
+        """
         if started_at is None or not self.settings.slow_start_duration:
             return 1.0
         min_share = self.settings.slow_start_share
@@ -153,14 +155,15 @@
         request. A dispatcher that restarted does not know what it sent before, so it has no budget for one
         window.
         """
-        if self.share(worker) >= 1:
+        started_at = self.latest_start(worker)
+        if self.share_since(started_at) >= 1:
             return True
         now = self.clock.now
         window = self.settings.overload_window
         # no budget if this dispatcher started after the worker and within the window: it may have sent before
         knows_sent = max(worker.booted_at or 0, now - window) >= self.clock.started
         rate = self.throughput.rate(self.ok_work) * worker.size * knows_sent
-        budget = self.settings.overload_factor * self.share(worker, window) * window * rate
+        budget = self.settings.overload_factor * self.share_since(started_at, window) * window * rate
         weight = self.weight(request)
         typical = self.latency.typical(request.method)
         # The turn is the fraction of the weight that must fit. It is a different one, from 0 to 1, at each
--- a/lapistrestle/policy/types.py
+++ b/lapistrestle/policy/types.py
@@ -54,6 +54,15 @@
     UNSAFE = 4
 
 
+class RetentionClass(IntEnum):
+    """Groups of functions that are not in use; lower ones are evicted first."""
+
+    WITHOUT_REPLICAS = 0
+    NOT_LOADED = 1  # no worker is believed to have a copy
+    REQUESTED_ONCE = 2
+    REQUESTED_AGAIN = 3
+
+
 class State(Enum):
     """State of a request."""
 
--- a/tests/test_node_restarts.py
+++ b/tests/test_node_restarts.py
@@ -17,7 +17,6 @@
 WARM_UP = 12.0  # seconds of traffic before the fault; the ramp takes 10 s
 ALLOWED_WINDOW = 2.0  # seconds, `rules.fall` of the harness's settings
 COLD_SHARE, FALL_MULTIPLE = 0.2, 2.0  # `rules.cold-from` and `rules.fall-multiple`
-CHANGES = 2  # kind of a board event
 SERVED = 200  # status
 FUNCTIONS = 12
 
@@ -29,7 +28,6 @@
 
     def __init__(self, harness: Any) -> None:
         self.harness, self.client, self.sent = harness, harness.connect_client(), 0
-        self.numbers: list[int] = []
 
     def run(self, seconds: float) -> float:
         """Send for so long. Returns the share that was served."""
