The log tells why a client's request was refused or its connection closed, and memory as it grows

Change: three events. 'request refused' with connection, request number, id, status and reason; 'client connection closed' with the reason, the phase and what the connection held; 'memory' when the process uses over half of its limit and at each further sixteenth.

--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -7,7 +7,7 @@
 
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import PendingRequest, RequestEnd
-from lapistrestle.node import fastcgi
+from lapistrestle.node import client_events, fastcgi
 from lapistrestle.node.streams import READ_SIZE, Stream
 from lapistrestle.ticks import SECOND
 
@@ -50,6 +50,9 @@
     buffered_bytes: int  # of incomplete requests on all connections
     max_buffered_bytes: float
 
+    def next_connection_number(self) -> int:
+        """Return a number by which the log knows a connection."""
+
     def request(self, connection: "ClientConnection", request: fastcgi.Request) -> None:
         """Handle a complete request."""
 
@@ -63,6 +66,7 @@
     def __init__(self, front: ConnectionOwner, sock: socket.socket) -> None:
         super().__init__(front.core.reactor, sock)
         self.front = front
+        self.number = front.next_connection_number()
         self.reader = fastcgi.RecordReader()
         self.requests: dict[int, PendingRequest] = {}
         self.has_sent_request = False  # a complete request was received
@@ -121,14 +125,20 @@
                     self.send(event.data)
                 case fastcgi.MalformedRequest():
                     self.front.core.counts["unreadable"] += 1
+                    self.refused(event.number, event.status, event.message)
                     self.reply(event.number, event.status, event.message.encode())
                     if event.status in TOO_LARGE:
                         self.begin_close(Phase.REJECTING)
                 case fastcgi.ConnectionBroken():
                     self.front.core.counts["unreadable"] += 1
+                    self.refused(event.number, 0, event.message)
                     self.withdraw(event.number)
                     self.begin_close(Phase.DISCARDING)
 
+    def refused(self, number: int, status: int, reason: str, call_id: str = "") -> None:
+        """Log that a request was refused; a status of 0: no answer could be given under its number."""
+        client_events.request_refused(self.front.core, self, number, call_id, status, reason)
+
     def withdraw(self, number: int) -> None:
         """Drop an open request whose number was used again: the client could not tell the answers apart."""
         pending = self.requests.pop(number, None)
@@ -182,6 +192,7 @@
     def reject_partial(self, status: int) -> None:
         """Answer all incomplete requests with an HTTP status; further records of them are ignored."""
         for number in self.reader.reject_partial():
+            self.refused(number, status, "incomplete")
             self.send(fastcgi.encode_response(number, HEADS[status], b""))
         self.count_buffered()
         self.oldest_partial = 0
@@ -286,6 +297,7 @@
 
     def lost(self, reason: str) -> None:
         """Handle the loss of the connection: its open requests have no client any more."""
+        client_events.connection_closed(self.front.core, self, reason)
         self.front.connections.pop(self, None)
         self.front.buffered_bytes -= self.buffered_bytes
         self.buffered_bytes = 0
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -11,7 +11,7 @@
 
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import PendingRequest
-from lapistrestle.node import fastcgi
+from lapistrestle.node import client_events, fastcgi
 from lapistrestle.node.client_connection import DISCARDING_TIMEOUT, ClientConnection, Phase
 from lapistrestle.node.configuration import Configuration, split_address
 from lapistrestle.node.invocation import InvalidRequestError, Invocation, InvocationParser
@@ -33,6 +33,7 @@
 BUFFERED_DIVISOR = 8  # one part in so many of the memory limit is for incomplete requests
 BODIES_DIVISOR = 4  # and one in so many for the bodies of open requests
 MIN_OPEN_REQUESTS = 256  # requests that may be open whatever the memory limit
+MAX_LOGGED_ID = 16  # characters of an id that is refused
 RECENT_IDS_DIVISOR = 32  # one part in so many of the memory limit is for ids received recently
 RECENT_ID_BYTES = 300  # that an id takes here and in the preload budget
 
@@ -83,6 +84,8 @@
         self.max_recent_ids = int(memory / RECENT_IDS_DIVISOR / RECENT_ID_BYTES)
         self.unfinished: dict[str, PendingRequest] = {}  # by call id, until the last attempt has ended
         self.parser = InvocationParser(configuration, core.settings)
+        self.accepted = 0  # connections, ever
+        client_events.register(core)
 
     # core.Front
 
@@ -126,8 +129,22 @@
         for connection in [*self.connections, *self.closing]:
             connection.close_now("the dispatcher ends")
 
+    def memory_figures(self) -> dict[str, int]:
+        """The connections, the requests and the bytes of incomplete requests that are held, for the log."""
+        return {
+            "connections": len(self.connections),
+            "closing": len(self.closing),
+            "requests": len(self.unfinished),
+            "buffered": self.buffered_bytes,
+        }
+
     # connections
 
+    def next_connection_number(self) -> int:
+        """Return a number by which the log knows a connection."""
+        self.accepted += 1
+        return self.accepted
+
     def client_connected(self, sock: socket.socket) -> None:
         """Handle a new connection, and read it at once."""
         assert self.listener is not None
@@ -284,13 +301,21 @@
             self.invoke(connection, request, path)
         except InvalidRequestError as error:
             self.core.counts["unreadable"] += 1
+            call_id = request.fields.get(b"HTTP_X_CALL_ID", b"")[:MAX_LOGGED_ID].decode(errors="replace")
+            connection.refused(request.number, error.status, error.message, call_id)
             connection.reply(request.number, error.status, error.message.encode())
 
-    def takes_requests(self, connection: ClientConnection) -> bool:
-        """Whether another request of this connection may be accepted now."""
-        if self.core.stopping or connection.phase >= Phase.REJECTING:
-            return False
-        return self.core.host.open_requests < self.max_open_requests and self.ready()
+    def rejection(self, connection: ClientConnection, time_left: int) -> str:
+        """The reason why a request of this connection is not accepted now; empty if it is."""
+        if time_left <= 0:
+            return "no time left"
+        if self.core.stopping:
+            return "the dispatcher ends"
+        if connection.phase >= Phase.REJECTING:
+            return "the connection is being closed"
+        if self.core.host.open_requests >= self.max_open_requests:
+            return "too many open requests"
+        return "" if self.ready() else "no list of workers that is recent enough"
 
     def invoke(self, connection: ClientConnection, request: fastcgi.Request, path: bytes) -> None:
         """Validate a call and hand it to the host. Raises InvalidRequestError."""
@@ -301,8 +326,10 @@
                 409, "X-Call-Id is in use", "X-Call-Id", call.id, "an id of no open call"
             )
         time_left = int(call.patience * MILLISECOND) - DEADLINE_MARGIN - connection.receive_delay
-        if time_left <= 0 or not self.takes_requests(connection):
+        reason = self.rejection(connection, time_left)
+        if reason:
             self.core.counts["turned away"] += 1
+            connection.refused(request.number, 503, reason, tag)
             connection.reply(request.number, 503)
             return
         self.idle.pop(connection, None)
--- a/lapistrestle/node/memory.py
+++ b/lapistrestle/node/memory.py
@@ -11,6 +11,8 @@
 STATUS_FILE: Final = Path("/proc/self/status")
 COUNTED_FIELDS: Final = ("RssAnon:", "RssShmem:")  # memory that no file backs
 BYTES_PER_KB: Final = 1_024
+LOGGED_FROM: Final = 1 / 2  # of the limit
+LOG_STEP: Final = 1 / 16  # of the limit, by which the memory has grown since the last log line
 
 
 def used_bytes() -> int | None:
@@ -29,9 +31,18 @@
     Without a report the module retains the least that it is guaranteed.
     """
 
-    def __init__(self, core: Core, measure: Callable[[], int | None] = used_bytes) -> None:
+    def __init__(
+        self,
+        core: Core,
+        measure: Callable[[], int | None] = used_bytes,
+        figures: Callable[[], dict[str, int]] = dict,
+    ) -> None:
+        """`figures` returns what is held for clients, for the log."""
         self.core = core
+        self.figures = figures
         self.measure = measure
+        self.limit = core.settings.memory_limit
+        self.next_logged = LOGGED_FROM * self.limit  # bytes from which on the memory is logged
 
     def start(self) -> None:
         """Report now, and at each interval."""
@@ -42,4 +53,11 @@
         used = self.measure()
         if used is not None:
             self.core.host.memory_measured(used)
+            self.log_growth(used)
         self.core.after(MEASURE_INTERVAL, self.report, None)
+
+    def log_growth(self, used: int) -> None:
+        """Log the memory each time it has grown by `LOG_STEP` of the limit."""
+        if self.limit and used >= self.next_logged:
+            self.next_logged = used + LOG_STEP * self.limit
+            self.core.log("memory", used=used, limit=self.limit, **self.figures())
