--- a/tests/test_node_flood.py
+++ b/tests/test_node_flood.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from node_harness import harnesses
 from test_crossings import harness
 from test_node_drains import CHANGES, DRAINING
@@ -23,6 +24,9 @@
 ACCEPT_TIME = 0.0001  # seconds that one new connection takes
 EVENT_TIME = 0.0001  # seconds that one event of the board takes
 SERVED, REFUSED = 200, 503  # statuses
+RECORD_TIME = 0.00005  # seconds that one record of a client takes
+BAD_CLIENTS = 16
+LATENCY_OBJECTIVE = 1.2  # seconds, of the class that is requested
 UNUSED_PORT = 1  # of a worker that is never called
 EVENTS = 20_000  # of a board that has been away; they take longer than any request may
 REQUESTS = 20  # of the bad client in each iteration
@@ -68,6 +72,32 @@
     assert len(bad_client.connection.finished_requests) > REQUESTS
 
 
+def test_requests_are_answered_in_time_while_many_clients_send_small_records(
+    harness: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against reading as much of each connection in each poll, whatever it takes to handle it."""
+    read_record = fastcgi.RecordReader.read_record
+
+    def read_slowly(*args: Any) -> None:
+        harness.reactor.rightNow += RECORD_TIME
+        read_record(*args)
+
+    monkeypatch.setattr(fastcgi.RecordReader, "read_record", read_slowly)
+    bad_clients = [harness.connect_client() for _ in range(BAD_CLIENTS)]
+    client = harness.connect_client()
+    waits = []
+    for _ in range(10):
+        number = client.send_request()
+        sent_at = harness.reactor.rightNow
+        while client.status(number) is None:
+            for bad_client in bad_clients:
+                if bad_client.unsent_bytes < READ_SIZE:
+                    bad_client.send(fastcgi.encode_record(fastcgi.GET_VALUES, 0) * (READ_SIZE // 8))
+            harness.reactor.iterate(0.0001)
+        waits.append(harness.reactor.rightNow - sent_at)
+    assert client.status(number) == SERVED and max(waits) <= LATENCY_OBJECTIVE
+
+
 def test_slow_iterations_read_no_more_of_a_client_than_others(harness: Any) -> None:
     """Guards against reads that grow with the time of an iteration, which makes the next one longer still."""
     bad_client = BadClient(harness)
