One answer to a request that is answered as it is read and aborted in the same read

Cause: RecordReader.feed parsed all that was read before any of it was handled. The abort was parsed while the request counted as open, and its event was handled after the answer had gone out. The class: state of a request read ahead of the events that change it; the same order took a number that was free again for one in use, and broke the connection.

Change: records are parsed one at a time, each after the events before it were handled (RecordReader.events); feed is the list of them. The age of a request's bytes after a standstill counts as the kernel's only if no record follows it.

--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -108,32 +108,35 @@
         longest = max(self.front.core.max_unread_time(), self.accept_wait)
         self.accept_wait = 0
         receive_delay = self.front.core.unread_for(self.sock, longest)
-        events = self.reader.feed(data)
-        for event in events:
+        for event in self.reader.events(data):
             # the kernel knows the age of the last bytes only; earlier ones may be as old as the previous poll
-            is_newest = event is events[-1] and len(data) < READ_SIZE
+            is_newest = len(data) < READ_SIZE and self.reader.record_end() is None
             self.receive_delay = receive_delay if is_newest else longest
+            self.handle(event)
             if self.dead:
                 return
-            match event:
-                case fastcgi.Request():
-                    self.has_sent_request = True
-                    self.front.request(self, event)
-                case fastcgi.RequestAborted():
-                    self.aborted(event.number)
-                case fastcgi.ImmediateReply():
-                    self.send(event.data)
-                case fastcgi.MalformedRequest():
-                    self.front.core.counts["unreadable"] += 1
-                    self.refused(event.number, event.status, event.message)
-                    self.reply(event.number, event.status, event.message.encode())
-                    if event.status in TOO_LARGE:
-                        self.begin_close(Phase.REJECTING)
-                case fastcgi.ConnectionBroken():
-                    self.front.core.counts["unreadable"] += 1
-                    self.refused(event.number, 0, event.message)
-                    self.withdraw(event.number)
-                    self.begin_close(Phase.DISCARDING)
+
+    def handle(self, event: fastcgi.Event) -> None:
+        """Handle one event of the FastCGI records."""
+        match event:
+            case fastcgi.Request():
+                self.has_sent_request = True
+                self.front.request(self, event)
+            case fastcgi.RequestAborted():
+                self.aborted(event.number)
+            case fastcgi.ImmediateReply():
+                self.send(event.data)
+            case fastcgi.MalformedRequest():
+                self.front.core.counts["unreadable"] += 1
+                self.refused(event.number, event.status, event.message)
+                self.reply(event.number, event.status, event.message.encode())
+                if event.status in TOO_LARGE:
+                    self.begin_close(Phase.REJECTING)
+            case fastcgi.ConnectionBroken():
+                self.front.core.counts["unreadable"] += 1
+                self.refused(event.number, 0, event.message)
+                self.withdraw(event.number)
+                self.begin_close(Phase.DISCARDING)
 
     def refused(self, number: int, status: int, reason: str, call_id: str = "") -> None:
         """Log that a request was refused; a status of 0: no answer could be given under its number."""
--- a/lapistrestle/node/fastcgi.py
+++ b/lapistrestle/node/fastcgi.py
@@ -6,6 +6,7 @@
 the start of the next record is unknown, so the connection can't be parsed any further.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from struct import Struct
 
@@ -105,7 +106,9 @@
     """
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = b""  # an incomplete record
+        self.data = b""  # being parsed
+        self.position = 0  # in `data`, of the next record
         self.partial: dict[int, PartialRequest] = {}
         self.open_requests: set[int] = set()
         self.rejected: set[int] = set()  # ids of requests rejected or aborted while incomplete
@@ -128,30 +131,52 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Parse data. Returns the events of the complete records in order; none once parsing has failed."""
+        return list(self.events(data))
+
+    def events(self, data: bytes) -> Iterator[Event]:
+        """Parse data, record by record: each is parsed after the events of those before it were handled.
+
+        So a record is read by what those events changed: a request that was answered is no longer open.
+        """
         if self.broken:
-            return []
-        if self.buffer:
-            data = self.buffer + data
-        at, end, events = 0, len(data), list[Event]()
-        while end - at >= HEAD.size:
+            return
+        self.data = self.buffer + data if self.buffer else data
+        self.position = 0
+        events = list[Event]()
+        while (stop := self.record_end()) is not None:
+            data, at = self.data, self.position
             size = (data[at + 4] << 8) | data[at + 5]
-            stop = at + HEAD.size + size + data[at + 6]
             kind, number = data[at + 1], (data[at + 2] << 8) | data[at + 3]
+            self.position = stop
             try:
                 check_version(data[at], kind, number)
-                if stop > end:
-                    break
                 self.read_record(kind, number, data[at + HEAD.size : at + HEAD.size + size], events)
             except MalformedRecordError as error:
-                return self.break_connection(events, error)
-            at = stop
-        self.buffer = data[at:]
-        return events
+                yield from self.break_connection(events, error)
+                return
+            if events:
+                yield from events
+                events.clear()
+        self.buffer = self.data[self.position :]
+        self.data = b""
+
+    def record_end(self) -> int | None:
+        """Where the next record ends in the data being parsed; None if it is not complete.
+
+        A head of another version counts as a record that ends with it: its length means nothing.
+        """
+        data, at = self.data, self.position
+        if len(data) - at < HEAD.size:
+            return None
+        if data[at] != VERSION:
+            return at + HEAD.size
+        stop = at + HEAD.size + ((data[at + 4] << 8) | data[at + 5]) + data[at + 6]
+        return stop if stop <= len(data) else None
 
     def break_connection(self, events: list[Event], error: MalformedRecordError) -> list[Event]:
         """Stop parsing; incomplete requests are reported as malformed, so that they are answered."""
         self.broken = True
-        self.buffer = b""
+        self.buffer = self.data = b""
         message = str(error)
         events.extend(MalformedRequest(number, 400, message) for number in self.partial)
         self.partial.clear()
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -154,3 +154,14 @@
         read_configuration("/nowhere/config.json")
     with pytest.raises(ConfigurationError, match="EDGE_CONFIG"):
         read_configuration(None)
+
+
+def test_a_record_is_parsed_after_the_events_before_it_were_handled() -> None:
+    """Guards against an abort that is read by the state before the request in front was answered."""
+    request = begin_request(1) + fastcgi.encode_record(fastcgi.PARAMS, 1)
+    request += fastcgi.encode_record(fastcgi.STDIN, 1)
+    reader, kinds = fastcgi.RecordReader(), list[str]()
+    for event in reader.events(request + fastcgi.encode_record(fastcgi.ABORT, 1) + request):
+        kinds.append(type(event).__name__)
+        reader.request_finished(1)
+    assert kinds == ["Request", "Request"] and not reader.broken
