A send or a receive that fails for lack of kernel memory is made again, not taken for a broken connection

Cause: every error of send and recv but EAGAIN and EINTR counted as the end of the connection. ENOBUFS and ENOMEM say that the kernel lacks memory for the moment and leave the connection as it was.

Change: both are retriable, for clients, runners and the board alike, as all go through Stream. The listener still pauses for them: it looks at the lack of descriptors or memory first.

--- a/lapistrestle/node/listener.py
+++ b/lapistrestle/node/listener.py
@@ -58,14 +58,14 @@
         try:
             sock, _addr = self.sock.accept()
         except OSError as error:
-            if error.errno in RETRIABLE_ERRORS:
-                self.full_since = None
             if error.errno in OUT_OF_DESCRIPTORS:
                 if self.full_since is None:
                     self.full_since = self.reactor.seconds()
                 self.reactor.removeReader(self)
                 self.reactor.callLater(ACCEPT_PAUSE, self.resume)
                 self.on_out_of_descriptors()
+            elif error.errno in RETRIABLE_ERRORS:
+                self.full_since = None
             return error.errno == errno.ECONNABORTED
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-RETRIABLE_ERRORS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+# The call is made again later; the connection is as it was. ENOBUFS and ENOMEM: the kernel lacks memory.
+RETRIABLE_ERRORS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM)
 READ_SIZE = 16_384  # bytes per read
 MAX_READS = 64  # reads of one connection at once: more than all open requests of a client need
 
