An id that may have run does not run again when it comes again on another connection

Cause: the table of ids (Front.unfinished) ends with the last attempt of a request; nothing remembered that it may have run. The class: an identity that ends with the connection or the request it came by, though a rule reaches further.

--- a/lapistrestle/edge/core.py
+++ b/lapistrestle/edge/core.py
@@ -91,6 +91,8 @@
         self.stopping = False
         self.dial_on_first_use = False  # connect to a runner on first use instead of when it is listed
         self.on_stopped: Callable[[], None] | None = None
+        # called with a request that is closed and has no attempt in flight, perhaps more than once
+        self.on_request_finished: Callable[[PendingRequest], None] = lambda _: None
         # set once all requests were aborted: the deadline for sending their answers
         self.answer_flush_deadline: int | None = None
         self.timer_gate, self.next_wakeup, self.next_wakeup_at = TimerGate(), None, -1
@@ -221,6 +223,9 @@
 
     def request_closed(self, pending: PendingRequest, how: RequestEnd) -> None: ...
 
+    def request_finished(self, pending: PendingRequest) -> None:
+        self.on_request_finished(pending)
+
     def stream_started(self, pending: PendingRequest) -> None: ...
 
     def send_call(self, worker_call: WorkerCall) -> None:
--- a/lapistrestle/hosting/events.py
+++ b/lapistrestle/hosting/events.py
@@ -20,7 +20,8 @@
     more.
 
     `on_error` is called with the request of the event if the module raises, `on_discarded` with a request
-    that was closed before the module was told of it. If `stopwatch` is set, it returns seconds, and
+    that was closed before the module was told of it, `on_finished` with one that is closed and has no attempt
+    in flight, perhaps more than once. If `stopwatch` is set, it returns seconds, and
     `module_seconds` accumulates the time spent in the module.
     """
 
@@ -29,10 +30,12 @@
         context: HostContext,
         on_error: Callable[[PendingRequest], None],
         on_discarded: Callable[[PendingRequest], None],
+        on_finished: Callable[[PendingRequest], None],
     ) -> None:
         self.context = context
         self.on_error = on_error
         self.on_discarded = on_discarded
+        self.on_finished = on_finished
         self.module: Events  # set by the host, which creates the module
         self.queue: deque[tuple[PendingRequest | None, str, tuple[Any, ...]]] = deque()
         # arguments of `on_endpoints` events, which have priority
@@ -90,6 +93,7 @@
             self.is_delivering = False
         for pending in self.finished:
             if not pending.in_flight:
+                self.on_finished(pending)
                 pending.attempts.clear()  # reference cycles, which only the garbage collector would free
         self.finished.clear()
         if self.stopwatch:
--- a/lapistrestle/hosting/host.py
+++ b/lapistrestle/hosting/host.py
@@ -72,7 +72,9 @@
         self.timers = Timers()
         self.counts = dict.fromkeys(COUNTERS, 0)
         context = HostContext(transport, settings, clock, self.timers, self.counts)
-        self.events = EventQueue(context, self.abort_after_error, self.request_discarded)
+        self.events = EventQueue(
+            context, self.abort_after_error, self.request_discarded, transport.request_finished
+        )
         self.answers = FinalAnswers(context, self.events, slack)
         self.calls = WorkerCalls(context, self.events, self.answers)
         self.answers.cancel_unsent = self.calls.cancel_unsent
--- a/lapistrestle/hosting/transport.py
+++ b/lapistrestle/hosting/transport.py
@@ -17,6 +17,9 @@
     def request_closed(self, pending: PendingRequest, end: RequestEnd) -> None:
         """The request was closed: answered, client disconnected, or submitted for another function."""
 
+    def request_finished(self, pending: PendingRequest) -> None:
+        """The request is closed and none of its attempts is in flight. May be called more than once."""
+
     def stream_started(self, pending: PendingRequest) -> None:
         """The answer started to stream."""
 
--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -46,7 +46,6 @@
     connections: dict["ClientConnection", None]  # connections being served
     idle: OrderedDict["ClientConnection", None]  # without an open request, longest idle first
     closing: OrderedDict["ClientConnection", int]  # connections being closed, with the time to close at last
-    unfinished: dict[str, PendingRequest]  # by call id, until the last attempt has ended
     buffered_bytes: int  # of incomplete requests on all connections
     max_buffered_bytes: float
 
@@ -284,8 +283,6 @@
         message = pending.message
         message.body = b""
         self.requests.pop(message.number, None)
-        if not pending.in_flight:
-            self.front.unfinished.pop(pending.tag, None)
         status = STATUS[verdict]
         self.reply(message.number, status, body if verdict == RequestEnd.OK else b"", retry_after)
         if not message.keep:
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -17,6 +17,8 @@
 from lapistrestle.node.invocation import InvalidRequestError, Invocation, InvocationParser
 from lapistrestle.node.listener import Listener
 from lapistrestle.node.runner_connection import RunnerConnection
+from lapistrestle.node.used_ids import ID_BYTES, UsedIds, retention_for
+from lapistrestle.policy.settings import MethodKind
 from lapistrestle.ticks import MILLISECOND, SECOND
 
 # Ticks of 0.1 ms:
@@ -33,6 +35,8 @@
 BUFFERED_DIVISOR = 8  # one part in so many of the memory limit is for incomplete requests
 BODIES_DIVISOR = 4  # and one in so many for the bodies of open requests
 MIN_OPEN_REQUESTS = 256  # requests that may be open whatever the memory limit
+USED_IDS_DIVISOR = 32  # one part in so many of the memory limit is for ids that may not run again
+ID_IN_USE, ID_USED = "X-Call-Id is in use", "X-Call-Id was used"
 MAX_LOGGED_ID = 16  # characters of an id that is refused
 RECENT_IDS_DIVISOR = 32  # one part in so many of the memory limit is for ids received recently
 RECENT_ID_BYTES = 300  # that an id takes here and in the preload budget
@@ -83,6 +87,8 @@
         self.recent_ids = OrderedDict[str, int]()  # ids received within the preload window, with the time
         self.max_recent_ids = int(memory / RECENT_IDS_DIVISOR / RECENT_ID_BYTES)
         self.unfinished: dict[str, PendingRequest] = {}  # by call id, until the last attempt has ended
+        self.used_ids = UsedIds(retention_for(core.settings), int(memory / USED_IDS_DIVISOR / ID_BYTES))
+        core.on_request_finished = self.request_finished
         self.parser = InvocationParser(configuration, core.settings)
         self.accepted = 0  # connections, ever
         client_events.register(core)
@@ -135,6 +141,8 @@
             "connections": len(self.connections),
             "closing": len(self.closing),
             "requests": len(self.unfinished),
+            "used_ids": self.used_ids.count,
+            "used_ids_dropped": self.used_ids.dropped_early,
             "buffered": self.buffered_bytes,
         }
 
@@ -247,11 +255,6 @@
             self.check_connection(connection, now)
         while self.closing and next(iter(self.closing.values())) <= now:
             next(iter(self.closing)).close_now("not closed by the client in time")
-        finished = [
-            tag for tag, pending in self.unfinished.items() if pending.is_closed and not pending.in_flight
-        ]
-        for tag in finished:
-            self.unfinished.pop(tag).attempts.clear()  # breaks a reference cycle
         self.core.after(SWEEP_INTERVAL, self.sweep, None)
 
     def check_connection(self, connection: ClientConnection, now: int) -> None:
@@ -317,14 +320,27 @@
             return "too many open requests"
         return "" if self.ready() else "no list of workers that is recent enough"
 
+    def check_id(self, call_id: bytes, tag: str) -> None:
+        """Raises InvalidRequestError if a request of this id is open, or may have run and must not again."""
+        if tag in self.unfinished:
+            raise InvalidRequestError(409, ID_IN_USE, "X-Call-Id", call_id, "an id of no open call")
+        if self.used_ids.contains(tag, self.core.clock()):
+            raise InvalidRequestError(409, ID_USED, "X-Call-Id", call_id, "an id that is new")
+
+    def request_finished(self, pending: PendingRequest) -> None:
+        """Handle that a request is closed and none of its attempts is in flight."""
+        if self.unfinished.get(pending.tag) is not pending:
+            return
+        del self.unfinished[pending.tag]
+        kind = self.core.settings.methods[pending.method].kind
+        if kind is not MethodKind.IDEMPOTENT and pending.has_perhaps_run():
+            self.used_ids.add(pending.tag, self.core.clock())
+
     def invoke(self, connection: ClientConnection, request: fastcgi.Request, path: bytes) -> None:
         """Validate a call and hand it to the host. Raises InvalidRequestError."""
         call = self.parser.parse(request, path)
         tag = call.id.decode()
-        if tag in self.unfinished:
-            raise InvalidRequestError(
-                409, "X-Call-Id is in use", "X-Call-Id", call.id, "an id of no open call"
-            )
+        self.check_id(call.id, tag)
         time_left = int(call.patience * MILLISECOND) - DEADLINE_MARGIN - connection.receive_delay
         reason = self.rejection(connection, time_left)
         if reason:
--- a/lapistrestle/policy/types.py
+++ b/lapistrestle/policy/types.py
@@ -26,6 +26,14 @@
     NOT_SENT = auto()  # not sent by the host; did not run
     NOT_LOADED = auto()  # the function is not loaded on the worker; did not run
 
+    @property
+    def proves_never_ran(self) -> bool:
+        """Whether the attempt certainly had no effect."""
+        return self in NEVER_RAN
+
+
+NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.NOT_LOADED})
+
 
 class EndpointState(Enum):
     """State of a worker in the endpoint list."""
@@ -121,6 +129,12 @@
     over: bool = False  # the final answer was sent, or the client is gone
     attempts: list["Attempt"] = field(default_factory=list)
 
+    def has_perhaps_run(self) -> bool:
+        """Whether any attempt has run, or may have."""
+        return any(
+            attempt.outcome is None or not attempt.outcome.proves_never_ran for attempt in self.attempts
+        )
+
 
 @dataclass(eq=False)
 class Attempt:
