Nothing is sent on for a client that may have closed behind data that lies unread

Cause: before an attempt a client's connection was read up to 1 MiB, and what lay behind that was taken as not there. The end of a connection is read behind all that lies in front of it, part of which may still wait in the client's kernel for room. Only a connection whose reading had been paused counted as unheard.

Change: a connection knows since when data may lie unread, whatever the reason (not read to its end, paused). After 50 ms of that no attempt begins for it. It counts as read to its end once the socket is found empty, not by a short read, as a read lets a client go on that had no room. Reading before an attempt ends after 10 ms, so that one client's backlog does not hold up the others.

--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -8,11 +8,13 @@
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import PendingRequest, RequestEnd
 from lapistrestle.node import client_events, fastcgi
-from lapistrestle.node.streams import READ_SIZE, Stream
+from lapistrestle.node.streams import MAX_READS, READ_SIZE, RETRIABLE_ERRORS, Stream
 from lapistrestle.ticks import SECOND
 
 MAX_UNSENT = 1_048_576  # bytes unsent to a client, beyond which its connection is not read
-PAUSE_TRUSTED = 500  # ticks of 0.1 ms after a pause of reading until the client may have aborted unnoticed
+# ticks of 0.1 ms for which data may lie unread: its client may have aborted or closed behind it
+UNREAD_TRUSTED = 500
+READ_ON_TIME = 0.01  # seconds of reading a connection before an attempt for it begins
 MAX_DISCARDED = 262_144  # bytes that a connection being closed may still send, without open requests
 MAX_DISCARDED_WHILE_OPEN = 67_108_864  # the same with open requests: more than the longest body
 DISCARDING_TIMEOUT = 20_000  # ticks after which requests on an unreadable connection are aborted
@@ -76,7 +78,8 @@
         self.bytes_read = 0
         self.discarded_bytes = 0  # bytes read since the connection began to close
         self.reads_paused = False  # not read until the client has read what is unsent
-        self.reads_paused_since = 0
+        # earliest time at which data may have arrived that is unread; None: none was when last looked
+        self.unread_since: int | None = None
         self.receiving = False  # received data is being processed; closing has to wait until that is done
         self.unsent_seen = 0  # bytes unsent at the last sweep
         self.unsent_since = 0  # time since which that number has not changed
@@ -151,7 +154,6 @@
         """Enforce the limits of unsent, buffered and discarded bytes."""
         if self.unsent_bytes > MAX_UNSENT and not self.reads_paused:
             self.reads_paused = True
-            self.reads_paused_since = self.front.core.clock()
             self.watch_reads(False)
         self.count_buffered()
         is_memory_short = self.front.buffered_bytes > self.front.max_buffered_bytes
@@ -172,10 +174,35 @@
         self.front.buffered_bytes += held - self.buffered_bytes
         self.buffered_bytes = held
 
+    def read(self, count: int, time_limit: float | None = None) -> bool:
+        """See `Stream.read`. Notes since when data may lie unread."""
+        is_all_read = super().read(count, time_limit)
+        self.note_unread(is_all_read)
+        return is_all_read
+
+    def note_unread(self, is_all_read: bool) -> None:
+        """Note since when data may lie unread, after all or a part of it was read."""
+        if is_all_read and (self.unread_since is None or self.is_empty()):
+            self.unread_since = self.front.core.earliest_arrival() if self.reads_paused else None
+        elif self.unread_since is None:
+            self.unread_since = self.front.core.earliest_arrival()
+
+    def is_empty(self) -> bool:
+        """Whether the socket has no data, nor the end of it.
+
+        A read that empties the receive buffer lets a client go on that could not write, so what it wrote
+        before may arrive right after.
+        """
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return error.errno in RETRIABLE_ERRORS
+        return False
+
     def is_waiting(self) -> bool:
-        """Whether the client still waits. While reading is paused it may have aborted without notice."""
-        self.read_on()
-        return not self.reads_paused or self.front.core.clock() - self.reads_paused_since <= PAUSE_TRUSTED
+        """Whether the client still waits: it has not left, as far as its data was read lately."""
+        self.note_unread(super().read(MAX_READS, READ_ON_TIME))
+        return self.unread_since is None or self.front.core.clock() - self.unread_since <= UNREAD_TRUSTED
 
     def write_completed(self) -> None:
         """Resume reading: all data has been sent."""
