One account of what clients make the process hold, and costly input is read in turn

Seen by callers: with 32 MB and 300 clients a process took up to 759 MB (heads of short fields), 120 MB (clients that write 512 KB and close), 39 MB (whole requests held at runners) and was killed with all that was open. Beside eight to sixteen connections of small records at full speed usual requests were answered up to 3 s late or refused (79 and 88 of 100 served).

Cause, time: each poll read 16 KiB of each connection, and each small record was answered by a system call of its own.

Change: node/memory_account.py counts connections, incomplete and open requests, bodies, unsent answers, also of closed connections until their attempts end, against nine tenths of the limit less what the process takes without clients, corrected by its measured memory. A connection may hold a 32nd of what is free (dynamic threshold); beyond it its reading stops until it holds less. When memory is short incomplete requests get 503, the oldest first. Of the fields only those that are used are kept. An answer for a client that reads none is cut to a 500 when there is no room for it. node/read_turns.py: each connection has an allowance of parsing work that leads to nothing; beyond it, it is read in turn, 5 ms at a time, half of the time at most. Answers to one read are written with one call, and a read is handled whole before what it leads to. The two go together, since refusing and closing hundreds of connections is itself such work.

Failed tries: closing each connection whose incomplete requests were refused (churn: p50 0.6 s, and whole requests behind were lost); reads of 2 KiB for all new connections (quadratic copying, p50 0.65 s); cost by the clock instead of by work (charged clients for reading the board).

--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -8,6 +8,10 @@
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import PendingRequest, RequestEnd
 from lapistrestle.node import client_events, fastcgi
+from lapistrestle.node.client_memory import ClientMemory
+from lapistrestle.node.invocation import FIELDS
+from lapistrestle.node.memory_account import CONNECTION_BYTES, PARTIAL_BYTES
+from lapistrestle.node.read_turns import ReadCost, ReadTurns
 from lapistrestle.node.streams import MAX_READS, READ_SIZE, RETRIABLE_ERRORS, Stream
 from lapistrestle.ticks import SECOND
 
@@ -16,10 +20,15 @@
 UNREAD_TRUSTED = 500
 READ_ON_TIME = 0.01  # seconds of reading a connection before an attempt for it begins
 MAX_DISCARDED = 262_144  # bytes that a connection being closed may still send, without open requests
-MAX_DISCARDED_WHILE_OPEN = 67_108_864  # the same with open requests: more than the longest body
+# the same with open requests, or where further ones are answered: more than the longest body
+MAX_DISCARDED_WHILE_OPEN = 67_108_864
+MAX_REJECTED_WHEN_SHORT = (
+    64  # ids of rejected requests, beyond which such a connection is not parsed any more
+)
+MAX_REFUSED_FOR_MEMORY = 8  # incomplete requests, beyond which a connection is closed
 DISCARDING_TIMEOUT = 20_000  # ticks after which requests on an unreadable connection are aborted
-MAX_BUFFERED = 65_536  # bytes of incomplete requests that one connection may hold when memory runs short
 STATUS = {RequestEnd.OK: 200, RequestEnd.REJECTED: 503, RequestEnd.ABORTED: 500}  # of a final answer
+UNREAD_STATUS = 500  # of an answer that a client does not read and that cannot be held for it
 TOO_LARGE = (413, 431)  # statuses after which the connection is closed
 
 REASONS = {
@@ -48,8 +57,8 @@
     connections: dict["ClientConnection", None]  # connections being served
     idle: OrderedDict["ClientConnection", None]  # without an open request, longest idle first
     closing: OrderedDict["ClientConnection", int]  # connections being closed, with the time to close at last
-    buffered_bytes: int  # of incomplete requests on all connections
-    max_buffered_bytes: float
+    memory: ClientMemory
+    read_turns: ReadTurns
 
     def next_connection_number(self) -> int:
         """Return a number by which the log knows a connection."""
@@ -57,6 +66,9 @@
     def request(self, connection: "ClientConnection", request: fastcgi.Request) -> None:
         """Handle a complete request."""
 
+    def drop_body(self, pending: PendingRequest) -> None:
+        """Release the body of a request of which no further attempt is made."""
+
     def half_closed(self, connection: "ClientConnection") -> None:
         """Handle that a connection's sending side was shut down; it is read until its client closes."""
 
@@ -68,7 +80,7 @@
         super().__init__(front.core.reactor, sock)
         self.front = front
         self.number = front.next_connection_number()
-        self.reader = fastcgi.RecordReader()
+        self.reader = fastcgi.RecordReader(FIELDS)
         self.requests: dict[int, PendingRequest] = {}
         self.has_sent_request = False  # a complete request was received
         self.phase = Phase.SERVING
@@ -81,12 +93,23 @@
         # earliest time at which data may have arrived that is unread; None: none was when last looked
         self.unread_since: int | None = None
         self.receiving = False  # received data is being processed; closing has to wait until that is done
+        self.is_parsing = False  # records are being parsed: further data has to wait for its turn
+        self.outbox: list[bytes] | None = None  # what is sent while data is processed; written with one call
+        self.refused_for_memory = 0  # incomplete requests
+        self.read_cost = ReadCost()
+        self.bytes_per_read = READ_SIZE
+        self.is_deferred = False  # waits for its turn to be read
+        self.accepted = 0  # requests handed to the host and not aborted, ever
         self.unsent_seen = 0  # bytes unsent at the last sweep
         self.unsent_since = 0  # time since which that number has not changed
         self.accept_wait = 0  # ticks for which the connection may have waited to be accepted
         self.idle_since = front.core.clock()  # time of the connect, or of the end of its last open request
         self.buffered_bytes = 0  # bytes of incomplete requests
+        self.request_bytes = 0  # bytes of open requests
+        self.charged_bytes = CONNECTION_BYTES  # of this connection in the account, without open requests
+        front.memory.account.add(self.charged_bytes)
         self.receive_delay = 0  # ticks that the data being processed spent in the socket's receive buffer
+        self.has_rejected = False  # many ids of rejected requests are held
         self.oldest_partial = 0  # number of the first incomplete request; 0: none
         self.partial_since = 0  # time since which that request is incomplete
 
@@ -96,15 +119,32 @@
         if self.phase >= Phase.REJECTING:
             self.discarded_bytes += len(data)
         if self.phase < Phase.DISCARDING:
-            outer = self.receiving
-            self.receiving = True
-            self.read_records(data)
-            self.receiving = outer
+            self.process(data)
         if self.dead:
             return
         self.enforce_bounds()
         self.close_if_done()
 
+    def process(self, data: bytes) -> None:
+        """Handle all records before what they lead to, and write the answers together."""
+        outer = self.receiving
+        self.receiving = self.is_parsing = True
+        self.outbox = []
+        with self.front.core.host.batched():
+            self.read_records(data)
+            self.is_parsing = False
+        self.receiving = outer
+        outbox, self.outbox = self.outbox, None
+        if outbox:
+            self.send(b"".join(outbox))
+
+    def send(self, data: bytes, mark: int = 0) -> None:
+        """See `Stream.send`. While received data is processed, answers are collected."""
+        if self.outbox is None:
+            super().send(data, mark)
+        else:
+            self.outbox.append(data)
+
     def read_records(self, data: bytes) -> None:
         """Parse FastCGI records and handle their events in order."""
         longest = max(self.front.core.max_unread_time(), self.accept_wait)
@@ -112,7 +152,7 @@
         receive_delay = self.front.core.unread_for(self.sock, longest)
         for event in self.reader.events(data):
             # the kernel knows the age of the last bytes only; earlier ones may be as old as the previous poll
-            is_newest = len(data) < READ_SIZE and self.reader.record_end() is None
+            is_newest = len(data) < self.read_size() and self.reader.record_end() is None
             self.receive_delay = receive_delay if is_newest else longest
             self.handle(event)
             if self.dead:
@@ -148,31 +188,119 @@
         """Drop an open request whose number was used again: the client could not tell the answers apart."""
         pending = self.requests.pop(number, None)
         if pending is not None:
-            self.front.core.host.client_gone(pending)
+            self.client_gone(pending)
+
+    def client_gone(self, pending: PendingRequest) -> None:
+        """The client no longer waits for the answer to a request: no further attempt is made."""
+        self.front.core.host.client_gone(pending)
+        self.front.drop_body(pending)
+
+    def doRead(self) -> None:
+        """The socket is readable. One whose input leads to nothing, or may, waits for its turn."""
+        turns = self.front.read_turns
+        if self.accepted <= 0 and not turns.has_time_in_poll():
+            self.defer_reading()
+            return
+        started_at = self.reactor.seconds()
+        self.read_once()
+        if self.accepted <= 0:
+            turns.spent_in_poll += self.reactor.seconds() - started_at
+
+    def read_once(self) -> None:
+        """Read once, unless the connection holds too much; note what it cost and led to."""
+        self.enforce_bounds()
+        size, work, accepted = self.bytes_read, self.reader.work, self.accepted
+        self.bytes_per_read = self.read_cost.next_read_size
+        super().doRead()
+        self.bytes_per_read = READ_SIZE
+        size, work = self.bytes_read - size, self.reader.work - work
+        if size:
+            self.read_cost.add(size, work, self.accepted - accepted, self.reactor.seconds())
+            if self.read_cost.is_exceeded():
+                self.defer_reading()
+
+    def defer_reading(self) -> None:
+        """Wait for a turn to be read."""
+        if not self.is_deferred and not self.dead:
+            self.is_deferred = True
+            self.update_watch()
+            self.front.read_turns.defer(self)
+
+    def read_size(self) -> int:
+        """See `Stream.read_size`."""
+        return self.bytes_per_read
+
+    def read_in_turn(self) -> None:
+        """Read once; if that exceeds the allowance again, wait for another turn."""
+        if self.dead:
+            return
+        self.is_deferred = False
+        self.update_watch()
+        self.read_once()
+        self.close_if_done()
+
+    def update_watch(self) -> None:
+        """Watch for data unless reading is paused, or waits for its turn."""
+        self.watch_reads(not self.reads_paused and not self.is_deferred)
+
+    def may_receive(self) -> bool:
+        """See `Stream.may_receive`. Before attempts and closes a connection is read out of its turn."""
+        return not self.reads_paused and not self.is_parsing
 
     def enforce_bounds(self) -> None:
-        """Enforce the limits of unsent, buffered and discarded bytes."""
-        if self.unsent_bytes > MAX_UNSENT and not self.reads_paused:
-            self.reads_paused = True
-            self.watch_reads(False)
-        self.count_buffered()
-        is_memory_short = self.front.buffered_bytes > self.front.max_buffered_bytes
-        if is_memory_short and self.buffered_bytes > MAX_BUFFERED:
-            self.reject_partial(503)
-            self.begin_close(Phase.REJECTING)
+        """Enforce the limits of memory and of discarded bytes."""
+        self.count_held()
+        self.front.memory.enforce(self)
+        if self.unsent_bytes > MAX_UNSENT:
+            self.front.memory.pause(self)
+        is_answered = bool(self.requests) or self.reader.refuses_requests
+        if self.discarded_bytes > (MAX_DISCARDED_WHILE_OPEN if is_answered else MAX_DISCARDED):
+            self.front.core.host.abort_all(list(self.requests.values()))
+            self.drop("too much data on a closing connection")
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held for this connection, beyond what each one takes."""
+        return self.buffered_bytes + self.request_bytes + self.unsent_bytes
+
+    def count_held(self) -> None:
+        """Update the account by what this connection holds, and note its oldest incomplete request."""
+        if self.dead:
+            return
+        memory = self.front.memory
+        buffered = self.reader.buffered_bytes() + PARTIAL_BYTES * len(self.reader.partial)
+        memory.buffered_bytes += buffered - self.buffered_bytes
+        self.buffered_bytes = buffered
+        charged = CONNECTION_BYTES + buffered + self.unsent_bytes
+        memory.account.add(charged - self.charged_bytes)
+        self.charged_bytes = charged
         oldest = next(iter(self.reader.partial), 0)
+        has_rejected = len(self.reader.rejected) > MAX_REJECTED_WHEN_SHORT
+        if has_rejected is not self.has_rejected:
+            self.has_rejected = has_rejected
+            memory.note_incomplete(self, has_rejected or bool(oldest))
         if oldest != self.oldest_partial:
             self.oldest_partial = oldest
             self.partial_since = self.front.core.clock()
-        if self.discarded_bytes > (MAX_DISCARDED_WHILE_OPEN if self.requests else MAX_DISCARDED):
-            self.front.core.host.abort_all(list(self.requests.values()))
-            self.drop("too much data on a closing connection")
+            memory.note_incomplete(self, has_rejected or bool(oldest))
 
-    def count_buffered(self) -> None:
-        """Update the front's total of buffered bytes by this connection's."""
-        held = self.reader.buffered_bytes()
-        self.front.buffered_bytes += held - self.buffered_bytes
-        self.buffered_bytes = held
+    def pause_reading(self) -> None:
+        """Do not read until `resume_reading`."""
+        if not self.reads_paused:
+            self.reads_paused = True
+            self.update_watch()
+
+    def resume_reading(self) -> None:
+        """Read again if the connection holds little enough."""
+        memory = self.front.memory
+        self.count_held()
+        if self.dead or not self.reads_paused or self.unsent_bytes > MAX_UNSENT:
+            return
+        if (self.requests or self.unsent) and memory.is_over_share(self):
+            return
+        self.reads_paused = False
+        memory.paused.pop(self, None)
+        self.update_watch()
 
     def read(self, count: int, time_limit: float | None = None) -> bool:
         """See `Stream.read`. Notes since when data may lie unread."""
@@ -182,6 +310,8 @@
 
     def note_unread(self, is_all_read: bool) -> None:
         """Note since when data may lie unread, after all or a part of it was read."""
+        if self.is_parsing:
+            return
         if is_all_read and (self.unread_since is None or self.is_empty()):
             self.unread_since = self.front.core.earliest_arrival() if self.reads_paused else None
         elif self.unread_since is None:
@@ -205,10 +335,8 @@
         return self.unread_since is None or self.front.core.clock() - self.unread_since <= UNREAD_TRUSTED
 
     def write_completed(self) -> None:
-        """Resume reading: all data has been sent."""
-        if self.reads_paused:
-            self.reads_paused = False
-            self.watch_reads(True)
+        """All data has been sent."""
+        self.resume_reading()
         self.close_if_done()
 
     def unread_time(self, now: int) -> int:
@@ -223,18 +351,39 @@
         for number in self.reader.reject_partial():
             self.refused(number, status, "incomplete")
             self.send(fastcgi.encode_response(number, HEADS[status], b""))
-        self.count_buffered()
-        self.oldest_partial = 0
+        self.count_held()
+
+    def refuse_for_memory(self) -> None:
+        """Refuse all incomplete requests, as memory is short; close the connection if that happens often.
+
+        To close it, it is read once more: in its turn, as this may be called while another one is read.
+        """
+        self.refused_for_memory += len(self.reader.partial)
+        self.reject_partial(503)
+        if len(self.reader.rejected) > MAX_REJECTED_WHEN_SHORT:
+            self.reader.stop()
+            self.count_held()
+            self.enter(Phase.DISCARDING)
+            self.defer_reading()
+        elif self.refused_for_memory > MAX_REFUSED_FOR_MEMORY:
+            self.reader.refuses_requests = True
+            self.enter(Phase.REJECTING)
+            self.defer_reading()
 
     def begin_close(self, phase: Phase) -> None:
         """Enter a phase of closing; the connection closes once its open requests are answered."""
+        if self.enter(phase):
+            self.close_if_done()
+
+    def enter(self, phase: Phase) -> bool:
+        """Enter a later phase of closing; False if the connection is in it already."""
         if phase <= self.phase or self.dead:
-            return
+            return False
         self.phase = phase
         self.phase_since = self.front.core.clock()
         if phase >= Phase.REJECTING:
             self.front.idle.pop(self, None)
-        self.close_if_done()
+        return True
 
     def close_if_done(self) -> None:
         """Shut down the sending side once every answer is sent; the client reads all, then closes."""
@@ -291,7 +440,8 @@
         self.reader.request_finished(number)
         self.send(fastcgi.encode_end(number))
         if pending is not None:
-            self.front.core.host.client_gone(pending)
+            self.accepted -= 1
+            self.client_gone(pending)
             self.note_idle()
         self.close_if_done()
 
@@ -302,16 +452,22 @@
             head = b"Retry-After: %d\r\n" % max(1, -(-retry_after // SECOND)) + head
         self.send(fastcgi.encode_response(number, head, body))
         self.reader.request_finished(number)
+        self.resume_reading()
         self.note_idle()
         self.close_if_done()
 
     def answer(self, pending: PendingRequest, verdict: RequestEnd, retry_after: int, body: Any) -> None:
         """Send the final answer of a request."""
         message = pending.message
-        message.body = b""
+        self.front.drop_body(pending)
         self.requests.pop(message.number, None)
         status = STATUS[verdict]
-        self.reply(message.number, status, body if verdict == RequestEnd.OK else b"", retry_after)
+        content = body if verdict == RequestEnd.OK else b""
+        if self.unsent and not self.front.memory.account.has_room(len(content)):
+            # the client reads no answers, and there is no memory to hold another one
+            self.refused(message.number, UNREAD_STATUS, "answers are not read", pending.tag)
+            status, content = UNREAD_STATUS, b""
+        self.reply(message.number, status, content, retry_after)
         if not message.keep:
             self.begin_close(Phase.FINISHING)
 
@@ -326,11 +482,13 @@
         """Handle the loss of the connection: its open requests have no client any more."""
         client_events.connection_closed(self.front.core, self, reason)
         self.front.connections.pop(self, None)
-        self.front.buffered_bytes -= self.buffered_bytes
-        self.buffered_bytes = 0
+        self.front.memory.forget(self)
+        self.front.memory.buffered_bytes -= self.buffered_bytes
+        self.front.memory.account.add(-self.charged_bytes)
+        self.buffered_bytes = self.charged_bytes = 0
         self.front.idle.pop(self, None)
         self.front.closing.pop(self, None)
         requests = list(self.requests.values())
         self.requests = {}
         for pending in requests:
-            self.front.core.host.client_gone(pending)
+            self.client_gone(pending)
--- a/lapistrestle/node/client_events.py
+++ b/lapistrestle/node/client_events.py
@@ -3,13 +3,14 @@
 from typing import TYPE_CHECKING
 
 from lapistrestle.edge.core import Core
+from lapistrestle.node.client_memory import SHORT_EVENT
 
 if TYPE_CHECKING:
     from lapistrestle.node.client_connection import ClientConnection
 
 CONNECTION_CLOSED = "client connection closed"  # with requests, answers or incomplete requests on it
 REQUEST_REFUSED = "request refused"
-CLIENT_EVENTS = (CONNECTION_CLOSED, REQUEST_REFUSED)
+CLIENT_EVENTS = (CONNECTION_CLOSED, REQUEST_REFUSED, SHORT_EVENT)
 
 
 def register(core: Core) -> None:
--- a/lapistrestle/node/fastcgi.py
+++ b/lapistrestle/node/fastcgi.py
@@ -19,10 +19,12 @@
 HEAD = Struct(">BBHHBB")  # version, type, request id, content length, padding length, reserved
 MAX_OPEN_REQUESTS = 32  # per connection
 MAX_REJECTED = 1_024  # request ids per connection that were rejected before the request was complete
+REJECTED_ID_BYTES = 64  # that one of these takes
 LONG_LENGTH = 128  # lengths from here on take four bytes, the first with its highest bit set
 BEGIN_BYTES = 8  # content length of a BEGIN record
 MAX_PARAMS_BYTES = 16_384  # the fields of a usual request take some hundred bytes
 MAX_BODY_BYTES = 16_384
+FIELDS_PER_UNIT = 8  # that take as long to parse as one small record
 MAX_RECORD_CONTENT = 65_528  # bytes; the largest multiple of eight that fits a record
 
 
@@ -51,8 +53,13 @@
     keep: bool
     params: bytearray = field(default_factory=bytearray)
     fields: dict[bytes, bytes] | None = None
+    fields_bytes: int = 0  # of the names and values in `fields`
     body: bytearray = field(default_factory=bytearray)
 
+    def held_bytes(self) -> int:
+        """Bytes of the fields and the body so far."""
+        return len(self.params) + self.fields_bytes + len(self.body)
+
 
 @dataclass(slots=True, frozen=True)
 class Request:
@@ -102,10 +109,12 @@
     """Parses the records of one connection.
 
     `partial` holds the incomplete requests, `open_requests` the ids of complete requests without a final
-    answer (`request_finished` removes them).
+    answer (`request_finished` removes them). Of the fields of a request only `known_fields` are retained, as
+    others may be many and short, and take far more memory than they have bytes; None: all.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, known_fields: frozenset[bytes] | None = None) -> None:
+        self.known_fields = known_fields
         self.buffer = b""  # an incomplete record
         self.data = b""  # being parsed
         self.position = 0  # in `data`, of the next record
@@ -113,6 +122,8 @@
         self.open_requests: set[int] = set()
         self.rejected: set[int] = set()  # ids of requests rejected or aborted while incomplete
         self.broken = False
+        self.work = 0.0  # of parsing, ever: one unit a record, and one for so many fields
+        self.refuses_requests = False  # no further request is accepted
 
     def request_finished(self, number: int) -> None:
         """A request was answered: its id may be used again."""
@@ -126,8 +137,16 @@
         return numbers
 
     def buffered_bytes(self) -> int:
-        """Bytes buffered for incomplete records and requests."""
-        return len(self.buffer) + sum(len(p.params) + len(p.body) for p in self.partial.values())
+        """Bytes buffered for incomplete records and requests, and for ids of rejected ones."""
+        ids = REJECTED_ID_BYTES * len(self.rejected)
+        return len(self.buffer) + ids + sum(partial.held_bytes() for partial in self.partial.values())
+
+    def stop(self) -> None:
+        """Parse nothing any more, and hold nothing."""
+        self.broken = True
+        self.buffer = self.data = b""
+        self.partial.clear()
+        self.rejected.clear()
 
     def feed(self, data: bytes) -> list[Event]:
         """Parse data. Returns the events of the complete records in order; none once parsing has failed."""
@@ -148,6 +167,7 @@
             size = (data[at + 4] << 8) | data[at + 5]
             kind, number = data[at + 1], (data[at + 2] << 8) | data[at + 3]
             self.position = stop
+            self.work += 1
             try:
                 check_version(data[at], kind, number)
                 self.read_record(kind, number, data[at + HEAD.size : at + HEAD.size + size], events)
@@ -175,11 +195,9 @@
 
     def break_connection(self, events: list[Event], error: MalformedRecordError) -> list[Event]:
         """Stop parsing; incomplete requests are reported as malformed, so that they are answered."""
-        self.broken = True
-        self.buffer = self.data = b""
         message = str(error)
         events.extend(MalformedRequest(number, 400, message) for number in self.partial)
-        self.partial.clear()
+        self.stop()
         events.append(ConnectionBroken(message, error.number if error.reuses_number else 0))
         return events
 
@@ -209,6 +227,8 @@
             # records of a request that was rejected or aborted may still arrive
             if number not in self.rejected and number not in self.open_requests:
                 raise MalformedRecordError("a piece of no request", kind, number, "an open request's number")
+            if kind == STDIN and not content:  # its last record
+                self.rejected.discard(number)
         elif kind == PARAMS:
             self.read_params(number, partial, content, events)
         else:
@@ -237,6 +257,8 @@
             self.reject(events, ImmediateReply(encode_end(number, UNKNOWN_ROLE)), number)
         elif len(self.partial) + len(self.open_requests) >= MAX_OPEN_REQUESTS:
             self.reject(events, ImmediateReply(encode_end(number, OVERLOADED)), number)
+        elif self.refuses_requests:
+            self.reject(events, MalformedRequest(number, 503, "no further request is accepted"), number)
         else:
             self.partial[number] = PartialRequest(bool(content[2] & KEEP_CONN))
         if len(self.rejected) > MAX_REJECTED:
@@ -258,11 +280,13 @@
             if len(partial.params) > MAX_PARAMS_BYTES:
                 self.reject(events, MalformedRequest(number, 431, "fields longer than a request's"), number)
             return
-        fields = decode_pairs(bytes(partial.params))
+        fields, count = decode_fields(bytes(partial.params), self.known_fields)
+        self.work += count / FIELDS_PER_UNIT
         if fields is None:
             self.reject(events, MalformedRequest(number, 400, "fields whose lengths don't fit"), number)
             return
         partial.fields = fields
+        partial.fields_bytes = sum(len(name) + len(value) for name, value in fields.items())
         partial.params = bytearray()
 
     def read_body(self, number: int, partial: PartialRequest, content: bytes, events: list[Event]) -> None:
@@ -298,7 +322,16 @@
 
 def decode_pairs(data: bytes) -> dict[bytes, bytes] | None:
     """Decode name-value pairs; None if the lengths don't fit the data or a name occurs twice."""
-    found, at, end = dict[bytes, bytes](), 0, len(data)
+    return decode_fields(data, None)[0]
+
+
+def decode_fields(data: bytes, known: frozenset[bytes] | None) -> tuple[dict[bytes, bytes] | None, int]:
+    """Decode name-value pairs, of which those with a known name are returned (None: all).
+
+    Returns None in their place if the lengths don't fit the data or a name occurs twice. The second value is
+    the number of pairs that were decoded.
+    """
+    found, names, at, end = dict[bytes, bytes](), set[bytes](), 0, len(data)
     while at < end:
         # fast path: both lengths are short
         if data[at] < LONG_LENGTH and at + 1 < end and data[at + 1] < LONG_LENGTH:
@@ -308,13 +341,15 @@
             value_size, at = decode_length(data, at) if name_size >= 0 else (-1, at)
         middle = at + name_size
         if name_size < 0 or value_size < 0 or middle + value_size > end:
-            return None
+            return None, len(names)
         name = data[at:middle]
-        if name in found:
-            return None
-        found[name] = data[middle : middle + value_size]
+        if name in names:
+            return None, len(names)
+        names.add(name)
+        if known is None or name in known:
+            found[name] = data[middle : middle + value_size]
         at = middle + value_size
-    return found
+    return found, len(names)
 
 
 def encode_length(length: int) -> bytes:
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -13,9 +13,12 @@
 from lapistrestle.hosting.requests import PendingRequest
 from lapistrestle.node import client_events, fastcgi
 from lapistrestle.node.client_connection import DISCARDING_TIMEOUT, ClientConnection, Phase
+from lapistrestle.node.client_memory import ClientMemory
 from lapistrestle.node.configuration import Configuration, split_address
 from lapistrestle.node.invocation import InvalidRequestError, Invocation, InvocationParser
 from lapistrestle.node.listener import Listener
+from lapistrestle.node.memory_account import MemoryAccount, request_bytes
+from lapistrestle.node.read_turns import ReadTurns
 from lapistrestle.node.runner_connection import RunnerConnection
 from lapistrestle.node.used_ids import ID_BYTES, UsedIds, retention_for
 from lapistrestle.policy.settings import MethodKind
@@ -32,9 +35,6 @@
 CLIENT_SOCKETS_SHARE = (9, 20)  # the fraction of the process's sockets for clients
 CLOSING_DIVISOR = 8  # one in so many of these is for connections being closed
 BYTES_PER_MB = 1e6
-BUFFERED_DIVISOR = 8  # one part in so many of the memory limit is for incomplete requests
-BODIES_DIVISOR = 4  # and one in so many for the bodies of open requests
-MIN_OPEN_REQUESTS = 256  # requests that may be open whatever the memory limit
 USED_IDS_DIVISOR = 32  # one part in so many of the memory limit is for ids that may not run again
 ID_IN_USE, ID_USED = "X-Call-Id is in use", "X-Call-Id was used"
 MAX_LOGGED_ID = 16  # characters of an id that is refused
@@ -52,6 +52,7 @@
     head: bytes  # JSON of the first attributes
     key: bytes  # JSON of the idempotency key's attribute; empty without a key
     body: bytes
+    held_bytes: int = 0  # in the account of memory
     used_connections: list[RunnerConnection] = field(default_factory=list)  # of its attempts
 
     @classmethod
@@ -76,11 +77,9 @@
         # half closed, or over the limit, each with the time to close it at last; oldest first
         self.closing = OrderedDict[ClientConnection, int]()
         memory = configuration.file.limits.memory_mb * BYTES_PER_MB
-        self.buffered_bytes = 0  # of incomplete requests on all connections
-        self.max_buffered_bytes = memory / BUFFERED_DIVISOR
-        # the number whose bodies fit the memory if each has the maximum size
-        by_memory = max(MIN_OPEN_REQUESTS, int(memory / BODIES_DIVISOR / fastcgi.MAX_BODY_BYTES))
-        self.max_open_requests = min(configuration.platform.limits.max_open, by_memory)
+        self.memory = ClientMemory(core, MemoryAccount(memory))
+        self.read_turns = ReadTurns(core)
+        self.max_open_requests = configuration.platform.limits.max_open
         self.listener: Listener | None = None
         self.ready: Callable[[], bool] = lambda: False  # whether there is a usable worker list
         self.shutting_down = False
@@ -135,6 +134,15 @@
         for connection in [*self.connections, *self.closing]:
             connection.close_now("the dispatcher ends")
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of incomplete requests on all connections."""
+        return self.memory.buffered_bytes
+
+    def memory_measured(self, used: int) -> None:
+        """The process uses so many bytes."""
+        self.memory.account.measured(used)
+
     def memory_figures(self) -> dict[str, int]:
         """The connections, the requests and the bytes of incomplete requests that are held, for the log."""
         return {
@@ -143,7 +151,10 @@
             "requests": len(self.unfinished),
             "used_ids": self.used_ids.count,
             "used_ids_dropped": self.used_ids.dropped_early,
+            "paused": len(self.memory.paused),
             "buffered": self.buffered_bytes,
+            "held": self.memory.account.held,
+            "budget": int(self.memory.account.budget),
         }
 
     # connections
@@ -308,7 +319,7 @@
             connection.refused(request.number, error.status, error.message, call_id)
             connection.reply(request.number, error.status, error.message.encode())
 
-    def rejection(self, connection: ClientConnection, time_left: int) -> str:
+    def rejection(self, connection: ClientConnection, time_left: int, body: bytes) -> str:
         """The reason why a request of this connection is not accepted now; empty if it is."""
         if time_left <= 0:
             return "no time left"
@@ -318,6 +329,8 @@
             return "the connection is being closed"
         if self.core.host.open_requests >= self.max_open_requests:
             return "too many open requests"
+        if not self.memory.has_room_for(body):
+            return "no memory for another request"
         return "" if self.ready() else "no list of workers that is recent enough"
 
     def check_id(self, call_id: bytes, tag: str) -> None:
@@ -332,17 +345,31 @@
         if self.unfinished.get(pending.tag) is not pending:
             return
         del self.unfinished[pending.tag]
+        self.hold(pending, 0)
         kind = self.core.settings.methods[pending.method].kind
         if kind is not MethodKind.IDEMPOTENT and pending.has_perhaps_run():
             self.used_ids.add(pending.tag, self.core.clock())
 
+    def hold(self, pending: PendingRequest, size: int) -> None:
+        """Count what an unfinished request takes now, also after its connection was closed."""
+        more = size - pending.message.held_bytes
+        pending.message.held_bytes = size
+        pending.client.request_bytes += more
+        self.memory.account.add(more)
+
+    def drop_body(self, pending: PendingRequest) -> None:
+        """Release the body of a request of which no further attempt is made."""
+        pending.message.body = b""
+        if pending.message.held_bytes:
+            self.hold(pending, request_bytes(b""))
+
     def invoke(self, connection: ClientConnection, request: fastcgi.Request, path: bytes) -> None:
         """Validate a call and hand it to the host. Raises InvalidRequestError."""
         call = self.parser.parse(request, path)
         tag = call.id.decode()
         self.check_id(call.id, tag)
         time_left = int(call.patience * MILLISECOND) - DEADLINE_MARGIN - connection.receive_delay
-        reason = self.rejection(connection, time_left)
+        reason = self.rejection(connection, time_left, request.body)
         if reason:
             self.core.counts["turned away"] += 1
             connection.refused(request.number, 503, reason, tag)
@@ -368,4 +395,6 @@
         if not pending.is_closed:
             connection.requests[request.number] = pending
         if not pending.is_closed or pending.in_flight:
+            connection.accepted += 1
             self.unfinished[tag] = pending
+            self.hold(pending, request_bytes(pending.message.body))
--- a/lapistrestle/node/invocation.py
+++ b/lapistrestle/node/invocation.py
@@ -16,6 +16,22 @@
 PATIENCE_TOLERANCE = 50  # milliseconds that the protocol allows past any time limit, here the deadline
 LENGTH_DIGITS = 9  # digits of CONTENT_LENGTH that are parsed: more than any body's length has
 
+# the fields of a request that are read; others are ignored
+FIELDS = frozenset(
+    {
+        b"SCRIPT_NAME",
+        b"CONTENT_LENGTH",
+        b"HTTP_X_ATTRS",
+        b"HTTP_X_CALL_ID",
+        b"HTTP_X_CUSTOMER",
+        b"HTTP_X_DEDUPE_KEY",
+        b"HTTP_X_ENTITY",
+        b"HTTP_X_PATIENCE_MS",
+        b"HTTP_X_REPEAT",
+        b"HTTP_X_WEIGHT_MS",
+    }
+)
+
 ID = re.compile(rb"[0-9a-f]{16}")
 KEY = re.compile(rb"[0-9A-Za-z._:-]{1,64}")
 NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,9})?")
--- a/lapistrestle/node/memory.py
+++ b/lapistrestle/node/memory.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import Final
+from typing import Final, Protocol
 
 from lapistrestle.edge.core import Core
 from lapistrestle.ticks import SECOND
@@ -25,21 +25,30 @@
     return sum(sizes) * BYTES_PER_KB if sizes else None
 
 
+class MemoryUser(Protocol):
+    """What holds memory for clients."""
+
+    def memory_measured(self, used: int) -> None:
+        """The process uses so many bytes."""
+
+    def memory_figures(self) -> dict[str, int]:
+        """What is held for clients, for the log."""
+
+
 class MemoryMonitor:
-    """Reports the memory of the process to the module, once per `MEASURE_INTERVAL`.
+    """Reports the memory of the process to the module and the front, once per `MEASURE_INTERVAL`.
 
-    Without a report the module retains the least that it is guaranteed.
+    Without a report each holds the least that it is guaranteed.
     """
 
     def __init__(
         self,
         core: Core,
+        front: MemoryUser,
         measure: Callable[[], int | None] = used_bytes,
-        figures: Callable[[], dict[str, int]] = dict,
     ) -> None:
-        """`figures` returns what is held for clients, for the log."""
         self.core = core
-        self.figures = figures
+        self.front = front
         self.measure = measure
         self.limit = core.settings.memory_limit
         self.next_logged = LOGGED_FROM * self.limit  # bytes from which on the memory is logged
@@ -53,6 +62,7 @@
         used = self.measure()
         if used is not None:
             self.core.host.memory_measured(used)
+            self.front.memory_measured(used)
             self.log_growth(used)
         self.core.after(MEASURE_INTERVAL, self.report, None)
 
@@ -60,4 +70,4 @@
         """Log the memory each time it has grown by `LOG_STEP` of the limit."""
         if self.limit and used >= self.next_logged:
             self.next_logged = used + LOG_STEP * self.limit
-            self.core.log("memory", used=used, limit=self.limit, **self.figures())
+            self.core.log("memory", used=used, limit=self.limit, **self.front.memory_figures())
--- a/lapistrestle/node/program.py
+++ b/lapistrestle/node/program.py
@@ -51,7 +51,7 @@
         self.front = Front(self.core, configuration)
         self.front.ready = self.discovery.ready
         self.core.front, self.core.make_runner, self.core.sources = self.front, self.pools, [self.discovery]
-        self.memory = MemoryMonitor(self.core, figures=self.front.memory_figures)
+        self.memory = MemoryMonitor(self.core, self.front)
         self.shutting_down = False
         self.reloads = 0
 
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -104,7 +104,7 @@
             data = self.receive()
             if data is None:
                 return True
-            is_all_read = len(data) < READ_SIZE
+            is_all_read = len(data) < self.read_size()
             if time_limit is not None and ends_at is None:
                 ends_at = self.reactor.seconds() + time_limit
             self.received(data)
@@ -114,10 +114,10 @@
 
     def receive(self) -> bytes | None:
         """Read once; None if there is nothing. Drops a connection that the peer closed or that failed."""
-        if self.dead or not self.reading:
+        if self.dead or not self.may_receive():
             return None
         try:
-            data = self.sock.recv(READ_SIZE)
+            data = self.sock.recv(self.read_size())
         except OSError as error:
             if error.errno not in RETRIABLE_ERRORS:
                 self.drop(error.strerror or "lost")
@@ -234,6 +234,14 @@
 
     # for subclasses
 
+    def read_size(self) -> int:
+        """How many bytes are read at most by one call."""
+        return READ_SIZE
+
+    def may_receive(self) -> bool:
+        """Whether data may be read now."""
+        return self.reading
+
     def reads_per_poll(self) -> int:
         """How many reads are made per poll."""
         return 1
--- a/tests/test_live_memory.py
+++ b/tests/test_live_memory.py
@@ -113,7 +113,15 @@
     await asyncio.gather(*(flood(dispatcher, SECONDS, taken_back) for _ in range(40)))
 
 
+async def numbers_of_refused_requests(dispatcher: LiveDispatcher) -> None:
+    """A thousand begins beyond the open ones, each under another number, and silence."""
+    beyond = b"".join(begin_request(number) for number in range(1_000, 2_000))
+    open_ones = b"".join(begin_request(number) for number in range(1, REQUESTS + 1))
+    await crowd(dispatcher, CLIENTS, SECONDS, lambda: open_ones + beyond)
+
+
 DISTURBANCES = [
+    numbers_of_refused_requests,
     heads_of_short_fields,
     heads_with_long_known_fields,
     unfinished_heads,
