A call that may have run is repeated only at processes known to be the listed ones

Cause: a repeat goes to a worker of the cell, by its name, and a new connection to its address counted as that worker. The address outlived the process; so did the belief where the first attempt had run. The class: an identity taken from an address, before the list can have told of another.

Change: a connection reaches the process that accepted it. It is known to be the listed one once it, or an earlier connection that still delivers, is 4 s old with no event of the list missing (node/process_identity.py; the time after which a silent board's events count as notified). A repeat that only a cell or a zone recognises needs that of its own connection and of those of the attempts before it; else it ends as not sent, is counted and logged with the id ('repeat held back'), and the call gets its final answer. What is known is settled when a connection is lost or its runner leaves the list. Runner.connected_since uses the same rule.

--- a/lapistrestle/node/runner_connection.py
+++ b/lapistrestle/node/runner_connection.py
@@ -6,6 +6,7 @@
 import binascii
 import socket
 from base64 import b64decode
+from collections.abc import Sequence
 from typing import Protocol
 
 from lapistrestle.edge.connection_state import (
@@ -18,6 +19,7 @@
 from lapistrestle.edge.core import Core
 from lapistrestle.hosting.requests import NO_REPORT, WorkerCall, WorkerTask
 from lapistrestle.node.configuration import split_address
+from lapistrestle.node.process_identity import is_listed_process, process_since
 from lapistrestle.node.replies import (
     ATTEMPT_OUTCOMES,
     HEALTH_CHECK_OUTCOMES,
@@ -44,6 +46,9 @@
     report_names: dict[str, str]  # names in load reports, mapped to the module's names
     reports_concurrency: bool  # whether replies report how many calls ran at the same time
 
+    def complete_until(self) -> int:
+        """The tick until which no event of the worker list is missing."""
+
 
 class ConnectionPool(Protocol):
     """What a connection needs of its pool."""
@@ -56,6 +61,10 @@
     def pools(self) -> ReplySettings:
         """Settings of the connections to all runners."""
 
+    @property
+    def connections(self) -> Sequence["RunnerConnection"]:
+        """All connections to the runner."""
+
     def remove(self, connection: "RunnerConnection") -> None:
         """Remove a connection that was closed or lost."""
 
@@ -106,6 +115,7 @@
         self.last_used_at = self.core.clock()
         self.established_at = NEVER
         self.last_received_at = NEVER
+        self.identity: bool | None = None  # what `reaches_listed_process` says for good; None: not settled
         self.unsent_numbers = set[int]()  # once the connection is lost: lines not completely written
 
     @property
@@ -113,6 +123,17 @@
         """Whether the runner has accepted the connection."""
         return self.established_at != NEVER
 
+    def reaches_listed_process(self) -> bool:
+        """Whether the process that is, or was, connected is the one that the worker list names."""
+        if self.identity is not None:
+            return self.identity
+        since = process_since(self, self.runner.connections)
+        return is_listed_process(since, self.runner.pools.complete_until())
+
+    def settle_identity(self) -> None:
+        """The connection is lost or its runner not listed any more: time tells no more of its process."""
+        self.identity = self.reaches_listed_process()
+
     def load(self) -> int:
         """The number of lines queued or in flight."""
         return len(self.state_machine.in_flight) + len(self.state_machine.queued)
@@ -254,6 +275,7 @@
         self.buffer = b""
         if stream is None:
             return
+        self.settle_identity()
         self.runner.remove(self)
         self.unsent_numbers = {mark for _, mark in stream.unsent if mark}
         self.state_machine.step(
@@ -302,6 +324,7 @@
     def close(self) -> None:
         """Close the connection."""
         stream, self.stream = self.stream, None
+        self.settle_identity()
         self.runner.remove(self)
         if stream is not None:
             stream.drop("no longer needed")
--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -6,12 +6,15 @@
 
 from lapistrestle.edge.connection_state import ConnectionEvent, ConnectionState, Line
 from lapistrestle.edge.core import Core
-from lapistrestle.hosting.requests import WorkerCall, WorkerTask
+from lapistrestle.hosting.requests import PendingRequest, WorkerCall, WorkerTask
 from lapistrestle.node.configuration import Configuration
+from lapistrestle.node.process_identity import process_since
 from lapistrestle.node.runner_connection import RunnerConnection
+from lapistrestle.policy.settings import MethodKind
 from lapistrestle.policy.types import Outcome
 from lapistrestle.ticks import MICROSECONDS, MILLISECOND, SECOND
 
+REPEAT_HELD_BACK = "repeat held back"
 MAX_CONNECTIONS_PER_RUNNER = 16  # several, as an invalid reply ends all calls of its connection
 SWEEP_INTERVAL = SECOND  # between two sweeps for idle connections
 RUNNER_SOCKETS_SHARE = (2, 5)  # the fraction of the process's sockets for runners
@@ -37,6 +40,7 @@
     def removed(self) -> None:
         """Handle the removal from the list: drop preloads and health checks; calls may still finish."""
         for connection in list(self.connections):
+            connection.settle_identity()
             connection.end_tasks()
             connection.state_machine.step(ConnectionEvent.REMOVED)
 
@@ -67,12 +71,8 @@
         established = [connection for connection in self.connections if connection.is_established]
         if not established:
             return None
-        newest = max(connection.established_at for connection in established)
-        return min(
-            connection.established_at
-            for connection in established
-            if connection.established_at == newest or connection.last_received_at > newest
-        )
+        newest = max(established, key=lambda connection: connection.established_at)
+        return process_since(newest, established)
 
     def open_connection(self) -> RunnerConnection | None:
         """Open another connection; None if the limit is reached."""
@@ -84,6 +84,21 @@
         connection.state_machine.step(ConnectionEvent.LINE_QUEUED)
         return connection
 
+    def pick_for_call(self, worker_call: WorkerCall) -> RunnerConnection | None:
+        """The connection for an attempt; None if there is none.
+
+        A repeat that only some workers recognise goes by a connection to a process that is known.
+        """
+        used = worker_call.pending.message.used_connections
+        if not self.pools.is_scoped_repeat(worker_call.pending):
+            return self.pick(used)
+        if not all(connection.reaches_listed_process() for connection in used):
+            return None
+        unknown = [connection for connection in self.connections if not connection.reaches_listed_process()]
+        if len(unknown) == len(self.connections):
+            return None
+        return self.pick([*used, *unknown])
+
     def pick(self, used: Collection[RunnerConnection]) -> RunnerConnection | None:
         """The least loaded connection, not in `used`, that is open or being opened; None if there is none.
 
@@ -121,7 +136,11 @@
     def send_call(self, worker_call: WorkerCall) -> None:
         """Send an attempt."""
         pending, message = worker_call.pending, worker_call.pending.message
-        connection = worker_call.connection = self.pick(message.used_connections)
+        connection = worker_call.connection = self.pick_for_call(worker_call)
+        if connection is None and self.pools.is_scoped_repeat(pending):
+            self.core.count_and_log(REPEAT_HELD_BACK, id=pending.tag, runner=self.name)
+            self.core.host.attempt_finished(worker_call.number, Outcome.NOT_SENT)
+            return
         line = Line(
             worker_call.number, lambda: self.call_line(worker_call), worker_call.write_by, worker_call
         )
@@ -178,11 +197,24 @@
             configuration.file.limits.sockets * RUNNER_SOCKETS_SHARE[0] // RUNNER_SOCKETS_SHARE[1]
         )
         self.connections = 0
+        core.counts[REPEAT_HELD_BACK] = 0
 
     def __call__(self, name: str, address: Any, start: str = "") -> Runner:
         """Create the pool of one runner process."""
         return Runner(self, name, address)
 
+    def is_scoped_repeat(self, pending: PendingRequest) -> bool:
+        """Whether an attempt of a request may be a repeat that only some workers recognise."""
+        method = self.core.settings.methods[pending.method]
+        return pending.may_have_run_on is not None and (
+            method.kind is MethodKind.DEDUPLICATED and method.dedup_scope != "all"
+        )
+
+    def complete_until(self) -> int:
+        """The tick until which no event of the worker list is missing."""
+        gap = self.core.endpoint_gap()
+        return self.core.clock() if gap is None else gap.complete_until
+
     def start(self) -> None:
         """Start the sweeps for idle connections."""
         self.core.after(SWEEP_INTERVAL, self.sweep, None)
