A worker's start is bounded by when the list told it, where the wall clock was wrong

Cause: the offset from the monotonic clock to Unix time is taken once, at the start, and a worker's listed start was converted by it alone. Taking it once is right for steps after the start; for those before it nothing bounded the result.

Change: a start is not later than the event that tells it, and a worker that the list did not have yet started no longer before the list was last complete than the list may be late, 4 s (node/start_times.py). A worker that is told again keeps its start. The first list of a process still goes by the wall clock.

--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -15,10 +15,11 @@
 from lapistrestle.node.freshness import ListFreshness
 from lapistrestle.node.notices import STATES, Frame, FrameKind, Record
 from lapistrestle.node.revisions import FRAME_ACTIONS, FrameAction, order_of
+from lapistrestle.node.start_times import StartTimes
 from lapistrestle.node.streams import dial
 from lapistrestle.node.watch import Watch
 from lapistrestle.policy.types import EndpointGap, EndpointState, WorkerInfo
-from lapistrestle.ticks import MILLISECOND, SECOND
+from lapistrestle.ticks import SECOND
 
 HEARTBEAT_TIMEOUT = 22_000  # two heartbeats were missed
 FIRST_FRAME_TIMEOUT = 12_000  # on a new watch, the first heartbeat was missed
@@ -44,7 +45,7 @@
         self.watch: Watch | None = None
         self.stopped = False
         self.reconnects_at_once = True
-        self.unix_offset = int(time.time() * SECOND) - core.clock()  # from the core's clock to Unix time
+        self.start_times = StartTimes(int(time.time() * SECOND) - core.clock())
         self.zones = {name: i for i, name in enumerate(configuration.platform.zones)}
         self.kinds = {name: i for i, name in enumerate(configuration.platform.models)}
         self.addresses = RunnerAddresses()
@@ -106,8 +107,10 @@
             order = order_of(notice.revision, self.revision)
             kind = FrameKind.SNAPSHOT if notice.pool.is_complete else FrameKind.DELTA
             if not self.revision or FRAME_ACTIONS[kind, order] is FrameAction.APPLY:
+                complete_until = self.complete_until()
                 self.revision = notice.revision
-                self.apply([self.record(entry) for entry in notice.pool.runners], notice.pool.is_complete)
+                records = [self.record(entry) for entry in notice.pool.runners]
+                self.apply(records, notice.pool.is_complete, complete_until)
 
     def move_to(self, address: str | None) -> None:
         """Watch the board at another address from now on."""
@@ -168,6 +171,7 @@
     def receive(self, frame: Frame, arrived_at: int) -> FrameAction:
         """Handle a complete frame, which arrived at this tick. Returns what was done with it."""
         action = FRAME_ACTIONS[frame.kind, order_of(frame.revision, self.revision)]
+        complete_until = self.complete_until()
         if action is FrameAction.RESUME:
             self.freshness.event_missed(self.core.clock())
         elif frame.kind is FrameKind.HEARTBEAT:
@@ -177,15 +181,20 @@
         if action is FrameAction.APPLY:
             self.reconnects_at_once = True
             self.revision = frame.revision
-            self.apply(frame.records, frame.kind is FrameKind.SNAPSHOT)
+            self.apply(frame.records, frame.kind is FrameKind.SNAPSHOT, complete_until)
         return action
 
-    def apply(self, records: Sequence[Record], whole: bool) -> None:
+    def complete_until(self) -> int | None:
+        """The tick until which no event is missing; None: no list was applied yet."""
+        return self.freshness.complete_until if self.revision else None
+
+    def apply(self, records: Sequence[Record], whole: bool, complete_until: int | None) -> None:
         """Apply records, or a complete list (`whole`), to the module's workers and the runners' addresses.
 
-        That happens without a return to the reactor: lines queued to draining runners are discarded with it.
+        No event before `complete_until` was missing without these; None: they are the first list. That happens
+        without a return to the reactor: lines queued to draining runners are discarded with it.
         """
-        workers = tuple(self.worker_info(record) for record in records)
+        workers = tuple(self.worker_info(record, complete_until) for record in records)
         self.core.endpoints_received(workers, whole)
         if whole:
             listed = {record.name for record in records}
@@ -211,9 +220,10 @@
         if runner is not None:
             self.addresses.add(name, runner.address[0])
 
-    def worker_info(self, record: Record) -> WorkerInfo:
+    def worker_info(self, record: Record, complete_until: int | None) -> WorkerInfo:
         """The module's description of a record's worker."""
-        booted = record.started * MILLISECOND - self.unix_offset if record.started else None
+        now = self.core.clock()
+        booted = self.start_times.tick_of(record.name, record.started, now, complete_until)
         return WorkerInfo(
             record.name, record.zone, record.cell, record.kind, record.weight / 1000, record.listing, booted
         )
