--- a/lapistrestle/node/discovery.py
+++ b/lapistrestle/node/discovery.py
@@ -191,7 +191,7 @@
     def apply(self, records: Sequence[Record], whole: bool, complete_until: int | None) -> None:
         """Apply records, or a complete list (`whole`), to the module's workers and the runners' addresses.
 
-        No event before `complete_until` was missing without these; None: they are the first list. That happens
+        No event before `complete_until` was missing without these; None: they are the first list. It happens
         without a return to the reactor: lines queued to draining runners are discarded with it.
         """
         workers = tuple(self.worker_info(record, complete_until) for record in records)
