Answers collected in a read are written before a read that it leads to

Cause: the answers to one read are collected and written together. Outside of a poll the decisions follow at the end of the read, before the collected answers were written, and read the client's connection again before an attempt; that read began its own collection, and the first was forgotten.

Change: the collection is written before the decisions follow. Two relatives: reading before an attempt counts into the allowance of its connection, and one that waits for its turn is only looked at, not read; a connection that is to be evicted as idle is read whatever the poll's time, so that no request on it is reset.

--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -133,7 +133,11 @@
         with self.front.core.host.batched():
             self.read_records(data)
             self.is_parsing = False
-        self.receiving = outer
+            self.receiving = outer
+            self.flush_outbox()
+
+    def flush_outbox(self) -> None:
+        """Write what was collected while data was processed."""
         outbox, self.outbox = self.outbox, None
         if outbox:
             self.send(b"".join(outbox))
@@ -207,17 +211,11 @@
             turns.spent_in_poll += self.reactor.seconds() - started_at
 
     def read_once(self) -> None:
-        """Read once, unless the connection holds too much; note what it cost and led to."""
+        """Read once, unless the connection holds too much."""
         self.enforce_bounds()
-        size, work, accepted = self.bytes_read, self.reader.work, self.accepted
         self.bytes_per_read = self.read_cost.next_read_size
-        super().doRead()
+        self.read(1)
         self.bytes_per_read = READ_SIZE
-        size, work = self.bytes_read - size, self.reader.work - work
-        if size:
-            self.read_cost.add(size, work, self.accepted - accepted, self.reactor.seconds())
-            if self.read_cost.is_exceeded():
-                self.defer_reading()
 
     def defer_reading(self) -> None:
         """Wait for a turn to be read."""
@@ -303,9 +301,15 @@
         self.update_watch()
 
     def read(self, count: int, time_limit: float | None = None) -> bool:
-        """See `Stream.read`. Notes since when data may lie unread."""
+        """See `Stream.read`. Notes what was read, what it led to, and since when data may lie unread."""
+        size, work, accepted = self.bytes_read, self.reader.work, self.accepted
         is_all_read = super().read(count, time_limit)
         self.note_unread(is_all_read)
+        size, work = self.bytes_read - size, self.reader.work - work
+        if size:
+            self.read_cost.add(size, work, self.accepted - accepted, self.reactor.seconds())
+            if self.read_cost.is_exceeded():
+                self.defer_reading()
         return is_all_read
 
     def note_unread(self, is_all_read: bool) -> None:
@@ -331,7 +335,10 @@
 
     def is_waiting(self) -> bool:
         """Whether the client still waits: it has not left, as far as its data was read lately."""
-        self.note_unread(super().read(MAX_READS, READ_ON_TIME))
+        if self.is_deferred:
+            self.note_unread(self.is_empty())
+        else:
+            ClientConnection.read(self, MAX_READS, READ_ON_TIME)
         return self.unread_since is None or self.front.core.clock() - self.unread_since <= UNREAD_TRUSTED
 
     def write_completed(self) -> None:
--- a/lapistrestle/node/front.py
+++ b/lapistrestle/node/front.py
@@ -255,7 +255,7 @@
         if connection.unsent:
             return False
         before = connection.oldest_partial, connection.has_sent_request
-        connection.doRead()
+        connection.read_once()
         after = connection.oldest_partial, connection.has_sent_request
         return not connection.dead and not connection.requests and after == before
 
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -581,3 +581,27 @@
     harness.reactor.quiet()
     harness.reactor.run(1.0 + 2 * fronts.SWEEP_INTERVAL / 10_000)
     assert connection.dead and not harness.node.front.closing
+
+
+def test_answers_collected_in_a_read_are_not_lost_to_a_read_that_it_leads_to(harness: Any) -> None:
+    """Guards against a further read, before an attempt, that begins in the middle of writing answers."""
+    client = harness.connect_client()
+    (connection,) = harness.node.front.connections
+    warm = client.send_request()  # the runner is connected from now on
+    harness.reactor.until(lambda: client.status(warm) is not None)
+    harness.reactor.removeReader(connection)  # it is read outside of a poll, as in its turn
+    first, second = client.send_request(script="/_health", id="0" * 16), client.send_request()
+    padding = connection.read_cost.next_read_size - client_bytes_in_flight(harness, connection)
+    client.send(fastcgi.encode_record(fastcgi.GET_VALUES, 0, bytes(padding - fastcgi.HEAD.size)))
+    third = client.send_request(script="/_health", id="1" * 16)
+    harness.reactor.quiet()
+    connection.read_once()
+    harness.reactor.addReader(connection)
+    harness.reactor.until(lambda: client.status(second) is not None)
+    assert [client.status(number) for number in (first, second, third)] == [200, 200, 200]
+
+
+def client_bytes_in_flight(harness: Any, connection: Any) -> int:
+    """How many bytes lie unread in the dispatcher's socket."""
+    harness.reactor.quiet()
+    return len(connection.sock.recv(1 << 20, socket.MSG_PEEK))
