--- a/tests/live_dispatcher.py
+++ b/tests/live_dispatcher.py
@@ -170,7 +170,7 @@
 
 def encode_request(
     number: int, call_id: str, method: str = "search", patience_ms: int = 2_000, body: bytes = b"hello",
-    function: str = FUNCTION, is_whole: bool = True, **more: str,
+    function: str = FUNCTION, is_whole: bool = True, **more: Any,
 ) -> bytes:  # fmt: skip
     """A request's records; `more` are further parameters by their CGI names."""
     fields = {
@@ -241,7 +241,7 @@
 
     def ended(self, number: int, protocol_status: int) -> None:
         head = self.output.pop(number, b"")
-        call = self.calls[number]
+        call = self.calls.setdefault(number, Call(time.monotonic()))
         call.ends += 1
         call.status = int(head.split(b"Status: ")[1][:3]) if b"Status: " in head else 1000 + protocol_status
         call.latency = time.monotonic() - call.sent_at
