--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -9,16 +9,12 @@
 from lapistrestle.hosting.requests import PendingRequest, RequestEnd
 from lapistrestle.node import client_events, fastcgi
 from lapistrestle.node.client_memory import ClientMemory
-from lapistrestle.node.invocation import FIELDS
 from lapistrestle.node.memory_account import CONNECTION_BYTES, PARTIAL_BYTES
-from lapistrestle.node.read_turns import ReadCost, ReadTurns
-from lapistrestle.node.streams import MAX_READS, READ_SIZE, RETRIABLE_ERRORS, Stream
+from lapistrestle.node.paced_reading import PacedReading
+from lapistrestle.node.read_turns import ReadTurns
 from lapistrestle.ticks import SECOND
 
 MAX_UNSENT = 1_048_576  # bytes unsent to a client, beyond which its connection is not read
-# ticks of 0.1 ms for which data may lie unread: its client may have aborted or closed behind it
-UNREAD_TRUSTED = 500
-READ_ON_TIME = 0.01  # seconds of reading a connection before an attempt for it begins
 MAX_DISCARDED = 262_144  # bytes that a connection being closed may still send, without open requests
 # the same with open requests, or where further ones are answered: more than the longest body
 MAX_DISCARDED_WHILE_OPEN = 67_108_864
@@ -73,33 +69,23 @@
         """Handle that a connection's sending side was shut down; it is read until its client closes."""
 
 
-class ClientConnection(Stream):
+class ClientConnection(PacedReading):
     """One connection of a client."""
 
     def __init__(self, front: ConnectionOwner, sock: socket.socket) -> None:
-        super().__init__(front.core.reactor, sock)
+        super().__init__(front.core, front.read_turns, sock)
         self.front = front
         self.number = front.next_connection_number()
-        self.reader = fastcgi.RecordReader(FIELDS)
         self.requests: dict[int, PendingRequest] = {}
         self.has_sent_request = False  # a complete request was received
         self.phase = Phase.SERVING
         self.phase_since = 0
         # accepted beyond the limit; served only if there is room by its first request
         self.is_over_limit = False
-        self.bytes_read = 0
         self.discarded_bytes = 0  # bytes read since the connection began to close
-        self.reads_paused = False  # not read until the client has read what is unsent
-        # earliest time at which data may have arrived that is unread; None: none was when last looked
-        self.unread_since: int | None = None
         self.receiving = False  # received data is being processed; closing has to wait until that is done
-        self.is_parsing = False  # records are being parsed: further data has to wait for its turn
         self.outbox: list[bytes] | None = None  # what is sent while data is processed; written with one call
         self.refused_for_memory = 0  # incomplete requests
-        self.read_cost = ReadCost()
-        self.bytes_per_read = READ_SIZE
-        self.is_deferred = False  # waits for its turn to be read
-        self.accepted = 0  # requests handed to the host and not aborted, ever
         self.unsent_seen = 0  # bytes unsent at the last sweep
         self.unsent_since = 0  # time since which that number has not changed
         self.accept_wait = 0  # ticks for which the connection may have waited to be accepted
@@ -130,7 +116,7 @@
         outer = self.receiving
         self.receiving = self.is_parsing = True
         self.outbox = []
-        with self.front.core.host.batched():
+        with self.core.host.batched():
             self.read_records(data)
             self.is_parsing = False
             self.receiving = outer
@@ -151,9 +137,9 @@
 
     def read_records(self, data: bytes) -> None:
         """Parse FastCGI records and handle their events in order."""
-        longest = max(self.front.core.max_unread_time(), self.accept_wait)
+        longest = max(self.core.max_unread_time(), self.accept_wait)
         self.accept_wait = 0
-        receive_delay = self.front.core.unread_for(self.sock, longest)
+        receive_delay = self.core.unread_for(self.sock, longest)
         for event in self.reader.events(data):
             # the kernel knows the age of the last bytes only; earlier ones may be as old as the previous poll
             is_newest = len(data) < self.read_size() and self.reader.record_end() is None
@@ -173,20 +159,20 @@
             case fastcgi.ImmediateReply():
                 self.send(event.data)
             case fastcgi.MalformedRequest():
-                self.front.core.counts["unreadable"] += 1
+                self.core.counts["unreadable"] += 1
                 self.refused(event.number, event.status, event.message)
                 self.reply(event.number, event.status, event.message.encode())
                 if event.status in TOO_LARGE:
                     self.begin_close(Phase.REJECTING)
             case fastcgi.ConnectionBroken():
-                self.front.core.counts["unreadable"] += 1
+                self.core.counts["unreadable"] += 1
                 self.refused(event.number, 0, event.message)
                 self.withdraw(event.number)
                 self.begin_close(Phase.DISCARDING)
 
     def refused(self, number: int, status: int, reason: str, call_id: str = "") -> None:
         """Log that a request was refused; a status of 0: no answer could be given under its number."""
-        client_events.request_refused(self.front.core, self, number, call_id, status, reason)
+        client_events.request_refused(self.core, self, number, call_id, status, reason)
 
     def withdraw(self, number: int) -> None:
         """Drop an open request whose number was used again: the client could not tell the answers apart."""
@@ -196,55 +182,13 @@
 
     def client_gone(self, pending: PendingRequest) -> None:
         """The client no longer waits for the answer to a request: no further attempt is made."""
-        self.front.core.host.client_gone(pending)
+        self.core.host.client_gone(pending)
         self.front.drop_body(pending)
 
-    def doRead(self) -> None:
-        """The socket is readable. One whose input leads to nothing, or may, waits for its turn."""
-        turns = self.front.read_turns
-        if self.accepted <= 0 and not turns.has_time_in_poll():
-            self.defer_reading()
-            return
-        started_at = self.reactor.seconds()
-        self.read_once()
-        if self.accepted <= 0:
-            turns.spent_in_poll += self.reactor.seconds() - started_at
-
-    def read_once(self) -> None:
-        """Read once, unless the connection holds too much."""
+    def before_read(self) -> None:
+        """Read no further while the connection holds too much."""
         if self.front.memory.is_over_share(self):
             self.enforce_bounds()
-        self.bytes_per_read = self.read_cost.next_read_size
-        self.read(1)
-        self.bytes_per_read = READ_SIZE
-
-    def defer_reading(self) -> None:
-        """Wait for a turn to be read."""
-        if not self.is_deferred and not self.dead:
-            self.is_deferred = True
-            self.update_watch()
-            self.front.read_turns.defer(self)
-
-    def read_size(self) -> int:
-        """See `Stream.read_size`."""
-        return self.bytes_per_read
-
-    def read_in_turn(self) -> None:
-        """Read once; if that exceeds the allowance again, wait for another turn."""
-        if self.dead:
-            return
-        self.is_deferred = False
-        self.update_watch()
-        self.read_once()
-        self.close_if_done()
-
-    def update_watch(self) -> None:
-        """Watch for data unless reading is paused, or waits for its turn."""
-        self.watch_reads(not self.reads_paused and not self.is_deferred)
-
-    def may_receive(self) -> bool:
-        """See `Stream.may_receive`. Before attempts and closes a connection is read out of its turn."""
-        return not self.reads_paused and not self.is_parsing
 
     def enforce_bounds(self) -> None:
         """Enforce the limits of memory and of discarded bytes."""
@@ -254,7 +198,7 @@
             self.front.memory.pause(self)
         is_answered = bool(self.requests) or self.reader.refuses_requests
         if self.discarded_bytes > (MAX_DISCARDED_WHILE_OPEN if is_answered else MAX_DISCARDED):
-            self.front.core.host.abort_all(list(self.requests.values()))
+            self.core.host.abort_all(list(self.requests.values()))
             self.drop("too much data on a closing connection")
 
     @property
@@ -280,15 +224,9 @@
             memory.note_incomplete(self, has_rejected or bool(oldest))
         if oldest != self.oldest_partial:
             self.oldest_partial = oldest
-            self.partial_since = self.front.core.clock()
+            self.partial_since = self.core.clock()
             memory.note_incomplete(self, has_rejected or bool(oldest))
 
-    def pause_reading(self) -> None:
-        """Do not read until `resume_reading`."""
-        if not self.reads_paused:
-            self.reads_paused = True
-            self.update_watch()
-
     def resume_reading(self) -> None:
         """Read again if the connection holds little enough."""
         memory = self.front.memory
@@ -301,47 +239,6 @@
         memory.paused.pop(self, None)
         self.update_watch()
 
-    def read(self, count: int, time_limit: float | None = None) -> bool:
-        """See `Stream.read`. Notes what was read, what it led to, and since when data may lie unread."""
-        size, work, accepted = self.bytes_read, self.reader.work, self.accepted
-        is_all_read = super().read(count, time_limit)
-        self.note_unread(is_all_read)
-        size, work = self.bytes_read - size, self.reader.work - work
-        if size:
-            self.read_cost.add(size, work, self.accepted - accepted, self.reactor.seconds())
-            if self.read_cost.is_exceeded():
-                self.defer_reading()
-        return is_all_read
-
-    def note_unread(self, is_all_read: bool) -> None:
-        """Note since when data may lie unread, after all or a part of it was read."""
-        if self.is_parsing:
-            return
-        if is_all_read and (self.unread_since is None or self.is_empty()):
-            self.unread_since = self.front.core.earliest_arrival() if self.reads_paused else None
-        elif self.unread_since is None:
-            self.unread_since = self.front.core.earliest_arrival()
-
-    def is_empty(self) -> bool:
-        """Whether the socket has no data, nor the end of it.
-
-        A read that empties the receive buffer lets a client go on that could not write, so what it wrote
-        before may arrive right after.
-        """
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except OSError as error:
-            return error.errno in RETRIABLE_ERRORS
-        return False
-
-    def is_waiting(self) -> bool:
-        """Whether the client still waits: it has not left, as far as its data was read lately."""
-        if self.is_deferred:
-            self.note_unread(self.is_empty())
-        else:
-            ClientConnection.read(self, MAX_READS, READ_ON_TIME)
-        return self.unread_since is None or self.front.core.clock() - self.unread_since <= UNREAD_TRUSTED
-
     def write_completed(self) -> None:
         """All data has been sent."""
         self.resume_reading()
@@ -388,7 +285,7 @@
         if phase <= self.phase or self.dead:
             return False
         self.phase = phase
-        self.phase_since = self.front.core.clock()
+        self.phase_since = self.core.clock()
         if phase >= Phase.REJECTING:
             self.front.idle.pop(self, None)
         return True
@@ -485,13 +382,13 @@
     def note_idle(self) -> None:
         """Mark the connection as idle if it has no open request."""
         if not self.requests and not self.dead and self.phase < Phase.REJECTING:
-            self.idle_since = self.front.core.clock()
+            self.idle_since = self.core.clock()
             self.front.idle[self] = None
             self.front.idle.move_to_end(self)
 
     def lost(self, reason: str) -> None:
         """Handle the loss of the connection: its open requests have no client any more."""
-        client_events.connection_closed(self.front.core, self, reason)
+        client_events.connection_closed(self.core, self, reason)
         self.front.connections.pop(self, None)
         self.front.memory.forget(self)
         self.front.memory.buffered_bytes -= self.buffered_bytes
