Data lies unread from when its connection waits for its turn, not from when it is read

Cause: a new connection that waits for its turn to be read was not noted as unread. In its turn its data counted as arrived at the poll before, though it had lain there since the process stood still.

Change: from when a connection begins to wait its data counts as unread, until the socket is found empty.

--- a/lapistrestle/node/paced_reading.py
+++ b/lapistrestle/node/paced_reading.py
@@ -56,9 +56,10 @@
         self.bytes_per_read = READ_SIZE
 
     def defer_reading(self) -> None:
-        """Wait for a turn to be read."""
+        """Wait for a turn to be read. Until then data may lie unread."""
         if not self.is_deferred and not self.dead:
             self.is_deferred = True
+            self.note_unread(False)
             self.update_watch()
             self.turns.defer(self)
 
