A scoped repeat does not go by a connection that is opened for it

Cause: where the known connection to a worker had the first attempt, the pool opened another one and the repeat was queued for it; only the connections that existed were looked at.

Change: the connection that was picked must itself reach a known process. A connection that was never established does not count against a repeat, as nothing ran by it.

Evidence: the new test sent the repeat before ([2, 0] runs) and does not now; it goes to the other, known runner. The tests of process identity and of the live runners pass.

--- a/lapistrestle/node/runners.py
+++ b/lapistrestle/node/runners.py
@@ -92,12 +92,11 @@
         used = worker_call.pending.message.used_connections
         if not self.pools.is_scoped_repeat(worker_call.pending):
             return self.pick(used)
-        if not all(connection.reaches_listed_process() for connection in used):
+        if any(earlier.is_established and not earlier.reaches_listed_process() for earlier in used):
             return None
         unknown = [connection for connection in self.connections if not connection.reaches_listed_process()]
-        if len(unknown) == len(self.connections):
-            return None
-        return self.pick([*used, *unknown])
+        picked = self.pick([*used, *unknown])
+        return picked if picked is not None and picked.reaches_listed_process() else None
 
     def pick(self, used: Collection[RunnerConnection]) -> RunnerConnection | None:
         """The least loaded connection, not in `used`, that is open or being opened; None if there is none.
--- a/tests/test_node_process_identity.py
+++ b/tests/test_node_process_identity.py
@@ -8,6 +8,7 @@
 import pytest
 from node_harness import SETTINGS, harnesses
 
+from lapistrestle.policy.types import Attempt
 from lapistrestle.standins.platform import RunnerStub, board_row
 
 __all__ = ["harnesses"]  # the fixture
@@ -153,3 +154,23 @@
     harness.reactor.run(LONG)
     pair.reset_first()
     assert pair.call() == SERVED
+
+
+def test_a_call_is_not_repeated_over_a_connection_that_is_opened_for_it(harnesses: Any) -> None:
+    """Guards against a new connection to a worker whose known one has the first attempt."""
+    pair = Pair(harnesses, "cell")
+    harness = pair.harness
+    pair.connect_both()
+    harness.reactor.run(LONG)
+    harness.runners[0].on_run = lambda line, message: None  # it hangs
+    pair.client.send_request(**KEYED)
+    harness.reactor.until(harness.run_messages)
+    (worker_call,) = harness.host.worker_calls.values()
+    request, worker = worker_call.pending, worker_call.worker
+    request.may_have_run_on, request.may_have_run_at = worker, harness.module.now
+    repeat = Attempt(request, worker, harness.module.now, concurrency=2)
+    request.attempts.append(repeat)
+    request.function.replica(worker).start(repeat)
+    harness.host.send_attempt(repeat, 10_000)
+    harness.reactor.run(0.1)
+    assert pair.runs()[0] == 1  # the other runner is known, and may get it
