A client that never reads is closed after its time, however many answers it gets meanwhile

Seen by callers: test_a_client_that_never_reads_is_closed failed once in a run of the whole suite; it was not run again until explained.

Cause: 'reads nothing' was measured by unsent bytes that do not change. Every further answer changed them, so a client that reads nothing stayed for as long as there were answers; with reading that pauses and resumes there are more of them. That this was the order in the failing run is inferred from the code, its record does not show it; the new test shows the fault by itself.

Change: the time runs from the last byte that the socket took (Stream.sent_bytes).

Evidence: the new test fails before and passes now; 194 tests of the answers, the crossings and the connections pass.

--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -86,8 +86,8 @@
         self.receiving = False  # received data is being processed; closing has to wait until that is done
         self.outbox: list[bytes] | None = None  # what is sent while data is processed; written with one call
         self.refused_for_memory = 0  # incomplete requests
-        self.unsent_seen = 0  # bytes unsent at the last sweep
-        self.unsent_since = 0  # time since which that number has not changed
+        self.sent_seen = 0  # bytes sent at the last sweep
+        self.unsent_since = 0  # time since which that number has not changed, or nothing was unsent
         self.accept_wait = 0  # ticks for which the connection may have waited to be accepted
         self.idle_since = front.core.clock()  # time of the connect, or of the end of its last open request
         self.buffered_bytes = 0  # bytes of incomplete requests
@@ -246,8 +246,8 @@
 
     def unread_time(self, now: int) -> int:
         """How long the client has read nothing of the unsent data, in ticks of 0.1 ms."""
-        if self.unsent_bytes != self.unsent_seen or not self.unsent_bytes:
-            self.unsent_seen = self.unsent_bytes
+        if self.sent_bytes != self.sent_seen or not self.unsent_bytes:
+            self.sent_seen = self.sent_bytes
             self.unsent_since = now
         return now - self.unsent_since
 
--- a/lapistrestle/node/streams.py
+++ b/lapistrestle/node/streams.py
@@ -58,6 +58,7 @@
         self.unsent: deque[tuple[bytes, int]] = deque()
         self.offset = 0  # bytes of the first chunk that were sent
         self.unsent_bytes = 0
+        self.sent_bytes = 0  # ever
         self.writing = self.reading = False
 
     def start(self) -> None:
@@ -196,6 +197,7 @@
                 return
             self.offset += sent
             self.unsent_bytes -= sent
+            self.sent_bytes += sent
             if self.offset < len(data):
                 break
             self.unsent.popleft()
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -353,6 +353,17 @@
     assert connection.dead and harness.host.open_requests == 0
 
 
+def test_further_answers_do_not_count_as_read_by_a_client_that_never_reads(harness: Any) -> None:
+    """Guards against a client that stays for as long as there are answers for it."""
+    client, connection = slow_reader(harness)
+    ask_in_turn(harness, client, 20)
+    assert connection.unsent
+    for _ in range(8):
+        client.send_request(script="/_health")
+        harness.reactor.run(1.0)
+    assert connection.dead
+
+
 def test_a_connection_with_an_unsent_answer_is_not_evicted(harness: Any) -> None:
     client, connection = slow_reader(harness)
     numbers = ask_in_turn(harness, client, 20)
