--- a/lapistrestle/node/read_turns.py
+++ b/lapistrestle/node/read_turns.py
@@ -2,8 +2,9 @@
 
 Handling 16 KiB of small records that are refused takes far longer than 16 KiB of usual requests. So each
 connection has an allowance of work for such input. One that exceeds it is read in turn with others like it:
-for a slice of time, and then not for as long as that took, while the rest are read as data arrives. So are
-connections that have sent no usable request yet, where many of them have data in one poll.
+for a slice of time, then not for as long as that took, up to `MAX_PAUSE`, while the rest are read as data
+arrives. Connections that have sent no usable request yet are read in turn too where many of them have data in
+one poll; they go first.
 """
 
 from collections import deque
@@ -58,7 +59,7 @@
 
     def __init__(self, core: Core) -> None:
         self.core = core
-        self.waiting = deque[TurnTaker]()  # their input led to nothing
+        self.costly = deque[TurnTaker]()  # their input led to nothing
         self.new = deque[TurnTaker]()  # they have not been read enough to tell; they go first
         self.is_scheduled = False
         self.next_slice_at = 0.0  # seconds
@@ -75,12 +76,12 @@
 
     def defer(self, connection: TurnTaker, is_costly: bool) -> None:
         """Read the connection when its turn comes. `is_costly`: its allowance is exceeded."""
-        (self.waiting if is_costly else self.new).append(connection)
+        (self.costly if is_costly else self.new).append(connection)
         self.schedule()
 
     def schedule(self) -> None:
         """Schedule the next slice if a connection waits."""
-        if (self.new or self.waiting) and not self.is_scheduled:
+        if (self.new or self.costly) and not self.is_scheduled:
             self.is_scheduled = True
             pause = max(0.0, self.next_slice_at - self.core.reactor.seconds())
             self.core.after(int(pause * SECOND), self.run_slice, None)
@@ -89,8 +90,8 @@
         """Read connections in turn, each at most once, until the slice is over."""
         seconds = self.core.reactor.seconds
         started_at = now = seconds()
-        for _ in range(len(self.new) + len(self.waiting)):
-            (self.new or self.waiting).popleft().read_in_turn()
+        for _ in range(len(self.new) + len(self.costly)):
+            (self.new or self.costly).popleft().read_in_turn()
             now = seconds()
             if now - started_at >= SLICE:
                 break
