--- a/lapistrestle/node/client_connection.py
+++ b/lapistrestle/node/client_connection.py
@@ -18,7 +18,7 @@
 MAX_DISCARDED = 262_144  # bytes that a connection being closed may still send, without open requests
 # the same with open requests, or where further ones are answered: more than the longest body
 MAX_DISCARDED_WHILE_OPEN = 67_108_864
-# ids of rejected requests that a connection may hold when memory is short; with more it is not parsed any more
+# ids of rejected requests, beyond which a connection is not parsed any more when memory is short
 MAX_REJECTED_WHEN_SHORT = 64
 MAX_REFUSED_FOR_MEMORY = 8  # incomplete requests, beyond which a connection is closed
 DISCARDING_TIMEOUT = 20_000  # ticks after which requests on an unreadable connection are aborted
